--- /dev/null
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The agent role.
+ */
+package org.catkingate.agent;
--- /dev/null
+++ b/catkingate-bench/src/main/java/org/catkingate/bench/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Benchmarks.
+ */
+package org.catkingate.bench;
--- /dev/null
+++ b/catkingate-cli/src/main/java/org/catkingate/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The command line.
+ */
+package org.catkingate.cli;
--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Decision logic of both roles.
+ */
+package org.catkingate.decisions;
--- /dev/null
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The entry role.
+ */
+package org.catkingate.entry;
--- /dev/null
+++ b/catkingate-model/src/main/java/org/catkingate/model/AccountName.java
@@ -0,0 +1,25 @@
+package org.catkingate.model;
+
+/**
+ * Names a client account. Immutable and safe for use by any thread.
+ *
+ * @param value the name: 1 to 128 letters, digits, dots, dashes and underscores
+ * @since 0.1
+ */
+public record AccountName(String value) implements Comparable<AccountName> {
+
+	public AccountName {
+		Names.check("client account", value);
+	}
+
+	@Override
+	public int compareTo(AccountName other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/catkingate-model/src/main/java/org/catkingate/model/ConfigurationVersion.java
@@ -0,0 +1,57 @@
+package org.catkingate.model;
+
+import java.util.Comparator;
+import java.util.Objects;
+
+/**
+ * Orders published configurations: by revision, then by digest, so that two publications
+ * under one revision still have one winner everywhere. Immutable and safe for use by any
+ * thread.
+ *
+ * @param revision the revision, from 0, which stands for none
+ * @param digest the digest of the published head
+ * @since 0.1
+ */
+public record ConfigurationVersion(long revision, Digest digest) implements Comparable<ConfigurationVersion> {
+
+	private static final Comparator<ConfigurationVersion> ORDER = Comparator
+		.comparingLong(ConfigurationVersion::revision)
+		.thenComparing(ConfigurationVersion::digest);
+
+	private static final ConfigurationVersion NONE = new ConfigurationVersion(0, new Digest("0".repeat(64)));
+
+	public ConfigurationVersion {
+		if (revision < 0) {
+			throw new IllegalArgumentException("revision must not be negative");
+		}
+		Objects.requireNonNull(digest, "digest must not be null");
+	}
+
+	/**
+	 * Returns the version before any publication.
+	 * @return the lowest version, never null
+	 */
+	public static ConfigurationVersion none() {
+		return NONE;
+	}
+
+	/**
+	 * Tells whether this version may replace another one.
+	 * @param other the version in force
+	 * @return whether this one is higher
+	 */
+	public boolean isHigherThan(ConfigurationVersion other) {
+		return compareTo(other) > 0;
+	}
+
+	@Override
+	public int compareTo(ConfigurationVersion other) {
+		return ORDER.compare(this, other);
+	}
+
+	@Override
+	public String toString() {
+		return this.revision + "-" + this.digest.hex().substring(0, 12);
+	}
+
+}
--- /dev/null
+++ b/catkingate-model/src/main/java/org/catkingate/model/DataCentreName.java
@@ -0,0 +1,25 @@
+package org.catkingate.model;
+
+/**
+ * Names a data centre. Immutable and safe for use by any thread.
+ *
+ * @param value the name: 1 to 128 letters, digits, dots, dashes and underscores
+ * @since 0.1
+ */
+public record DataCentreName(String value) implements Comparable<DataCentreName> {
+
+	public DataCentreName {
+		Names.check("data centre", value);
+	}
+
+	@Override
+	public int compareTo(DataCentreName other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/catkingate-model/src/main/java/org/catkingate/model/Digest.java
@@ -0,0 +1,79 @@
+package org.catkingate.model;
+
+import java.nio.ByteBuffer;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.Objects;
+import java.util.regex.Pattern;
+
+/**
+ * A SHA-256 digest. Immutable and safe for use by any thread.
+ *
+ * @param hex 64 lower-case hexadecimal digits
+ * @since 0.1
+ */
+public record Digest(String hex) implements Comparable<Digest> {
+
+	private static final Pattern VALID = Pattern.compile("[0-9a-f]{64}");
+
+	public Digest {
+		Objects.requireNonNull(hex, "digest must not be null");
+		if (!VALID.matcher(hex).matches()) {
+			throw new IllegalArgumentException("digest must have 64 lower-case hexadecimal digits");
+		}
+	}
+
+	/**
+	 * Digests all of an array.
+	 * @param bytes what to digest, never null
+	 * @return the digest, never null
+	 */
+	public static Digest of(byte[] bytes) {
+		return ofResult(algorithm().digest(bytes));
+	}
+
+	/**
+	 * Digests the remaining bytes of a buffer, whose position is left as it was.
+	 * @param bytes what to digest, never null
+	 * @return the digest, never null
+	 */
+	public static Digest of(ByteBuffer bytes) {
+		MessageDigest algorithm = algorithm();
+		algorithm.update(bytes.duplicate());
+		return ofResult(algorithm.digest());
+	}
+
+	/**
+	 * Wraps a digest that has been computed already.
+	 * @param result the 32 bytes
+	 * @return the digest, never null
+	 */
+	public static Digest ofResult(byte[] result) {
+		return new Digest(HexFormat.of().formatHex(result));
+	}
+
+	/**
+	 * Makes a new SHA-256 computation, for data that arrives in pieces.
+	 * @return the computation, never null
+	 */
+	public static MessageDigest algorithm() {
+		try {
+			return MessageDigest.getInstance("SHA-256");
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("this Java runtime lacks SHA-256; install a complete one", ex);
+		}
+	}
+
+	@Override
+	public int compareTo(Digest other) {
+		return this.hex.compareTo(other.hex);
+	}
+
+	@Override
+	public String toString() {
+		return this.hex;
+	}
+
+}
--- /dev/null
+++ b/catkingate-model/src/main/java/org/catkingate/model/Labels.java
@@ -0,0 +1,69 @@
+package org.catkingate.model;
+
+import java.util.Collections;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * The labels of an instance, a runner or a client account. Immutable and safe for use by
+ * any thread.
+ *
+ * @param values the value of each label, sorted by label
+ * @since 0.1
+ */
+public record Labels(SortedMap<String, String> values) {
+
+	private static final Labels NONE = new Labels(new TreeMap<>());
+
+	public Labels {
+		Objects.requireNonNull(values, "labels must not be null");
+		values.forEach(Labels::check);
+		values = Collections.unmodifiableSortedMap(new TreeMap<>(values));
+	}
+
+	/**
+	 * Returns the empty set of labels.
+	 * @return no labels, never null
+	 */
+	public static Labels none() {
+		return NONE;
+	}
+
+	/**
+	 * Copies a map.
+	 * @param values the value of each label, never null
+	 * @return the labels, never null
+	 */
+	public static Labels of(Map<String, String> values) {
+		return new Labels(new TreeMap<>(values));
+	}
+
+	private static void check(String label, String value) {
+		Names.check("label", label);
+		Names.check("value of label " + label, value);
+	}
+
+	/**
+	 * Looks up one label.
+	 * @param label the label
+	 * @return its value, or empty
+	 */
+	public Optional<String> value(String label) {
+		return Optional.ofNullable(this.values.get(label));
+	}
+
+	/**
+	 * Adds labels, which replace those of the same name.
+	 * @param more the labels to add
+	 * @return the union, never null
+	 */
+	public Labels with(Map<String, String> more) {
+		SortedMap<String, String> union = new TreeMap<>(this.values);
+		union.putAll(more);
+		return new Labels(union);
+	}
+
+}
--- /dev/null
+++ b/catkingate-model/src/main/java/org/catkingate/model/VersionId.java
@@ -0,0 +1,44 @@
+package org.catkingate.model;
+
+import java.util.Comparator;
+import java.util.Objects;
+
+/**
+ * Identifies one version of a model, or of an adapter, which is distributed in the same
+ * way. Immutable and safe for use by any thread.
+ *
+ * @param model the model, never null
+ * @param version the version's own name, with the characters of any other name
+ * @since 0.1
+ */
+public record VersionId(ModelName model, String version) implements Comparable<VersionId> {
+
+	private static final Comparator<VersionId> ORDER = Comparator.comparing(VersionId::model)
+		.thenComparing(VersionId::version);
+
+	public VersionId {
+		Objects.requireNonNull(model, "model must not be null");
+		Names.check("version", version);
+	}
+
+	/**
+	 * Creates an identifier from two plain names.
+	 * @param model the model's name
+	 * @param version the version's name
+	 * @return the identifier, never null
+	 */
+	public static VersionId of(String model, String version) {
+		return new VersionId(new ModelName(model), version);
+	}
+
+	@Override
+	public int compareTo(VersionId other) {
+		return ORDER.compare(this, other);
+	}
+
+	@Override
+	public String toString() {
+		return this.model + "@" + this.version;
+	}
+
+}
--- /dev/null
+++ b/catkingate-model/src/main/java/org/catkingate/model/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * The identifiers, labels and selectors that every process shares, and the published
+ * configuration.
+ */
+package org.catkingate.model;
--- /dev/null
+++ b/catkingate-model/src/main/java/org/catkingate/model/published/CallPattern.java
@@ -0,0 +1,58 @@
+package org.catkingate.model.published;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+
+/**
+ * Matches calls by method and path. Immutable and safe for use by any thread.
+ *
+ * @param method an HTTP method, or {@code *} for any
+ * @param path a path, or a prefix of one followed by {@code *}
+ * @since 0.1
+ */
+public record CallPattern(String method, String path) {
+
+	private static final String ANY = "*";
+
+	private static final Set<String> IDEMPOTENT_METHODS = Set.of("GET", "HEAD", "PUT", "DELETE", "OPTIONS");
+
+	public CallPattern {
+		Objects.requireNonNull(method, "method must not be null");
+		Objects.requireNonNull(path, "path must not be null");
+		if (!path.startsWith("/")) {
+			throw new IllegalArgumentException("path '" + path + "' must start with /");
+		}
+	}
+
+	static boolean anyMatches(List<CallPattern> patterns, String method, String path) {
+		return patterns.stream().anyMatch((pattern) -> pattern.matches(method, path));
+	}
+
+	static boolean isIdempotentMethod(String method) {
+		return IDEMPOTENT_METHODS.contains(method);
+	}
+
+	/**
+	 * Tells whether a call matches.
+	 * @param callMethod the call's HTTP method
+	 * @param callPath the call's path without query
+	 * @return whether both match
+	 */
+	public boolean matches(String callMethod, String callPath) {
+		return (this.method.equals(ANY) || this.method.equals(callMethod)) && pathMatches(callPath);
+	}
+
+	private boolean pathMatches(String callPath) {
+		if (this.path.endsWith(ANY)) {
+			return callPath.startsWith(this.path.substring(0, this.path.length() - 1));
+		}
+		return this.path.equals(callPath);
+	}
+
+	@Override
+	public String toString() {
+		return this.method + " " + this.path;
+	}
+
+}
--- /dev/null
+++ b/catkingate-model/src/main/java/org/catkingate/model/published/RoutingRule.java
@@ -0,0 +1,53 @@
+package org.catkingate.model.published;
+
+import java.util.Objects;
+import java.util.Optional;
+
+import org.catkingate.model.Labels;
+import org.catkingate.model.Selector;
+import org.catkingate.model.ServiceName;
+import org.catkingate.model.VersionId;
+
+/**
+ * Says which requests go to which service, version and instances. Immutable and safe for
+ * use by any thread.
+ *
+ * @param name the rule's name
+ * @param accounts the client accounts that it applies to, by their labels
+ * @param call the calls that it applies to
+ * @param service where they go
+ * @param version the version that must answer them; null for plain services
+ * @param instances the instances that may answer them, by their labels
+ * @since 0.1
+ */
+public record RoutingRule(String name, Selector accounts, CallPattern call, ServiceName service, VersionId version,
+		Selector instances) {
+
+	public RoutingRule {
+		Objects.requireNonNull(name, "name must not be null");
+		Objects.requireNonNull(accounts, "accounts must not be null");
+		Objects.requireNonNull(call, "call must not be null");
+		Objects.requireNonNull(service, "service must not be null");
+		Objects.requireNonNull(instances, "instances must not be null");
+	}
+
+	/**
+	 * Tells whether the rule applies.
+	 * @param account the labels of the client account
+	 * @param method the HTTP method
+	 * @param path the path without query
+	 * @return whether both selectors match
+	 */
+	public boolean applies(Labels account, String method, String path) {
+		return this.accounts.matches(account) && this.call.matches(method, path);
+	}
+
+	/**
+	 * Returns the wanted version.
+	 * @return the version, or empty for a plain service
+	 */
+	public Optional<VersionId> wantedVersion() {
+		return Optional.ofNullable(this.version);
+	}
+
+}
--- /dev/null
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What entry and agent share.
+ */
+package org.catkingate.runtime;
--- /dev/null
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Stand-ins for outside systems.
+ */
+package org.catkingate.standins;
--- /dev/null
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Messages between the processes.
+ */
+package org.catkingate.wire;
