Add typed messages, authenticated framed connections and the contracts between modules

Frames are bounded before allocation; strangers are cut off (tests: wrong key, long frame, message before proof, silence).

--- /dev/null
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/runners/RunnerGate.java
@@ -0,0 +1,141 @@
+package org.catkingate.agent.runners;
+
+import java.util.Objects;
+import java.util.Optional;
+
+import org.catkingate.model.Digest;
+import org.catkingate.model.RunnerId;
+import org.catkingate.model.ServiceName;
+import org.catkingate.model.VersionId;
+
+/**
+ * The gate in front of one runner. Requests enter only while it is open and only for the
+ * version that it was opened with; so once it is closed and empty, no request meets the
+ * runner until it is opened again. Safe for use by any thread: control opens and closes
+ * it, traffic enters and leaves.
+ *
+ * @since 0.1
+ */
+public final class RunnerGate {
+
+	private final RunnerId runner;
+
+	private final ServiceName service;
+
+	private Serving serving;
+
+	private int inProgress;
+
+	private RunnerGate(RunnerId runner, ServiceName service) {
+		this.runner = runner;
+		this.service = service;
+	}
+
+	/**
+	 * Makes a closed gate.
+	 * @param runner the runner
+	 * @param service the service that it belongs to
+	 * @return the gate, never null
+	 */
+	public static RunnerGate closed(RunnerId runner, ServiceName service) {
+		Objects.requireNonNull(runner, "runner must not be null");
+		Objects.requireNonNull(service, "service must not be null");
+		return new RunnerGate(runner, service);
+	}
+
+	/**
+	 * Returns the runner behind the gate.
+	 * @return the runner, never null
+	 */
+	public RunnerId runner() {
+		return this.runner;
+	}
+
+	/**
+	 * Returns the service that the runner belongs to.
+	 * @return the service, never null
+	 */
+	public ServiceName service() {
+		return this.service;
+	}
+
+	/**
+	 * Opens the gate.
+	 * @param version the version that the runner holds; null for a plain service
+	 * @param digest the digest of its weights; null for a plain service
+	 */
+	public synchronized void open(VersionId version, Digest digest) {
+		this.serving = new Serving(version, digest);
+	}
+
+	/**
+	 * Closes the gate. Requests inside go on.
+	 */
+	public synchronized void close() {
+		this.serving = null;
+	}
+
+	/**
+	 * Closes the gate if it is still open with given weights, since an answer showed
+	 * others.
+	 * @param digest the weights that the gate was opened with
+	 * @return whether it was closed by this call
+	 */
+	public synchronized boolean closeIfServing(Digest digest) {
+		if (this.serving == null || !Objects.equals(this.serving.digest(), digest)) {
+			return false;
+		}
+		this.serving = null;
+		return true;
+	}
+
+	/**
+	 * Lets a request in. Each entry must be followed by one {@link #leave()}.
+	 * @param wanted the version that must answer; null for a plain service
+	 * @return what the runner serves, or empty if the request was not let in
+	 */
+	public synchronized Optional<Serving> tryEnter(VersionId wanted) {
+		if (this.serving == null || !Objects.equals(this.serving.version(), wanted)) {
+			return Optional.empty();
+		}
+		this.inProgress++;
+		return Optional.of(this.serving);
+	}
+
+	/**
+	 * Takes note that a request has ended.
+	 */
+	public synchronized void leave() {
+		if (this.inProgress <= 0) {
+			throw new IllegalStateException("no request is inside the gate of " + this.runner);
+		}
+		this.inProgress--;
+	}
+
+	/**
+	 * Returns what the gate was opened with.
+	 * @return what the runner serves, or empty while the gate is closed
+	 */
+	public synchronized Optional<Serving> serving() {
+		return Optional.ofNullable(this.serving);
+	}
+
+	/**
+	 * Counts the requests inside.
+	 * @return how many have entered and not left
+	 */
+	public synchronized int inProgress() {
+		return this.inProgress;
+	}
+
+	/**
+	 * What a runner serves. Immutable.
+	 *
+	 * @param version the version; null for a plain service
+	 * @param digest the digest of its weights; null for a plain service
+	 */
+	public record Serving(VersionId version, Digest digest) {
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/FrameLimits.java
@@ -0,0 +1,31 @@
+package org.catkingate.wire;
+
+/**
+ * The limits of frames, checked before anything is allocated.
+ *
+ * @since 0.1
+ */
+public final class FrameLimits {
+
+	/** The longest frame, in bytes. */
+	public static final int MAXIMUM_FRAME_BYTES = 4 * 1024 * 1024;
+
+	/** The longest frame before the peer has proved the shared key, in bytes. */
+	static final int MAXIMUM_HANDSHAKE_BYTES = 4 * 1024;
+
+	/** How much may wait to be sent on one connection before it is closed, in bytes. */
+	static final int MAXIMUM_QUEUED_BYTES = 32 * 1024 * 1024;
+
+	/** The queue above which a connection counts as congested, in bytes. */
+	static final int CONGESTED_BYTES = 1024 * 1024;
+
+	/** The size of the length in front of each frame, in bytes. */
+	static final int LENGTH_BYTES = 4;
+
+	/** The time that a peer has to prove the shared key, in milliseconds. */
+	static final int HANDSHAKE_MILLIS = 3000;
+
+	private FrameLimits() {
+	}
+
+}
--- /dev/null
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/FrameTransport.java
@@ -0,0 +1,123 @@
+package org.catkingate.wire;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Objects;
+
+import org.xnio.IoFuture;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+
+/**
+ * Makes framed connections, as client and as server, on the I/O threads of one worker.
+ * Safe for use by any thread.
+ *
+ * @since 0.1
+ */
+public final class FrameTransport implements AutoCloseable {
+
+	private static final int BACKLOG = 1024;
+
+	private final XnioWorker worker;
+
+	private final SharedKey key;
+
+	private final Handshake.PeerIdentity own;
+
+	private FrameTransport(XnioWorker worker, SharedKey key, Handshake.PeerIdentity own) {
+		this.worker = worker;
+		this.key = key;
+		this.own = own;
+	}
+
+	/**
+	 * Starts the I/O threads.
+	 * @param ioThreads how many
+	 * @param key the shared key
+	 * @param own the identity to prove
+	 * @return the transport, never null
+	 * @throws IOException if the threads cannot be started
+	 */
+	public static FrameTransport create(int ioThreads, SharedKey key, Handshake.PeerIdentity own) throws IOException {
+		Objects.requireNonNull(key, "key must not be null");
+		Objects.requireNonNull(own, "own must not be null");
+		OptionMap options = OptionMap.builder()
+			.set(Options.WORKER_IO_THREADS, ioThreads)
+			.set(Options.WORKER_TASK_CORE_THREADS, 1)
+			.set(Options.WORKER_TASK_MAX_THREADS, 1)
+			.set(Options.THREAD_DAEMON, true)
+			.set(Options.WORKER_NAME, "peers")
+			.getMap();
+		return new FrameTransport(Xnio.getInstance().createWorker(options), key, own);
+	}
+
+	/**
+	 * Accepts connections.
+	 * @param address where to listen; port 0 for any free one
+	 * @param listener is told what happens on the connections
+	 * @return the address that is listened on, never null
+	 * @throws IOException if the address cannot be used
+	 */
+	public InetSocketAddress listen(InetSocketAddress address, ConnectionListener listener) throws IOException {
+		AcceptingChannel<StreamConnection> server = this.worker.createStreamConnectionServer(address,
+				(channel) -> accept(channel, listener), options());
+		server.resumeAccepts();
+		return server.getLocalAddress(InetSocketAddress.class);
+	}
+
+	private void accept(AcceptingChannel<StreamConnection> channel, ConnectionListener listener) {
+		try {
+			StreamConnection stream = channel.accept();
+			while (stream != null) {
+				start(stream, listener);
+				stream = channel.accept();
+			}
+		}
+		catch (IOException ex) {
+			channel.suspendAccepts();
+			channel.getIoThread().execute(channel::resumeAccepts);
+		}
+	}
+
+	private void start(StreamConnection stream, ConnectionListener listener) {
+		stream.getIoThread().execute(() -> FrameConnection.start(stream, this.key, this.own, listener));
+	}
+
+	/**
+	 * Makes a connection, without waiting for it.
+	 * @param address the peer's address
+	 * @param listener is told what happens on the connection
+	 * @param failed is run if no connection could be made; the listener is then told
+	 * nothing
+	 */
+	public void connect(InetSocketAddress address, ConnectionListener listener, Runnable failed) {
+		IoFuture<StreamConnection> future = this.worker.openStreamConnection(address,
+				(stream) -> FrameConnection.start(stream, this.key, this.own, listener), options());
+		future.addNotifier((result, ignored) -> {
+			if (result.getStatus() != IoFuture.Status.DONE) {
+				failed.run();
+			}
+		}, null);
+	}
+
+	private static OptionMap options() {
+		return OptionMap.builder()
+			.set(Options.TCP_NODELAY, true)
+			.set(Options.REUSE_ADDRESSES, true)
+			.set(Options.BACKLOG, BACKLOG)
+			.getMap();
+	}
+
+	/**
+	 * Closes all connections and ends the threads.
+	 */
+	@Override
+	public void close() {
+		this.worker.shutdownNow();
+	}
+
+}
--- /dev/null
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/Message.java
@@ -0,0 +1,11 @@
+package org.catkingate.wire;
+
+/**
+ * A message between two processes of the system. Messages are records, immutable and safe
+ * for use by any thread; byte arrays in them must not be changed after construction.
+ *
+ * @since 0.1
+ */
+public interface Message {
+
+}
--- /dev/null
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/MessageCodec.java
@@ -0,0 +1,170 @@
+package org.catkingate.wire;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.introspect.Annotated;
+import com.fasterxml.jackson.databind.introspect.JacksonAnnotationIntrospector;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+import org.catkingate.model.RequestId;
+
+/**
+ * Turns messages into MessagePack and back. A message is its kind, a small integer,
+ * followed by its fields. The frequent messages of traffic and chunks are packed by hand,
+ * all others as arrays by Jackson. Stateless and safe for use by any thread.
+ *
+ * @since 0.1
+ */
+public final class MessageCodec {
+
+	/**
+	 * The kinds by number: the position in this list. New kinds go to the end, and a kind
+	 * is never removed.
+	 */
+	private static final List<Class<? extends Message>> KINDS = List.of(Handshake.Hello.class, Handshake.Proof.class,
+			Control.Heartbeat.class, Control.AgentStatus.class, Control.ConfigurationAnnouncement.class,
+			Control.ConfigurationPull.class, Control.ConfigurationContent.class, Traffic.Dispatch.class,
+			Traffic.AnswerHead.class, Traffic.AnswerData.class, Traffic.AnswerEnd.class, Traffic.AnswerFailure.class,
+			Traffic.Cancel.class, Traffic.AnswerProgress.class, Traffic.Attach.class, Weights.ChunksHeld.class,
+			Weights.ManifestRequest.class, Weights.ManifestContent.class, Weights.ChunkRequest.class,
+			Weights.ChunkSlice.class, Weights.ChunkRefusal.class);
+
+	private static final int ANSWER_DATA = KINDS.indexOf(Traffic.AnswerData.class);
+
+	private static final int ANSWER_PROGRESS = KINDS.indexOf(Traffic.AnswerProgress.class);
+
+	private static final ObjectMapper MAPPER = mapper();
+
+	private MessageCodec() {
+	}
+
+	private static ObjectMapper mapper() {
+		ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
+		mapper.setAnnotationIntrospector(new RecordsAsArrays());
+		return mapper;
+	}
+
+	/**
+	 * Encodes a message.
+	 * @param message the message, never null
+	 * @return its bytes, never null
+	 */
+	public static byte[] encode(Message message) {
+		int kind = KINDS.indexOf(message.getClass());
+		if (kind < 0) {
+			throw new IllegalArgumentException(message.getClass() + " is not registered as a kind of message");
+		}
+		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+			packer.packInt(kind);
+			if (message instanceof Traffic.AnswerData data) {
+				pack(packer, data);
+			}
+			else if (message instanceof Traffic.AnswerProgress progress) {
+				pack(packer, progress);
+			}
+			else {
+				byte[] fields = MAPPER.writeValueAsBytes(message);
+				packer.writePayload(fields);
+			}
+			return packer.toByteArray();
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("a message could not be encoded in memory", ex);
+		}
+	}
+
+	private static void pack(MessageBufferPacker packer, Traffic.AnswerData data) throws IOException {
+		pack(packer, data.request());
+		packer.packLong(data.offset());
+		packer.packBinaryHeader(data.bytes().length);
+		packer.writePayload(data.bytes());
+	}
+
+	private static void pack(MessageBufferPacker packer, Traffic.AnswerProgress progress) throws IOException {
+		pack(packer, progress.request());
+		packer.packLong(progress.offset());
+	}
+
+	private static void pack(MessageBufferPacker packer, RequestId request) throws IOException {
+		packer.packLong(request.high());
+		packer.packLong(request.low());
+	}
+
+	/**
+	 * Decodes a message.
+	 * @param bytes its bytes, never null
+	 * @return the message, never null
+	 * @throws WireException if the bytes are no message
+	 */
+	public static Message decode(byte[] bytes) throws WireException {
+		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+			int kind = unpacker.unpackInt();
+			if (kind < 0 || kind >= KINDS.size()) {
+				throw malformed("unknown kind " + kind, null);
+			}
+			if (kind == ANSWER_DATA) {
+				return unpackData(unpacker);
+			}
+			if (kind == ANSWER_PROGRESS) {
+				return new Traffic.AnswerProgress(unpackRequest(unpacker), unpacker.unpackLong());
+			}
+			int start = (int) unpacker.getTotalReadBytes();
+			return MAPPER.readValue(bytes, start, bytes.length - start, KINDS.get(kind));
+		}
+		catch (WireException ex) {
+			throw ex;
+		}
+		catch (IOException | MessagePackException | IllegalArgumentException ex) {
+			throw malformed(ex.getClass().getSimpleName(), ex);
+		}
+	}
+
+	private static Traffic.AnswerData unpackData(MessageUnpacker unpacker) throws IOException {
+		RequestId request = unpackRequest(unpacker);
+		long offset = unpacker.unpackLong();
+		int length = unpacker.unpackBinaryHeader();
+		if (length > FrameLimits.MAXIMUM_FRAME_BYTES) {
+			throw malformed("binary of " + length + " bytes", null);
+		}
+		return new Traffic.AnswerData(request, offset, unpacker.readPayload(length));
+	}
+
+	private static RequestId unpackRequest(MessageUnpacker unpacker) throws IOException {
+		return new RequestId(unpacker.unpackLong(), unpacker.unpackLong());
+	}
+
+	private static WireException malformed(String what, Throwable cause) {
+		return new WireException(WireException.Kind.MALFORMED,
+				"received bytes that are no message (" + what + "); run the same release on both sides", cause);
+	}
+
+	static List<Class<? extends Message>> kinds() {
+		return new ArrayList<>(KINDS);
+	}
+
+	/**
+	 * Makes Jackson write records without their field names.
+	 */
+	private static final class RecordsAsArrays extends JacksonAnnotationIntrospector {
+
+		private static final long serialVersionUID = 1L;
+
+		@Override
+		public JsonFormat.Value findFormat(Annotated annotated) {
+			if (annotated.getRawType().isRecord()) {
+				return JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY);
+			}
+			return super.findFormat(annotated);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/SharedKey.java
@@ -0,0 +1,64 @@
+package org.catkingate.wire;
+
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/**
+ * The key that all processes of a deployment share and prove to each other. Immutable and
+ * safe for use by any thread; its text form does not show the key.
+ *
+ * @since 0.1
+ */
+public final class SharedKey {
+
+	/** The shortest key, in bytes. */
+	public static final int MINIMUM_BYTES = 16;
+
+	private static final String ALGORITHM = "HmacSHA256";
+
+	private final SecretKeySpec key;
+
+	private SharedKey(SecretKeySpec key) {
+		this.key = key;
+	}
+
+	/**
+	 * Makes a key from its text.
+	 * @param secret the secret, of at least 16 bytes
+	 * @return the key, never null
+	 */
+	public static SharedKey of(String secret) {
+		byte[] bytes = secret.getBytes(StandardCharsets.UTF_8);
+		if (bytes.length < MINIMUM_BYTES) {
+			throw new IllegalArgumentException("shared key must have at least " + MINIMUM_BYTES + " bytes");
+		}
+		return new SharedKey(new SecretKeySpec(bytes, ALGORITHM));
+	}
+
+	byte[] proof(Handshake.Hello sender, Handshake.Hello receiver) {
+		try {
+			Mac mac = Mac.getInstance(ALGORITHM);
+			mac.init(this.key);
+			mac.update(MessageCodec.encode(sender));
+			mac.update(MessageCodec.encode(receiver));
+			return mac.doFinal();
+		}
+		catch (GeneralSecurityException ex) {
+			throw new IllegalStateException("this Java runtime lacks " + ALGORITHM + "; install a complete one", ex);
+		}
+	}
+
+	boolean verifies(Handshake.Proof proof, Handshake.Hello sender, Handshake.Hello receiver) {
+		return MessageDigest.isEqual(proof.mac(), proof(sender, receiver));
+	}
+
+	@Override
+	public String toString() {
+		return "SharedKey[hidden]";
+	}
+
+}
--- /dev/null
+++ b/catkingate-wire/src/test/java/org/catkingate/wire/FrameConnectionTests.java
@@ -0,0 +1,154 @@
+package org.catkingate.wire;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.catkingate.model.DataCentreName;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.RegionName;
+import org.catkingate.model.RequestId;
+import org.catkingate.model.Role;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link FrameConnection} and {@link FrameTransport}.
+ */
+class FrameConnectionTests {
+
+	private static final Duration PATIENCE = Duration.ofSeconds(20);
+
+	private final Recorder atServer = new Recorder();
+
+	private final Recorder atClient = new Recorder();
+
+	private FrameTransport server;
+
+	private InetSocketAddress address;
+
+	@BeforeEach
+	void listen() throws IOException {
+		this.server = transport("server", "a key of some length");
+		this.address = this.server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), this.atServer);
+	}
+
+	@AfterEach
+	void close() {
+		this.server.close();
+	}
+
+	private static FrameTransport transport(String name, String key) throws IOException {
+		Handshake.PeerIdentity identity = new Handshake.PeerIdentity(new InstanceId(name), Role.AGENT, 1,
+				new DataCentreName("dc"), new RegionName("region"));
+		return FrameTransport.create(1, SharedKey.of(key), identity);
+	}
+
+	@Nested
+	class PeersWithTheSameKey {
+
+		@Test
+		void exchangeMessagesInOrder() throws Exception {
+			try (FrameTransport client = transport("client", "a key of some length")) {
+				client.connect(FrameConnectionTests.this.address, FrameConnectionTests.this.atClient, () -> {
+				});
+				FrameConnection connection = FrameConnectionTests.this.atClient.opened.get(20, TimeUnit.SECONDS);
+				for (int i = 0; i < 1000; i++) {
+					connection.send(new Traffic.AnswerData(new RequestId(1, 2), i, new byte[1000]));
+				}
+				for (int i = 0; i < 1000; i++) {
+					Message message = FrameConnectionTests.this.atServer.messages.poll(20, TimeUnit.SECONDS);
+					assertThat(((Traffic.AnswerData) message).offset()).isEqualTo(i);
+				}
+				assertThat(connection.peer().instance()).isEqualTo(new InstanceId("server"));
+			}
+		}
+
+	}
+
+	@Nested
+	class StrangersAreCutOff {
+
+		@Test
+		void whoHaveAnotherKey() throws Exception {
+			try (FrameTransport client = transport("client", "another key altogether")) {
+				client.connect(FrameConnectionTests.this.address, FrameConnectionTests.this.atClient, () -> {
+				});
+				assertThat(FrameConnectionTests.this.atClient.closed.get(20, TimeUnit.SECONDS)).isNotNull();
+				assertThat(FrameConnectionTests.this.atServer.opened).isNotDone();
+			}
+		}
+
+		@Test
+		void whoClaimLongFrames() throws Exception {
+			try (Socket socket = new Socket(FrameConnectionTests.this.address.getAddress(),
+					FrameConnectionTests.this.address.getPort())) {
+				socket.getOutputStream().write(ByteBuffer.allocate(4).putInt(1 << 30).array());
+				assertThat(FrameConnectionTests.this.atServer.closed.get(20, TimeUnit.SECONDS))
+					.contains("a frame of 1073741824 bytes where at most 4096 are allowed");
+			}
+		}
+
+		@Test
+		void whoSendOtherMessagesBeforeTheirProof() throws Exception {
+			try (Socket socket = new Socket(FrameConnectionTests.this.address.getAddress(),
+					FrameConnectionTests.this.address.getPort())) {
+				byte[] message = MessageCodec.encode(new Control.Heartbeat(1, 0, List.of()));
+				socket.getOutputStream().write(ByteBuffer.allocate(4).putInt(message.length).array());
+				socket.getOutputStream().write(message);
+				assertThat(FrameConnectionTests.this.atServer.closed.get(20, TimeUnit.SECONDS))
+					.contains("set the same [peers] shared-key");
+			}
+		}
+
+		@Test
+		void whoSayNothing() throws Exception {
+			try (Socket socket = new Socket(FrameConnectionTests.this.address.getAddress(),
+					FrameConnectionTests.this.address.getPort())) {
+				Awaitility.await().atMost(PATIENCE).until(FrameConnectionTests.this.atServer.closed::isDone);
+				assertThat(FrameConnectionTests.this.atServer.closed.get()).contains("no handshake");
+				assertThat(socket.isConnected()).isTrue();
+			}
+		}
+
+	}
+
+	private static final class Recorder implements ConnectionListener {
+
+		private final CompletableFuture<FrameConnection> opened = new CompletableFuture<>();
+
+		private final CompletableFuture<String> closed = new CompletableFuture<>();
+
+		private final LinkedBlockingQueue<Message> messages = new LinkedBlockingQueue<>();
+
+		@Override
+		public void opened(FrameConnection connection) {
+			this.opened.complete(connection);
+		}
+
+		@Override
+		public void received(FrameConnection connection, Message message) {
+			this.messages.add(message);
+		}
+
+		@Override
+		public void closed(FrameConnection connection, String reason) {
+			this.closed.complete(reason);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-wire/src/test/java/org/catkingate/wire/MessageCodecTests.java
@@ -0,0 +1,96 @@
+package org.catkingate.wire;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.catkingate.model.AccountName;
+import org.catkingate.model.ConfigurationVersion;
+import org.catkingate.model.Digest;
+import org.catkingate.model.Labels;
+import org.catkingate.model.RequestId;
+import org.catkingate.model.RunnerId;
+import org.catkingate.model.RunnerStatus;
+import org.catkingate.model.ServiceName;
+import org.catkingate.model.VersionId;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+/**
+ * Tests for {@link MessageCodec}.
+ */
+class MessageCodecTests {
+
+	private static final RequestId REQUEST = new RequestId(-1L, 42L);
+
+	private static Message roundTrip(Message message) throws WireException {
+		return MessageCodec.decode(MessageCodec.encode(message));
+	}
+
+	@Nested
+	class RoundTrips {
+
+		@Test
+		void keepHeartbeats() throws WireException {
+			Message heartbeat = new Control.Heartbeat(7, 3, List.of(1, 2));
+			assertThat(roundTrip(heartbeat)).isEqualTo(heartbeat);
+		}
+
+		@Test
+		void keepStatusWithAbsentVersion() throws WireException {
+			Message status = new Control.AgentStatus(true, Labels.none(),
+					List.of(new RunnerStatus(new RunnerId("r1"), new ServiceName("s"), null, null, true),
+							new RunnerStatus(new RunnerId("r2"), new ServiceName("s"), VersionId.of("m", "1"),
+									Digest.of(new byte[1]), false)));
+			assertThat(roundTrip(status)).isEqualTo(status);
+		}
+
+		@Test
+		void keepConfigurationVersions() throws WireException {
+			Message announcement = new Control.ConfigurationAnnouncement(ConfigurationVersion.none());
+			assertThat(roundTrip(announcement)).isEqualTo(announcement);
+		}
+
+		@Test
+		void keepDispatches() throws WireException {
+			Traffic.Dispatch dispatch = new Traffic.Dispatch(REQUEST, 1, 2, new AccountName("a"), new ServiceName("s"),
+					new RunnerId("r"), null, 9, true, null, "POST", "/x?y", List.of(new Traffic.Header("n", "v")),
+					new byte[] { 1, 2 });
+			assertThat(roundTrip(dispatch)).usingRecursiveComparison().isEqualTo(dispatch);
+		}
+
+		@Test
+		void keepAnswerData() throws WireException {
+			Traffic.AnswerData data = new Traffic.AnswerData(REQUEST, 1L << 40, new byte[] { 0, -1 });
+			assertThat(roundTrip(data)).usingRecursiveComparison().isEqualTo(data);
+		}
+
+	}
+
+	@Nested
+	class MalformedBytes {
+
+		@Test
+		void ofUnknownKindAreRefused() {
+			assertThatExceptionOfType(WireException.class).isThrownBy(() -> MessageCodec.decode(new byte[] { 100 }))
+				.satisfies((ex) -> assertThat(ex.kind()).isEqualTo(WireException.Kind.MALFORMED));
+		}
+
+		@Test
+		void thatClaimLongBinariesAreRefusedBeforeAllocation() {
+			byte[] bytes = { 9, 0, 0, 0, (byte) 0xc6, 0x7f, -1, -1, -1 };
+			assertThatExceptionOfType(WireException.class).isThrownBy(() -> MessageCodec.decode(bytes));
+		}
+
+		@Test
+		void thatAreCutShortAreRefused() {
+			byte[] whole = MessageCodec.encode(new Control.Heartbeat(7, 3, List.of(1, 2)));
+			byte[] cut = java.util.Arrays.copyOf(whole, whole.length - 2);
+			assertThatExceptionOfType(WireException.class).isThrownBy(() -> MessageCodec.decode(cut));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-wire/src/test/java/org/catkingate/wire/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of messages and connections.
+ */
+package org.catkingate.wire;
