--- a/catkingate-cli/src/main/java/org/catkingate/cli/Catkingate.java
+++ b/catkingate-cli/src/main/java/org/catkingate/cli/Catkingate.java
@@ -1,7 +1,9 @@
 package org.catkingate.cli;
 
 /**
- * Entry point.
+ * Entry point of the executable file.
+ *
+ * @since 0.1
  */
 public final class Catkingate {
 
@@ -9,11 +11,11 @@
 	}
 
 	/**
-	 * Runs the program.
+	 * Runs one command and ends the process with its exit code.
 	 * @param args the arguments
 	 */
 	public static void main(String[] args) {
-		System.exit(2);
+		System.exit(CommandLine.withAllCommands(System.out, System.err).run(args));
 	}
 
 }
--- /dev/null
+++ b/catkingate-cli/src/test/java/org/catkingate/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the command line.
+ */
+package org.catkingate.cli;
--- /dev/null
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/logging/Logging.java
@@ -0,0 +1,62 @@
+package org.catkingate.runtime.logging;
+
+import java.util.Objects;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.JsonEncoder;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Sets up the logs of a process. Stateless; meant to be used once, by the main thread,
+ * before others start.
+ *
+ * @since 0.1
+ */
+public final class Logging {
+
+	private static final String LIBRARY_XNIO = "org.xnio";
+
+	private static final String LIBRARY_UNDERTOW = "io.undertow";
+
+	private Logging() {
+	}
+
+	/**
+	 * Sends all logs to standard output, one JSON object a line.
+	 * @param level the lowest level that is logged; libraries log from warnings up
+	 */
+	public static void toStandardOutput(org.slf4j.event.Level level) {
+		Objects.requireNonNull(level, "level must not be null");
+		LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+		context.reset();
+		ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
+		appender.setContext(context);
+		appender.setEncoder(encoder(context));
+		appender.start();
+		Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+		root.setLevel(Level.convertAnSLF4JLevel(level));
+		root.addAppender(appender);
+		context.getLogger(LIBRARY_XNIO).setLevel(Level.WARN);
+		context.getLogger(LIBRARY_UNDERTOW).setLevel(Level.WARN);
+	}
+
+	private static JsonEncoder encoder(LoggerContext context) {
+		JsonEncoder encoder = new JsonEncoder();
+		encoder.setContext(context);
+		encoder.setWithSequenceNumber(false);
+		encoder.setWithNanoseconds(false);
+		encoder.setWithContext(false);
+		encoder.setWithMarkers(false);
+		encoder.setWithMDC(false);
+		encoder.setWithMessage(false);
+		encoder.setWithArguments(false);
+		encoder.setWithFormattedMessage(true);
+		encoder.start();
+		return encoder;
+	}
+
+}
--- /dev/null
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/logging/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Logs as JSON lines on standard output.
+ */
+package org.catkingate.runtime.logging;
--- /dev/null
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/operators/OperatorsEndpoint.java
@@ -0,0 +1,140 @@
+package org.catkingate.runtime.operators;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Objects;
+import java.util.function.Supplier;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.undertow.Undertow;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.handlers.BlockingHandler;
+import io.undertow.util.Headers;
+import io.undertow.util.StatusCodes;
+
+/**
+ * The HTTP endpoint for operators: {@code /healthz}, {@code /readyz}, {@code /metrics}
+ * and {@code /state}. Only GET and HEAD are answered. Safe for use by any thread.
+ *
+ * @since 0.1
+ */
+public final class OperatorsEndpoint implements AutoCloseable {
+
+	private static final String JSON = "application/json";
+
+	private static final String TEXT = "text/plain; charset=utf-8";
+
+	private final Undertow server;
+
+	private final Readiness readiness;
+
+	private final PrometheusRegistry metrics;
+
+	private final Supplier<?> state;
+
+	private final ObjectMapper mapper = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT)
+		.enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
+		.disable(SerializationFeature.FAIL_ON_EMPTY_BEANS);
+
+	private OperatorsEndpoint(InetSocketAddress address, Readiness readiness, PrometheusRegistry metrics,
+			Supplier<?> state) {
+		this.readiness = readiness;
+		this.metrics = metrics;
+		this.state = state;
+		this.server = Undertow.builder()
+			.setIoThreads(1)
+			.setWorkerThreads(2)
+			.addHttpListener(address.getPort(), address.getHostString())
+			.setHandler(new BlockingHandler(this::handle))
+			.build();
+	}
+
+	/**
+	 * Starts the endpoint.
+	 * @param address where to listen; port 0 for any free one
+	 * @param readiness what {@code /readyz} tells
+	 * @param metrics what {@code /metrics} tells
+	 * @param state makes what {@code /state} prints: records, collections and plain
+	 * values
+	 * @return the running endpoint, never null
+	 */
+	public static OperatorsEndpoint start(InetSocketAddress address, Readiness readiness, PrometheusRegistry metrics,
+			Supplier<?> state) {
+		Objects.requireNonNull(address, "address must not be null");
+		OperatorsEndpoint endpoint = new OperatorsEndpoint(address, readiness, metrics, state);
+		endpoint.server.start();
+		return endpoint;
+	}
+
+	/**
+	 * Returns the address that is listened on.
+	 * @return the address, never null
+	 */
+	public InetSocketAddress address() {
+		return (InetSocketAddress) this.server.getListenerInfo().get(0).getAddress();
+	}
+
+	private void handle(HttpServerExchange exchange) throws IOException {
+		HttpHandler handler = handlerFor(exchange.getRequestPath());
+		try {
+			handler.handleRequest(exchange);
+		}
+		catch (IOException ex) {
+			throw ex;
+		}
+		catch (Exception ex) {
+			throw new IOException(ex);
+		}
+	}
+
+	private HttpHandler handlerFor(String path) {
+		return switch (path) {
+			case "/healthz" -> (exchange) -> answer(exchange, StatusCodes.OK, TEXT, "ok\n");
+			case "/readyz" -> this::answerReadiness;
+			case "/metrics" -> this::answerMetrics;
+			case "/state" -> this::answerState;
+			default -> (exchange) -> answer(exchange, StatusCodes.NOT_FOUND, TEXT,
+					"ask for /healthz, /readyz, /metrics or /state\n");
+		};
+	}
+
+	private void answerReadiness(HttpServerExchange exchange) {
+		Readiness.Phase phase = this.readiness.phase();
+		int status = (phase == Readiness.Phase.READY) ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE;
+		answer(exchange, status, TEXT, phase.name().toLowerCase(Locale.ROOT) + "\n");
+	}
+
+	private void answerMetrics(HttpServerExchange exchange) throws IOException {
+		PrometheusTextFormatWriter writer = PrometheusTextFormatWriter.create();
+		ByteArrayOutputStream output = new ByteArrayOutputStream();
+		writer.write(output, this.metrics.scrape());
+		answer(exchange, StatusCodes.OK, writer.getContentType(), output.toString(StandardCharsets.UTF_8));
+	}
+
+	private void answerState(HttpServerExchange exchange) throws IOException {
+		answer(exchange, StatusCodes.OK, JSON, this.mapper.writeValueAsString(this.state.get()) + "\n");
+	}
+
+	private static void answer(HttpServerExchange exchange, int status, String type, String body) {
+		exchange.setStatusCode(status);
+		exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, type);
+		exchange.getResponseSender().send(ByteBuffer.wrap(body.getBytes(StandardCharsets.UTF_8)));
+	}
+
+	/**
+	 * Stops listening.
+	 */
+	@Override
+	public void close() {
+		this.server.stop();
+	}
+
+}
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/package-info.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/package-info.java
@@ -1,4 +1,4 @@
 /**
- * What entry and agent share.
+ * The control loop and the clock that both roles run on.
  */
 package org.catkingate.runtime;
--- /dev/null
+++ b/catkingate-runtime/src/test/java/org/catkingate/runtime/ControlLoopTests.java
@@ -0,0 +1,80 @@
+package org.catkingate.runtime;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.Test;
+
+import org.catkingate.decisions.Effect;
+import org.catkingate.decisions.Event;
+import org.catkingate.decisions.Reducer;
+import org.catkingate.decisions.Step;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link ControlLoop}.
+ */
+class ControlLoopTests {
+
+	private static final Duration PATIENCE = Duration.ofSeconds(20);
+
+	private static final long LONG_TICK_MILLIS = 3_600_000;
+
+	private static final Reducer<Integer> SUM = (state, nowMillis, event) -> {
+		if (event instanceof Add add) {
+			int sum = state + add.count();
+			return new Step<>(sum, List.of(new Report(sum)));
+		}
+		if (event instanceof Fail) {
+			throw new IllegalStateException("expected by the test");
+		}
+		return Step.to(state);
+	};
+
+	private final Queue<Effect> effects = new ConcurrentLinkedQueue<>();
+
+	private ControlLoop<Integer> start() {
+		return ControlLoop.start(0, SUM, this.effects::add, MonotonicClock.system(), Tick::new, LONG_TICK_MILLIS);
+	}
+
+	@Test
+	void effectsFollowTheOrderOfEvents() {
+		try (ControlLoop<Integer> loop = start()) {
+			loop.submit(new Add(1));
+			loop.submit(new Add(2));
+			Awaitility.await().atMost(PATIENCE).until(() -> this.effects.size() == 2);
+			assertThat(this.effects).containsExactly(new Report(1), new Report(3));
+		}
+	}
+
+	@Test
+	void anEventThatFailsLeavesTheStateAsItWas() {
+		try (ControlLoop<Integer> loop = start()) {
+			loop.submit(new Add(5));
+			loop.submit(new Fail());
+			loop.submit(new Add(1));
+			Awaitility.await().atMost(PATIENCE).until(() -> loop.state() == 6);
+		}
+	}
+
+	private record Add(int count) implements Event {
+
+	}
+
+	private record Fail() implements Event {
+
+	}
+
+	private record Tick() implements Event {
+
+	}
+
+	private record Report(int sum) implements Effect {
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-runtime/src/test/java/org/catkingate/runtime/operators/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of what operators watch.
+ */
+package org.catkingate.runtime.operators;
--- /dev/null
+++ b/catkingate-runtime/src/test/java/org/catkingate/runtime/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the control loop.
+ */
+package org.catkingate.runtime;
