--- a/catkingate-model/src/main/java/org/catkingate/model/Labels.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/Labels.java
@@ -41,6 +41,28 @@
 		return new Labels(new TreeMap<>(values));
 	}
 
+	/**
+	 * Parses the written form: {@code label=value} apart by {@code &}. Blank text gives
+	 * no labels.
+	 * @param text the written form, never null
+	 * @return the labels, never null
+	 * @throws SelectorException if the text has another form
+	 */
+	public static Labels parse(String text) throws SelectorException {
+		Objects.requireNonNull(text, "labels must not be null");
+		if (text.isBlank()) {
+			return none();
+		}
+		SortedMap<String, String> values = new TreeMap<>();
+		for (Selector.Term term : Selector.parse(text).terms()) {
+			if (!term.included() || term.values().size() != 1
+					|| values.put(term.label(), term.values().iterator().next()) != null) {
+				throw new SelectorException(term.toString());
+			}
+		}
+		return new Labels(values);
+	}
+
 	private static void check(String label, String value) {
 		Names.check("label", label);
 		Names.check("value of label " + label, value);
--- /dev/null
+++ b/catkingate-model/src/main/java/org/catkingate/model/published/ConfigurationHead.java
@@ -0,0 +1,94 @@
+package org.catkingate.model.published;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+
+import org.catkingate.model.ConfigurationVersion;
+import org.catkingate.model.Digest;
+
+/**
+ * The head of a publication: its version and the digests of its parts. Immutable and safe
+ * for use by any thread.
+ *
+ * @param version the revision, with the digest of the head's own bytes
+ * @param parts the digest of each part, in order, each once
+ * @since 0.1
+ */
+public record ConfigurationHead(ConfigurationVersion version, List<Digest> parts) {
+
+	/** The most parts that a publication may have. */
+	public static final int MAXIMUM_PARTS = 256;
+
+	/** The longest value that the platform holds, in bytes. */
+	public static final int MAXIMUM_VALUE_BYTES = 1024 * 1024;
+
+	private static final String TITLE = "head";
+
+	public ConfigurationHead {
+		Objects.requireNonNull(version, "version must not be null");
+		parts = List.copyOf(parts);
+	}
+
+	/**
+	 * Parses the bytes of a head.
+	 * @param bytes the value as published
+	 * @return the head, never null
+	 * @throws InvalidConfigurationException if it is no head
+	 */
+	public static ConfigurationHead parse(byte[] bytes) throws InvalidConfigurationException {
+		if (bytes.length > MAXIMUM_VALUE_BYTES) {
+			throw InvalidConfigurationException.of(ConfigurationProblem.Kind.MALFORMED,
+					"the head has " + bytes.length + " bytes; keep every value within " + MAXIMUM_VALUE_BYTES);
+		}
+		Problems problems = new Problems();
+		IniDocument document = IniDocument.parse(new String(bytes, StandardCharsets.UTF_8), problems);
+		ConfigurationHead head = read(document, Digest.of(bytes), problems);
+		problems.throwIfAny();
+		return head;
+	}
+
+	private static ConfigurationHead read(IniDocument document, Digest digest, Problems problems) {
+		List<IniDocument.Section> sections = document.sections();
+		if (sections.size() != 1 || !sections.get(0).title().equals(TITLE)) {
+			problems.add(ConfigurationProblem.Kind.MISSING_KEY, TITLE, "", "", "write one section [head] and no other");
+			return null;
+		}
+		SectionReader reader = new SectionReader(sections.get(0), Set.of(TITLE), problems);
+		long revision = reader.parsed("revision", 0L, ConfigurationHead::revision);
+		List<Digest> parts = reader.parsed("parts", List.of(), ConfigurationHead::digests);
+		reader.checkUnknownKeys();
+		return reader.valid() ? new ConfigurationHead(new ConfigurationVersion(revision, digest), parts) : null;
+	}
+
+	private static long revision(String written) {
+		try {
+			long revision = Long.parseLong(written);
+			if (revision > 0) {
+				return revision;
+			}
+		}
+		catch (NumberFormatException ex) {
+			// reported below, as a number out of range is
+		}
+		throw new IllegalArgumentException("write a whole number above 0, higher than the last published");
+	}
+
+	private static List<Digest> digests(String written) {
+		List<Digest> digests = new ArrayList<>();
+		for (String item : written.split(",")) {
+			digests.add(new Digest(item.strip()));
+		}
+		if (digests.size() > MAXIMUM_PARTS) {
+			throw new IllegalArgumentException("list at most " + MAXIMUM_PARTS + " parts; join small ones");
+		}
+		if (new HashSet<>(digests).size() != digests.size()) {
+			throw new IllegalArgumentException("list each part once");
+		}
+		return digests;
+	}
+
+}
--- /dev/null
+++ b/catkingate-model/src/main/java/org/catkingate/model/published/ConfigurationParser.java
@@ -0,0 +1,172 @@
+package org.catkingate.model.published;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+
+import org.catkingate.model.AccountName;
+import org.catkingate.model.ConfigurationVersion;
+import org.catkingate.model.DataCentreName;
+import org.catkingate.model.RegionName;
+import org.catkingate.model.ServiceName;
+import org.catkingate.model.VersionId;
+
+/**
+ * Turns the INI parts of a publication into one configuration: whole, or not at all with
+ * every fault named. One object parses one publication and is used by one thread.
+ *
+ * @since 0.1
+ */
+public final class ConfigurationParser {
+
+	private static final List<String> KINDS = List.of("data-centre", "group", "service", "version", "account", "rule");
+
+	private final Problems problems = new Problems();
+
+	private final Map<String, IniDocument.Section> sections = new LinkedHashMap<>();
+
+	private final Map<DataCentreName, RegionName> dataCentres = new HashMap<>();
+
+	private final Map<ServiceName, Service> services = new HashMap<>();
+
+	private final Map<String, InstanceGroup> groups = new HashMap<>();
+
+	private final Map<VersionId, WeightsVersion> versions = new HashMap<>();
+
+	private final Map<AccountName, ClientAccount> accounts = new HashMap<>();
+
+	private final List<OrderedRule> rules = new ArrayList<>();
+
+	private ConfigurationParser() {
+	}
+
+	/**
+	 * Parses a publication.
+	 * @param version its place in the order of publications
+	 * @param parts the text of each part, in the order of the head
+	 * @return the configuration, never null
+	 * @throws InvalidConfigurationException if anything in it is wrong
+	 */
+	public static PublishedConfiguration parse(ConfigurationVersion version, List<String> parts)
+			throws InvalidConfigurationException {
+		Objects.requireNonNull(version, "version must not be null");
+		ConfigurationParser parser = new ConfigurationParser();
+		parts.forEach(parser::gather);
+		parser.sections.values().forEach(parser::read);
+		ContradictionCheck check = new ContradictionCheck(parser.problems);
+		check.versions(parser.versions.values(), parser.services);
+		check.accounts(parser.accounts.values());
+		parser.rules.forEach((rule) -> check.rule(rule.rule(), parser.services, parser.versions));
+		parser.checkRuleOrder();
+		parser.problems.throwIfAny();
+		return parser.configuration(version);
+	}
+
+	private PublishedConfiguration configuration(ConfigurationVersion version) {
+		List<RoutingRule> ordered = this.rules.stream()
+			.sorted(Comparator.comparingInt(OrderedRule::order))
+			.map(OrderedRule::rule)
+			.toList();
+		return new PublishedConfiguration(version, this.dataCentres, this.services, this.groups, this.versions,
+				this.accounts, ordered);
+	}
+
+	private void gather(String part) {
+		for (IniDocument.Section section : IniDocument.parse(part, this.problems).sections()) {
+			if (this.sections.putIfAbsent(section.title(), section) != null) {
+				this.problems.add(ConfigurationProblem.Kind.DUPLICATE, section.title(), "", "",
+						"write the section in one part only");
+			}
+		}
+	}
+
+	private void read(IniDocument.Section section) {
+		SectionReader reader = new SectionReader(section, this.sections.keySet(), this.problems);
+		switch (section.kind()) {
+			case "data-centre" -> readDataCentre(reader);
+			case "group" -> readGroup(reader);
+			case "service" -> readService(reader);
+			case "version" -> readVersion(reader);
+			case "account" -> readAccount(reader);
+			case "rule" -> readRule(reader);
+			default -> {
+				reader.report(ConfigurationProblem.Kind.UNKNOWN_SECTION, "",
+						"no such kind of section; " + Problems.suggest(section.kind(), KINDS));
+				return;
+			}
+		}
+		reader.checkUnknownKeys();
+	}
+
+	private void readDataCentre(SectionReader reader) {
+		DataCentreName name = reader.named("data-centre", DataCentreName::new);
+		RegionName region = reader.parsed("region", null, RegionName::new);
+		if (reader.valid()) {
+			this.dataCentres.put(name, region);
+		}
+	}
+
+	private void readGroup(SectionReader reader) {
+		ServiceName name = reader.named("group", ServiceName::new);
+		InstanceGroup group = new InstanceGroup(String.valueOf(name), reader.selector("selector"));
+		if (reader.valid()) {
+			this.groups.put(group.name(), group);
+		}
+	}
+
+	private void readService(SectionReader reader) {
+		Service service = SectionForms.service(reader);
+		if (service != null) {
+			this.services.put(service.name(), service);
+		}
+	}
+
+	private void readVersion(SectionReader reader) {
+		WeightsVersion version = SectionForms.version(reader);
+		if (version != null) {
+			this.versions.put(version.id(), version);
+		}
+	}
+
+	private void readAccount(SectionReader reader) {
+		ClientAccount account = SectionForms.account(reader);
+		if (account != null) {
+			this.accounts.put(account.name(), account);
+		}
+	}
+
+	private void readRule(SectionReader reader) {
+		int order = reader.number("order", 0, Integer.MAX_VALUE);
+		RoutingRule rule = SectionForms.rule(reader);
+		if (rule != null) {
+			this.rules.add(new OrderedRule(order, rule));
+		}
+	}
+
+	private void checkRuleOrder() {
+		Set<Integer> seen = new HashSet<>();
+		for (OrderedRule rule : this.rules) {
+			if (!seen.add(rule.order())) {
+				this.problems.add(ConfigurationProblem.Kind.DUPLICATE, "rule " + rule.rule().name(), "order",
+						Integer.toString(rule.order()), "give each rule an order of its own");
+			}
+		}
+	}
+
+	/**
+	 * A rule and when it is tried. Immutable.
+	 *
+	 * @param order its place
+	 * @param rule the rule
+	 */
+	private record OrderedRule(int order, RoutingRule rule) {
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-model/src/main/java/org/catkingate/model/published/IniDocument.java
@@ -0,0 +1,86 @@
+package org.catkingate.model.published;
+
+import java.io.IOException;
+import java.io.StringReader;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.apache.commons.configuration2.INIConfiguration;
+import org.apache.commons.configuration2.ex.ConfigurationException;
+import org.apache.commons.configuration2.tree.ImmutableNode;
+
+/**
+ * The sections of an INI text, as written: nothing is interpolated. Immutable.
+ */
+final class IniDocument {
+
+	private static final String SEPARATOR = "=";
+
+	private final List<Section> sections;
+
+	private IniDocument(List<Section> sections) {
+		this.sections = List.copyOf(sections);
+	}
+
+	static IniDocument parse(String text, Problems problems) {
+		INIConfiguration ini = new INIConfiguration();
+		ini.setSeparatorUsedInInput(SEPARATOR);
+		try {
+			ini.read(new StringReader(text));
+		}
+		catch (ConfigurationException | IOException | RuntimeException ex) {
+			problems.add(ConfigurationProblem.Kind.MALFORMED, "", "", "", "write INI: [section] lines and key = value");
+			return new IniDocument(List.of());
+		}
+		List<Section> sections = new ArrayList<>();
+		for (ImmutableNode node : ini.getNodeModel().getInMemoryRepresentation().getChildren()) {
+			if (node.getValue() != null) {
+				problems.add(ConfigurationProblem.Kind.MALFORMED, "", node.getNodeName(),
+						String.valueOf(node.getValue()), "write every key below a [section] line");
+			}
+			else {
+				sections.add(section(node, problems));
+			}
+		}
+		return new IniDocument(sections);
+	}
+
+	private static Section section(ImmutableNode node, Problems problems) {
+		Map<String, String> values = new LinkedHashMap<>();
+		for (ImmutableNode child : node.getChildren()) {
+			String value = String.valueOf(child.getValue()).strip();
+			if (values.put(child.getNodeName(), value) != null) {
+				problems.add(ConfigurationProblem.Kind.DUPLICATE, node.getNodeName(), child.getNodeName(), value,
+						"write the key once in its section");
+			}
+		}
+		return new Section(node.getNodeName().strip().replaceAll("\\s+", " "), values);
+	}
+
+	List<Section> sections() {
+		return this.sections;
+	}
+
+	/**
+	 * One section. Immutable.
+	 *
+	 * @param title what stands between the brackets
+	 * @param values the value of each key, in the order written
+	 */
+	record Section(String title, Map<String, String> values) {
+
+		String kind() {
+			int blank = this.title.indexOf(' ');
+			return (blank < 0) ? this.title : this.title.substring(0, blank);
+		}
+
+		String name() {
+			int blank = this.title.indexOf(' ');
+			return (blank < 0) ? "" : this.title.substring(blank + 1).strip();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-model/src/main/java/org/catkingate/model/published/SectionForms.java
@@ -0,0 +1,125 @@
+package org.catkingate.model.published;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import org.catkingate.model.AccountName;
+import org.catkingate.model.Digest;
+import org.catkingate.model.Labels;
+import org.catkingate.model.ModelName;
+import org.catkingate.model.Selector;
+import org.catkingate.model.ServiceName;
+import org.catkingate.model.VersionId;
+
+/**
+ * The keys of each kind of section, with their defaults and ranges. A method returns null
+ * for a section with faults, which the reader has reported. Stateless.
+ */
+final class SectionForms {
+
+	private static final int DEFAULT_SWITCHING_SHARE_PERCENT = 25;
+
+	private static final int DEFAULT_CONCURRENT_REQUESTS = 16;
+
+	private static final int DEFAULT_QUEUED_REQUESTS = 32;
+
+	private static final int DEFAULT_REPEAT_WINDOW_SECONDS = 60;
+
+	private static final int HIGHEST_REPEAT_WINDOW_SECONDS = 24 * 60 * 60;
+
+	private static final int HIGHEST_CONCURRENT_REQUESTS = 100_000;
+
+	private static final int HIGHEST_RUNNERS = 100_000;
+
+	private static final int HIGHEST_RATE = 1_000_000_000;
+
+	private static final int DEFAULT_PRIORITY = 5;
+
+	private static final int WHOLE_PERCENT = 100;
+
+	private static final Map<String, Service.Kind> SERVICE_KINDS = Map.of("engine", Service.Kind.ENGINE, "plain",
+			Service.Kind.PLAIN);
+
+	private SectionForms() {
+	}
+
+	static Service service(SectionReader reader) {
+		ServiceName name = reader.named("service", ServiceName::new);
+		Service.Kind kind = reader.parsed("kind", Service.Kind.PLAIN, SectionForms::serviceKind);
+		boolean fencing = reader.truth("checks-fencing", false);
+		String group = reader.text("group");
+		reader.checkReference("group", "group");
+		List<CallPattern> once = reader.calls("non-idempotent-calls");
+		List<CallPattern> repeatable = reader.calls("idempotent-calls");
+		int window = reader.number("repeat-window-s", DEFAULT_REPEAT_WINDOW_SECONDS, 1, HIGHEST_REPEAT_WINDOW_SECONDS);
+		int expected = reader.number("expected-runners", 0, 0, HIGHEST_RUNNERS);
+		int share = reader.number("switching-share-percent", DEFAULT_SWITCHING_SHARE_PERCENT, 1, WHOLE_PERCENT);
+		int concurrent = reader.number("concurrent-requests-per-runner", DEFAULT_CONCURRENT_REQUESTS, 1,
+				HIGHEST_CONCURRENT_REQUESTS);
+		int queued = reader.number("queued-requests-per-runner", DEFAULT_QUEUED_REQUESTS, 0,
+				HIGHEST_CONCURRENT_REQUESTS);
+		if (!reader.valid()) {
+			return null;
+		}
+		return new Service(name, kind, fencing, group, once, repeatable, TimeUnit.SECONDS.toMillis(window), expected,
+				share, concurrent, queued);
+	}
+
+	private static Service.Kind serviceKind(String written) {
+		Service.Kind kind = SERVICE_KINDS.get(written);
+		if (kind == null) {
+			throw new IllegalArgumentException("write engine or plain");
+		}
+		return kind;
+	}
+
+	static WeightsVersion version(SectionReader reader) {
+		VersionId id = reader.named("version MODEL", SectionForms::versionId);
+		ServiceName service = reader.parsed("service", null, ServiceName::new);
+		reader.checkReference("service", "service");
+		Digest manifest = reader.digest("manifest-sha256");
+		Selector selector = reader.selector("selector");
+		boolean withdrawn = reader.truth("withdrawn", false);
+		return reader.valid() ? new WeightsVersion(id, service, manifest, selector, withdrawn) : null;
+	}
+
+	private static VersionId versionId(String written) {
+		String[] words = written.split("\\s+");
+		if (words.length != 2) {
+			throw new IllegalArgumentException(
+					"a version is written as its model and its own name, with a space between");
+		}
+		return new VersionId(new ModelName(words[0]), words[1]);
+	}
+
+	static ClientAccount account(SectionReader reader) {
+		AccountName name = reader.named("account", AccountName::new);
+		Digest key = reader.digest("key-sha256");
+		Labels labels = reader.labels("labels");
+		int requests = reader.number("requests-per-s", 1, HIGHEST_RATE);
+		int concurrent = reader.number("concurrent-requests", 1, HIGHEST_RATE);
+		int tokens = reader.number("tokens-per-s", 0, HIGHEST_RATE);
+		int priority = reader.number("priority", DEFAULT_PRIORITY, 0, ClientAccount.HIGHEST_PRIORITY);
+		return reader.valid() ? new ClientAccount(name, key, labels, requests, concurrent, tokens, priority) : null;
+	}
+
+	static RoutingRule rule(SectionReader reader) {
+		ServiceName name = reader.named("rule", ServiceName::new);
+		Selector accounts = reader.selector("accounts", "*");
+		CallPattern call = reader.call("call");
+		ServiceName service = reader.parsed("service", null, ServiceName::new);
+		reader.checkReference("service", "service");
+		VersionId version = null;
+		if (!reader.text("version", "").isEmpty()) {
+			version = reader.parsed("version", null, SectionForms::versionId);
+			reader.checkReference("version", "version");
+		}
+		Selector instances = reader.selector("instances", "*");
+		if (!reader.valid()) {
+			return null;
+		}
+		return new RoutingRule(name.value(), accounts, call, service, version, instances);
+	}
+
+}
--- /dev/null
+++ b/catkingate-model/src/test/java/org/catkingate/model/published/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the published configuration.
+ */
+package org.catkingate.model.published;
