Add stand-ins of the outside systems and a fault-injecting proxy

Cause: everything else is tested and measured against the platform, engines, plain services, an origin and a store, none of which exist here.

Change: catkingate-standins with the commands platform, engine, plain, origin, store and proxy, each a library class too (start(arguments), address(), configure(arguments), close()). Options are the same on the command line, in the library and in PUT /control/options, and faults are options, so that all of them can change while a stand-in runs. The engine derives each token from prompt, digest and index; a load overwrites its memory in place, so that a mixture has a digest of its own.

Ruled out: keeping the weights' bytes in the engine (tens of engines must fit one machine); a running digest tells mixtures as well.

--- a/catkingate-standins/src/main/java/org/catkingate/standins/Standins.java
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/Standins.java
@@ -1,19 +1,71 @@
 package org.catkingate.standins;
 
+import java.io.PrintStream;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Function;
+
+import com.beust.jcommander.ParameterException;
+
+import org.catkingate.standins.engine.Engine;
+import org.catkingate.standins.plain.Plain;
+import org.catkingate.standins.platform.Platform;
+import org.catkingate.standins.proxy.Proxy;
+import org.catkingate.standins.weights.WeightsServer;
+
 /**
- * Entry point.
+ * The command line: {@code catkingate-standins COMMAND OPTIONS}. A stand-in prints
+ * {@code ready ADDRESS} once it listens, the proxy its control address behind that, and
+ * runs until it is ended. Stateless.
  */
 public final class Standins {
 
+	private static final int USAGE = 2;
+
+	private static final Map<String, Function<String[], StandIn>> COMMANDS = commands();
+
 	private Standins() {
 	}
 
+	private static Map<String, Function<String[], StandIn>> commands() {
+		Map<String, Function<String[], StandIn>> commands = new LinkedHashMap<>();
+		commands.put("platform", Platform::start);
+		commands.put("engine", Engine::start);
+		commands.put("plain", Plain::start);
+		commands.put("origin", WeightsServer::start);
+		commands.put("store", WeightsServer::start);
+		commands.put("proxy", Proxy::start);
+		return commands;
+	}
+
 	/**
 	 * Runs the program.
-	 * @param args the arguments
+	 * @param args the command and its options
+	 * @throws InterruptedException if the main thread is interrupted
 	 */
-	public static void main(String[] args) {
-		System.exit(2);
+	public static void main(String[] args) throws InterruptedException {
+		Function<String[], StandIn> command = (args.length > 0) ? COMMANDS.get(args[0]) : null;
+		if (command == null) {
+			fail("give one of the commands " + String.join(", ", COMMANDS.keySet()));
+		}
+		try {
+			report(command.apply(Arrays.copyOfRange(args, 1, args.length)), System.out);
+		}
+		catch (ParameterException ex) {
+			fail(ex.getMessage());
+		}
+		Thread.currentThread().join();
+	}
+
+	private static void report(StandIn standIn, PrintStream out) {
+		String control = (standIn instanceof Proxy proxy) ? " " + Addresses.format(proxy.controlAddress()) : "";
+		out.println("ready " + Addresses.format(standIn.address()) + control);
+	}
+
+	private static void fail(String message) {
+		System.err.println("catkingate-standins: " + message);
+		System.exit(USAGE);
 	}
 
 }
--- /dev/null
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/engine/Batch.java
@@ -0,0 +1,88 @@
+package org.catkingate.standins.engine;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Queue;
+
+/**
+ * Which generations run and which wait, the highest priority first and then the oldest.
+ * Safe for use by any thread.
+ */
+final class Batch {
+
+	private final EngineOptions options;
+
+	private final Map<Generation, Boolean> running = new LinkedHashMap<>();
+
+	private final Queue<Generation> waiting = new PriorityQueue<>(
+			Comparator.comparingInt((Generation generation) -> -generation.request().priority())
+				.thenComparingLong(Generation::order));
+
+	private final Map<String, Boolean> prefixes = new LinkedHashMap<>(16, 0.75f, true);
+
+	private final LaggedLoad reported = new LaggedLoad();
+
+	private long nextOrder;
+
+	Batch(EngineOptions options) {
+		this.options = options;
+	}
+
+	synchronized long nextOrder() {
+		return this.nextOrder++;
+	}
+
+	/**
+	 * Takes a generation in; it is started, now or later, on its own I/O thread.
+	 * @param generation the generation
+	 * @return false if the queue is full
+	 */
+	synchronized boolean admit(Generation generation) {
+		if (this.running.size() >= this.options.concurrency && this.waiting.size() >= this.options.queue) {
+			return false;
+		}
+		this.waiting.add(generation);
+		startWaiting();
+		return true;
+	}
+
+	synchronized void leave(Generation generation) {
+		this.waiting.remove(generation);
+		this.running.remove(generation);
+		startWaiting();
+	}
+
+	private void startWaiting() {
+		while (this.running.size() < this.options.concurrency && !this.waiting.isEmpty()) {
+			Generation next = this.waiting.poll();
+			this.running.put(next, true);
+			next.start(!isCached(next.request().prompt()));
+		}
+		this.reported.set(this.running.size(), this.waiting.size(), this.options.loadLagMillis);
+	}
+
+	private boolean isCached(String prompt) {
+		String prefix = prompt.substring(0, prompt.length() / 2);
+		boolean cached = this.prefixes.put(prefix, true) != null;
+		if (this.prefixes.size() > this.options.cachedPrefixes) {
+			this.prefixes.remove(this.prefixes.keySet().iterator().next());
+		}
+		return cached;
+	}
+
+	synchronized LaggedLoad.Load load() {
+		return this.reported.get(this.options.loadLagMillis);
+	}
+
+	synchronized List<Generation> find(String id) {
+		List<Generation> found = new ArrayList<>();
+		this.running.keySet().stream().filter((one) -> one.request().id().equals(id)).forEach(found::add);
+		this.waiting.stream().filter((one) -> one.request().id().equals(id)).forEach(found::add);
+		return found;
+	}
+
+}
--- /dev/null
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/engine/Runs.java
@@ -0,0 +1,51 @@
+package org.catkingate.standins.engine;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import org.catkingate.standins.HttpService;
+
+/**
+ * The record of runs that have ended, the oldest dropped beyond a bound, and totals over
+ * all. Safe for use by any thread.
+ */
+final class Runs {
+
+	private static final int KEPT = 100_000;
+
+	private final Deque<EngineRun> ended = new ArrayDeque<>();
+
+	private long count;
+
+	private long cancelled;
+
+	private long tokens;
+
+	synchronized void add(EngineRun run) {
+		this.count++;
+		this.tokens += run.tokens();
+		if (run.cancelled()) {
+			this.cancelled++;
+		}
+		this.ended.add(run);
+		if (this.ended.size() > KEPT) {
+			this.ended.poll();
+		}
+	}
+
+	synchronized ObjectNode toJson() {
+		ObjectNode json = HttpService.JSON.createObjectNode()
+			.put("count", this.count)
+			.put("cancelled", this.cancelled)
+			.put("tokens", this.tokens);
+		json.set("runs", HttpService.JSON.valueToTree(this.ended));
+		return json;
+	}
+
+	synchronized EngineRun[] all() {
+		return this.ended.toArray(EngineRun[]::new);
+	}
+
+}
--- /dev/null
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/engine/Tokens.java
@@ -0,0 +1,81 @@
+package org.catkingate.standins.engine;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+
+/**
+ * The text that an engine generates: each token follows from the prompt, the digest of
+ * the weights and its index alone, so that a test can tell which weights made it.
+ * Stateless.
+ *
+ * @since 0.1
+ */
+public final class Tokens {
+
+	private static final long GOLDEN_RATIO = 0x9E3779B97F4A7C15L;
+
+	private static final int TOKEN_DIGITS = 4;
+
+	private static final int RADIX = 32;
+
+	private Tokens() {
+	}
+
+	/**
+	 * Returns the seed of all tokens of an answer.
+	 * @param prompt the prompt
+	 * @param digest the digest of the weights, in hexadecimal
+	 * @return the seed
+	 */
+	public static long seed(String prompt, String digest) {
+		try {
+			MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
+			sha256.update(digest.getBytes(StandardCharsets.UTF_8));
+			return ByteBuffer.wrap(sha256.digest(prompt.getBytes(StandardCharsets.UTF_8))).getLong();
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("this Java runtime lacks SHA-256; install a complete one", ex);
+		}
+	}
+
+	/**
+	 * Returns one token.
+	 * @param seed the seed of the answer
+	 * @param index the token's index, from 0
+	 * @return four letters or digits and a space, never null
+	 */
+	public static String token(long seed, int index) {
+		long value = mix(seed + index * GOLDEN_RATIO);
+		StringBuilder token = new StringBuilder(TOKEN_DIGITS + 1);
+		for (int i = 0; i < TOKEN_DIGITS; i++) {
+			token.append(Character.forDigit((int) (value & (RADIX - 1)), RADIX));
+			value >>>= 5;
+		}
+		return token.append(' ').toString();
+	}
+
+	/**
+	 * Returns a whole answer.
+	 * @param prompt the prompt
+	 * @param digest the digest of the weights, in hexadecimal
+	 * @param count how many tokens
+	 * @return the text, never null
+	 */
+	public static String text(String prompt, String digest, int count) {
+		long seed = seed(prompt, digest);
+		StringBuilder text = new StringBuilder();
+		for (int i = 0; i < count; i++) {
+			text.append(token(seed, i));
+		}
+		return text.toString();
+	}
+
+	private static long mix(long value) {
+		long mixed = (value ^ (value >>> 30)) * 0xBF58476D1CE4E5B9L;
+		mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
+		return mixed ^ (mixed >>> 31);
+	}
+
+}
--- /dev/null
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/engine/WeightsMemory.java
@@ -0,0 +1,149 @@
+package org.catkingate.standins.engine;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * The memory that holds the weights. A load overwrites it in place: until it has ended,
+ * and after one that broke off, the memory holds a mixture, whose digest is that of no
+ * version. Only digests are kept, not the bytes. Safe for use by any thread.
+ */
+final class WeightsMemory {
+
+	private final Set<Load> active = new HashSet<>();
+
+	private final List<Load> overlapping = new ArrayList<>();
+
+	private String model;
+
+	private String version;
+
+	private String digest;
+
+	private long fence;
+
+	private long changes;
+
+	WeightsMemory(String model, String version, String digest) {
+		this.model = model;
+		this.version = version;
+		this.digest = digest;
+	}
+
+	synchronized Load begin(String newModel, String newVersion, long newFence, boolean checksFencing) {
+		if (checksFencing && newFence < this.fence) {
+			return null;
+		}
+		if (checksFencing) {
+			this.active.forEach((load) -> load.superseded = true);
+			this.active.clear();
+			this.overlapping.clear();
+		}
+		this.fence = newFence;
+		this.digest = mixture();
+		this.model = null;
+		this.version = null;
+		Load load = new Load(newModel, newVersion);
+		this.active.add(load);
+		this.overlapping.add(load);
+		return load;
+	}
+
+	synchronized boolean write(Load load, byte[] bytes, int count) {
+		if (load.superseded) {
+			return false;
+		}
+		load.sha256.update(bytes, 0, count);
+		this.changes++;
+		return true;
+	}
+
+	synchronized boolean end(Load load, boolean whole) {
+		if (load.superseded) {
+			return false;
+		}
+		load.result = whole ? hex(load.sha256.digest()) : null;
+		this.active.remove(load);
+		this.digest = mixture();
+		if (this.active.isEmpty()) {
+			settle(load);
+		}
+		return true;
+	}
+
+	private void settle(Load last) {
+		boolean agree = this.overlapping.stream()
+			.allMatch((load) -> last.result != null && last.result.equals(load.result));
+		if (agree) {
+			this.digest = last.result;
+			this.model = last.model;
+			this.version = last.version;
+		}
+		this.overlapping.clear();
+	}
+
+	private String mixture() {
+		MessageDigest sha256 = sha256();
+		sha256.update(("mixture " + this.digest + " " + this.changes).getBytes(StandardCharsets.UTF_8));
+		return hex(sha256.digest());
+	}
+
+	synchronized Contents contents() {
+		String held = this.active.isEmpty() ? this.digest : mixture();
+		return new Contents(this.model, this.version, held, this.fence);
+	}
+
+	private static String hex(byte[] bytes) {
+		return HexFormat.of().formatHex(bytes);
+	}
+
+	private static MessageDigest sha256() {
+		try {
+			return MessageDigest.getInstance("SHA-256");
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("this Java runtime lacks SHA-256; install a complete one", ex);
+		}
+	}
+
+	/**
+	 * One load in progress; guarded by the memory.
+	 */
+	static final class Load {
+
+		private final MessageDigest sha256 = sha256();
+
+		private final String model;
+
+		private final String version;
+
+		private boolean superseded;
+
+		private String result;
+
+		private Load(String model, String version) {
+			this.model = model;
+			this.version = version;
+		}
+
+	}
+
+	/**
+	 * What the memory holds. Immutable.
+	 *
+	 * @param model the model, or null
+	 * @param version the version, or null
+	 * @param digest the digest of what is really there, or null if nothing ever was
+	 * @param fence the fencing number of the last order
+	 */
+	record Contents(String model, String version, String digest, long fence) {
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/engine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * A stand-in of a model engine.
+ */
+package org.catkingate.standins.engine;
--- /dev/null
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/plain/Plain.java
@@ -0,0 +1,130 @@
+package org.catkingate.standins.plain;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RoutingHandler;
+import io.undertow.util.SameThreadExecutor;
+import io.undertow.util.StatusCodes;
+
+import org.catkingate.standins.HttpService;
+import org.catkingate.standins.ListenOptions;
+import org.catkingate.standins.StandIn;
+
+/**
+ * A plain service: {@code POST /purchases}, which runs again each time it is called, and
+ * lookups under {@code /lookups}. Every answer repeats the request's identifier, path and
+ * body, so that an answer to another request shows. Safe for use by any thread.
+ *
+ * @since 0.1
+ */
+public final class Plain implements StandIn {
+
+	private final PlainOptions options;
+
+	private final PlainRuns runs = new PlainRuns();
+
+	private final HttpService service;
+
+	private Plain(PlainOptions options) {
+		this.options = options;
+		this.service = HttpService.start(options, routes());
+	}
+
+	/**
+	 * Starts a service.
+	 * @param arguments options as on the command line
+	 * @return the running service, never null
+	 */
+	public static Plain start(String... arguments) {
+		return new Plain(ListenOptions.parse(PlainOptions::new, arguments));
+	}
+
+	private RoutingHandler routes() {
+		return new RoutingHandler().post("/purchases", HttpService.withBody(this::purchase))
+			.get("/lookups/*", HttpService.withBody(this::lookUp))
+			.post("/lookups/*", HttpService.withBody(this::lookUp))
+			.get("/control/runs", (exchange) -> HttpService.sendJson(exchange, this.runs.toJson()));
+	}
+
+	/**
+	 * Tells how often a purchase ran.
+	 * @param key its {@code Idempotency-Key}
+	 * @return how often it began to run
+	 */
+	public int runsOf(String key) {
+		return this.runs.runsOf(key);
+	}
+
+	/**
+	 * Tells how often each purchase ran.
+	 * @return how often each {@code Idempotency-Key} began to run, never null
+	 */
+	public Map<String, Integer> runsByKey() {
+		return this.runs.byKey();
+	}
+
+	private void purchase(HttpServerExchange exchange, byte[] body) {
+		if (this.options.down) {
+			HttpService.cut(exchange);
+			return;
+		}
+		String key = exchange.getRequestHeaders().getFirst("Idempotency-Key");
+		long number = this.runs.purchase(key, exchange.getRequestHeaders().getFirst("X-Request-Id"));
+		ObjectNode answer = echo(exchange, body).put("purchase", number).put("key", key);
+		afterDelay(exchange, () -> answer(exchange, StatusCodes.CREATED, answer));
+	}
+
+	private void lookUp(HttpServerExchange exchange, byte[] body) {
+		if (this.options.down) {
+			HttpService.cut(exchange);
+			return;
+		}
+		this.runs.lookup();
+		ObjectNode answer = echo(exchange, body);
+		afterDelay(exchange, () -> answer(exchange, StatusCodes.OK, answer));
+	}
+
+	private ObjectNode echo(HttpServerExchange exchange, byte[] body) {
+		ObjectNode answer = HttpService.JSON.createObjectNode()
+			.put("request", exchange.getRequestHeaders().getFirst("X-Request-Id"))
+			.put("path", exchange.getRequestPath())
+			.put("body", new String(body, StandardCharsets.UTF_8));
+		int padding = this.options.answerBytes - answer.toString().length();
+		return (padding > 0) ? answer.put("padding", "x".repeat(padding)) : answer;
+	}
+
+	private void afterDelay(HttpServerExchange exchange, Runnable answer) {
+		exchange.dispatch(SameThreadExecutor.INSTANCE,
+				() -> exchange.getIoThread().executeAfter(answer, this.options.delayMillis, TimeUnit.MILLISECONDS));
+	}
+
+	private void answer(HttpServerExchange exchange, int status, ObjectNode answer) {
+		if (this.options.dieAfterRun) {
+			HttpService.cut(exchange);
+			return;
+		}
+		exchange.setStatusCode(status);
+		HttpService.sendJson(exchange, answer);
+	}
+
+	@Override
+	public InetSocketAddress address() {
+		return this.service.address();
+	}
+
+	@Override
+	public void configure(String... arguments) {
+		this.options.update(arguments);
+	}
+
+	@Override
+	public void close() {
+		this.service.close();
+	}
+
+}
--- /dev/null
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/plain/PlainRuns.java
@@ -0,0 +1,58 @@
+package org.catkingate.standins.plain;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import org.catkingate.standins.HttpService;
+
+/**
+ * Counts how often each purchase ran, by the caller's key and by the request's
+ * identifier. This count is the judge of "at most once". Safe for use by any thread.
+ */
+final class PlainRuns {
+
+	private final Map<String, Integer> byKey = new TreeMap<>();
+
+	private final Map<String, Integer> byRequest = new TreeMap<>();
+
+	private long purchases;
+
+	private long lookups;
+
+	synchronized long purchase(String key, String request) {
+		count(this.byKey, key);
+		count(this.byRequest, request);
+		this.purchases++;
+		return this.purchases;
+	}
+
+	synchronized void lookup() {
+		this.lookups++;
+	}
+
+	private static void count(Map<String, Integer> counts, String name) {
+		if (name != null) {
+			counts.merge(name, 1, Integer::sum);
+		}
+	}
+
+	synchronized int runsOf(String key) {
+		return this.byKey.getOrDefault(key, 0);
+	}
+
+	synchronized Map<String, Integer> byKey() {
+		return new TreeMap<>(this.byKey);
+	}
+
+	synchronized ObjectNode toJson() {
+		ObjectNode json = HttpService.JSON.createObjectNode()
+			.put("purchases", this.purchases)
+			.put("lookups", this.lookups);
+		json.set("byKey", HttpService.JSON.valueToTree(this.byKey));
+		json.set("byRequest", HttpService.JSON.valueToTree(this.byRequest));
+		return json;
+	}
+
+}
--- /dev/null
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/platform/CutAfter.java
@@ -0,0 +1,26 @@
+package org.catkingate.standins.platform;
+
+import java.io.IOException;
+
+import io.undertow.io.IoCallback;
+import io.undertow.io.Sender;
+import io.undertow.server.HttpServerExchange;
+
+import org.catkingate.standins.HttpService;
+
+/**
+ * Closes the connection once what was sent is out. Stateless.
+ */
+final class CutAfter implements IoCallback {
+
+	@Override
+	public void onComplete(HttpServerExchange exchange, Sender sender) {
+		HttpService.cut(exchange);
+	}
+
+	@Override
+	public void onException(HttpServerExchange exchange, Sender sender, IOException exception) {
+		HttpService.cut(exchange);
+	}
+
+}
--- /dev/null
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/proxy/Proxy.java
@@ -0,0 +1,178 @@
+package org.catkingate.standins.proxy;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.beust.jcommander.ParameterException;
+import io.undertow.server.RoutingHandler;
+
+import org.catkingate.standins.Addresses;
+import org.catkingate.standins.HttpService;
+import org.catkingate.standins.ListenOptions;
+import org.catkingate.standins.StandIn;
+
+/**
+ * A TCP proxy to one target that delays, stalls, cuts, silences and corrupts. Safe for
+ * use by any thread.
+ *
+ * @since 0.1
+ */
+public final class Proxy implements StandIn {
+
+	private static final int BACKLOG = 512;
+
+	private static final int CONNECT_MILLIS = 5000;
+
+	private final ProxyOptions options;
+
+	private final ServerSocket server;
+
+	private final HttpService control;
+
+	private final TokenBuckets links;
+
+	private final List<ProxiedConnection> connections = new ArrayList<>();
+
+	private long accepted;
+
+	private Proxy(ProxyOptions options) throws IOException {
+		this.options = options;
+		this.links = TokenBuckets.of(options);
+		this.server = new ServerSocket();
+		this.server.bind(options.listenAddress(), BACKLOG);
+		this.control = HttpService.start(ListenOptions.parse(ListenOptions::new, "--listen", options.control), options,
+				routes());
+	}
+
+	/**
+	 * Starts a proxy.
+	 * @param arguments options as on the command line; {@code --target} is required
+	 * @return the running proxy, never null
+	 */
+	public static Proxy start(String... arguments) {
+		ProxyOptions options = ListenOptions.parse(ProxyOptions::new, arguments);
+		if (options.target == null) {
+			throw new ParameterException("--target is missing; give the IP:PORT to connect to");
+		}
+		try {
+			Proxy proxy = new Proxy(options);
+			Thread thread = new Thread(proxy::accept, "proxy-accept");
+			thread.setDaemon(true);
+			thread.start();
+			return proxy;
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private RoutingHandler routes() {
+		return new RoutingHandler().post("/control/cut", (exchange) -> cut())
+			.post("/control/silence", (exchange) -> silence())
+			.get("/control/connections",
+					(exchange) -> exchange.getResponseSender().send(Integer.toString(connections())));
+	}
+
+	/**
+	 * Resets every connection that is open now. New ones work.
+	 */
+	public synchronized void cut() {
+		this.connections.forEach(ProxiedConnection::cut);
+		this.connections.clear();
+	}
+
+	/**
+	 * Makes every connection that is open now half-open: both ends stay open and all that
+	 * they send is swallowed, for good. New ones work.
+	 */
+	public synchronized void silence() {
+		this.connections.forEach(ProxiedConnection::silence);
+	}
+
+	/**
+	 * Counts the connections, silent ones included.
+	 * @return how many have not ended
+	 */
+	public synchronized int connections() {
+		this.connections.removeIf(ProxiedConnection::isOver);
+		return this.connections.size();
+	}
+
+	/**
+	 * Points new connections to another target.
+	 * @param target the target
+	 */
+	public void target(InetSocketAddress target) {
+		this.options.target = Addresses.format(target);
+	}
+
+	private void accept() {
+		while (!this.server.isClosed()) {
+			try {
+				connect(this.server.accept());
+			}
+			catch (IOException ex) {
+				// the next caller is served
+			}
+		}
+	}
+
+	private void connect(Socket caller) throws IOException {
+		if (this.options.refuse) {
+			ProxiedConnection.reset(caller);
+			return;
+		}
+		Socket target = new Socket();
+		try {
+			target.connect(Addresses.parse(this.options.target), CONNECT_MILLIS);
+			add(caller, target);
+		}
+		catch (IOException ex) {
+			ProxiedConnection.reset(caller);
+			ProxiedConnection.reset(target);
+		}
+	}
+
+	private synchronized void add(Socket caller, Socket target) throws IOException {
+		this.connections.removeIf(ProxiedConnection::isOver);
+		this.accepted++;
+		this.connections.add(ProxiedConnection.start(caller, target, this.options, this.links.there(),
+				this.links.back(), this.options.seed * 1_000_003 + this.accepted));
+	}
+
+	@Override
+	public InetSocketAddress address() {
+		return (InetSocketAddress) this.server.getLocalSocketAddress();
+	}
+
+	/**
+	 * Returns where the control API listens.
+	 * @return the bound address, never null
+	 */
+	public InetSocketAddress controlAddress() {
+		return this.control.address();
+	}
+
+	@Override
+	public void configure(String... arguments) {
+		this.options.update(arguments);
+	}
+
+	@Override
+	public void close() {
+		this.control.close();
+		try {
+			this.server.close();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		cut();
+	}
+
+}
--- /dev/null
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/proxy/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * A TCP proxy that injects faults.
+ */
+package org.catkingate.standins.proxy;
--- /dev/null
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/weights/ByteRange.java
@@ -0,0 +1,34 @@
+package org.catkingate.standins.weights;
+
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * The range that a request asks for. Immutable.
+ *
+ * @param first the first byte
+ * @param last the last byte, included
+ * @param partial whether the request named a range
+ */
+record ByteRange(long first, long last, boolean partial) {
+
+	private static final Pattern FORM = Pattern.compile("bytes=(\\d+)-(\\d*)");
+
+	static ByteRange parse(String header, long totalBytes) {
+		Matcher matcher = FORM.matcher((header != null) ? header : "");
+		if (!matcher.matches()) {
+			return new ByteRange(0, totalBytes - 1, false);
+		}
+		long last = matcher.group(2).isEmpty() ? totalBytes - 1 : Long.parseLong(matcher.group(2));
+		return new ByteRange(Long.parseLong(matcher.group(1)), Math.min(last, totalBytes - 1), true);
+	}
+
+	boolean isEmpty() {
+		return this.first > this.last;
+	}
+
+	long count() {
+		return this.last - this.first + 1;
+	}
+
+}
--- /dev/null
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/weights/GeneratedWeights.java
@@ -0,0 +1,171 @@
+package org.catkingate.standins.weights;
+
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.Objects;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import org.catkingate.standins.HttpService;
+
+/**
+ * Weights whose bytes follow from seeds, so that any range can be made without holding
+ * them. Chunks of two versions that have the same seed, index and size are equal.
+ * Immutable and safe for use by any thread.
+ *
+ * @since 0.1
+ */
+public final class GeneratedWeights {
+
+	private static final long GOLDEN_RATIO = 0x9E3779B97F4A7C15L;
+
+	private final Shape shape;
+
+	private final byte[] manifest;
+
+	private final String digest;
+
+	private GeneratedWeights(Shape shape) {
+		this.shape = shape;
+		MessageDigest whole = sha256();
+		ObjectNode json = HttpService.JSON.createObjectNode()
+			.put("model", shape.model())
+			.put("version", shape.version())
+			.put("totalBytes", shape.totalBytes())
+			.put("chunkBytes", shape.chunkBytes());
+		ArrayNode chunks = HttpService.JSON.createArrayNode();
+		for (long start = 0; start < shape.totalBytes(); start += shape.chunkBytes()) {
+			byte[] chunk = bytes(start, (int) Math.min(shape.chunkBytes(), shape.totalBytes() - start));
+			whole.update(chunk);
+			chunks.add(HexFormat.of().formatHex(sha256().digest(chunk)));
+		}
+		this.digest = HexFormat.of().formatHex(whole.digest());
+		json.put("digest", this.digest).set("chunks", chunks);
+		this.manifest = json.toString().getBytes(StandardCharsets.UTF_8);
+	}
+
+	/**
+	 * Makes weights and computes their digests.
+	 * @param shape what they are
+	 * @return the weights, never null
+	 */
+	public static GeneratedWeights of(Shape shape) {
+		return new GeneratedWeights(shape);
+	}
+
+	/**
+	 * Returns what they are.
+	 * @return the shape, never null
+	 */
+	public Shape shape() {
+		return this.shape;
+	}
+
+	/**
+	 * Returns the digest of the whole.
+	 * @return 64 hexadecimal digits, never null
+	 */
+	public String digest() {
+		return this.digest;
+	}
+
+	/**
+	 * Returns the manifest.
+	 * @return its JSON, never null
+	 */
+	public byte[] manifest() {
+		return this.manifest.clone();
+	}
+
+	/**
+	 * Returns the digest of the manifest's bytes, which the configuration names.
+	 * @return 64 hexadecimal digits, never null
+	 */
+	public String manifestDigest() {
+		return HexFormat.of().formatHex(sha256().digest(this.manifest));
+	}
+
+	/**
+	 * Makes a range of the bytes.
+	 * @param start the first byte
+	 * @param count how many
+	 * @return the bytes, never null
+	 */
+	public byte[] bytes(long start, int count) {
+		long firstWord = start / Long.BYTES;
+		long lastWord = (start + count - 1) / Long.BYTES;
+		ByteBuffer words = ByteBuffer.allocate((int) (lastWord - firstWord + 1) * Long.BYTES)
+			.order(ByteOrder.LITTLE_ENDIAN);
+		for (long word = firstWord; word <= lastWord; word++) {
+			words.putLong(word(word));
+		}
+		byte[] result = new byte[count];
+		words.position((int) (start - firstWord * Long.BYTES)).get(result);
+		return result;
+	}
+
+	private long word(long index) {
+		long chunk = index * Long.BYTES / this.shape.chunkBytes();
+		long mixed = this.shape.seedOf(chunk) * 31 + index * GOLDEN_RATIO;
+		mixed = (mixed ^ (mixed >>> 30)) * 0xBF58476D1CE4E5B9L;
+		mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
+		return mixed ^ (mixed >>> 31);
+	}
+
+	private static MessageDigest sha256() {
+		try {
+			return MessageDigest.getInstance("SHA-256");
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("this Java runtime lacks SHA-256; install a complete one", ex);
+		}
+	}
+
+	/**
+	 * What weights are made of. Immutable.
+	 *
+	 * @param model the model
+	 * @param version the version
+	 * @param seed the seed of the chunks that are the version's own
+	 * @param baseSeed the seed of the other chunks
+	 * @param ownEvery how many chunks there are for one that is the version's own; 1 for
+	 * all
+	 * @param totalBytes the size of the whole
+	 * @param chunkBytes the size of a chunk, a multiple of 8
+	 */
+	public record Shape(String model, String version, long seed, long baseSeed, int ownEvery, long totalBytes,
+			int chunkBytes) {
+
+		public Shape {
+			Objects.requireNonNull(model, "model must not be null");
+			Objects.requireNonNull(version, "version must not be null");
+			if (totalBytes <= 0 || chunkBytes <= 0 || chunkBytes % Long.BYTES != 0 || ownEvery <= 0) {
+				throw new IllegalArgumentException("sizes must be positive, and the size of a chunk a multiple of 8");
+			}
+		}
+
+		/**
+		 * Makes a shape whose chunks all are the version's own.
+		 * @param model the model
+		 * @param version the version
+		 * @param seed the seed
+		 * @param totalBytes the size of the whole
+		 * @param chunkBytes the size of a chunk, a multiple of 8
+		 * @return the shape, never null
+		 */
+		public static Shape of(String model, String version, long seed, long totalBytes, int chunkBytes) {
+			return new Shape(model, version, seed, seed, 1, totalBytes, chunkBytes);
+		}
+
+		long seedOf(long chunk) {
+			return (chunk % this.ownEvery == 0) ? this.seed : this.baseSeed;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/weights/PacedBody.java
@@ -0,0 +1,135 @@
+package org.catkingate.standins.weights;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.concurrent.TimeUnit;
+
+import io.undertow.server.HttpServerExchange;
+import org.xnio.ChannelListeners;
+import org.xnio.channels.StreamSinkChannel;
+
+import org.catkingate.standins.HttpService;
+import org.catkingate.standins.TokenBucket;
+
+/**
+ * Sends a range of weights at the rate of the link. Confined to the I/O thread of its
+ * connection.
+ */
+final class PacedBody {
+
+	private static final int PIECE_BYTES = 32 * 1024;
+
+	private final HttpServerExchange exchange;
+
+	private final GeneratedWeights weights;
+
+	private final ByteRange range;
+
+	private final WeightsOptions options;
+
+	private final TokenBucket link;
+
+	private final Served served;
+
+	private final boolean corrupt;
+
+	private StreamSinkChannel channel;
+
+	private ByteBuffer pending = ByteBuffer.allocate(0);
+
+	private long sent;
+
+	PacedBody(HttpServerExchange exchange, GeneratedWeights weights, ByteRange range, WeightsOptions options,
+			TokenBucket link, Served served, boolean corrupt) {
+		this.exchange = exchange;
+		this.weights = weights;
+		this.range = range;
+		this.options = options;
+		this.link = link;
+		this.served = served;
+		this.corrupt = corrupt;
+	}
+
+	void start() {
+		this.channel = this.exchange.getResponseChannel();
+		this.channel.getWriteSetter().set((writable) -> write());
+		next();
+	}
+
+	private void next() {
+		if (this.sent == this.range.count()) {
+			finish();
+			return;
+		}
+		int count = (int) Math.min(PIECE_BYTES, this.range.count() - this.sent);
+		this.pending = ByteBuffer.wrap(piece(this.range.first() + this.sent, count));
+		long wait = this.link.take(count);
+		if (wait > 0) {
+			this.exchange.getIoThread().executeAfter(this::write, wait, TimeUnit.MILLISECONDS);
+		}
+		else {
+			this.exchange.getIoThread().execute(this::write);
+		}
+	}
+
+	private byte[] piece(long start, int count) {
+		byte[] bytes = this.weights.bytes(start, count);
+		long wrong = (long) this.options.corruptChunk * this.weights.shape().chunkBytes();
+		if (this.corrupt && wrong >= start && wrong < start + count) {
+			bytes[(int) (wrong - start)] ^= 1;
+		}
+		return bytes;
+	}
+
+	private void write() {
+		try {
+			while (this.pending.hasRemaining()) {
+				if (isStalled()) {
+					this.channel.suspendWrites();
+					this.exchange.getIoThread().executeAfter(this::write, 50, TimeUnit.MILLISECONDS);
+					return;
+				}
+				int count = this.channel.write(this.pending);
+				if (count == 0) {
+					this.channel.resumeWrites();
+					return;
+				}
+				this.sent += count;
+				this.served.dataBytes().addAndGet(count);
+				if (isReset()) {
+					HttpService.cut(this.exchange);
+					return;
+				}
+			}
+			this.channel.suspendWrites();
+			next();
+		}
+		catch (IOException ex) {
+			HttpService.cut(this.exchange);
+		}
+	}
+
+	private boolean isStalled() {
+		return this.options.stallAfterBytes >= 0 && this.sent >= this.options.stallAfterBytes;
+	}
+
+	private boolean isReset() {
+		return this.options.resetAfterBytes >= 0 && this.sent >= this.options.resetAfterBytes;
+	}
+
+	private void finish() {
+		try {
+			this.channel.shutdownWrites();
+			if (!this.channel.flush()) {
+				this.channel.getWriteSetter()
+					.set(ChannelListeners.flushingChannelListener(null,
+							ChannelListeners.closingChannelExceptionHandler()));
+				this.channel.resumeWrites();
+			}
+		}
+		catch (IOException ex) {
+			HttpService.cut(this.exchange);
+		}
+	}
+
+}
--- /dev/null
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/weights/Served.java
@@ -0,0 +1,31 @@
+package org.catkingate.standins.weights;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import org.catkingate.standins.HttpService;
+
+/**
+ * Counts what was served. Safe for use by any thread.
+ *
+ * @param dataBytes bytes of weights handed to connections
+ * @param manifests manifests served
+ * @param ranges requests for data
+ * @param refused requests answered with 429
+ */
+record Served(AtomicLong dataBytes, AtomicLong manifests, AtomicLong ranges, AtomicLong refused) {
+
+	static Served nothing() {
+		return new Served(new AtomicLong(), new AtomicLong(), new AtomicLong(), new AtomicLong());
+	}
+
+	ObjectNode toJson() {
+		return HttpService.JSON.createObjectNode()
+			.put("dataBytes", this.dataBytes.get())
+			.put("manifests", this.manifests.get())
+			.put("ranges", this.ranges.get())
+			.put("refused", this.refused.get());
+	}
+
+}
--- /dev/null
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/weights/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Stand-ins of the origin of weights and of the weight store.
+ */
+package org.catkingate.standins.weights;
