--- /dev/null
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/weights/HttpCalls.java
@@ -0,0 +1,275 @@
+package org.catkingate.agent.weights;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioWorker;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * HTTP calls whose answers are read whole, over connections that are kept for the next
+ * call to the same address. Every call ends within its timeout. Safe for use by any
+ * thread.
+ */
+final class HttpCalls {
+
+	private static final int BUFFER_BYTES = 16 * 1024;
+
+	private static final int IDLE_CONNECTIONS_PER_ADDRESS = 8;
+
+	private final XnioWorker worker;
+
+	private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+
+	private final Map<String, Deque<ClientConnection>> idle = new HashMap<>();
+
+	private HttpCalls(XnioWorker worker) {
+		this.worker = worker;
+	}
+
+	static HttpCalls on(XnioWorker worker) {
+		return new HttpCalls(worker);
+	}
+
+	CompletableFuture<Answer> call(URI base, ClientRequest request, Body body, int maximumBytes, long timeoutMillis) {
+		request.getRequestHeaders().put(Headers.HOST, base.getAuthority());
+		Call call = new Call(base, request, body, maximumBytes);
+		call.timer = this.worker.getIoThread()
+			.executeAfter(() -> call.fail(timedOut(base, timeoutMillis)), timeoutMillis, TimeUnit.MILLISECONDS);
+		ClientConnection kept = takeIdle(base);
+		if (kept != null) {
+			call.completed(kept);
+		}
+		else {
+			UndertowClient.getInstance().connect(call, base, this.worker, this.buffers, OptionMap.EMPTY);
+		}
+		return call.answer;
+	}
+
+	private static IOException timedOut(URI base, long millis) {
+		return new IOException("no answer from " + base + " within " + millis + " ms");
+	}
+
+	private ClientConnection takeIdle(URI base) {
+		synchronized (this.idle) {
+			Deque<ClientConnection> connections = this.idle.get(base.getAuthority());
+			while (connections != null && !connections.isEmpty()) {
+				ClientConnection connection = connections.pop();
+				if (connection.isOpen()) {
+					return connection;
+				}
+			}
+			return null;
+		}
+	}
+
+	private void keep(URI base, ClientConnection connection) {
+		synchronized (this.idle) {
+			Deque<ClientConnection> connections = this.idle.computeIfAbsent(base.getAuthority(),
+					(authority) -> new ArrayDeque<>());
+			if (connection.isOpen() && connections.size() < IDLE_CONNECTIONS_PER_ADDRESS) {
+				connections.push(connection);
+				return;
+			}
+		}
+		IoUtils.safeClose(connection);
+	}
+
+	/**
+	 * Writes the body of a request.
+	 */
+	@FunctionalInterface
+	interface Body {
+
+		/**
+		 * Starts the writing. Called by an I/O thread, and must not block it.
+		 * @param channel where to write; the body shuts it down at its end
+		 * @param failed is told if the body cannot be written whole
+		 */
+		void write(StreamSinkChannel channel, Consumer<Exception> failed);
+
+		/**
+		 * A body without bytes.
+		 * @return the body, never null
+		 */
+		static Body none() {
+			return (channel, failed) -> {
+				try {
+					channel.shutdownWrites();
+					if (!channel.flush()) {
+						channel.getWriteSetter()
+							.set(ChannelListeners.flushingChannelListener(null, (sink, ex) -> failed.accept(ex)));
+						channel.resumeWrites();
+					}
+				}
+				catch (IOException ex) {
+					failed.accept(ex);
+				}
+			};
+		}
+
+	}
+
+	/**
+	 * A whole answer.
+	 *
+	 * @param status the HTTP status
+	 * @param headers the headers
+	 * @param body the body
+	 */
+	record Answer(int status, HeaderMap headers, byte[] body) {
+
+		String header(String name) {
+			return this.headers.getFirst(new HttpString(name));
+		}
+
+	}
+
+	/**
+	 * One call in progress; its steps happen on I/O threads.
+	 */
+	private final class Call implements ClientCallback<ClientConnection> {
+
+		private final URI base;
+
+		private final ClientRequest request;
+
+		private final Body body;
+
+		private final int maximumBytes;
+
+		private final CompletableFuture<Answer> answer = new CompletableFuture<>();
+
+		private final ByteArrayOutputStream received = new ByteArrayOutputStream();
+
+		private volatile XnioExecutor.Key timer;
+
+		private volatile ClientConnection connection;
+
+		private Call(URI base, ClientRequest request, Body body, int maximumBytes) {
+			this.base = base;
+			this.request = request;
+			this.body = body;
+			this.maximumBytes = maximumBytes;
+		}
+
+		@Override
+		public void completed(ClientConnection opened) {
+			this.connection = opened;
+			if (this.answer.isDone()) {
+				IoUtils.safeClose(opened);
+				return;
+			}
+			opened.getIoThread().execute(() -> opened.sendRequest(this.request, new ClientCallback<>() {
+
+				@Override
+				public void completed(ClientExchange exchange) {
+					started(exchange);
+				}
+
+				@Override
+				public void failed(IOException ex) {
+					fail(ex);
+				}
+
+			}));
+		}
+
+		private void started(ClientExchange exchange) {
+			exchange.setResponseListener(new ClientCallback<>() {
+
+				@Override
+				public void completed(ClientExchange result) {
+					read(result, result.getResponseChannel());
+				}
+
+				@Override
+				public void failed(IOException ex) {
+					fail(ex);
+				}
+
+			});
+			this.body.write(exchange.getRequestChannel(), this::fail);
+		}
+
+		private void read(ClientExchange exchange, StreamSourceChannel channel) {
+			ByteBuffer buffer = ByteBuffer.allocate(BUFFER_BYTES);
+			try {
+				int count = channel.read(buffer);
+				while (count > 0) {
+					add(buffer);
+					count = channel.read(buffer);
+				}
+				if (count < 0) {
+					finish(exchange);
+					return;
+				}
+				channel.getReadSetter().set((source) -> read(exchange, source));
+				channel.resumeReads();
+			}
+			catch (IOException ex) {
+				fail(ex);
+			}
+		}
+
+		private void add(ByteBuffer buffer) throws IOException {
+			if (this.received.size() + buffer.position() > this.maximumBytes) {
+				throw new IOException(
+						"answer of " + this.base + " is longer than the allowed " + this.maximumBytes + " bytes");
+			}
+			this.received.write(buffer.array(), 0, buffer.position());
+			buffer.clear();
+		}
+
+		private void finish(ClientExchange exchange) {
+			Answer whole = new Answer(exchange.getResponse().getResponseCode(),
+					exchange.getResponse().getResponseHeaders(), this.received.toByteArray());
+			if (this.answer.isDone()) {
+				return;
+			}
+			this.timer.remove();
+			keep(this.base, this.connection);
+			this.answer.complete(whole);
+		}
+
+		@Override
+		public void failed(IOException ex) {
+			fail(ex);
+		}
+
+		private void fail(Exception ex) {
+			if (this.timer != null) {
+				this.timer.remove();
+			}
+			if (this.answer.completeExceptionally(ex)) {
+				IoUtils.safeClose(this.connection);
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/weights/TokenBucket.java
@@ -0,0 +1,66 @@
+package org.catkingate.agent.weights;
+
+import org.catkingate.runtime.MonotonicClock;
+
+/**
+ * Paces bytes to a rate. What is taken beyond the bucket is owed, so that a taker always
+ * learns how long to wait. Safe for use by any thread.
+ *
+ * @since 0.1
+ */
+public final class TokenBucket {
+
+	private static final double NANOS_PER_SECOND = 1e9;
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private final double bytesPerSecond;
+
+	private final double burstBytes;
+
+	private final MonotonicClock clock;
+
+	private double available;
+
+	private long filledAtNanos;
+
+	private TokenBucket(double bytesPerSecond, double burstBytes, MonotonicClock clock) {
+		this.bytesPerSecond = bytesPerSecond;
+		this.burstBytes = burstBytes;
+		this.clock = clock;
+		this.available = burstBytes;
+		this.filledAtNanos = clock.nanos();
+	}
+
+	/**
+	 * Makes a full bucket.
+	 * @param bytesPerSecond the rate; 0 for no limit
+	 * @param burstBytes the size of the bucket
+	 * @param clock the clock
+	 * @return the bucket, never null
+	 */
+	public static TokenBucket of(double bytesPerSecond, double burstBytes, MonotonicClock clock) {
+		return new TokenBucket(bytesPerSecond, burstBytes, clock);
+	}
+
+	/**
+	 * Takes bytes, also if they are not there yet.
+	 * @param bytes how many
+	 * @return how long to wait before using them, in milliseconds
+	 */
+	public synchronized long take(long bytes) {
+		if (this.bytesPerSecond <= 0) {
+			return 0;
+		}
+		long now = this.clock.nanos();
+		double filled = this.available + (now - this.filledAtNanos) / NANOS_PER_SECOND * this.bytesPerSecond;
+		this.available = Math.min(this.burstBytes, filled) - bytes;
+		this.filledAtNanos = now;
+		if (this.available >= 0) {
+			return 0;
+		}
+		double waitNanos = -this.available / this.bytesPerSecond * NANOS_PER_SECOND;
+		return (long) Math.ceil(waitNanos / NANOS_PER_MILLI);
+	}
+
+}
--- /dev/null
+++ b/catkingate-agent/src/test/java/org/catkingate/agent/weights/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the distribution of weights.
+ */
+package org.catkingate.agent.weights;
