Agree on the guard in front of non-idempotent calls

Cause: the dispatch of requests at the agent and the decision on repeats are written apart and need one contract.

--- /dev/null
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/idempotency/GuardedCall.java
@@ -0,0 +1,47 @@
+package org.catkingate.agent.idempotency;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.Objects;
+
+import org.catkingate.model.AccountName;
+import org.catkingate.model.Digest;
+import org.catkingate.model.ServiceName;
+import org.catkingate.wire.Traffic;
+
+/**
+ * A non-idempotent call as the guard sees it. Immutable and safe for use by any thread.
+ *
+ * @param account the client account
+ * @param service the service
+ * @param key the caller's key; null for none
+ * @param content the digest of method, target and body: a key belongs to one content
+ * @since 0.1
+ */
+public record GuardedCall(AccountName account, ServiceName service, String key, Digest content) {
+
+	private static final byte SEPARATOR = '\n';
+
+	public GuardedCall {
+		Objects.requireNonNull(account, "account must not be null");
+		Objects.requireNonNull(service, "service must not be null");
+		Objects.requireNonNull(content, "content must not be null");
+	}
+
+	/**
+	 * Takes the call out of a dispatch.
+	 * @param dispatch the dispatch of a non-idempotent call
+	 * @return the call, never null
+	 */
+	public static GuardedCall of(Traffic.Dispatch dispatch) {
+		MessageDigest algorithm = Digest.algorithm();
+		algorithm.update(dispatch.method().getBytes(StandardCharsets.UTF_8));
+		algorithm.update(SEPARATOR);
+		algorithm.update(dispatch.target().getBytes(StandardCharsets.UTF_8));
+		algorithm.update(SEPARATOR);
+		algorithm.update(dispatch.body());
+		Digest content = Digest.ofResult(algorithm.digest());
+		return new GuardedCall(dispatch.account(), dispatch.service(), dispatch.idempotencyKey(), content);
+	}
+
+}
