--- a/catkingate-model/src/main/java/org/catkingate/model/published/ConfigurationProblem.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/ini/ConfigurationProblem.java
@@ -1,4 +1,4 @@
-package org.catkingate.model.published;
+package org.catkingate.model.ini;
 
 import java.util.Objects;
 
--- a/catkingate-model/src/main/java/org/catkingate/model/published/IniDocument.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/ini/IniDocument.java
@@ -1,4 +1,4 @@
-package org.catkingate.model.published;
+package org.catkingate.model.ini;
 
 import java.io.IOException;
 import java.io.StringReader;
@@ -12,9 +12,12 @@
 import org.apache.commons.configuration2.tree.ImmutableNode;
 
 /**
- * The sections of an INI text, as written: nothing is interpolated. Immutable.
+ * The sections of an INI text, as written: nothing is interpolated. Immutable and safe
+ * for use by any thread.
+ *
+ * @since 0.1
  */
-final class IniDocument {
+public final class IniDocument {
 
 	private static final String SEPARATOR = "=";
 
@@ -24,7 +27,13 @@
 		this.sections = List.copyOf(sections);
 	}
 
-	static IniDocument parse(String text, Problems problems) {
+	/**
+	 * Parses a text.
+	 * @param text the text
+	 * @param problems takes the faults
+	 * @return the sections that could be read, never null
+	 */
+	public static IniDocument parse(String text, Problems problems) {
 		INIConfiguration ini = new INIConfiguration();
 		ini.setSeparatorUsedInInput(SEPARATOR);
 		try {
@@ -59,7 +68,11 @@
 		return new Section(node.getNodeName().strip().replaceAll("\\s+", " "), values);
 	}
 
-	List<Section> sections() {
+	/**
+	 * Returns the sections.
+	 * @return the sections, in the order written
+	 */
+	public List<Section> sections() {
 		return this.sections;
 	}
 
@@ -69,14 +82,22 @@
 	 * @param title what stands between the brackets
 	 * @param values the value of each key, in the order written
 	 */
-	record Section(String title, Map<String, String> values) {
+	public record Section(String title, Map<String, String> values) {
 
-		String kind() {
+		/**
+		 * Returns the first word of the title.
+		 * @return the kind of section
+		 */
+		public String kind() {
 			int blank = this.title.indexOf(' ');
 			return (blank < 0) ? this.title : this.title.substring(0, blank);
 		}
 
-		String name() {
+		/**
+		 * Returns the title behind its first word.
+		 * @return the section's own name, or empty
+		 */
+		public String name() {
 			int blank = this.title.indexOf(' ');
 			return (blank < 0) ? "" : this.title.substring(blank + 1).strip();
 		}
--- a/catkingate-model/src/main/java/org/catkingate/model/published/InvalidConfigurationException.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/ini/InvalidConfigurationException.java
@@ -1,4 +1,4 @@
-package org.catkingate.model.published;
+package org.catkingate.model.ini;
 
 import java.util.List;
 import java.util.stream.Collectors;
@@ -20,7 +20,13 @@
 		this.problems = List.copyOf(problems);
 	}
 
-	static InvalidConfigurationException of(ConfigurationProblem.Kind kind, String remedy) {
+	/**
+	 * A fault of the whole.
+	 * @param kind what is wrong
+	 * @param remedy what to do
+	 * @return the exception, never null
+	 */
+	public static InvalidConfigurationException of(ConfigurationProblem.Kind kind, String remedy) {
 		return new InvalidConfigurationException(List.of(new ConfigurationProblem(kind, "", "", "", remedy)));
 	}
 
--- a/catkingate-model/src/main/java/org/catkingate/model/published/Problems.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/ini/Problems.java
@@ -1,4 +1,4 @@
-package org.catkingate.model.published;
+package org.catkingate.model.ini;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -9,24 +9,44 @@
 
 /**
  * Gathers faults. For use by one thread.
+ *
+ * @since 0.1
  */
-final class Problems {
+public final class Problems {
 
 	private static final int FARTHEST_SUGGESTION = 4;
 
 	private final List<ConfigurationProblem> found = new ArrayList<>();
 
-	void add(ConfigurationProblem.Kind kind, String section, String key, String value, String remedy) {
+	/**
+	 * Adds a fault.
+	 * @param kind what is wrong
+	 * @param section the section's title, or empty
+	 * @param key the key, or empty
+	 * @param value the value seen, or empty
+	 * @param remedy what to write instead
+	 */
+	public void add(ConfigurationProblem.Kind kind, String section, String key, String value, String remedy) {
 		this.found.add(new ConfigurationProblem(kind, section, key, value, remedy));
 	}
 
-	void throwIfAny() throws InvalidConfigurationException {
+	/**
+	 * Ends the reading.
+	 * @throws InvalidConfigurationException if there is any fault
+	 */
+	public void throwIfAny() throws InvalidConfigurationException {
 		if (!this.found.isEmpty()) {
 			throw new InvalidConfigurationException(this.found);
 		}
 	}
 
-	static String suggest(String seen, Collection<String> known) {
+	/**
+	 * Finds the known name that was probably meant.
+	 * @param seen the name seen
+	 * @param known the names that would do
+	 * @return a remedy that names it, or all of them
+	 */
+	public static String suggest(String seen, Collection<String> known) {
 		if (known.isEmpty()) {
 			return "none is defined";
 		}
--- a/catkingate-model/src/main/java/org/catkingate/model/published/SectionReader.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/ini/SectionReader.java
@@ -1,4 +1,4 @@
-package org.catkingate.model.published;
+package org.catkingate.model.ini;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -15,8 +15,10 @@
  * Reads the typed values of one section and gathers its faults. A value that is absent or
  * wrong is replaced by a placeholder, so that the rest is checked too; {@link #valid()}
  * tells whether the values can be used. For use by one thread.
+ *
+ * @since 0.1
  */
-final class SectionReader {
+public final class SectionReader {
 
 	private static final Digest NO_DIGEST = new Digest("0".repeat(Digest.of(new byte[0]).hex().length()));
 
@@ -38,7 +40,7 @@
 	 * @param titles the titles of all sections of the publication
 	 * @param problems takes the faults
 	 */
-	SectionReader(IniDocument.Section section, Set<String> titles, Problems problems) {
+	public SectionReader(IniDocument.Section section, Set<String> titles, Problems problems) {
 		this.section = section;
 		this.titles = titles;
 		this.problems = problems;
@@ -47,7 +49,7 @@
 	/**
 	 * Ends the reading: keys that nobody asked for are unknown.
 	 */
-	void checkUnknownKeys() {
+	public void checkUnknownKeys() {
 		for (String key : this.section.values().keySet()) {
 			if (!this.asked.contains(key)) {
 				report(ConfigurationProblem.Kind.UNKNOWN_KEY, key,
@@ -56,15 +58,31 @@
 		}
 	}
 
-	boolean valid() {
+	/**
+	 * Tells whether no fault has been found.
+	 * @return whether the values can be used
+	 */
+	public boolean valid() {
 		return this.valid;
 	}
 
-	String title() {
+	/**
+	 * Returns the section's title.
+	 * @return what stands between the brackets
+	 */
+	public String title() {
 		return this.section.title();
 	}
 
-	<T> T named(String kind, Function<String, T> constructor) {
+	/**
+	 * Makes a name from the title behind its first word.
+	 * @param <T> the type of name
+	 * @param kind the kind of section, for the remedy
+	 * @param constructor makes the name; throws {@link IllegalArgumentException} with the
+	 * remedy
+	 * @return the name, or null if it is wrong
+	 */
+	public <T> T named(String kind, Function<String, T> constructor) {
 		try {
 			return constructor.apply(this.section.name());
 		}
@@ -74,7 +92,12 @@
 		}
 	}
 
-	String text(String key) {
+	/**
+	 * Reads a text that must be written.
+	 * @param key the key
+	 * @return the text, or empty if it is absent
+	 */
+	public String text(String key) {
 		String value = find(key);
 		if (value == null || value.isEmpty()) {
 			report(ConfigurationProblem.Kind.MISSING_KEY, key, "this key must be written");
@@ -83,17 +106,38 @@
 		return value;
 	}
 
-	String text(String key, String byDefault) {
+	/**
+	 * Reads a text.
+	 * @param key the key
+	 * @param byDefault the text if it is absent
+	 * @return the text
+	 */
+	public String text(String key, String byDefault) {
 		String value = find(key);
 		return (value != null) ? value : byDefault;
 	}
 
-	int number(String key, int lowest, int highest) {
+	/**
+	 * Reads a whole number that must be written.
+	 * @param key the key
+	 * @param lowest the lowest allowed
+	 * @param highest the highest allowed
+	 * @return the number, or the lowest if it is wrong
+	 */
+	public int number(String key, int lowest, int highest) {
 		String value = text(key);
 		return value.isEmpty() ? lowest : parseNumber(key, value, lowest, highest);
 	}
 
-	int number(String key, int byDefault, int lowest, int highest) {
+	/**
+	 * Reads a whole number.
+	 * @param key the key
+	 * @param byDefault the number if it is absent
+	 * @param lowest the lowest allowed
+	 * @param highest the highest allowed
+	 * @return the number, or the lowest if it is wrong
+	 */
+	public int number(String key, int byDefault, int lowest, int highest) {
 		return parseNumber(key, text(key, Integer.toString(byDefault)), lowest, highest);
 	}
 
@@ -111,7 +155,13 @@
 		return lowest;
 	}
 
-	boolean truth(String key, boolean byDefault) {
+	/**
+	 * Reads true or false.
+	 * @param key the key
+	 * @param byDefault the value if it is absent
+	 * @return the value
+	 */
+	public boolean truth(String key, boolean byDefault) {
 		String value = text(key, Boolean.toString(byDefault));
 		if (!TRUTHS.contains(value)) {
 			report(ConfigurationProblem.Kind.INVALID_VALUE, key, "write true or false");
@@ -119,7 +169,12 @@
 		return Boolean.parseBoolean(value);
 	}
 
-	Digest digest(String key) {
+	/**
+	 * Reads a digest that must be written.
+	 * @param key the key
+	 * @return the digest, or one of zeros if it is wrong
+	 */
+	public Digest digest(String key) {
 		String value = text(key);
 		if (value.isEmpty()) {
 			return NO_DIGEST;
@@ -133,11 +188,22 @@
 		}
 	}
 
-	Selector selector(String key, String byDefault) {
+	/**
+	 * Reads a selector.
+	 * @param key the key
+	 * @param byDefault the written form if it is absent
+	 * @return the selector, or the one for everything if it is wrong
+	 */
+	public Selector selector(String key, String byDefault) {
 		return parseSelector(key, text(key, byDefault));
 	}
 
-	Selector selector(String key) {
+	/**
+	 * Reads a selector that must be written.
+	 * @param key the key
+	 * @return the selector, or the one for everything if it is wrong
+	 */
+	public Selector selector(String key) {
 		String value = text(key);
 		return value.isEmpty() ? Selector.everything() : parseSelector(key, value);
 	}
@@ -152,7 +218,12 @@
 		}
 	}
 
-	Labels labels(String key) {
+	/**
+	 * Reads labels.
+	 * @param key the key
+	 * @return the labels, or none if they are absent or wrong
+	 */
+	public Labels labels(String key) {
 		try {
 			return Labels.parse(text(key, ""));
 		}
@@ -162,31 +233,43 @@
 		}
 	}
 
-	List<CallPattern> calls(String key) {
-		List<CallPattern> patterns = new ArrayList<>();
+	/**
+	 * Reads items with commas between them.
+	 * @param <T> the type of item
+	 * @param key the key
+	 * @param constructor makes an item; throws {@link IllegalArgumentException} with the
+	 * remedy
+	 * @return the items that are right
+	 */
+	public <T> List<T> list(String key, Function<String, T> constructor) {
+		List<T> items = new ArrayList<>();
 		for (String item : text(key, "").split(",")) {
 			if (!item.isBlank()) {
-				patterns.add(call(key, item.strip()));
+				addItem(items, key, item.strip(), constructor);
 			}
 		}
-		return patterns;
-	}
-
-	CallPattern call(String key) {
-		String value = text(key);
-		return value.isEmpty() ? new CallPattern("*", "/*") : call(key, value);
+		return items;
 	}
 
-	private CallPattern call(String key, String written) {
-		String[] words = written.split("\\s+");
-		if (words.length == 2 && words[0].matches("[A-Z]+|\\*") && words[1].startsWith("/")) {
-			return new CallPattern(words[0], words[1]);
+	private <T> void addItem(List<T> items, String key, String written, Function<String, T> constructor) {
+		try {
+			items.add(constructor.apply(written));
+		}
+		catch (IllegalArgumentException ex) {
+			report(ConfigurationProblem.Kind.INVALID_VALUE, key, ex.getMessage());
 		}
-		report(ConfigurationProblem.Kind.INVALID_VALUE, key, "write METHOD /path, METHOD /prefix* or * /path");
-		return new CallPattern("*", "/*");
 	}
 
-	<T> T parsed(String key, T placeholder, Function<String, T> constructor) {
+	/**
+	 * Reads a value that must be written.
+	 * @param <T> the type of value
+	 * @param key the key
+	 * @param placeholder what to return if the value is absent or wrong
+	 * @param constructor makes the value; throws {@link IllegalArgumentException} with
+	 * the remedy
+	 * @return the value, or the placeholder
+	 */
+	public <T> T parsed(String key, T placeholder, Function<String, T> constructor) {
 		String value = text(key);
 		if (value.isEmpty()) {
 			return placeholder;
@@ -205,7 +288,7 @@
 	 * @param key the key, whose value has been read
 	 * @param kind the kind of section that it names
 	 */
-	void checkReference(String key, String kind) {
+	public void checkReference(String key, String kind) {
 		String name = this.section.values().getOrDefault(key, "").replaceAll("\\s+", " ");
 		String prefix = kind + " ";
 		if (!name.isEmpty() && !this.titles.contains(prefix + name)) {
@@ -219,7 +302,13 @@
 		}
 	}
 
-	void report(ConfigurationProblem.Kind kind, String key, String remedy) {
+	/**
+	 * Reports a fault of this section.
+	 * @param kind what is wrong
+	 * @param key the key, or empty
+	 * @param remedy what to write instead
+	 */
+	public void report(ConfigurationProblem.Kind kind, String key, String remedy) {
 		this.valid = false;
 		String seen = this.section.values().getOrDefault(key, "");
 		this.problems.add(kind, title(), key, seen, remedy);
--- a/catkingate-model/src/main/java/org/catkingate/model/published/CallPattern.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/published/CallPattern.java
@@ -25,6 +25,28 @@
 		}
 	}
 
+	/**
+	 * Parses the written form.
+	 * @param written a method and a path with blanks between
+	 * @return the pattern, never null
+	 * @throws IllegalArgumentException if the text has another form; the message names it
+	 */
+	public static CallPattern parse(String written) {
+		String[] words = written.split("\\s+");
+		if (words.length == 2 && words[0].matches("[A-Z]+|\\*") && words[1].startsWith("/")) {
+			return new CallPattern(words[0], words[1]);
+		}
+		throw new IllegalArgumentException("write METHOD /path, METHOD /prefix* or * /path");
+	}
+
+	/**
+	 * Returns the pattern that matches every call.
+	 * @return the pattern, never null
+	 */
+	static CallPattern everything() {
+		return new CallPattern(ANY, "/" + ANY);
+	}
+
 	static boolean anyMatches(List<CallPattern> patterns, String method, String path) {
 		return patterns.stream().anyMatch((pattern) -> pattern.matches(method, path));
 	}
--- a/catkingate-model/src/main/java/org/catkingate/model/published/ConfigurationBundle.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/published/ConfigurationBundle.java
@@ -11,6 +11,9 @@
 
 import org.catkingate.model.ConfigurationVersion;
 import org.catkingate.model.Digest;
+import org.catkingate.model.ini.ConfigurationProblem;
+import org.catkingate.model.ini.InvalidConfigurationException;
+import org.catkingate.model.ini.Problems;
 
 /**
  * All bytes of one publication: the head and the parts that it lists, each with the
--- a/catkingate-model/src/main/java/org/catkingate/model/published/ConfigurationHead.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/published/ConfigurationHead.java
@@ -9,6 +9,11 @@
 
 import org.catkingate.model.ConfigurationVersion;
 import org.catkingate.model.Digest;
+import org.catkingate.model.ini.ConfigurationProblem;
+import org.catkingate.model.ini.IniDocument;
+import org.catkingate.model.ini.InvalidConfigurationException;
+import org.catkingate.model.ini.Problems;
+import org.catkingate.model.ini.SectionReader;
 
 /**
  * The head of a publication: its version and the digests of its parts. Immutable and safe
--- a/catkingate-model/src/main/java/org/catkingate/model/published/ConfigurationParser.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/published/ConfigurationParser.java
@@ -16,6 +16,11 @@
 import org.catkingate.model.RegionName;
 import org.catkingate.model.ServiceName;
 import org.catkingate.model.VersionId;
+import org.catkingate.model.ini.ConfigurationProblem;
+import org.catkingate.model.ini.IniDocument;
+import org.catkingate.model.ini.InvalidConfigurationException;
+import org.catkingate.model.ini.Problems;
+import org.catkingate.model.ini.SectionReader;
 
 /**
  * Turns the INI parts of a publication into one configuration: whole, or not at all with
--- a/catkingate-model/src/main/java/org/catkingate/model/published/ContradictionCheck.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/published/ContradictionCheck.java
@@ -8,6 +8,8 @@
 import org.catkingate.model.Digest;
 import org.catkingate.model.ServiceName;
 import org.catkingate.model.VersionId;
+import org.catkingate.model.ini.ConfigurationProblem;
+import org.catkingate.model.ini.Problems;
 
 /**
  * Checks what valid sections say of each other. For use by one thread.
--- a/catkingate-model/src/main/java/org/catkingate/model/published/SectionForms.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/published/SectionForms.java
@@ -11,6 +11,7 @@
 import org.catkingate.model.Selector;
 import org.catkingate.model.ServiceName;
 import org.catkingate.model.VersionId;
+import org.catkingate.model.ini.SectionReader;
 
 /**
  * The keys of each kind of section, with their defaults and ranges. A method returns null
@@ -50,8 +51,8 @@
 		boolean fencing = reader.truth("checks-fencing", false);
 		String group = reader.text("group");
 		reader.checkReference("group", "group");
-		List<CallPattern> once = reader.calls("non-idempotent-calls");
-		List<CallPattern> repeatable = reader.calls("idempotent-calls");
+		List<CallPattern> once = reader.list("non-idempotent-calls", CallPattern::parse);
+		List<CallPattern> repeatable = reader.list("idempotent-calls", CallPattern::parse);
 		int window = reader.number("repeat-window-s", DEFAULT_REPEAT_WINDOW_SECONDS, 1, HIGHEST_REPEAT_WINDOW_SECONDS);
 		int expected = reader.number("expected-runners", 0, 0, HIGHEST_RUNNERS);
 		int share = reader.number("switching-share-percent", DEFAULT_SWITCHING_SHARE_PERCENT, 1, WHOLE_PERCENT);
@@ -107,7 +108,7 @@
 	static RoutingRule rule(SectionReader reader) {
 		ServiceName name = reader.named("rule", ServiceName::new);
 		Selector accounts = reader.selector("accounts", "*");
-		CallPattern call = reader.call("call");
+		CallPattern call = reader.parsed("call", CallPattern.everything(), CallPattern::parse);
 		ServiceName service = reader.parsed("service", null, ServiceName::new);
 		reader.checkReference("service", "service");
 		VersionId version = null;
--- a/catkingate-model/src/test/java/org/catkingate/model/published/ConfigurationBundleTests.java
+++ b/catkingate-model/src/test/java/org/catkingate/model/published/ConfigurationBundleTests.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 
 import org.catkingate.model.Digest;
+import org.catkingate.model.ini.InvalidConfigurationException;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
--- a/catkingate-model/src/test/java/org/catkingate/model/published/ConfigurationParserTests.java
+++ b/catkingate-model/src/test/java/org/catkingate/model/published/ConfigurationParserTests.java
@@ -18,6 +18,8 @@
 import org.catkingate.model.ConfigurationVersion;
 import org.catkingate.model.ServiceName;
 import org.catkingate.model.VersionId;
+import org.catkingate.model.ini.ConfigurationProblem;
+import org.catkingate.model.ini.InvalidConfigurationException;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
