Read a process's settings, with every fault named at once

A test that a short shared key is not shown failed first: the reader printed any wrong value. It now hides values read as secrets. mvn -pl catkingate-runtime -am verify: passed.

--- a/catkingate-model/src/main/java/org/catkingate/model/ini/SectionReader.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/ini/SectionReader.java
@@ -24,6 +24,8 @@
 
 	private static final Set<String> TRUTHS = Set.of("true", "false");
 
+	private static final String HIDDEN = "(hidden)";
+
 	private final IniDocument.Section section;
 
 	private final Set<String> titles;
@@ -32,6 +34,8 @@
 
 	private final Set<String> asked = new TreeSet<>();
 
+	private final Set<String> secret = new TreeSet<>();
+
 	private boolean valid = true;
 
 	/**
@@ -271,11 +275,35 @@
 	 */
 	public <T> T parsed(String key, T placeholder, Function<String, T> constructor) {
 		String value = text(key);
-		if (value.isEmpty()) {
-			return placeholder;
-		}
+		return value.isEmpty() ? placeholder : parsed(key, placeholder, value, constructor);
+	}
+
+	/**
+	 * Reads a value that must be written and that no fault may show.
+	 * @param <T> the type of value
+	 * @param key the key
+	 * @param constructor makes the value; throws {@link IllegalArgumentException} with
+	 * the remedy
+	 * @return the value, or null if it is absent or wrong
+	 */
+	public <T> T secret(String key, Function<String, T> constructor) {
+		this.secret.add(key);
+		return parsed(key, null, constructor);
+	}
+
+	/**
+	 * Makes a value from a text that has been read already.
+	 * @param <T> the type of value
+	 * @param key the key
+	 * @param placeholder what to return if the value is wrong
+	 * @param written the text
+	 * @param constructor makes the value; throws {@link IllegalArgumentException} with
+	 * the remedy
+	 * @return the value, or the placeholder
+	 */
+	public <T> T parsed(String key, T placeholder, String written, Function<String, T> constructor) {
 		try {
-			return constructor.apply(value);
+			return constructor.apply(written);
 		}
 		catch (IllegalArgumentException ex) {
 			report(ConfigurationProblem.Kind.INVALID_VALUE, key, ex.getMessage());
@@ -310,7 +338,7 @@
 	 */
 	public void report(ConfigurationProblem.Kind kind, String key, String remedy) {
 		this.valid = false;
-		String seen = this.section.values().getOrDefault(key, "");
+		String seen = this.secret.contains(key) ? HIDDEN : this.section.values().getOrDefault(key, "");
 		this.problems.add(kind, title(), key, seen, remedy);
 	}
 
--- /dev/null
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/SettingsForms.java
@@ -0,0 +1,186 @@
+package org.catkingate.runtime.settings;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import org.slf4j.event.Level;
+
+import org.catkingate.model.DataCentreName;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.Labels;
+import org.catkingate.model.RegionName;
+import org.catkingate.model.Role;
+import org.catkingate.model.RunnerId;
+import org.catkingate.model.ServiceName;
+import org.catkingate.model.ini.SectionReader;
+import org.catkingate.wire.SharedKey;
+
+/**
+ * The keys of each section of the settings, with their defaults and ranges. Values with
+ * faults, which the reader has reported, are null or placeholders. Stateless.
+ */
+final class SettingsForms {
+
+	private static final Pattern ADDRESS = Pattern.compile("([0-9.]+|\\[[0-9a-fA-F:]+\\]):([0-9]{1,5})");
+
+	private static final int HIGHEST_PORT = 65535;
+
+	private static final int BYTES_PER_MB = 1024 * 1024;
+
+	private static final int BYTES_PER_KB = 1024;
+
+	private static final int HIGHEST_THREADS = 64;
+
+	private static final int DEFAULT_PEER_THREADS = 2;
+
+	private static final int DEFAULT_CALLER_THREADS = 4;
+
+	private static final int HIGHEST_MB = 4 * 1024 * 1024;
+
+	private static final int DEFAULT_WEIGHTS_MB = 1024;
+
+	private static final int HIGHEST_MB_PER_SECOND = 100_000;
+
+	private static final int DEFAULT_MB_PER_SECOND = 1000;
+
+	private static final int HIGHEST_BODY_KB = 3 * 1024;
+
+	private static final int DEFAULT_BODY_KB = 1024;
+
+	private static final int HIGHEST_HEADER_KB = 1024;
+
+	private static final int DEFAULT_HEADER_KB = 32;
+
+	private static final int DEFAULT_REQUEST_TIMEOUT_SECONDS = 60;
+
+	private static final int HIGHEST_SECONDS = 24 * 60 * 60;
+
+	private static final int DEFAULT_NOTICE_SECONDS = 2;
+
+	private static final int DEFAULT_LIMIT_SECONDS = 60;
+
+	private SettingsForms() {
+	}
+
+	static ProcessSettings.Process process(SectionReader reader, Role role) {
+		InstanceId instance = reader.parsed("instance", null, InstanceId::new);
+		DataCentreName dataCentre = reader.parsed("data-centre", null, DataCentreName::new);
+		RegionName region = reader.parsed("region", null, RegionName::new);
+		Labels labels = reader.labels("labels");
+		Level level = parsed(reader, "log-level", "info", Level.INFO, SettingsForms::level);
+		reader.checkUnknownKeys();
+		return new ProcessSettings.Process(role, instance, dataCentre, region, labels, level);
+	}
+
+	static ProcessSettings.Platform platform(SectionReader reader) {
+		URI configuration = reader.parsed("configuration-url", null, SettingsForms::url);
+		URI instances = reader.parsed("instances-url", null, SettingsForms::url);
+		reader.checkUnknownKeys();
+		return new ProcessSettings.Platform(configuration, instances);
+	}
+
+	static ProcessSettings.Peers peers(SectionReader reader, Role role) {
+		InetSocketAddress listen = null;
+		if (role == Role.AGENT) {
+			listen = reader.parsed("listen", null, SettingsForms::address);
+		}
+		SharedKey key = reader.secret("shared-key", SharedKey::of);
+		int threads = reader.number("io-threads", DEFAULT_PEER_THREADS, 1, HIGHEST_THREADS);
+		reader.checkUnknownKeys();
+		return new ProcessSettings.Peers(listen, key, threads);
+	}
+
+	static ProcessSettings.Operators operators(SectionReader reader) {
+		InetSocketAddress listen = reader.parsed("listen", null, SettingsForms::address);
+		reader.checkUnknownKeys();
+		return new ProcessSettings.Operators(listen);
+	}
+
+	static ProcessSettings.Shutdown shutdown(SectionReader reader) {
+		int notice = reader.number("notice-s", DEFAULT_NOTICE_SECONDS, 0, HIGHEST_SECONDS);
+		int limit = reader.number("limit-s", DEFAULT_LIMIT_SECONDS, 0, HIGHEST_SECONDS);
+		reader.checkUnknownKeys();
+		return new ProcessSettings.Shutdown(TimeUnit.SECONDS.toMillis(notice), TimeUnit.SECONDS.toMillis(limit));
+	}
+
+	static ProcessSettings.Callers callers(SectionReader reader) {
+		InetSocketAddress listen = reader.parsed("listen", null, SettingsForms::address);
+		int threads = reader.number("io-threads", DEFAULT_CALLER_THREADS, 1, HIGHEST_THREADS);
+		int body = reader.number("max-body-kb", DEFAULT_BODY_KB, 1, HIGHEST_BODY_KB);
+		int header = reader.number("max-header-kb", DEFAULT_HEADER_KB, 1, HIGHEST_HEADER_KB);
+		int timeout = reader.number("request-timeout-s", DEFAULT_REQUEST_TIMEOUT_SECONDS, 1, HIGHEST_SECONDS);
+		reader.checkUnknownKeys();
+		return new ProcessSettings.Callers(listen, threads, body * BYTES_PER_KB, header * BYTES_PER_KB,
+				TimeUnit.SECONDS.toMillis(timeout));
+	}
+
+	static ProcessSettings.Weights weights(SectionReader reader) {
+		long memory = (long) BYTES_PER_MB * reader.number("memory-mb", DEFAULT_WEIGHTS_MB, 1, HIGHEST_MB);
+		URI origin = parsed(reader, "origin-url", "", null, SettingsForms::url);
+		URI store = parsed(reader, "store-url", "", null, SettingsForms::url);
+		long originRate = rate(reader, "origin-mb-per-s");
+		long storeRate = rate(reader, "store-mb-per-s");
+		long linkRate = rate(reader, "link-mb-per-s");
+		ProcessSettings.Preference preference = parsed(reader, "prefer", "time", ProcessSettings.Preference.TIME,
+				SettingsForms::preference);
+		reader.checkUnknownKeys();
+		return new ProcessSettings.Weights(memory, origin, store, originRate, storeRate, linkRate, preference);
+	}
+
+	private static long rate(SectionReader reader, String key) {
+		return (long) BYTES_PER_MB * reader.number(key, DEFAULT_MB_PER_SECOND, 1, HIGHEST_MB_PER_SECOND);
+	}
+
+	static ProcessSettings.Runner runner(SectionReader reader) {
+		RunnerId id = reader.named("runner", RunnerId::new);
+		InetSocketAddress address = reader.parsed("address", null, SettingsForms::address);
+		ServiceName service = reader.parsed("service", null, ServiceName::new);
+		reader.checkUnknownKeys();
+		return new ProcessSettings.Runner(id, address, service);
+	}
+
+	private static <T> T parsed(SectionReader reader, String key, String byDefault, T placeholder,
+			Function<String, T> constructor) {
+		String written = reader.text(key, byDefault);
+		return written.isEmpty() ? placeholder : reader.parsed(key, placeholder, written, constructor);
+	}
+
+	private static Level level(String written) {
+		try {
+			return Level.valueOf(written.toUpperCase(Locale.ROOT));
+		}
+		catch (IllegalArgumentException ex) {
+			throw new IllegalArgumentException("write error, warn, info, debug or trace", ex);
+		}
+	}
+
+	private static ProcessSettings.Preference preference(String written) {
+		return switch (written) {
+			case "time" -> ProcessSettings.Preference.TIME;
+			case "origin-bytes" -> ProcessSettings.Preference.ORIGIN_BYTES;
+			default -> throw new IllegalArgumentException("write time or origin-bytes");
+		};
+	}
+
+	private static URI url(String written) {
+		URI uri = URI.create(written);
+		if (!"http".equals(uri.getScheme()) || uri.getHost() == null || uri.getPort() < 0) {
+			throw new IllegalArgumentException("write http://IP:PORT");
+		}
+		return uri;
+	}
+
+	static InetSocketAddress address(String written) {
+		Matcher matcher = ADDRESS.matcher(written);
+		if (!matcher.matches() || Integer.parseInt(matcher.group(2)) > HIGHEST_PORT) {
+			throw new IllegalArgumentException("write IP:PORT, with the IP as a number");
+		}
+		return new InetSocketAddress(matcher.group(1), Integer.parseInt(matcher.group(2)));
+	}
+
+}
--- /dev/null
+++ b/catkingate-runtime/src/test/java/org/catkingate/runtime/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the reading of settings.
+ */
+package org.catkingate.runtime.settings;
