--- /dev/null
+++ b/catkingate-standins/src/test/java/org/catkingate/standins/engine/EngineTests.java
@@ -0,0 +1,182 @@
+package org.catkingate.standins.engine;
+
+import java.io.InputStream;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.catkingate.standins.Http;
+import org.catkingate.standins.HttpService;
+import org.catkingate.standins.weights.GeneratedWeights;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link Engine}.
+ */
+class EngineTests {
+
+	private static final Duration PATIENCE = Duration.ofSeconds(20);
+
+	private static final GeneratedWeights FIRST = GeneratedWeights
+		.of(GeneratedWeights.Shape.of("lyrics", "1", 1, 1_000_000, 65_536));
+
+	private static final GeneratedWeights SECOND = GeneratedWeights
+		.of(GeneratedWeights.Shape.of("lyrics", "2", 2, 1_000_000, 65_536));
+
+	private final Engine engine = Engine.start("--token-micros", "100", "--concurrency", "1");
+
+	@AfterEach
+	void close() {
+		this.engine.close();
+	}
+
+	private HttpResponse<String> load(GeneratedWeights weights, long fence) throws Exception {
+		String path = "/engine/weights?model=lyrics&version=" + weights.shape().version() + "&fence=" + fence;
+		return Http.put(this.engine, path, weights.bytes(0, (int) weights.shape().totalBytes()));
+	}
+
+	private String complete(String prompt, int tokens, int resumeFrom) throws Exception {
+		String body = HttpService.JSON.createObjectNode()
+			.put("prompt", prompt)
+			.put("max_tokens", tokens)
+			.put("resume_from", resumeFrom)
+			.toString();
+		return HttpService.JSON.readTree(Http.post(this.engine, "/v1/completions", body).body()).path("text").asText();
+	}
+
+	private JsonNode state() throws Exception {
+		return HttpService.JSON.readTree(Http.get(this.engine, "/engine/state").body());
+	}
+
+	private HttpRequest streamed(String id, int tokens) {
+		return Http.request(this.engine, "/v1/completions")
+			.header("X-Request-Id", id)
+			.POST(HttpRequest.BodyPublishers
+				.ofString("{\"prompt\":\"p\",\"stream\":true,\"max_tokens\":" + tokens + "}"))
+			.build();
+	}
+
+	@Nested
+	class Answers {
+
+		@Test
+		void followFromPromptAndWeights() throws Exception {
+			load(FIRST, 1);
+			assertThat(complete("hello", 20, 0)).isEqualTo(Tokens.text("hello", FIRST.digest(), 20));
+		}
+
+		@Test
+		void goOnWhereTheyAreResumed() throws Exception {
+			load(FIRST, 1);
+			String whole = Tokens.text("hello", FIRST.digest(), 20);
+			assertThat(complete("hello", 20, 12)).isEqualTo(whole.substring(12 * 5));
+		}
+
+		@Test
+		void areStreamedUpToTheirEnd() throws Exception {
+			load(FIRST, 1);
+			String answer = new String(Http.bytes(streamed("r", 500)).body());
+			assertThat(answer.split("\n\n")).hasSize(501).endsWith("data: [DONE]");
+		}
+
+		@Test
+		void stopWhenTheCallerLeaves() throws Exception {
+			load(FIRST, 1);
+			EngineTests.this.engine.configure("--token-micros", "10000");
+			try (InputStream answer = Http.stream(streamed("gone", 100_000)).body()) {
+				answer.read();
+			}
+			Awaitility.await().atMost(PATIENCE).until(() -> !EngineTests.this.engine.runs().isEmpty());
+			EngineRun run = EngineTests.this.engine.runs().get(0);
+			assertThat(run.cancelled()).isTrue();
+			assertThat(run.tokens()).isLessThan(100_000);
+		}
+
+	}
+
+	@Nested
+	class Loads {
+
+		@Test
+		void withAnOldFencingNumberAreRefused() throws Exception {
+			load(FIRST, 7);
+			assertThat(load(SECOND, 6).statusCode()).isEqualTo(409);
+			assertThat(state().get("digest").asText()).isEqualTo(FIRST.digest());
+		}
+
+		@Test
+		void withAnOldFencingNumberAreCarriedOutByEnginesThatIgnoreIt() throws Exception {
+			EngineTests.this.engine.configure("--checks-fencing", "false");
+			load(FIRST, 7);
+			assertThat(load(SECOND, 6).statusCode()).isEqualTo(200);
+			assertThat(state().get("digest").asText()).isEqualTo(SECOND.digest());
+		}
+
+		@Test
+		void showAMixtureUntilTheyEnd() throws Exception {
+			load(FIRST, 1);
+			EngineTests.this.engine.configure("--load-bytes-per-s", "1000000");
+			CompletableFuture<Integer> loaded = CompletableFuture.supplyAsync(() -> {
+				try {
+					return load(SECOND, 2).statusCode();
+				}
+				catch (Exception ex) {
+					throw new IllegalStateException(ex);
+				}
+			});
+			Awaitility.await().atMost(PATIENCE).until(() -> state().get("version").isNull());
+			assertThat(complete("hello", 20, 0)).isNotEqualTo(Tokens.text("hello", FIRST.digest(), 20))
+				.isNotEqualTo(Tokens.text("hello", SECOND.digest(), 20));
+			EngineTests.this.engine.configure("--load-bytes-per-s", "0");
+			assertThat(loaded.get()).isEqualTo(200);
+			assertThat(state().get("digest").asText()).isEqualTo(SECOND.digest());
+		}
+
+	}
+
+	@Nested
+	class Waiting {
+
+		@Test
+		void goesByPriority() throws Exception {
+			load(FIRST, 1);
+			EngineTests.this.engine.configure("--token-micros", "1000000");
+			CompletableFuture<Void> blocking = post("blocking", 0);
+			Awaitility.await().atMost(PATIENCE).until(() -> state().get("running").asInt() == 1);
+			CompletableFuture<Void> low = post("low", 1);
+			Awaitility.await().atMost(PATIENCE).until(() -> state().get("waiting").asInt() == 1);
+			CompletableFuture<Void> high = post("high", 9);
+			Awaitility.await().atMost(PATIENCE).until(() -> state().get("waiting").asInt() == 2);
+			EngineTests.this.engine.configure("--token-micros", "100");
+			CompletableFuture.allOf(blocking, low, high).get();
+			assertThat(EngineTests.this.engine.runs()).extracting(EngineRun::request)
+				.containsExactly("blocking", "high", "low");
+		}
+
+		private CompletableFuture<Void> post(String id, int priority) {
+			HttpRequest request = Http.request(EngineTests.this.engine, "/v1/completions")
+				.header("X-Request-Id", id)
+				.header("X-Priority", Integer.toString(priority))
+				.POST(HttpRequest.BodyPublishers.ofString("{\"prompt\":\"p\",\"max_tokens\":1}"))
+				.build();
+			return CompletableFuture.runAsync(() -> {
+				try {
+					Http.bytes(request);
+				}
+				catch (Exception ex) {
+					throw new IllegalStateException(ex);
+				}
+			});
+		}
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-standins/src/test/java/org/catkingate/standins/platform/PlatformTests.java
@@ -0,0 +1,110 @@
+package org.catkingate.standins.platform;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.catkingate.standins.Http;
+import org.catkingate.standins.HttpService;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+/**
+ * Tests for {@link Platform}.
+ */
+class PlatformTests {
+
+	private final Platform platform = Platform.start();
+
+	@AfterEach
+	void close() {
+		this.platform.close();
+	}
+
+	private HttpResponse<String> head(String query) throws Exception {
+		return Http.get(this.platform, "/configuration/head" + query);
+	}
+
+	private long publish(long revision) {
+		return this.platform.publish(Publication.of(revision, List.of("[data-centre a]\nregion = r\n")));
+	}
+
+	@Nested
+	class Watches {
+
+		@Test
+		void areAnsweredWhenTheValueChanges() {
+			long index = publish(1);
+			CompletableFuture<String> watch = CompletableFuture.supplyAsync(() -> {
+				try {
+					return head("?wait-ms=20000&after=" + index).body();
+				}
+				catch (Exception ex) {
+					throw new IllegalStateException(ex);
+				}
+			});
+			Awaitility.await().until(() -> PlatformTests.this.platform.calls().get("waiting").asInt() == 1);
+			publish(2);
+			assertThat(watch.join()).contains("revision = 2");
+		}
+
+		@Test
+		void endWithoutAChange() throws Exception {
+			long index = publish(1);
+			assertThat(head("?wait-ms=1&after=" + index).statusCode()).isEqualTo(304);
+		}
+
+	}
+
+	@Nested
+	class Faults {
+
+		@Test
+		void staleServesAnOlderIndex() throws Exception {
+			long old = publish(1);
+			publish(2);
+			PlatformTests.this.platform.configure("--serve-index", Long.toString(old));
+			HttpResponse<String> answer = head("");
+			assertThat(answer.body()).contains("revision = 1");
+			assertThat(answer.headers().firstValueAsLong("X-Index")).hasValue(old);
+		}
+
+		@Test
+		void halfAValueLooksWhole() throws Exception {
+			publish(1);
+			String whole = head("").body();
+			PlatformTests.this.platform.configure("--half-value", "true");
+			assertThat(head("").body()).isEqualTo(whole.substring(0, whole.length() / 2));
+		}
+
+		@Test
+		void downAnswersNothing() {
+			publish(1);
+			PlatformTests.this.platform.configure("--down", "true");
+			assertThatExceptionOfType(IOException.class).isThrownBy(() -> head(""));
+		}
+
+	}
+
+	@Nested
+	class Instances {
+
+		@Test
+		void areShownLate() throws Exception {
+			PlatformTests.this.platform.configure("--instances-lag-ms", "3600000");
+			PlatformTests.this.platform.instance(HttpService.JSON.createObjectNode().put("id", "a1"));
+			assertThat(Http.get(PlatformTests.this.platform, "/instances").body()).doesNotContain("a1");
+			PlatformTests.this.platform.configure("--instances-lag-ms", "0");
+			assertThat(Http.get(PlatformTests.this.platform, "/instances").body()).contains("a1");
+		}
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-standins/src/test/java/org/catkingate/standins/proxy/ProxyTests.java
@@ -0,0 +1,132 @@
+package org.catkingate.standins.proxy;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+/**
+ * Tests for {@link Proxy}.
+ */
+class ProxyTests {
+
+	private static final int PATIENCE_MILLIS = 20_000;
+
+	private static final int SILENCE_MILLIS = 200;
+
+	private ServerSocket echo;
+
+	private Proxy proxy;
+
+	@BeforeEach
+	void start() throws IOException {
+		this.echo = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+		Thread thread = new Thread(this::serve);
+		thread.setDaemon(true);
+		thread.start();
+		this.proxy = Proxy.start("--target", "127.0.0.1:" + this.echo.getLocalPort());
+	}
+
+	@AfterEach
+	void close() throws IOException {
+		this.proxy.close();
+		this.echo.close();
+	}
+
+	private void serve() {
+		try {
+			while (true) {
+				Socket socket = this.echo.accept();
+				Thread thread = new Thread(() -> echo(socket));
+				thread.setDaemon(true);
+				thread.start();
+			}
+		}
+		catch (IOException ex) {
+			// closed
+		}
+	}
+
+	private static void echo(Socket socket) {
+		try (socket) {
+			socket.getInputStream().transferTo(socket.getOutputStream());
+		}
+		catch (IOException ex) {
+			// closed
+		}
+	}
+
+	private Socket connect() throws IOException {
+		Socket socket = new Socket(this.proxy.address().getAddress(), this.proxy.address().getPort());
+		socket.setSoTimeout(PATIENCE_MILLIS);
+		return socket;
+	}
+
+	private static int roundTrip(Socket socket, int value) throws IOException {
+		socket.getOutputStream().write(value);
+		return socket.getInputStream().read();
+	}
+
+	@Test
+	void passesBytesAndTheirEnd() throws IOException {
+		try (Socket socket = connect()) {
+			assertThat(roundTrip(socket, 7)).isEqualTo(7);
+			socket.shutdownOutput();
+			assertThat(socket.getInputStream().read()).isEqualTo(-1);
+		}
+	}
+
+	@Test
+	void silenceSwallowsOpenConnectionsButNotNewOnes() throws IOException {
+		try (Socket old = connect()) {
+			roundTrip(old, 1);
+			this.proxy.silence();
+			old.setSoTimeout(SILENCE_MILLIS);
+			assertThatExceptionOfType(SocketTimeoutException.class).isThrownBy(() -> roundTrip(old, 2));
+			try (Socket fresh = connect()) {
+				assertThat(roundTrip(fresh, 3)).isEqualTo(3);
+			}
+		}
+	}
+
+	@Test
+	void cutResetsOpenConnections() throws IOException {
+		try (Socket socket = connect()) {
+			roundTrip(socket, 1);
+			this.proxy.cut();
+			assertThatExceptionOfType(SocketException.class).isThrownBy(() -> socket.getInputStream().read());
+		}
+	}
+
+	@Test
+	void delayIsAddedEachWay() throws IOException {
+		this.proxy.configure("--delay-ms", "50");
+		try (Socket socket = connect()) {
+			long start = System.nanoTime();
+			roundTrip(socket, 1);
+			assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start)).isGreaterThanOrEqualTo(100);
+		}
+	}
+
+	@Test
+	void corruptionChangesOneBitOfAPieceEachWay() throws IOException {
+		this.proxy.configure("--corrupt-percent", "100");
+		try (Socket socket = connect()) {
+			byte[] zeros = new byte[64];
+			socket.getOutputStream().write(zeros);
+			byte[] received = socket.getInputStream().readNBytes(zeros.length);
+			assertThat(received).isNotEqualTo(zeros);
+		}
+	}
+
+}
--- /dev/null
+++ b/catkingate-standins/src/test/java/org/catkingate/standins/weights/WeightsServerTests.java
@@ -0,0 +1,96 @@
+package org.catkingate.standins.weights;
+
+import java.net.http.HttpResponse;
+import java.util.Arrays;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.catkingate.standins.Http;
+import org.catkingate.standins.HttpService;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link WeightsServer} and {@link GeneratedWeights}.
+ */
+class WeightsServerTests {
+
+	private static final int CHUNK_BYTES = 65_536;
+
+	private static final GeneratedWeights WEIGHTS = GeneratedWeights
+		.of(GeneratedWeights.Shape.of("lyrics", "1", 1, 300_001, CHUNK_BYTES));
+
+	private final WeightsServer server = WeightsServer.start();
+
+	@BeforeEach
+	void add() {
+		this.server.add(WEIGHTS);
+	}
+
+	@AfterEach
+	void close() {
+		this.server.close();
+	}
+
+	private HttpResponse<byte[]> data(String range) throws Exception {
+		return Http.bytes(Http.request(this.server, "/weights/lyrics/1/data").header("Range", range).build());
+	}
+
+	@Nested
+	class Ranges {
+
+		@Test
+		void holdTheBytesOfTheWhole() throws Exception {
+			HttpResponse<byte[]> answer = data("bytes=65530-200003");
+			assertThat(answer.statusCode()).isEqualTo(206);
+			byte[] whole = WEIGHTS.bytes(0, 300_001);
+			assertThat(answer.body()).isEqualTo(Arrays.copyOfRange(whole, 65_530, 200_004));
+		}
+
+		@Test
+		void areCounted() throws Exception {
+			data("bytes=0-9");
+			assertThat(WeightsServerTests.this.server.served().get("dataBytes").asLong()).isEqualTo(10);
+		}
+
+	}
+
+	@Nested
+	class Faults {
+
+		@Test
+		void corruptOneChunkAsOftenAsAsked() throws Exception {
+			WeightsServerTests.this.server.configure("--corrupt-chunk", "1", "--corrupt-times", "1");
+			byte[] chunk = WEIGHTS.bytes(CHUNK_BYTES, CHUNK_BYTES);
+			assertThat(data("bytes=65536-131071").body()).isNotEqualTo(chunk);
+			assertThat(data("bytes=65536-131071").body()).isEqualTo(chunk);
+		}
+
+		@Test
+		void refuseWithRetryAfter() throws Exception {
+			WeightsServerTests.this.server.configure("--refuse", "true", "--retry-after-s", "3");
+			HttpResponse<byte[]> answer = data("bytes=0-9");
+			assertThat(answer.statusCode()).isEqualTo(429);
+			assertThat(answer.headers().firstValue("Retry-After")).hasValue("3");
+		}
+
+	}
+
+	@Nested
+	class Versions {
+
+		@Test
+		void shareTheChunksOfTheirBase() throws Exception {
+			GeneratedWeights next = GeneratedWeights
+				.of(new GeneratedWeights.Shape("lyrics", "2", 2, 1, 2, 300_001, CHUNK_BYTES));
+			assertThat(next.bytes(CHUNK_BYTES, CHUNK_BYTES)).isEqualTo(WEIGHTS.bytes(CHUNK_BYTES, CHUNK_BYTES));
+			assertThat(next.bytes(0, CHUNK_BYTES)).isNotEqualTo(WEIGHTS.bytes(0, CHUNK_BYTES));
+			assertThat(HttpService.JSON.readTree(next.manifest()).get("chunks")).hasSize(5);
+		}
+
+	}
+
+}
