Start stand-ins as processes of their own in tests

Cause: tests freeze and kill the outside systems, which needs processes. Runs keep their prompt and lookups are counted by path, so that refusals can be judged.

--- a/catkingate-standins/src/main/java/org/catkingate/standins/engine/EngineRun.java
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/engine/EngineRun.java
@@ -4,6 +4,7 @@
  * What an engine did for one request. Immutable.
  *
  * @param request the request's identifier
+ * @param prompt its prompt
  * @param startedMillis when its run began, in milliseconds since 1970
  * @param endedMillis when its run ended, in milliseconds since 1970
  * @param tokens how many tokens were generated
@@ -12,7 +13,7 @@
  * @param mixed whether the weights changed during the run
  * @since 0.1
  */
-public record EngineRun(String request, long startedMillis, long endedMillis, int tokens, boolean cancelled,
-		String digest, boolean mixed) {
+public record EngineRun(String request, String prompt, long startedMillis, long endedMillis, int tokens,
+		boolean cancelled, String digest, boolean mixed) {
 
 }
--- a/catkingate-standins/src/main/java/org/catkingate/standins/engine/Generation.java
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/engine/Generation.java
@@ -257,8 +257,9 @@
 		this.engine.batch().leave(this);
 		if (this.started) {
 			this.engine.runs()
-				.add(new EngineRun(this.request.id(), this.startedMillis, System.currentTimeMillis(),
-						this.next - this.request.resumeFrom(), cancelled, this.digest, this.mixed));
+				.add(new EngineRun(this.request.id(), this.request.prompt(), this.startedMillis,
+						System.currentTimeMillis(), this.next - this.request.resumeFrom(), cancelled, this.digest,
+						this.mixed));
 		}
 	}
 
--- a/catkingate-standins/src/main/java/org/catkingate/standins/plain/Plain.java
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/plain/Plain.java
@@ -68,6 +68,14 @@
 		return this.runs.byKey();
 	}
 
+	/**
+	 * Tells how often each lookup ran.
+	 * @return how often each path was looked up, never null
+	 */
+	public Map<String, Integer> lookups() {
+		return this.runs.lookups();
+	}
+
 	private void purchase(HttpServerExchange exchange, byte[] body) {
 		if (this.options.down) {
 			HttpService.cut(exchange);
@@ -84,7 +92,7 @@
 			HttpService.cut(exchange);
 			return;
 		}
-		this.runs.lookup();
+		this.runs.lookup(exchange.getRequestPath());
 		ObjectNode answer = echo(exchange, body);
 		afterDelay(exchange, () -> answer(exchange, StatusCodes.OK, answer));
 	}
--- a/catkingate-standins/src/main/java/org/catkingate/standins/plain/PlainRuns.java
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/plain/PlainRuns.java
@@ -9,7 +9,8 @@
 
 /**
  * Counts how often each purchase ran, by the caller's key and by the request's
- * identifier. This count is the judge of "at most once". Safe for use by any thread.
+ * identifier, and each lookup by its path. The count of purchases is the judge of "at
+ * most once". Safe for use by any thread.
  */
 final class PlainRuns {
 
@@ -19,7 +20,7 @@
 
 	private long purchases;
 
-	private long lookups;
+	private final Map<String, Integer> byPath = new TreeMap<>();
 
 	synchronized long purchase(String key, String request) {
 		count(this.byKey, key);
@@ -28,8 +29,8 @@
 		return this.purchases;
 	}
 
-	synchronized void lookup() {
-		this.lookups++;
+	synchronized void lookup(String path) {
+		count(this.byPath, path);
 	}
 
 	private static void count(Map<String, Integer> counts, String name) {
@@ -46,12 +47,15 @@
 		return new TreeMap<>(this.byKey);
 	}
 
+	synchronized Map<String, Integer> lookups() {
+		return new TreeMap<>(this.byPath);
+	}
+
 	synchronized ObjectNode toJson() {
-		ObjectNode json = HttpService.JSON.createObjectNode()
-			.put("purchases", this.purchases)
-			.put("lookups", this.lookups);
+		ObjectNode json = HttpService.JSON.createObjectNode().put("purchases", this.purchases);
 		json.set("byKey", HttpService.JSON.valueToTree(this.byKey));
 		json.set("byRequest", HttpService.JSON.valueToTree(this.byRequest));
+		json.set("lookups", HttpService.JSON.valueToTree(this.byPath));
 		return json;
 	}
 
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/harness/ChildProcess.java
@@ -0,0 +1,164 @@
+package org.catkingate.tests.harness;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+
+import org.awaitility.Awaitility;
+
+/**
+ * A process that the test has started and signals by its own identifier. Its output goes
+ * to files. Every wait is bounded.
+ */
+public final class ChildProcess implements AutoCloseable {
+
+	/** How long anything may take that is not what a test measures. */
+	public static final Duration PATIENCE = Duration.ofSeconds(60);
+
+	private final Process process;
+
+	private final Path output;
+
+	private final Path errors;
+
+	private ChildProcess(Process process, Path output, Path errors) {
+		this.process = process;
+		this.output = output;
+		this.errors = errors;
+	}
+
+	public static ChildProcess start(Path directory, String name, List<String> command) {
+		Path output = directory.resolve(name + ".out");
+		Path errors = directory.resolve(name + ".err");
+		try {
+			Process process = new ProcessBuilder(command).redirectOutput(appendTo(output))
+				.redirectError(appendTo(errors))
+				.start();
+			return new ChildProcess(process, output, errors);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private static ProcessBuilder.Redirect appendTo(Path file) {
+		return ProcessBuilder.Redirect.appendTo(file.toFile());
+	}
+
+	public static List<String> executable(String name, String... arguments) {
+		Path root = Path.of(System.getProperty("catkingate.root"));
+		return Stream.concat(Stream.of(root.resolve("target").resolve(name).toString()), Stream.of(arguments)).toList();
+	}
+
+	public Matcher awaitLine(Pattern pattern) {
+		return Awaitility.await(pattern + " in " + this.output)
+			.atMost(PATIENCE)
+			.until(() -> find(pattern), Optional::isPresent)
+			.orElseThrow();
+	}
+
+	private Optional<Matcher> find(Pattern pattern) {
+		Matcher matcher = pattern.matcher(output());
+		if (matcher.find()) {
+			return Optional.of(matcher);
+		}
+		if (!this.process.isAlive()) {
+			throw new IllegalStateException("ended with " + this.process.exitValue() + ": " + output() + errors());
+		}
+		return Optional.empty();
+	}
+
+	public String output() {
+		return read(this.output);
+	}
+
+	public String errors() {
+		return read(this.errors);
+	}
+
+	private static String read(Path file) {
+		try {
+			return Files.readString(file, StandardCharsets.UTF_8);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	public boolean isAlive() {
+		return this.process.isAlive();
+	}
+
+	/**
+	 * Stops all its threads, as a pause of the machine would.
+	 */
+	public void freeze() {
+		signal("STOP");
+	}
+
+	/**
+	 * Lets it go on after {@link #freeze()}.
+	 */
+	public void thaw() {
+		signal("CONT");
+	}
+
+	/**
+	 * Asks it to end.
+	 */
+	public void terminate() {
+		signal("TERM");
+	}
+
+	/**
+	 * Ends it at once.
+	 */
+	public void kill() {
+		this.process.destroyForcibly();
+		awaitExit(PATIENCE);
+	}
+
+	public int awaitExit(Duration limit) {
+		try {
+			if (!this.process.waitFor(limit.toMillis(), TimeUnit.MILLISECONDS)) {
+				throw new IllegalStateException("process " + this.process.pid() + " did not end within " + limit);
+			}
+			return this.process.exitValue();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private void signal(String name) {
+		try {
+			Process kill = new ProcessBuilder("kill", "-" + name, Long.toString(this.process.pid())).start();
+			if (kill.waitFor() != 0) {
+				throw new IllegalStateException("process " + this.process.pid() + " took no signal " + name);
+			}
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	@Override
+	public void close() {
+		kill();
+	}
+
+}
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Integration tests with real processes.
+ */
+package org.catkingate.tests;
