Decide where keys belong and who may vouch for them

Cause: a caller's repeat must not run a call twice, whichever entry and agent it meets. Change: home by rendezvous hash over the list, views with their history, statements between agents, the judge, the memory of outcomes, tickets and the entry's routing, all pure. Ruled out: replacing a home that cannot be reached by another agent.

--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/idempotency/KeyAge.java
@@ -0,0 +1,38 @@
+package org.catkingate.decisions.idempotency;
+
+import java.util.OptionalLong;
+import java.util.regex.Pattern;
+
+/**
+ * Keys that carry their time of birth: UUIDs of version 7. Stateless.
+ */
+final class KeyAge {
+
+	private static final Pattern TIMED = Pattern
+		.compile("[0-9a-fA-F]{8}-[0-9a-fA-F]{4}-7[0-9a-fA-F]{3}-[89abAB][0-9a-fA-F]{3}-[0-9a-fA-F]{12}");
+
+	private static final int HIGH_DIGITS = 8;
+
+	private static final int LOW_START = 9;
+
+	private static final int LOW_END = 13;
+
+	private static final int HEX_RADIX = 16;
+
+	private KeyAge() {
+	}
+
+	/**
+	 * Reads the time out of a key.
+	 * @param key the key
+	 * @return milliseconds since 1970, or empty if the key carries no time
+	 */
+	static OptionalLong bornAtMillis(String key) {
+		if (!TIMED.matcher(key).matches()) {
+			return OptionalLong.empty();
+		}
+		String digits = key.substring(0, HIGH_DIGITS) + key.substring(LOW_START, LOW_END);
+		return OptionalLong.of(Long.parseLong(digits, HEX_RADIX));
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/idempotency/KeyReducer.java
@@ -0,0 +1,109 @@
+package org.catkingate.decisions.idempotency;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.OptionalLong;
+
+import org.catkingate.decisions.Effect;
+import org.catkingate.decisions.Event;
+import org.catkingate.decisions.Reducer;
+import org.catkingate.decisions.Step;
+import org.catkingate.model.ServiceName;
+
+/**
+ * Keeps an agent's knowledge of the homes of keys. Stateless and safe for use by any
+ * thread.
+ *
+ * @since 0.1
+ */
+public final class KeyReducer implements Reducer<KeyState> {
+
+	private final VouchingTimes times;
+
+	private KeyReducer(VouchingTimes times) {
+		this.times = times;
+	}
+
+	/**
+	 * Makes the reducer.
+	 * @param times the bounds
+	 * @return the reducer, never null
+	 */
+	public static KeyReducer with(VouchingTimes times) {
+		Objects.requireNonNull(times, "times must not be null");
+		return new KeyReducer(times);
+	}
+
+	@Override
+	public Step<KeyState> reduce(KeyState state, long nowMillis, Event event) {
+		if (event instanceof KeyEvent.ServicesSeen seen) {
+			return Step.to(seen(state, seen.services(), nowMillis));
+		}
+		if (event instanceof KeyEvent.ListConfirmed confirmed) {
+			return Step.to(confirmed(state, Math.min(nowMillis, confirmed.askedAtMillis())));
+		}
+		if (event instanceof KeyEvent.Asked asked) {
+			return asked(state, asked, nowMillis);
+		}
+		if (event instanceof KeyEvent.Stated stated) {
+			return Step.to(stated(state, stated, nowMillis));
+		}
+		if (event instanceof KeyEvent.AskTime) {
+			return askTime(state, nowMillis);
+		}
+		return Step.to(state);
+	}
+
+	private KeyState seen(KeyState state, List<ServiceView> services, long nowMillis) {
+		Map<ServiceName, ServiceKeys> known = new HashMap<>();
+		for (ServiceView service : services) {
+			ServiceKeys former = state.services().get(service.service());
+			ServiceKeys keys = (former != null) ? former.seen(service, this.times, nowMillis)
+					: ServiceKeys.first(service, nowMillis);
+			known.put(service.service(), keys);
+		}
+		return new KeyState(state.own(), state.listConfirmedAtMillis(), known);
+	}
+
+	private KeyState confirmed(KeyState state, long askedAtMillis) {
+		long latest = Math.max(askedAtMillis, state.listConfirmedAtMillis().orElse(askedAtMillis));
+		return new KeyState(state.own(), OptionalLong.of(latest), state.services());
+	}
+
+	private Step<KeyState> asked(KeyState state, KeyEvent.Asked asked, long nowMillis) {
+		ServiceKeys keys = state.services().get(asked.service());
+		if (keys == null) {
+			return Step.to(state);
+		}
+		KeyStatement statement = keys.statement(state.own(), nowMillis);
+		Effect answer = new KeyEffect.Answer(asked.asker(), asked.service(), asked.askedAtMillis(), statement);
+		return new Step<>(state, List.of(answer));
+	}
+
+	private KeyState stated(KeyState state, KeyEvent.Stated stated, long nowMillis) {
+		ServiceKeys keys = state.services().get(stated.service());
+		boolean isOwnName = stated.sender().equals(stated.statement().speaker().instance());
+		if (keys == null || !isOwnName || stated.askedAtMillis() > nowMillis) {
+			return state;
+		}
+		Map<ServiceName, ServiceKeys> services = new HashMap<>(state.services());
+		services.put(stated.service(), keys.heard(stated.statement(), stated.askedAtMillis()));
+		return new KeyState(state.own(), state.listConfirmedAtMillis(), services);
+	}
+
+	private Step<KeyState> askTime(KeyState state, long nowMillis) {
+		List<Effect> questions = new ArrayList<>();
+		state.services().forEach((service, keys) -> {
+			for (KeyHome member : keys.history().latest().members()) {
+				if (!member.equals(state.own())) {
+					questions.add(new KeyEffect.Ask(member.instance(), service, nowMillis));
+				}
+			}
+		});
+		return new Step<>(state, questions);
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/idempotency/KeyRouting.java
@@ -0,0 +1,130 @@
+package org.catkingate.decisions.idempotency;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.catkingate.decisions.membership.AgentView;
+import org.catkingate.decisions.membership.FleetSnapshot;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.InstanceRecord;
+import org.catkingate.model.published.InstanceGroup;
+import org.catkingate.model.published.Service;
+
+/**
+ * Finds the one agent that may take a call with a key. An agent that cannot be reached is
+ * never replaced by another. Stateless and safe for use by any thread.
+ *
+ * @since 0.1
+ */
+public final class KeyRouting {
+
+	private static final String GONE = "the agent that issued this key is gone, and whether an earlier attempt ran"
+			+ " cannot be told; find out what became of the call before making it again with a new key";
+
+	private KeyRouting() {
+	}
+
+	/**
+	 * Routes a call.
+	 * @param snapshot what the entry knows
+	 * @param scope the call's key
+	 * @return where the call may go, never null
+	 */
+	public static KeyRoute route(FleetSnapshot snapshot, KeyScope scope) {
+		if (KeyTicket.isClaimedBy(scope.key())) {
+			return KeyTicket.parse(scope.key())
+				.map((ticket) -> route(snapshot, ticket))
+				.orElseGet(() -> new KeyRoute.NotRun(0,
+						"the key begins like one that the system issues but is none; use it as it was issued"));
+		}
+		Optional<KeyHome> home = snapshot.configuration()
+			.service(scope.service())
+			.flatMap((service) -> view(snapshot, service).home(scope));
+		if (home.isEmpty()) {
+			return new KeyRoute.NotRun(Vouching.RETRY_MILLIS, "the service has no agents; repeat with the same key");
+		}
+		return reachable(snapshot, home.get().instance());
+	}
+
+	private static KeyRoute route(FleetSnapshot snapshot, KeyTicket ticket) {
+		AgentView agent = snapshot.agents().get(ticket.agent());
+		if (agent == null && snapshot.agents().isEmpty()) {
+			return new KeyRoute.NotRun(Vouching.RETRY_MILLIS, "this entry has just started; repeat with the same key");
+		}
+		if (agent == null || (agent.incarnation() != 0 && agent.incarnation() != ticket.incarnation())) {
+			return new KeyRoute.Unknown(GONE);
+		}
+		return reachable(snapshot, ticket.agent());
+	}
+
+	private static KeyRoute reachable(FleetSnapshot snapshot, InstanceId agent) {
+		if (snapshot.agents().get(agent).reachable()) {
+			return new KeyRoute.OnlyAt(agent);
+		}
+		return new KeyRoute.NotRun(Vouching.RETRY_MILLIS,
+				"the agent of this key cannot be reached at present; repeat with the same key");
+	}
+
+	/**
+	 * Makes the view of a service's agents, by the platform's list and the service's
+	 * group.
+	 * @param snapshot what the process knows
+	 * @param service the service
+	 * @return the view, never null
+	 */
+	public static HomeView view(FleetSnapshot snapshot, Service service) {
+		return view(snapshot, service, snapshot.agents().values().stream().map(AgentView::instance).toList());
+	}
+
+	/**
+	 * Makes the view of a service's agents out of given instances.
+	 * @param snapshot what the process knows
+	 * @param service the service
+	 * @param instances the agents' lines of the list
+	 * @return the view, never null
+	 */
+	public static HomeView view(FleetSnapshot snapshot, Service service, Collection<InstanceRecord> instances) {
+		InstanceGroup group = snapshot.configuration().groups().get(service.group());
+		if (group == null) {
+			return HomeView.of(service.expectedRunners(), List.of());
+		}
+		List<KeyHome> members = instances.stream()
+			.filter((instance) -> !instance.leaving() && group.selector().matches(instance.labels()))
+			.map(KeyHome::of)
+			.toList();
+		return HomeView.of(service.expectedRunners(), members);
+	}
+
+	/**
+	 * Tells whether the agents of a service keep vouching for callers' keys: if it is
+	 * plain or names calls that may run once only.
+	 * @param service the service
+	 * @return whether its agents exchange statements
+	 */
+	public static boolean isGuarded(Service service) {
+		return service.kind() == Service.Kind.PLAIN || !service.nonIdempotentCalls().isEmpty();
+	}
+
+	/**
+	 * Finds the agents that an agent must be connected to, to vouch for keys.
+	 * @param snapshot what the agent knows
+	 * @param own the agent itself, as the list has it
+	 * @return the instances in order, without the agent itself
+	 */
+	public static Set<InstanceId> neededPeers(FleetSnapshot snapshot, InstanceRecord own) {
+		Set<InstanceId> needed = new TreeSet<>();
+		for (Service service : snapshot.configuration().services().values()) {
+			HomeView view = view(snapshot, service);
+			InstanceGroup group = snapshot.configuration().groups().get(service.group());
+			if (isGuarded(service) && group != null && group.selector().matches(own.labels())) {
+				view.members().forEach((member) -> needed.add(member.instance()));
+			}
+		}
+		needed.remove(own.id());
+		return needed;
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/idempotency/KeyScope.java
@@ -0,0 +1,44 @@
+package org.catkingate.decisions.idempotency;
+
+import java.util.Objects;
+
+import org.catkingate.model.AccountName;
+import org.catkingate.model.ServiceName;
+
+/**
+ * A key within its scope: equal keys of two client accounts, or of two services, have
+ * nothing to do with each other. Immutable and safe for use by any thread.
+ *
+ * @param account the client account
+ * @param service the service
+ * @param key the caller's key: 1 to 255 printable ASCII characters
+ * @since 0.1
+ */
+public record KeyScope(AccountName account, ServiceName service, String key) {
+
+	/** The longest key, in characters. */
+	public static final int MAXIMUM_KEY_LENGTH = 255;
+
+	private static final char FIRST_PRINTABLE = ' ';
+
+	private static final char LAST_PRINTABLE = '~';
+
+	public KeyScope {
+		Objects.requireNonNull(account, "account must not be null");
+		Objects.requireNonNull(service, "service must not be null");
+		if (!isValidKey(key)) {
+			throw new IllegalArgumentException("key must have 1 to 255 printable ASCII characters");
+		}
+	}
+
+	/**
+	 * Tells whether a caller's key can be used.
+	 * @param key the key, or null
+	 * @return whether it has 1 to 255 printable ASCII characters
+	 */
+	public static boolean isValidKey(String key) {
+		return key != null && !key.isEmpty() && key.length() <= MAXIMUM_KEY_LENGTH
+				&& key.chars().allMatch((character) -> character >= FIRST_PRINTABLE && character <= LAST_PRINTABLE);
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/idempotency/KeyTicket.java
@@ -0,0 +1,86 @@
+package org.catkingate.decisions.idempotency;
+
+import java.util.Objects;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import org.catkingate.model.InstanceId;
+
+/**
+ * A key that an agent has issued: only the incarnation that it names may run its call.
+ * Immutable and safe for use by any thread.
+ *
+ * @param agent the agent that issued it
+ * @param incarnation the agent's incarnation
+ * @param issuedAtMillis when, by the agent's monotonic clock, in milliseconds
+ * @param random 32 hexadecimal digits that no other ticket has
+ * @param mac 32 hexadecimal digits of a keyed hash that only the incarnation can make
+ * @since 0.1
+ */
+public record KeyTicket(InstanceId agent, long incarnation, long issuedAtMillis, String random, String mac) {
+
+	private static final String PREFIX = "ckt1~";
+
+	private static final int HEX_RADIX = 16;
+
+	private static final Pattern FORM = Pattern
+		.compile("ckt1~([A-Za-z0-9._-]{1,128})~([0-9a-f]{1,16})~([0-9a-f]{1,16})~([0-9a-f]{32})~([0-9a-f]{32})");
+
+	private static final int INCARNATION_GROUP = 2;
+
+	private static final int ISSUED_GROUP = 3;
+
+	private static final int RANDOM_GROUP = 4;
+
+	private static final int MAC_GROUP = 5;
+
+	public KeyTicket {
+		Objects.requireNonNull(agent, "agent must not be null");
+		Objects.requireNonNull(random, "random must not be null");
+		Objects.requireNonNull(mac, "mac must not be null");
+	}
+
+	/**
+	 * Tells whether a key claims to be a ticket.
+	 * @param key the key
+	 * @return whether it begins as tickets do
+	 */
+	public static boolean isClaimedBy(String key) {
+		return key.startsWith(PREFIX);
+	}
+
+	/**
+	 * Parses a key.
+	 * @param key the key
+	 * @return the ticket, or empty if the key is none
+	 */
+	public static Optional<KeyTicket> parse(String key) {
+		Matcher matcher = FORM.matcher(key);
+		if (!matcher.matches() || !Character.isLetterOrDigit(matcher.group(1).charAt(0))) {
+			return Optional.empty();
+		}
+		long incarnation = Long.parseUnsignedLong(matcher.group(INCARNATION_GROUP), HEX_RADIX);
+		long issued = Long.parseUnsignedLong(matcher.group(ISSUED_GROUP), HEX_RADIX);
+		return Optional.of(new KeyTicket(new InstanceId(matcher.group(1)), incarnation, issued,
+				matcher.group(RANDOM_GROUP), matcher.group(MAC_GROUP)));
+	}
+
+	/**
+	 * Returns what the keyed hash is made over, besides account and service.
+	 * @return the text without its last part
+	 */
+	public String signedText() {
+		return PREFIX + this.agent.value() + "~" + Long.toHexString(this.incarnation) + "~"
+				+ Long.toHexString(this.issuedAtMillis) + "~" + this.random;
+	}
+
+	/**
+	 * Returns the key.
+	 * @return the text that {@link #parse} takes
+	 */
+	public String text() {
+		return signedText() + "~" + this.mac;
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/idempotency/StableHash.java
@@ -0,0 +1,27 @@
+package org.catkingate.decisions.idempotency;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+
+import org.catkingate.model.Digest;
+
+/**
+ * A hash that is the same in every process and release. Stateless.
+ */
+final class StableHash {
+
+	private StableHash() {
+	}
+
+	static long of(String... texts) {
+		MessageDigest algorithm = Digest.algorithm();
+		for (String text : texts) {
+			byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+			algorithm.update(ByteBuffer.allocate(Integer.BYTES).putInt(bytes.length).flip());
+			algorithm.update(bytes);
+		}
+		return ByteBuffer.wrap(algorithm.digest()).getLong();
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/idempotency/Verdict.java
@@ -0,0 +1,84 @@
+package org.catkingate.decisions.idempotency;
+
+import java.util.Objects;
+
+/**
+ * Whether an agent vouches that no other agent has run, or may yet run, the call of a
+ * key. Immutable and safe for use by any thread.
+ *
+ * @param reason the reason
+ * @param retryAfterMillis when to repeat, in milliseconds, 0 if vouched or for never
+ * @since 0.1
+ */
+public record Verdict(Reason reason, long retryAfterMillis) {
+
+	public Verdict {
+		Objects.requireNonNull(reason, "reason must not be null");
+	}
+
+	/**
+	 * Tells whether the call may run.
+	 * @return whether the agent vouches for the key
+	 */
+	public boolean vouched() {
+		return this.reason == Reason.VOUCHED;
+	}
+
+	/**
+	 * Why an agent vouches for a key or does not.
+	 */
+	public enum Reason {
+
+		/** The agent vouches for the key. */
+		VOUCHED("the key is vouched for"),
+
+		/** The service is not configured here. */
+		NOT_SERVED("this agent does not know the service; repeat with the same key"),
+
+		/** Another agent is the home of the key. */
+		NOT_HOME("another agent answers for this key; repeat with the same key"),
+
+		/** The agent does not remember far enough back. */
+		TOO_YOUNG("the agent of this key has started too lately; repeat later with the same key,"
+				+ " or take a key from /catkingate/idempotency-keys"),
+
+		/** Another agent was the home of the key lately. */
+		MOVED_LATELY("the key has moved to another agent lately; repeat later with the same key,"
+				+ " or take a key from /catkingate/idempotency-keys"),
+
+		/** The platform has not confirmed the list of instances lately. */
+		LIST_NOT_CONFIRMED("the list of instances cannot be read at present; repeat later with the same key,"
+				+ " or take a key from /catkingate/idempotency-keys"),
+
+		/** Too few of the other agents agree on the home of the key. */
+		NOT_AGREED("too few agents of the service agree on the agent of this key; repeat later with the same key,"
+				+ " or take a key from /catkingate/idempotency-keys"),
+
+		/** There are more runners than the operators expect. */
+		TOO_MANY_RUNNERS("the service has more runners than its expected-runners; raise expected-runners,"
+				+ " or take a key from /catkingate/idempotency-keys"),
+
+		/** The key says that it is older than the repeat window. */
+		KEY_EXPIRED("the key was made longer ago than the service's repeat window; find out what became of the call"
+				+ " before making it again"),
+
+		/** The key says that it will be made in the future. */
+		KEY_FROM_FUTURE("the key carries a time in the future; set the clock of the caller");
+
+		private final String message;
+
+		Reason(String message) {
+			this.message = message;
+		}
+
+		/**
+		 * Says what is the matter, for the caller.
+		 * @return the message, which names the remedy
+		 */
+		public String message() {
+			return this.message;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/idempotency/Vouching.java
@@ -0,0 +1,164 @@
+package org.catkingate.decisions.idempotency;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.OptionalLong;
+
+import org.catkingate.decisions.idempotency.ServiceKeys.HeardStatement;
+import org.catkingate.decisions.idempotency.Verdict.Reason;
+
+/**
+ * Judges whether an agent may vouch for a caller's key: it must have been the key's home
+ * for longer than an earlier attempt can be past, by its own views and by those of enough
+ * others. Stateless and safe for use by any thread.
+ *
+ * @since 0.1
+ */
+public final class Vouching {
+
+	/** When to repeat if the hindrance may pass at any moment, in milliseconds. */
+	public static final long RETRY_MILLIS = 1_000;
+
+	private final VouchingTimes times;
+
+	private Vouching(VouchingTimes times) {
+		this.times = times;
+	}
+
+	/**
+	 * Makes the judge.
+	 * @param times the bounds
+	 * @return the judge, never null
+	 */
+	public static Vouching with(VouchingTimes times) {
+		Objects.requireNonNull(times, "times must not be null");
+		return new Vouching(times);
+	}
+
+	/**
+	 * Judges a key.
+	 * @param state what the agent knows
+	 * @param scope the key
+	 * @param heldMillis for how long the agent has had the call, in milliseconds
+	 * @param nowMillis the time, in milliseconds of the monotonic clock
+	 * @param wallMillis the time, in milliseconds since 1970
+	 * @return the verdict, never null
+	 */
+	public Verdict judge(KeyState state, KeyScope scope, long heldMillis, long nowMillis, long wallMillis) {
+		ServiceKeys keys = state.services().get(scope.service());
+		if (keys == null) {
+			return refused(Reason.NOT_SERVED);
+		}
+		long ageMillis = this.times.opaqueAgeMillis(keys.repeatWindowMillis()) + heldMillis;
+		OptionalLong born = KeyAge.bornAtMillis(scope.key());
+		if (born.isPresent()) {
+			long sinceBirth = wallMillis - born.getAsLong();
+			if (sinceBirth < -this.times.skewMillis()) {
+				return refused(Reason.KEY_FROM_FUTURE);
+			}
+			if (sinceBirth > ageMillis) {
+				return new Verdict(Reason.KEY_EXPIRED, 0);
+			}
+			ageMillis = sinceBirth + this.times.skewMillis();
+		}
+		return judge(new Question(state, keys, scope, this.times.coverMillis(ageMillis), nowMillis));
+	}
+
+	private Verdict judge(Question question) {
+		if (!question.keys().history().latest().isHome(question.state().own(), question.scope())) {
+			return refused(Reason.NOT_HOME);
+		}
+		long missing = question.coverMillis() - question.keys().history().coveredMillis(question.nowMillis());
+		if (missing > 0) {
+			return new Verdict(Reason.TOO_YOUNG, missing);
+		}
+		Map<Long, HomeView> known = known(question.keys().history());
+		List<KeyStatement.StatedView> own = question.keys().history().stated(question.nowMillis());
+		long movedMillisAgo = movedMillisAgo(question, known, own);
+		if (movedMillisAgo <= question.coverMillis()) {
+			return new Verdict(Reason.MOVED_LATELY, question.coverMillis() - movedMillisAgo + 1);
+		}
+		if (!listConfirmed(question)) {
+			return refused(Reason.LIST_NOT_CONFIRMED);
+		}
+		return agreement(question, known);
+	}
+
+	private boolean listConfirmed(Question question) {
+		OptionalLong confirmed = question.state().listConfirmedAtMillis();
+		return confirmed.isPresent() && question.nowMillis() - confirmed.getAsLong() <= this.times.listMillis();
+	}
+
+	private Verdict agreement(Question question, Map<Long, HomeView> known) {
+		HomeView view = question.keys().history().latest();
+		int runners = question.keys().ownRunners();
+		int agreeing = runners;
+		int silent = 0;
+		for (KeyHome member : view.members()) {
+			if (member.equals(question.state().own())) {
+				continue;
+			}
+			HeardStatement heard = question.keys().heard().get(member);
+			runners += (heard != null) ? heard.statement().runners() : 1;
+			if (heard != null && agrees(question, known, heard)) {
+				agreeing += heard.statement().runners();
+			}
+			else {
+				silent++;
+			}
+		}
+		return agreement(view.expectedRunners(), runners, agreeing, silent);
+	}
+
+	private static Verdict agreement(int expected, int runners, int agreeing, int silent) {
+		if (expected > 0 && runners > expected) {
+			return refused(Reason.TOO_MANY_RUNNERS);
+		}
+		boolean agreed = (expected > 0) ? 2 * agreeing > expected : silent == 0;
+		return (agreed) ? new Verdict(Reason.VOUCHED, 0) : refused(Reason.NOT_AGREED);
+	}
+
+	private boolean agrees(Question question, Map<Long, HomeView> known, HeardStatement heard) {
+		boolean isFresh = question.nowMillis() - heard.askedAtMillis() <= this.times.statementMillis();
+		KeyStatement statement = heard.statement();
+		return isFresh && statement.coveredMillis() >= question.coverMillis()
+				&& movedMillisAgo(question, known, statement.views()) > question.coverMillis();
+	}
+
+	/**
+	 * How long ago the last view ended by which another agent was the home.
+	 * @param question the question
+	 * @param known the own views by fingerprint; any other view counts against the key
+	 * @param views the views to look at
+	 * @return the span, in milliseconds
+	 */
+	private static long movedMillisAgo(Question question, Map<Long, HomeView> known,
+			List<KeyStatement.StatedView> views) {
+		long latest = Long.MAX_VALUE;
+		for (KeyStatement.StatedView stated : views) {
+			HomeView view = known.get(stated.fingerprint());
+			if (stated.endedMillisAgo() <= question.coverMillis()
+					&& (view == null || !view.isHome(question.state().own(), question.scope()))) {
+				latest = Math.min(latest, stated.endedMillisAgo());
+			}
+		}
+		return latest;
+	}
+
+	private static Map<Long, HomeView> known(ViewHistory history) {
+		Map<Long, HomeView> known = new HashMap<>();
+		history.held().forEach((held) -> known.put(held.fingerprint(), held.view()));
+		return known;
+	}
+
+	private static Verdict refused(Reason reason) {
+		return new Verdict(reason, RETRY_MILLIS);
+	}
+
+	private record Question(KeyState state, ServiceKeys keys, KeyScope scope, long coverMillis, long nowMillis) {
+
+	}
+
+}
