Decide which chunks to fetch, from where and when

Change: a reducer for one agent. Per region and chunk the first by rendezvous rank reads upstream, in one region from the origin and elsewhere from that region; the next in rank asks it after a silence and replaces it when it does not answer. Everyone else takes chunks from peers, own data centre first, rarest first, with bounded transfers, stall timeouts and back-off by source. Requests over shared links are bounded by the delay that they cause.

--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/Download.java
@@ -0,0 +1,149 @@
+package org.catkingate.decisions.distribution;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.catkingate.model.Digest;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.Manifest;
+import org.catkingate.model.published.WeightsVersion;
+
+/**
+ * One wanted version and how far it has come. Immutable and safe for use by any thread.
+ *
+ * @param version the version
+ * @param members the live instances that it is selected for
+ * @param neighbours the peers to exchange bitfields with
+ * @param content the manifest and what follows from it; null until it has arrived
+ * @param held the chunks held
+ * @param peers the chunks that each peer has announced
+ * @param retryAt when to ask again for a chunk that a reader did not have, by index
+ * @param availableAt when a chunk was first seen in the region, by index
+ * @param progressAtMillis when the manifest or the last chunk from another region arrived
+ * @param question the state of the search for the manifest
+ * @param announced the chunks that the neighbours have been told of
+ * @param announcedAtMillis when they were told
+ * @param refused whether it does not fit into the memory
+ */
+record Download(WeightsVersion version, List<Member> members, Set<InstanceId> neighbours, Content content,
+		ChunkSet held, Map<InstanceId, ChunkSet> peers, Map<Integer, Long> retryAt, Map<Integer, Long> availableAt,
+		long progressAtMillis, Question question, ChunkSet announced, long announcedAtMillis, boolean refused) {
+
+	static Download of(WeightsVersion version, List<Member> members, Set<InstanceId> neighbours) {
+		return new Download(version, members, neighbours, null, ChunkSet.empty(), Map.of(), Map.of(), Map.of(), 0,
+				new Question(0, 0, null), null, 0, false);
+	}
+
+	boolean isActive() {
+		return this.content != null && !this.refused;
+	}
+
+	boolean isWhole() {
+		return isActive() && this.held.count() == this.content.manifest().chunks().size();
+	}
+
+	List<Integer> indexesOf(Digest chunk) {
+		return (this.content != null) ? this.content.indexes().getOrDefault(chunk, List.of()) : List.of();
+	}
+
+	Download withVersion(WeightsVersion changed) {
+		return new Download(changed, this.members, this.neighbours, this.content, this.held, this.peers, this.retryAt,
+				this.availableAt, this.progressAtMillis, this.question, this.announced, this.announcedAtMillis,
+				this.refused);
+	}
+
+	Download withMembers(Member own, List<Member> changed, Set<InstanceId> changedNeighbours) {
+		Content renewed = (this.content != null) ? Content.of(own, changed, this.content.manifest()) : null;
+		Map<InstanceId, ChunkSet> kept = new TreeMap<>(this.peers);
+		kept.keySet().removeIf((peer) -> changed.stream().noneMatch((member) -> member.instance().equals(peer)));
+		return new Download(this.version, changed, changedNeighbours, renewed, this.held, kept, this.retryAt,
+				this.availableAt, this.progressAtMillis, this.question, null, this.announcedAtMillis, this.refused);
+	}
+
+	Download withContent(Content arrived, ChunkSet present, long now) {
+		return new Download(this.version, this.members, this.neighbours, arrived, present, this.peers, this.retryAt,
+				this.availableAt, now, this.question, this.announced, this.announcedAtMillis, this.refused);
+	}
+
+	Download withRefused(boolean changed) {
+		return new Download(this.version, this.members, this.neighbours, this.content, this.held, this.peers,
+				this.retryAt, this.availableAt, this.progressAtMillis, this.question, this.announced,
+				this.announcedAtMillis, changed);
+	}
+
+	Download withHeld(ChunkSet changed, long progress) {
+		return new Download(this.version, this.members, this.neighbours, this.content, changed, this.peers,
+				this.retryAt, this.availableAt, progress, this.question, this.announced, this.announcedAtMillis,
+				this.refused);
+	}
+
+	Download withPeers(Map<InstanceId, ChunkSet> changed, Map<Integer, Long> seen) {
+		return new Download(this.version, this.members, this.neighbours, this.content, this.held, changed, this.retryAt,
+				seen, this.progressAtMillis, this.question, this.announced, this.announcedAtMillis, this.refused);
+	}
+
+	Download withPeer(InstanceId peer, ChunkSet chunks) {
+		Map<InstanceId, ChunkSet> changed = new TreeMap<>(this.peers);
+		changed.put(peer, chunks);
+		return withPeers(changed, this.availableAt);
+	}
+
+	Download withoutPeer(InstanceId peer) {
+		Map<InstanceId, ChunkSet> changed = new TreeMap<>(this.peers);
+		changed.remove(peer);
+		return withPeers(changed, this.availableAt);
+	}
+
+	Download withRetryAt(int index, long millis) {
+		Map<Integer, Long> changed = new TreeMap<>(this.retryAt);
+		changed.put(index, millis);
+		return new Download(this.version, this.members, this.neighbours, this.content, this.held, this.peers, changed,
+				this.availableAt, this.progressAtMillis, this.question, this.announced, this.announcedAtMillis,
+				this.refused);
+	}
+
+	Download withQuestion(Question changed) {
+		return new Download(this.version, this.members, this.neighbours, this.content, this.held, this.peers,
+				this.retryAt, this.availableAt, this.progressAtMillis, changed, this.announced, this.announcedAtMillis,
+				this.refused);
+	}
+
+	Download withAnnounced(ChunkSet told, long now) {
+		return new Download(this.version, this.members, this.neighbours, this.content, this.held, this.peers,
+				this.retryAt, this.availableAt, this.progressAtMillis, this.question, told, now, this.refused);
+	}
+
+	/**
+	 * The search for a manifest. Immutable.
+	 *
+	 * @param count how many questions have been asked
+	 * @param notBeforeMillis when the next may be asked
+	 * @param hint a peer that is known to have the manifest; null for none
+	 */
+	record Question(int count, long notBeforeMillis, InstanceId hint) {
+
+	}
+
+	/**
+	 * A manifest and what follows from it. Immutable.
+	 *
+	 * @param manifest the manifest
+	 * @param indexes the indexes of each chunk
+	 * @param readers who is to read each chunk
+	 */
+	record Content(Manifest manifest, Map<Digest, List<Integer>> indexes, Readers readers) {
+
+		static Content of(Member own, List<Member> members, Manifest manifest) {
+			Map<Digest, List<Integer>> indexes = new TreeMap<>();
+			for (int i = 0; i < manifest.chunks().size(); i++) {
+				indexes.computeIfAbsent(manifest.chunks().get(i), (chunk) -> new ArrayList<>()).add(i);
+			}
+			return new Content(manifest, indexes, Readers.of(own, members, manifest));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/Limits.java
@@ -0,0 +1,82 @@
+package org.catkingate.decisions.distribution;
+
+/**
+ * Bounds of the distribution.
+ */
+final class Limits {
+
+	/** Chunks in transfer at a time. */
+	static final int TRANSFERS = 8;
+
+	/** Chunks in transfer at a time from one peer. */
+	static final int TRANSFERS_PER_PEER = 2;
+
+	/** Chunks in transfer at a time from origin, store or other regions, each. */
+	static final int TRANSFERS_UPSTREAM = 3;
+
+	/** The size of a slice within the region, in bytes. */
+	static final int SLICE_BYTES = 128 * 1024;
+
+	/** The size of a slice from origin, store or other regions, in bytes. */
+	static final int UPSTREAM_SLICE_BYTES = 32 * 1024;
+
+	/** Slices asked for at a time in one transfer within the region. */
+	static final int SLICES_PER_TRANSFER = 3;
+
+	/** How many ranks of readers are kept for a chunk. */
+	static final int RANKS = 8;
+
+	/** Neighbours in the own data centre that an instance chooses. */
+	static final int NEIGHBOURS_IN_DATA_CENTRE = 4;
+
+	/** Neighbours in other data centres of the region that an instance chooses. */
+	static final int NEIGHBOURS_IN_REGION = 2;
+
+	/** The silence after which the next in rank looks after a chunk, in milliseconds. */
+	static final long SILENCE_MILLIS = 2000;
+
+	/** How long a transfer may stand still, in milliseconds. */
+	static final long STALL_MILLIS = 3000;
+
+	/** How long a data centre waits for its own first in rank, in milliseconds. */
+	static final long DATA_CENTRE_SILENCE_MILLIS = 1000;
+
+	/** The shortest time between two announcements to a peer, in milliseconds. */
+	static final long ANNOUNCE_MILLIS = 100;
+
+	/** The first wait after a failure of a source, in milliseconds. */
+	static final long FIRST_BACKOFF_MILLIS = 500;
+
+	/** The longest wait after failures of a source, in milliseconds. */
+	static final long LONGEST_BACKOFF_MILLIS = 30_000;
+
+	/** How long a peer that sent corrupt bytes is set aside, in milliseconds. */
+	static final long CORRUPT_BACKOFF_MILLIS = 60_000;
+
+	/**
+	 * How long a region waits in vain for another region before it reads the origin, in
+	 * milliseconds.
+	 */
+	static final long FAR_PATIENCE_MILLIS = 15_000;
+
+	/**
+	 * How long a peer that did not have what it announced is set aside, in milliseconds.
+	 */
+	static final long LIE_BACKOFF_MILLIS = 5000;
+
+	/** The wait between two questions for a manifest, in milliseconds. */
+	static final long MANIFEST_RETRY_MILLIS = 200;
+
+	/** After so many questions to peers a manifest is asked of the origin. */
+	static final int MANIFEST_QUESTIONS_TO_PEERS = 10;
+
+	/** How long an answer with a manifest may take, in milliseconds. */
+	static final long MANIFEST_MILLIS = 2000;
+
+	/** The shortest wait before a refused chunk is asked for again, in milliseconds. */
+	static final long SHORTEST_RETRY_MILLIS = 50;
+
+	private Limits() {
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/Neighbours.java
@@ -0,0 +1,65 @@
+package org.catkingate.decisions.distribution;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+
+import org.catkingate.model.InstanceId;
+
+/**
+ * Chooses the few peers that an agent exchanges bitfields with. The choice is symmetric,
+ * and a ring through the region keeps it connected. Stateless and safe for use by any
+ * thread.
+ */
+final class Neighbours {
+
+	private Neighbours() {
+	}
+
+	static Set<InstanceId> of(Member own, List<Member> members) {
+		List<Member> region = members.stream().filter((member) -> member.region().equals(own.region())).toList();
+		Set<InstanceId> chosen = new TreeSet<>(chosenBy(own, region));
+		for (Member member : region) {
+			if (!member.instance().equals(own.instance()) && chosenBy(member, region).contains(own.instance())) {
+				chosen.add(member.instance());
+			}
+		}
+		addRing(own, region, chosen);
+		chosen.remove(own.instance());
+		return chosen;
+	}
+
+	private static Set<InstanceId> chosenBy(Member chooser, List<Member> region) {
+		Set<InstanceId> chosen = new TreeSet<>();
+		addNearest(chooser, region, (member) -> member.dataCentre().equals(chooser.dataCentre()),
+				Limits.NEIGHBOURS_IN_DATA_CENTRE, chosen);
+		addNearest(chooser, region, (member) -> !member.dataCentre().equals(chooser.dataCentre()),
+				Limits.NEIGHBOURS_IN_REGION, chosen);
+		return chosen;
+	}
+
+	private static void addNearest(Member chooser, List<Member> region, Predicate<Member> filter, int count,
+			Set<InstanceId> chosen) {
+		region.stream()
+			.filter((member) -> !member.instance().equals(chooser.instance()))
+			.filter(filter)
+			.map(Member::instance)
+			.sorted(Comparator.comparingLong((id) -> Rendezvous.pairScore(chooser.instance(), id)))
+			.limit(count)
+			.forEach(chosen::add);
+	}
+
+	private static void addRing(Member own, List<Member> region, Set<InstanceId> chosen) {
+		List<InstanceId> ring = new ArrayList<>(region.stream().map(Member::instance).toList());
+		ring.sort(Comparator.comparingLong((InstanceId id) -> Rendezvous.hash(id.value())).thenComparing((id) -> id));
+		int position = ring.indexOf(own.instance());
+		if (position >= 0) {
+			chosen.add(ring.get((position + 1) % ring.size()));
+			chosen.add(ring.get((position + ring.size() - 1) % ring.size()));
+		}
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/Readers.java
@@ -0,0 +1,110 @@
+package org.catkingate.decisions.distribution;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+
+import org.catkingate.model.Digest;
+import org.catkingate.model.Manifest;
+import org.catkingate.model.RegionName;
+
+/**
+ * Who is to read each chunk of a manifest, by rank: in the own data centre, in the own
+ * region and in the region whose turn it is to read the origin. Immutable and safe for
+ * use by any thread.
+ */
+final class Readers {
+
+	/** The rank of an instance that is not among the first. */
+	static final int UNRANKED = Limits.RANKS;
+
+	private final Member own;
+
+	private final List<Ranking> rankings;
+
+	private Readers(Member own, List<Ranking> rankings) {
+		this.own = own;
+		this.rankings = rankings;
+	}
+
+	static Readers of(Member own, List<Member> members, Manifest manifest) {
+		Map<RegionName, List<Member>> regions = new TreeMap<>();
+		members.forEach((member) -> regions.computeIfAbsent(member.region(), (name) -> new ArrayList<>()).add(member));
+		regions.putIfAbsent(own.region(), List.of(own));
+		List<Ranking> rankings = new ArrayList<>();
+		for (Digest chunk : manifest.chunks()) {
+			rankings.add(ranking(Rendezvous.hash(chunk), own, regions));
+		}
+		return new Readers(own, List.copyOf(rankings));
+	}
+
+	private static Ranking ranking(long key, Member own, Map<RegionName, List<Member>> regions) {
+		List<RegionName> order = new ArrayList<>(regions.keySet());
+		order.sort(Comparator.comparingLong((region) -> Rendezvous.score(key, Rendezvous.hash(region.value()))));
+		List<Member> elsewhere = new ArrayList<>();
+		for (RegionName region : order) {
+			if (!region.equals(own.region())) {
+				elsewhere.addAll(Rendezvous.rank(key, regions.get(region), Limits.RANKS));
+			}
+		}
+		List<Member> inRegion = regions.get(own.region());
+		List<Member> inDataCentre = inRegion.stream()
+			.filter((member) -> member.dataCentre().equals(own.dataCentre()))
+			.toList();
+		return new Ranking(Rendezvous.rank(key, inDataCentre, Limits.RANKS),
+				Rendezvous.rank(key, inRegion, Limits.RANKS), List.copyOf(elsewhere), order.get(0));
+	}
+
+	int rankInDataCentre(int chunk, Predicate<Member> usable) {
+		return rank(this.rankings.get(chunk).dataCentre(), usable);
+	}
+
+	int rankInRegion(int chunk, Predicate<Member> usable) {
+		return rank(this.rankings.get(chunk).region(), usable);
+	}
+
+	private int rank(List<Member> ranked, Predicate<Member> usable) {
+		int rank = 0;
+		for (Member member : ranked) {
+			if (member.instance().equals(this.own.instance())) {
+				return rank;
+			}
+			if (usable.test(member)) {
+				rank++;
+			}
+		}
+		return (rank == 0) ? 0 : UNRANKED;
+	}
+
+	List<Member> inRegion(int chunk) {
+		return this.rankings.get(chunk).region();
+	}
+
+	List<Member> elsewhere(int chunk) {
+		return this.rankings.get(chunk).elsewhere();
+	}
+
+	RegionName home(int chunk) {
+		return this.rankings.get(chunk).home();
+	}
+
+	boolean isHome(int chunk) {
+		return home(chunk).equals(this.own.region());
+	}
+
+	/**
+	 * The ranks for one chunk. Immutable.
+	 *
+	 * @param dataCentre the first in the own data centre
+	 * @param region the first in the own region
+	 * @param elsewhere the first in each other region, the home region before others
+	 * @param home the region whose turn it is to read the origin
+	 */
+	private record Ranking(List<Member> dataCentre, List<Member> region, List<Member> elsewhere, RegionName home) {
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/Transfer.java
@@ -0,0 +1,66 @@
+package org.catkingate.decisions.distribution;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.catkingate.model.Digest;
+
+/**
+ * A chunk that is being fetched. Immutable and safe for use by any thread.
+ *
+ * @param manifest the manifest for which it was started
+ * @param index the chunk's index there
+ * @param size its size, in bytes
+ * @param source where it comes from
+ * @param distance how far that is
+ * @param requested how many bytes have been asked for, from the start
+ * @param received how many bytes have arrived
+ * @param outstanding when each slice was asked for that has not arrived, by offset
+ * @param progressAtMillis when the last slice arrived, or the start
+ */
+record Transfer(Digest manifest, int index, int size, Source source, Distance distance, int requested, int received,
+		Map<Integer, Long> outstanding, long progressAtMillis) {
+
+	static Transfer start(Digest manifest, int index, int size, Source source, Distance distance, long now) {
+		return new Transfer(manifest, index, size, source, distance, 0, 0, Map.of(), now);
+	}
+
+	boolean isUpstream() {
+		return this.distance.compareTo(Distance.OTHER_REGION) >= 0;
+	}
+
+	int sliceBytes() {
+		return isUpstream() ? Limits.UPSTREAM_SLICE_BYTES : Limits.SLICE_BYTES;
+	}
+
+	int nextSliceLength() {
+		return Math.min(sliceBytes(), this.size - this.requested);
+	}
+
+	int lengthAt(int offset) {
+		return Math.min(sliceBytes(), this.size - offset);
+	}
+
+	boolean isWhole() {
+		return this.received >= this.size;
+	}
+
+	boolean isStalled(long now) {
+		return !isWhole() && now - this.progressAtMillis > Limits.STALL_MILLIS;
+	}
+
+	Transfer requestedSlice(long now) {
+		Map<Integer, Long> more = new TreeMap<>(this.outstanding);
+		more.put(this.requested, now);
+		return new Transfer(this.manifest, this.index, this.size, this.source, this.distance,
+				this.requested + nextSliceLength(), this.received, more, this.progressAtMillis);
+	}
+
+	Transfer receivedSlice(int offset, int length, long now) {
+		Map<Integer, Long> fewer = new TreeMap<>(this.outstanding);
+		fewer.remove(offset);
+		return new Transfer(this.manifest, this.index, this.size, this.source, this.distance, this.requested,
+				this.received + length, fewer, now);
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/Work.java
@@ -0,0 +1,146 @@
+package org.catkingate.decisions.distribution;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.UnaryOperator;
+
+import org.catkingate.decisions.Effect;
+import org.catkingate.decisions.Step;
+import org.catkingate.model.Digest;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.Manifest;
+
+/**
+ * The state while one event is reduced: copies that may be changed, and the effects so
+ * far. Used by one thread for one event.
+ */
+final class Work {
+
+	final DistributionSettings settings;
+
+	final long now;
+
+	final Map<Digest, Download> downloads;
+
+	final Map<Digest, Transfer> transfers;
+
+	final Map<Source, SourceState> sources;
+
+	final Map<Distance, Long> bytes;
+
+	private final Map<Digest, Integer> heldBefore;
+
+	private Map<Digest, Integer> heldAfter;
+
+	private final List<Effect> effects = new ArrayList<>();
+
+	private Work(DistributionState state, long now) {
+		this.settings = state.settings();
+		this.now = now;
+		this.downloads = new TreeMap<>(state.downloads());
+		this.transfers = new TreeMap<>(state.transfers());
+		this.sources = new HashMap<>(state.sources());
+		this.bytes = new EnumMap<>(Distance.class);
+		this.bytes.putAll(state.bytes());
+		this.heldBefore = state.held();
+	}
+
+	static Work on(DistributionState state, long now) {
+		return new Work(state, now);
+	}
+
+	Step<DistributionState> finish() {
+		return new Step<>(
+				new DistributionState(this.settings, this.downloads, held(), this.transfers, this.sources, this.bytes),
+				this.effects);
+	}
+
+	void add(DistributionEffect effect) {
+		this.effects.add(effect);
+	}
+
+	Map<Digest, Integer> held() {
+		return (this.heldAfter != null) ? this.heldAfter : this.heldBefore;
+	}
+
+	Map<Digest, Integer> changeHeld() {
+		if (this.heldAfter == null) {
+			this.heldAfter = new HashMap<>(this.heldBefore);
+		}
+		return this.heldAfter;
+	}
+
+	SourceState source(Source source) {
+		return this.sources.getOrDefault(source, SourceState.initial());
+	}
+
+	void changeSource(Source source, UnaryOperator<SourceState> change) {
+		this.sources.put(source, change.apply(source(source)));
+	}
+
+	void changeDownload(Digest manifest, UnaryOperator<Download> change) {
+		this.downloads.computeIfPresent(manifest, (digest, download) -> change.apply(download));
+	}
+
+	boolean isUsable(InstanceId peer) {
+		return source(new Source.Peer(peer)).isUsable(this.now);
+	}
+
+	boolean isSetAside(InstanceId peer) {
+		return source(new Source.Peer(peer)).isSetAside(this.now);
+	}
+
+	int transfersFrom(Source source) {
+		int count = 0;
+		for (Transfer transfer : this.transfers.values()) {
+			if (transfer.source().equals(source)) {
+				count++;
+			}
+		}
+		return count;
+	}
+
+	int transfersAt(Distance distance) {
+		int count = 0;
+		for (Transfer transfer : this.transfers.values()) {
+			if (transfer.distance() == distance) {
+				count++;
+			}
+		}
+		return count;
+	}
+
+	void abandon(Digest chunk) {
+		if (this.transfers.remove(chunk) != null) {
+			add(new DistributionEffect.ReleaseChunk(chunk));
+		}
+	}
+
+	void abandonFrom(Source source) {
+		List<Digest> chunks = new ArrayList<>();
+		this.transfers.forEach((chunk, transfer) -> {
+			if (transfer.source().equals(source) && !transfer.isWhole()) {
+				chunks.add(chunk);
+			}
+		});
+		chunks.forEach(this::abandon);
+	}
+
+	boolean isNeeded(Digest chunk) {
+		for (Download download : this.downloads.values()) {
+			if (!download.refused() && !download.indexesOf(chunk).isEmpty()) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	long pagesOf(Manifest manifest, int index) {
+		return (manifest.sizeOf(index) + this.settings.pageBytes() - 1L) / this.settings.pageBytes();
+	}
+
+}
