--- /dev/null
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/requests/AgentRequest.java
@@ -0,0 +1,384 @@
+package org.catkingate.agent.requests;
+
+import java.io.ByteArrayOutputStream;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import io.undertow.client.ClientConnection;
+
+import org.catkingate.agent.runners.RunnerGate;
+import org.catkingate.runtime.peers.PeerConnection;
+import org.catkingate.wire.Traffic;
+
+/**
+ * One request at the agent, from its arrival until its answer is forgotten. Its first
+ * byte goes to the runner only after {@link #markDispatched}, and only before that may it
+ * be refused as not run. Safe for use by any thread.
+ */
+final class AgentRequest implements RunnerCall.Listener {
+
+	/** The longest answer that is kept for repeats, in bytes. */
+	static final int KEPT_ANSWER_BYTES = 1024 * 1024;
+
+	private static final String DIGEST_HEADER = "X-Weights-Digest";
+
+	private final Traffic.Dispatch dispatch;
+
+	private final AnswerStream answer;
+
+	private final NonIdempotentCalls once;
+
+	private final long arrival;
+
+	private final long deadlineMillis;
+
+	private final Consumer<AgentRequest> finished;
+
+	private RunnerGate gate;
+
+	private RunnerGate.Serving serving;
+
+	private RunnerConnections connections;
+
+	private RunnerCall call;
+
+	private State state = State.ADMITTED;
+
+	private boolean guarded;
+
+	private boolean cancelled;
+
+	private boolean slot;
+
+	private int status;
+
+	private List<Traffic.Header> headers = List.of();
+
+	private ByteArrayOutputStream kept;
+
+	private long endedMillis;
+
+	AgentRequest(Traffic.Dispatch dispatch, PeerConnection connection, NonIdempotentCalls once, long arrival,
+			long deadlineMillis, Consumer<AgentRequest> finished) {
+		this.dispatch = dispatch;
+		this.answer = new AnswerStream(dispatch.request(), connection);
+		this.once = once;
+		this.arrival = arrival;
+		this.deadlineMillis = deadlineMillis;
+		this.finished = finished;
+	}
+
+	Traffic.Dispatch dispatch() {
+		return this.dispatch;
+	}
+
+	long arrival() {
+		return this.arrival;
+	}
+
+	long deadlineMillis() {
+		return this.deadlineMillis;
+	}
+
+	AnswerStream answer() {
+		return this.answer;
+	}
+
+	/**
+	 * Takes note that the request has one of its runner's slots.
+	 */
+	synchronized void occupySlot() {
+		this.slot = true;
+	}
+
+	/**
+	 * Gives the slot back.
+	 * @return whether it had one
+	 */
+	synchronized boolean releaseSlot() {
+		boolean had = this.slot;
+		this.slot = false;
+		return had;
+	}
+
+	/**
+	 * Tells whether the request needs no more from this process.
+	 * @return whether it has ended and its answer is with the entry, or is none
+	 */
+	synchronized boolean isSettled() {
+		return this.state == State.ENDED && (this.answer.isTaken() || this.answer.isFailed());
+	}
+
+	synchronized boolean isEnded() {
+		return this.state == State.ENDED;
+	}
+
+	synchronized long endedMillis() {
+		return this.endedMillis;
+	}
+
+	synchronized void endedAt(long nowMillis) {
+		this.endedMillis = nowMillis;
+	}
+
+	/**
+	 * Refuses the request, if nothing of it has been sent to the runner.
+	 * @param retryAfterMillis when to come back, in milliseconds
+	 * @param message why, and the remedy
+	 * @return whether it was refused by this call
+	 */
+	boolean refuse(long retryAfterMillis, String message) {
+		synchronized (this) {
+			if (this.state != State.ADMITTED && this.state != State.ENTERED) {
+				return false;
+			}
+		}
+		finish(() -> this.answer.fail(Traffic.FailureReason.NOT_RUN, retryAfterMillis, message));
+		return true;
+	}
+
+	/**
+	 * Goes through the gate.
+	 * @param throughGate the gate of its runner
+	 * @return whether it was let in
+	 */
+	synchronized boolean enter(RunnerGate throughGate) {
+		if (this.state != State.ADMITTED) {
+			return false;
+		}
+		Optional<RunnerGate.Serving> entered = throughGate.tryEnter(this.dispatch.version());
+		if (entered.isEmpty()) {
+			return false;
+		}
+		this.gate = throughGate;
+		this.serving = entered.get();
+		this.state = State.ENTERED;
+		return true;
+	}
+
+	/**
+	 * Sends the request to the runner, unless it has ended meanwhile or may not run.
+	 * @param connection the connection
+	 * @param from where the connection goes back to
+	 */
+	void send(ClientConnection connection, RunnerConnections from) {
+		this.connections = from;
+		if (!mayRun() || !markDispatched()) {
+			from.release(connection);
+			return;
+		}
+		RunnerCall started = RunnerCall.start(connection, from.authority(), this.dispatch, this);
+		boolean unwanted;
+		synchronized (this) {
+			this.call = started;
+			unwanted = this.cancelled;
+		}
+		if (unwanted) {
+			started.abort();
+		}
+	}
+
+	private boolean mayRun() {
+		if (this.dispatch.idempotent()) {
+			return true;
+		}
+		Verdict verdict = this.once.before(this.dispatch);
+		if (verdict instanceof Verdict.Run) {
+			synchronized (this) {
+				this.guarded = true;
+			}
+			this.kept = new ByteArrayOutputStream();
+			return true;
+		}
+		if (verdict instanceof Verdict.RefuseNotRun refusal) {
+			refuse(refusal.retryAfterMillis(), refusal.message());
+		}
+		else if (verdict instanceof Verdict.OutcomeUnknown unknown) {
+			finish(() -> this.answer.fail(Traffic.FailureReason.OUTCOME_UNKNOWN, 0, unknown.message()));
+		}
+		else if (verdict instanceof Verdict.Replay replay) {
+			finish(() -> replay(replay.answer()));
+		}
+		return false;
+	}
+
+	private void replay(KeptAnswer first) {
+		this.answer.head(first.status(), first.headers());
+		if (first.body().length > 0) {
+			this.answer.data(first.body());
+		}
+		this.answer.end();
+	}
+
+	private boolean markDispatched() {
+		synchronized (this) {
+			if (this.state == State.ENTERED) {
+				this.state = State.DISPATCHED;
+				return true;
+			}
+		}
+		if (this.guarded) {
+			this.once.notSent(this.dispatch);
+		}
+		return false;
+	}
+
+	/**
+	 * Stops the request since nobody waits for it. A non-idempotent call that the runner
+	 * has goes on, so that its outcome becomes known.
+	 * @param message why
+	 */
+	void cancel(String message) {
+		RunnerCall running;
+		synchronized (this) {
+			if (this.state == State.ENDED || (this.state == State.DISPATCHED && !this.dispatch.idempotent())) {
+				return;
+			}
+			this.cancelled = true;
+			running = this.call;
+		}
+		if (running != null) {
+			running.abort();
+			return;
+		}
+		refuse(0, message);
+	}
+
+	/**
+	 * Says that the deadline has passed.
+	 * @param message the message to the entry
+	 */
+	void expire(String message) {
+		if (wasDispatched() && !this.dispatch.idempotent()) {
+			this.answer.fail(Traffic.FailureReason.OUTCOME_UNKNOWN, 0, message);
+			return;
+		}
+		cancel(message);
+	}
+
+	private synchronized boolean wasDispatched() {
+		return this.state == State.DISPATCHED;
+	}
+
+	/**
+	 * Goes on with the answer, since the entry has taken some.
+	 * @param offset how many bytes it has
+	 */
+	void acknowledge(long offset) {
+		if (this.answer.acknowledge(offset)) {
+			resume();
+		}
+	}
+
+	void resume() {
+		RunnerCall running;
+		synchronized (this) {
+			running = this.call;
+		}
+		if (running != null) {
+			running.resume();
+		}
+	}
+
+	@Override
+	public boolean head(int newStatus, List<Traffic.Header> newHeaders) {
+		if (!weightsMatch(newHeaders)) {
+			this.gate.closeIfServing(this.serving.digest());
+			brokenOff();
+			finish(() -> this.answer.fail(Traffic.FailureReason.FAILED, 0,
+					"the runner answered from other weights than it was admitted with; it is taken out"));
+			return false;
+		}
+		this.status = newStatus;
+		this.headers = newHeaders;
+		this.answer.head(newStatus, newHeaders);
+		return true;
+	}
+
+	private boolean weightsMatch(List<Traffic.Header> newHeaders) {
+		if (this.serving.digest() == null) {
+			return true;
+		}
+		return newHeaders.stream()
+			.filter((header) -> header.name().equalsIgnoreCase(DIGEST_HEADER))
+			.anyMatch((header) -> header.value().equals(this.serving.digest().hex()));
+	}
+
+	@Override
+	public boolean hasRoom() {
+		return this.answer.hasRoom() || this.answer.isTerminated();
+	}
+
+	@Override
+	public void data(byte[] bytes) {
+		if (this.kept != null && this.kept.size() <= KEPT_ANSWER_BYTES) {
+			this.kept.writeBytes(bytes);
+		}
+		if (!this.answer.isTerminated()) {
+			this.answer.data(bytes);
+		}
+	}
+
+	@Override
+	public void ended(ClientConnection connection) {
+		this.connections.release(connection);
+		if (this.guarded && this.kept.size() <= KEPT_ANSWER_BYTES) {
+			this.once.answered(this.dispatch, new KeptAnswer(this.status, this.headers, this.kept.toByteArray()));
+		}
+		else {
+			brokenOff();
+		}
+		finish(this.answer::end);
+	}
+
+	@Override
+	public void failed(String reason) {
+		brokenOff();
+		Traffic.FailureReason kind = (this.dispatch.idempotent()) ? Traffic.FailureReason.FAILED
+				: Traffic.FailureReason.OUTCOME_UNKNOWN;
+		finish(() -> this.answer.fail(kind, 0, reason));
+	}
+
+	private void brokenOff() {
+		if (this.guarded) {
+			this.once.brokenOff(this.dispatch);
+		}
+	}
+
+	private void finish(Runnable lastMessage) {
+		RunnerGate entered;
+		synchronized (this) {
+			if (this.state == State.ENDED) {
+				return;
+			}
+			this.state = State.ENDED;
+			entered = this.gate;
+		}
+		lastMessage.run();
+		if (entered != null) {
+			entered.leave();
+		}
+		this.finished.accept(this);
+	}
+
+	/**
+	 * How far a request has come.
+	 */
+	private enum State {
+
+		/** Taken in, perhaps waiting. */
+		ADMITTED,
+
+		/** Inside the runner's gate, nothing sent. */
+		ENTERED,
+
+		/** The runner may have some of it. */
+		DISPATCHED,
+
+		/** Nothing more is done. */
+		ENDED
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/requests/RecentRequests.java
@@ -0,0 +1,52 @@
+package org.catkingate.agent.requests;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Set;
+
+import org.catkingate.model.RequestId;
+
+/**
+ * Remembers requests that must not start (again) for as long as a frame that starts them
+ * could still be valid. Safe for use by any thread.
+ */
+final class RecentRequests {
+
+	private final Deque<Remembered> byAge = new ArrayDeque<>();
+
+	private final Set<RequestId> ids = new HashSet<>();
+
+	private final long keptMillis;
+
+	RecentRequests(long keptMillis) {
+		this.keptMillis = keptMillis;
+	}
+
+	synchronized void add(RequestId request, long nowMillis) {
+		if (this.ids.add(request)) {
+			this.byAge.add(new Remembered(request, nowMillis));
+		}
+	}
+
+	synchronized boolean contains(RequestId request) {
+		return this.ids.contains(request);
+	}
+
+	synchronized void forgetOld(long nowMillis) {
+		while (!this.byAge.isEmpty() && nowMillis - this.byAge.peek().atMillis() > this.keptMillis) {
+			this.ids.remove(this.byAge.poll().request());
+		}
+	}
+
+	/**
+	 * A request and when it was remembered.
+	 *
+	 * @param request the request
+	 * @param atMillis when, in milliseconds of the monotonic clock
+	 */
+	private record Remembered(RequestId request, long atMillis) {
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/requests/RunnerLane.java
@@ -0,0 +1,15 @@
+package org.catkingate.agent.requests;
+
+import org.catkingate.agent.runners.RunnerGate;
+
+/**
+ * One runner with its gate, queue and connections. Immutable; its parts are safe for use
+ * by any thread.
+ *
+ * @param gate the gate
+ * @param queue the queue
+ * @param connections the connections
+ */
+record RunnerLane(RunnerGate gate, RunnerQueue queue, RunnerConnections connections) {
+
+}
--- /dev/null
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/requests/RunnerQueue.java
@@ -0,0 +1,115 @@
+package org.catkingate.agent.requests;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.PriorityQueue;
+
+/**
+ * The bounded queue in front of one runner. So many requests run at a time, so many more
+ * wait, those of higher priority first and equals in order of arrival. Safe for use by
+ * any thread; it starts nothing itself.
+ */
+final class RunnerQueue {
+
+	private static final Comparator<AgentRequest> ORDER = Comparator
+		.comparingInt((AgentRequest request) -> -request.dispatch().priority())
+		.thenComparingLong(AgentRequest::arrival);
+
+	private final PriorityQueue<AgentRequest> waiting = new PriorityQueue<>(ORDER);
+
+	private int running;
+
+	/**
+	 * Takes a request in.
+	 * @param request the request
+	 * @param capacity how many may run and wait
+	 * @return what is to be done with it and with others
+	 */
+	synchronized Admission offer(AgentRequest request, Capacity capacity) {
+		if (this.running < capacity.running()) {
+			this.running++;
+			return new Admission(Outcome.START, Optional.empty());
+		}
+		if (this.waiting.size() < capacity.waiting()) {
+			this.waiting.add(request);
+			return new Admission(Outcome.WAIT, Optional.empty());
+		}
+		Optional<AgentRequest> lowest = this.waiting.stream().max(ORDER);
+		if (lowest.isPresent() && ORDER.compare(request, lowest.get()) < 0) {
+			this.waiting.remove(lowest.get());
+			this.waiting.add(request);
+			return new Admission(Outcome.WAIT, lowest);
+		}
+		return new Admission(Outcome.REFUSE, Optional.empty());
+	}
+
+	/**
+	 * Takes note that a request which was started has ended.
+	 * @param capacity how many may run and wait
+	 * @return the requests that are to be started now
+	 */
+	synchronized List<AgentRequest> ended(Capacity capacity) {
+		this.running--;
+		List<AgentRequest> next = new ArrayList<>();
+		while (this.running < capacity.running() && !this.waiting.isEmpty()) {
+			next.add(this.waiting.poll());
+			this.running++;
+		}
+		return next;
+	}
+
+	/**
+	 * Takes a waiting request out.
+	 * @param request the request
+	 * @return whether it was waiting
+	 */
+	synchronized boolean remove(AgentRequest request) {
+		return this.waiting.remove(request);
+	}
+
+	/**
+	 * Takes all waiting requests out.
+	 * @return those that were waiting
+	 */
+	synchronized List<AgentRequest> removeAll() {
+		List<AgentRequest> all = new ArrayList<>(this.waiting);
+		this.waiting.clear();
+		return all;
+	}
+
+	synchronized int load() {
+		return this.running + this.waiting.size();
+	}
+
+	/**
+	 * What becomes of a request that is offered.
+	 */
+	enum Outcome {
+
+		START, WAIT, REFUSE
+
+	}
+
+	/**
+	 * The answer to an offer.
+	 *
+	 * @param outcome what becomes of the request
+	 * @param displaced a waiting request of lower priority that must be refused for it
+	 */
+	record Admission(Outcome outcome, Optional<AgentRequest> displaced) {
+
+	}
+
+	/**
+	 * How many requests a runner takes.
+	 *
+	 * @param running how many run at a time
+	 * @param waiting how many more wait
+	 */
+	record Capacity(int running, int waiting) {
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/routing/RoutingPolicies.java
@@ -0,0 +1,126 @@
+package org.catkingate.decisions.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * The ways to choose a runner. Stateless and safe for use by any thread, but for round
+ * robin, which counts.
+ *
+ * @since 0.1
+ */
+public final class RoutingPolicies {
+
+	/** How far above the mean load a runner may be and still keep its prefixes. */
+	private static final double AFFINITY_LOAD_FACTOR = 1.25;
+
+	/** How many runners in rank are tried for a prefix before load alone decides. */
+	private static final int AFFINITY_RANKS = 3;
+
+	private RoutingPolicies() {
+	}
+
+	/**
+	 * The product's own way: the nearest runners that have a place free; among them the
+	 * first in rank for the request's prefix whose load is within bounds, else the better
+	 * of two chosen at random. When no runner has a place free, the better of two of all.
+	 * @return the policy, never null
+	 */
+	public static RoutingPolicy localThenLeastLoaded() {
+		return RoutingPolicies::chooseLocally;
+	}
+
+	/**
+	 * Baseline: any candidate, with equal chances.
+	 * @return the policy, never null
+	 */
+	public static RoutingPolicy randomChoice() {
+		return (query) -> {
+			List<Candidate> allowed = allowed(query);
+			return (allowed.isEmpty()) ? Optional.empty()
+					: Optional.of(allowed.get(query.random().nextInt(allowed.size())));
+		};
+	}
+
+	/**
+	 * Baseline: one candidate after the other.
+	 * @return the policy, never null
+	 */
+	public static RoutingPolicy roundRobin() {
+		AtomicInteger next = new AtomicInteger();
+		return (query) -> {
+			List<Candidate> allowed = allowed(query);
+			return (allowed.isEmpty()) ? Optional.empty()
+					: Optional.of(allowed.get(Math.floorMod(next.getAndIncrement(), allowed.size())));
+		};
+	}
+
+	private static List<Candidate> allowed(RouteQuery query) {
+		List<Candidate> allowed = new ArrayList<>();
+		for (Distance distance : Distance.values()) {
+			query.candidates().at(distance).stream().filter(query::allows).forEach(allowed::add);
+		}
+		return allowed;
+	}
+
+	private static Optional<Candidate> chooseLocally(RouteQuery query) {
+		for (Distance distance : Distance.values()) {
+			List<Candidate> near = query.candidates().at(distance);
+			Optional<Candidate> chosen = (query.affinity() != 0) ? chooseForPrefix(near, query) : Optional.empty();
+			if (chosen.isEmpty()) {
+				chosen = betterOfTwo(near, query);
+			}
+			if (chosen.isPresent() && query.load(chosen.get()) < query.capacity()) {
+				return chosen;
+			}
+		}
+		return leastLoadedNearby(query);
+	}
+
+	private static Optional<Candidate> leastLoadedNearby(RouteQuery query) {
+		return allowed(query).stream().min(Comparator.comparingDouble(query::load));
+	}
+
+	private static Optional<Candidate> chooseForPrefix(List<Candidate> candidates, RouteQuery query) {
+		double bound = loadBound(candidates, query);
+		List<Candidate> ranked = new ArrayList<>(candidates);
+		Comparator<Candidate> byRank = Comparator
+			.comparingLong((Candidate candidate) -> Hashes.combine(query.affinity(), candidate.keyHash()));
+		ranked.sort(byRank);
+		return ranked.stream()
+			.limit(AFFINITY_RANKS)
+			.filter(query::allows)
+			.filter((candidate) -> query.load(candidate) + 1 <= bound)
+			.findFirst();
+	}
+
+	private static double loadBound(List<Candidate> candidates, RouteQuery query) {
+		double total = 1;
+		for (Candidate candidate : candidates) {
+			total += query.load(candidate);
+		}
+		double mean = total / Math.max(1, candidates.size());
+		return Math.min(query.capacity(), Math.ceil(AFFINITY_LOAD_FACTOR * mean));
+	}
+
+	private static Optional<Candidate> betterOfTwo(List<Candidate> candidates, RouteQuery query) {
+		List<Candidate> allowed = candidates.stream().filter(query::allows).toList();
+		if (allowed.isEmpty()) {
+			return Optional.empty();
+		}
+		int first = query.random().nextInt(allowed.size());
+		if (allowed.size() == 1) {
+			return Optional.of(allowed.get(first));
+		}
+		int second = (first + 1 + query.random().nextInt(allowed.size() - 1)) % allowed.size();
+		return Optional.of(lessLoaded(allowed.get(first), allowed.get(second), query));
+	}
+
+	private static Candidate lessLoaded(Candidate first, Candidate second, RouteQuery query) {
+		return (query.load(first) <= query.load(second)) ? first : second;
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/routing/RunnerKey.java
@@ -0,0 +1,36 @@
+package org.catkingate.decisions.routing;
+
+import java.util.Comparator;
+import java.util.Objects;
+
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.RunnerId;
+
+/**
+ * Names a runner in the whole fleet. Immutable and safe for use by any thread.
+ *
+ * @param instance the instance that it is on
+ * @param runner its name there
+ * @since 0.1
+ */
+public record RunnerKey(InstanceId instance, RunnerId runner) implements Comparable<RunnerKey> {
+
+	private static final Comparator<RunnerKey> ORDER = Comparator.comparing(RunnerKey::instance)
+		.thenComparing(RunnerKey::runner);
+
+	public RunnerKey {
+		Objects.requireNonNull(instance, "instance must not be null");
+		Objects.requireNonNull(runner, "runner must not be null");
+	}
+
+	@Override
+	public int compareTo(RunnerKey other) {
+		return ORDER.compare(this, other);
+	}
+
+	@Override
+	public String toString() {
+		return this.instance + "/" + this.runner;
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/routing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Which runner a request goes to: selectors, locality, prefix affinity and load.
+ */
+package org.catkingate.decisions.routing;
--- /dev/null
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/AccountLimits.java
@@ -0,0 +1,63 @@
+package org.catkingate.entry;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.IntSupplier;
+import java.util.function.UnaryOperator;
+
+import org.catkingate.decisions.limits.AccountShare;
+import org.catkingate.decisions.limits.AccountUse;
+import org.catkingate.decisions.limits.LimitDecision;
+import org.catkingate.model.AccountName;
+import org.catkingate.model.published.ClientAccount;
+import org.catkingate.runtime.MonotonicClock;
+
+/**
+ * Holds each client account to its share at this entry. Safe for use by any thread.
+ */
+final class AccountLimits {
+
+	private final Map<AccountName, AccountUse> uses = new ConcurrentHashMap<>();
+
+	private final IntSupplier entries;
+
+	private final MonotonicClock clock;
+
+	AccountLimits(IntSupplier entries, MonotonicClock clock) {
+		this.entries = entries;
+		this.clock = clock;
+	}
+
+	/**
+	 * Takes a request in if the account is within its limits. Each one that is taken in
+	 * must be followed by one {@link #ended}.
+	 * @param account the account
+	 * @return whether it was taken in, and else why not
+	 */
+	LimitDecision start(ClientAccount account) {
+		AccountShare share = AccountShare.of(account, Math.max(1, this.entries.getAsInt()));
+		long now = this.clock.millis();
+		LimitDecision[] decision = new LimitDecision[1];
+		this.uses.compute(account.name(), (name, before) -> {
+			AccountUse use = (before != null) ? before.refilled(share, now) : AccountUse.none(share, now);
+			decision[0] = use.decide(share);
+			return (decision[0].isAllowed()) ? use.started() : use;
+		});
+		return decision[0];
+	}
+
+	void ended(ClientAccount account) {
+		change(account, AccountUse::ended);
+	}
+
+	void generated(ClientAccount account, long tokens) {
+		if (tokens > 0) {
+			change(account, (use) -> use.generated(tokens));
+		}
+	}
+
+	private void change(ClientAccount account, UnaryOperator<AccountUse> operator) {
+		this.uses.computeIfPresent(account.name(), (name, use) -> operator.apply(use));
+	}
+
+}
--- /dev/null
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/Accounts.java
@@ -0,0 +1,56 @@
+package org.catkingate.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.catkingate.model.Digest;
+import org.catkingate.model.published.ClientAccount;
+import org.catkingate.model.published.PublishedConfiguration;
+
+/**
+ * Finds client accounts by their keys. Safe for use by any thread: the index of the
+ * configuration in force is immutable and replaced whole.
+ */
+final class Accounts {
+
+	private static final String SCHEME = "Bearer ";
+
+	private volatile Index index = new Index(PublishedConfiguration.empty(), Map.of());
+
+	Optional<ClientAccount> find(PublishedConfiguration configuration, String authorization) {
+		if (authorization == null || !authorization.startsWith(SCHEME)) {
+			return Optional.empty();
+		}
+		String key = authorization.substring(SCHEME.length()).strip();
+		Digest digest = Digest.of(key.getBytes(StandardCharsets.UTF_8));
+		return Optional.ofNullable(indexOf(configuration).byKey().get(digest));
+	}
+
+	private Index indexOf(PublishedConfiguration configuration) {
+		Index current = this.index;
+		if (current.configuration() != configuration) {
+			current = Index.of(configuration);
+			this.index = current;
+		}
+		return current;
+	}
+
+	/**
+	 * The accounts of one configuration. Immutable.
+	 *
+	 * @param configuration the configuration
+	 * @param byKey the accounts by the digest of their keys
+	 */
+	private record Index(PublishedConfiguration configuration, Map<Digest, ClientAccount> byKey) {
+
+		static Index of(PublishedConfiguration configuration) {
+			Map<Digest, ClientAccount> byKey = new HashMap<>();
+			configuration.accounts().values().forEach((account) -> byKey.put(account.keyDigest(), account));
+			return new Index(configuration, byKey);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/CallRequest.java
@@ -0,0 +1,35 @@
+package org.catkingate.entry;
+
+import java.util.List;
+
+import org.catkingate.model.RequestId;
+import org.catkingate.model.published.ClientAccount;
+import org.catkingate.model.published.RoutingRule;
+import org.catkingate.model.published.Service;
+import org.catkingate.wire.Traffic;
+
+/**
+ * What a caller asks for. Immutable; the body must not be changed.
+ *
+ * @param id the request's identity
+ * @param account the client account
+ * @param rule the rule that applies
+ * @param service where the rule sends it
+ * @param idempotent whether a second run does no harm
+ * @param idempotencyKey the caller's key for a non-idempotent call; null for none
+ * @param deadlineMillis when the whole answer is due, in milliseconds of the monotonic
+ * clock
+ * @param method the HTTP method
+ * @param target the path and query
+ * @param headers the headers to pass on
+ * @param body the body
+ */
+record CallRequest(RequestId id, ClientAccount account, RoutingRule rule, Service service, boolean idempotent,
+		String idempotencyKey, long deadlineMillis, String method, String target, List<Traffic.Header> headers,
+		byte[] body) {
+
+	CallRequest {
+		headers = List.copyOf(headers);
+	}
+
+}
--- /dev/null
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/CallerAnswer.java
@@ -0,0 +1,130 @@
+package org.catkingate.entry;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Set;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import org.xnio.IoUtils;
+import org.xnio.channels.StreamSinkChannel;
+
+import org.catkingate.wire.Traffic;
+
+/**
+ * Writes one answer to its caller, as fast as the caller reads. It holds what the agent
+ * may send ahead and no more. An answer that is given up in the middle is cut, so that
+ * the caller sees that it is not whole. Used on the exchange's I/O thread only.
+ */
+final class CallerAnswer {
+
+	private static final int BUFFERS_PER_WRITE = 32;
+
+	private static final Set<HttpString> OWN_HEADERS = Set.of(Headers.CONNECTION, Headers.KEEP_ALIVE,
+			Headers.TRANSFER_ENCODING, Headers.TE, Headers.TRAILER, Headers.UPGRADE, Headers.DATE, Headers.SERVER,
+			Headers.PROXY_AUTHENTICATE);
+
+	private final Deque<ByteBuffer> pending = new ArrayDeque<>();
+
+	private final HttpServerExchange exchange;
+
+	private final Runnable writable;
+
+	private final Runnable departed;
+
+	private StreamSinkChannel sink;
+
+	private long written;
+
+	private boolean ended;
+
+	private boolean shut;
+
+	CallerAnswer(HttpServerExchange exchange, Runnable writable, Runnable departed) {
+		this.exchange = exchange;
+		this.writable = writable;
+		this.departed = departed;
+	}
+
+	boolean isBegun() {
+		return this.sink != null;
+	}
+
+	long written() {
+		return this.written;
+	}
+
+	void begin(int status, List<Traffic.Header> headers) {
+		this.exchange.setStatusCode(status);
+		for (Traffic.Header header : headers) {
+			HttpString name = new HttpString(header.name());
+			if (!OWN_HEADERS.contains(name)) {
+				this.exchange.getResponseHeaders().add(name, header.value());
+			}
+		}
+		this.sink = this.exchange.getResponseChannel();
+		this.sink.getWriteSetter().set((channel) -> this.writable.run());
+	}
+
+	void add(ByteBuffer bytes) {
+		this.pending.add(bytes);
+	}
+
+	void end() {
+		this.ended = true;
+	}
+
+	/**
+	 * Writes what the caller takes now; the rest follows when it takes more.
+	 */
+	void proceed() {
+		try {
+			if (writePending() && finishWriting()) {
+				this.sink.suspendWrites();
+			}
+			else {
+				this.sink.resumeWrites();
+			}
+		}
+		catch (IOException ex) {
+			cut();
+			this.departed.run();
+		}
+	}
+
+	private boolean writePending() throws IOException {
+		while (!this.pending.isEmpty()) {
+			ByteBuffer[] buffers = this.pending.stream().limit(BUFFERS_PER_WRITE).toArray(ByteBuffer[]::new);
+			long count = this.sink.write(buffers, 0, buffers.length);
+			if (count == 0) {
+				return false;
+			}
+			this.written += count;
+			while (!this.pending.isEmpty() && !this.pending.peek().hasRemaining()) {
+				this.pending.poll();
+			}
+		}
+		return true;
+	}
+
+	private boolean finishWriting() throws IOException {
+		if (this.ended && !this.shut) {
+			this.shut = true;
+			this.sink.shutdownWrites();
+		}
+		return this.sink.flush();
+	}
+
+	/**
+	 * Closes the caller's connection without ending the answer.
+	 */
+	void cut() {
+		this.pending.clear();
+		IoUtils.safeClose(this.exchange.getConnection());
+	}
+
+}
--- /dev/null
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/Failure.java
@@ -0,0 +1,51 @@
+package org.catkingate.entry;
+
+import java.util.Objects;
+
+import org.catkingate.decisions.limits.LimitDecision;
+
+/**
+ * What a caller is told in place of an answer. Immutable.
+ *
+ * @param kind what is wrong
+ * @param retryAfterMillis when to come back, in milliseconds, 0 to say nothing
+ * @param message what happened, and the remedy
+ */
+record Failure(FailureKind kind, long retryAfterMillis, String message) {
+
+	private static final long MILLIS_PER_SECOND = 1000;
+
+	private static final long SOON_MILLIS = 1000;
+
+	Failure {
+		Objects.requireNonNull(kind, "kind must not be null");
+		Objects.requireNonNull(message, "message must not be null");
+	}
+
+	static Failure of(FailureKind kind, String message) {
+		return new Failure(kind, 0, message);
+	}
+
+	static Failure comeBackSoon(FailureKind kind, String message) {
+		return new Failure(kind, SOON_MILLIS, message);
+	}
+
+	static Failure of(LimitDecision decision) {
+		FailureKind kind = switch (decision.limit()) {
+			case REQUESTS -> FailureKind.REQUEST_LIMIT;
+			case CONCURRENCY -> FailureKind.CONCURRENCY_LIMIT;
+			case TOKENS -> FailureKind.TOKEN_LIMIT;
+		};
+		return new Failure(kind, decision.retryAfterMillis(),
+				"the client account is over its limit; come back later or ask for a higher limit");
+	}
+
+	/**
+	 * Returns the wait in whole seconds, as HTTP writes it.
+	 * @return the wait, rounded up
+	 */
+	long retryAfterSeconds() {
+		return (this.retryAfterMillis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+	}
+
+}
--- /dev/null
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/FailureWriter.java
@@ -0,0 +1,49 @@
+package org.catkingate.entry;
+
+import java.util.Map;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+
+/**
+ * Writes failures as answers. Stateless.
+ */
+final class FailureWriter {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private static final HttpString OUTCOME = new HttpString("X-Catkingate-Outcome");
+
+	private FailureWriter() {
+	}
+
+	static void write(HttpServerExchange exchange, Failure failure) {
+		exchange.setStatusCode(failure.kind().status());
+		exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+		if (failure.retryAfterMillis() > 0) {
+			exchange.getResponseHeaders().put(Headers.RETRY_AFTER, Long.toString(failure.retryAfterSeconds()));
+		}
+		if (failure.kind() == FailureKind.OUTCOME_UNKNOWN) {
+			exchange.getResponseHeaders().put(OUTCOME, "unknown");
+		}
+		if (!exchange.isRequestComplete() || failure.kind() == FailureKind.LEAVING) {
+			exchange.setPersistent(false);
+			exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
+		}
+		exchange.getResponseSender().send(body(failure));
+	}
+
+	static String body(Failure failure) {
+		try {
+			return MAPPER.writeValueAsString(
+					Map.of("error", Map.of("kind", failure.kind().code(), "message", failure.message())));
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalStateException("two texts could not be written as JSON", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/Router.java
@@ -0,0 +1,87 @@
+package org.catkingate.entry;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.catkingate.decisions.membership.FleetSnapshot;
+import org.catkingate.decisions.retries.RetryPolicy;
+import org.catkingate.decisions.routing.Candidate;
+import org.catkingate.decisions.routing.Candidates;
+import org.catkingate.decisions.routing.Location;
+import org.catkingate.decisions.routing.RouteQuery;
+import org.catkingate.decisions.routing.RoutingPolicy;
+import org.catkingate.decisions.routing.RunnerKey;
+import org.catkingate.model.published.RoutingRule;
+import org.catkingate.runtime.MonotonicClock;
+
+/**
+ * Puts the routing policy's questions together from the snapshot in force. The candidates
+ * of a rule are worked out once for each snapshot. Safe for use by any thread.
+ */
+final class Router {
+
+	private final AtomicLong draws = new AtomicLong();
+
+	private final RoutingPolicy policy;
+
+	private final Location own;
+
+	private final RunnerLoads loads;
+
+	private final MonotonicClock clock;
+
+	private final long seed;
+
+	private volatile Selected selected = new Selected(FleetSnapshot.empty(), new ConcurrentHashMap<>());
+
+	Router(RoutingPolicy policy, Location own, RunnerLoads loads, MonotonicClock clock, long seed) {
+		this.policy = policy;
+		this.own = own;
+		this.loads = loads;
+		this.clock = clock;
+		this.seed = seed;
+	}
+
+	Optional<RunnerKey> choose(FleetSnapshot fleet, CallRequest request, Set<RunnerKey> excluded) {
+		Candidates candidates = candidates(fleet, request.rule());
+		RouteQuery query = new RouteQuery(candidates, excluded, Affinity.of(request),
+				request.service().concurrentRequests(), this.clock.millis(), this.loads::of, random());
+		return this.policy.choose(query).map(Candidate::key);
+	}
+
+	boolean hasCandidates(FleetSnapshot fleet, RoutingRule rule) {
+		return !candidates(fleet, rule).isEmpty();
+	}
+
+	long retryDelayMillis(RetryPolicy retries, int attempts) {
+		return retries.delayMillis(attempts, random());
+	}
+
+	private SplittableRandom random() {
+		return new SplittableRandom(this.seed + this.draws.incrementAndGet() * 0x9e3779b97f4a7c15L);
+	}
+
+	private Candidates candidates(FleetSnapshot fleet, RoutingRule rule) {
+		Selected current = this.selected;
+		if (current.fleet() != fleet) {
+			current = new Selected(fleet, new ConcurrentHashMap<>());
+			this.selected = current;
+		}
+		return current.byRule().computeIfAbsent(rule.name(), (name) -> Candidates.select(fleet, rule, this.own));
+	}
+
+	/**
+	 * The candidates worked out for one snapshot.
+	 *
+	 * @param fleet the snapshot
+	 * @param byRule the candidates by the name of the rule
+	 */
+	private record Selected(FleetSnapshot fleet, Map<String, Candidates> byRule) {
+
+	}
+
+}
