--- a/catkingate-agent/src/main/java/org/catkingate/agent/weights/HttpEngineClient.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/weights/HttpEngineClient.java
@@ -18,6 +18,7 @@
 import org.catkingate.model.Digest;
 import org.catkingate.model.Manifest;
 import org.catkingate.model.VersionId;
+import org.catkingate.runtime.http.HttpCalls;
 
 /**
  * Gives orders to an engine over HTTP. Safe for use by any thread.
--- a/catkingate-agent/src/main/java/org/catkingate/agent/weights/HttpWeightSource.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/weights/HttpWeightSource.java
@@ -11,6 +11,7 @@
 import org.xnio.XnioWorker;
 
 import org.catkingate.model.VersionId;
+import org.catkingate.runtime.http.HttpCalls;
 
 /**
  * Reads an origin or a weight store over HTTP. Safe for use by any thread.
--- a/catkingate-cli/src/main/java/org/catkingate/cli/Catkingate.java
+++ b/catkingate-cli/src/main/java/org/catkingate/cli/Catkingate.java
@@ -1,5 +1,9 @@
 package org.catkingate.cli;
 
+import org.slf4j.event.Level;
+
+import org.catkingate.runtime.logging.Logging;
+
 /**
  * Entry point of the executable file.
  *
@@ -15,6 +19,7 @@
 	 * @param args the arguments
 	 */
 	public static void main(String[] args) {
+		Logging.toStandardOutput(Level.WARN);
 		System.exit(CommandLine.withAllCommands(System.out, System.err).run(args));
 	}
 
--- /dev/null
+++ b/catkingate-cli/src/main/java/org/catkingate/cli/CheckCommand.java
@@ -0,0 +1,110 @@
+package org.catkingate.cli;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+
+import org.catkingate.model.Role;
+import org.catkingate.model.ini.ConfigurationProblem;
+import org.catkingate.model.ini.InvalidConfigurationException;
+import org.catkingate.model.published.ConfigurationBundle;
+import org.catkingate.model.published.PublishedConfiguration;
+import org.catkingate.runtime.settings.SettingsReader;
+
+/**
+ * Validates settings, or the parts of a configuration before they are published; and
+ * writes the values to publish.
+ */
+@Parameters(commandDescription = "Validate settings or a configuration to publish, and print all faults at once")
+final class CheckCommand extends Command {
+
+	private final PrintStream out;
+
+	@Parameter(description = "FILE..., the parts of a configuration or one settings file", required = true)
+	private List<Path> files = new ArrayList<>();
+
+	@Parameter(names = "--settings", description = "The file holds settings of this role: entry or agent")
+	private Role settingsRole;
+
+	@Parameter(names = "--revision", description = "The revision to publish; higher than any before")
+	private long revision = 1;
+
+	@Parameter(names = "--bundle", description = "Write the values to publish, one file a key, below this directory")
+	private Path bundle;
+
+	CheckCommand(PrintStream out) {
+		this.out = out;
+	}
+
+	@Override
+	String example() {
+		return "catkingate check --revision 42 --bundle out examples/sursagar/fleet.ini examples/sursagar/rules.ini"
+				+ " examples/sursagar/accounts.ini examples/sursagar/versions.ini";
+	}
+
+	@Override
+	int run() throws CommandException {
+		try {
+			return (this.settingsRole != null) ? checkSettings() : checkPublished();
+		}
+		catch (InvalidConfigurationException ex) {
+			throw new CommandException(ExitCodes.FAILURE, lines(ex));
+		}
+		catch (IOException ex) {
+			throw new CommandException(ExitCodes.FAILURE, "catkingate check: " + ex.getMessage() + ": "
+					+ ex.getClass().getSimpleName() + "; name files and a directory that can be used");
+		}
+	}
+
+	private int checkSettings() throws InvalidConfigurationException, CommandException {
+		if (this.files.size() != 1) {
+			throw new CommandException(ExitCodes.USAGE, "catkingate check: --settings takes one FILE");
+		}
+		SettingsReader.read(this.settingsRole, this.files.get(0));
+		this.out.println("valid settings");
+		return ExitCodes.SUCCESS;
+	}
+
+	private int checkPublished() throws InvalidConfigurationException, IOException {
+		List<String> parts = new ArrayList<>();
+		for (Path file : this.files) {
+			parts.add(Files.readString(file));
+		}
+		ConfigurationBundle publication = ConfigurationBundle.of(this.revision, parts);
+		PublishedConfiguration configuration = publication.parse();
+		if (this.bundle != null) {
+			write(publication);
+		}
+		this.out.println("valid configuration " + publication.version() + ": " + configuration.services().size()
+				+ " services, " + configuration.versions().size() + " versions, " + configuration.accounts().size()
+				+ " client accounts, " + configuration.rules().size() + " rules");
+		return ExitCodes.SUCCESS;
+	}
+
+	private void write(ConfigurationBundle publication) throws IOException {
+		Files.createDirectories(this.bundle.resolve("parts"));
+		for (var part : publication.parts().entrySet()) {
+			Files.write(this.bundle.resolve(ConfigurationBundle.partKey(part.getKey())), part.getValue());
+		}
+		Files.write(this.bundle.resolve(ConfigurationBundle.HEAD_KEY), publication.head());
+	}
+
+	private String lines(InvalidConfigurationException ex) {
+		StringBuilder text = new StringBuilder();
+		for (ConfigurationProblem problem : ex.problems()) {
+			text.append((text.length() > 0) ? "\n" : "").append(names()).append(": ").append(problem);
+		}
+		return text.toString();
+	}
+
+	private String names() {
+		return (this.files.size() == 1) ? this.files.get(0).toString() : this.files.size() + " files";
+	}
+
+}
--- a/catkingate-agent/src/main/java/org/catkingate/agent/weights/HttpCalls.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/HttpCalls.java
@@ -1,4 +1,4 @@
-package org.catkingate.agent.weights;
+package org.catkingate.runtime.http;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -34,8 +34,10 @@
  * HTTP calls whose answers are read whole, over connections that are kept for the next
  * call to the same address. Every call ends within its timeout. Safe for use by any
  * thread.
+ *
+ * @since 0.1
  */
-final class HttpCalls {
+public final class HttpCalls {
 
 	private static final int BUFFER_BYTES = 16 * 1024;
 
@@ -51,11 +53,26 @@
 		this.worker = worker;
 	}
 
-	static HttpCalls on(XnioWorker worker) {
+	/**
+	 * Makes calls on the I/O threads of a worker.
+	 * @param worker the worker
+	 * @return the calls, never null
+	 */
+	public static HttpCalls on(XnioWorker worker) {
 		return new HttpCalls(worker);
 	}
 
-	CompletableFuture<Answer> call(URI base, ClientRequest request, Body body, int maximumBytes, long timeoutMillis) {
+	/**
+	 * Makes one call.
+	 * @param base the scheme, host and port
+	 * @param request the request; its host header is set here
+	 * @param body writes the body
+	 * @param maximumBytes the longest body of an answer, in bytes
+	 * @param timeoutMillis the time for the whole answer, in milliseconds
+	 * @return the whole answer, whatever its status, or the failure
+	 */
+	public CompletableFuture<Answer> call(URI base, ClientRequest request, Body body, int maximumBytes,
+			long timeoutMillis) {
 		request.getRequestHeaders().put(Headers.HOST, base.getAuthority());
 		Call call = new Call(base, request, body, maximumBytes);
 		call.timer = this.worker.getIoThread()
@@ -103,7 +120,7 @@
 	 * Writes the body of a request.
 	 */
 	@FunctionalInterface
-	interface Body {
+	public interface Body {
 
 		/**
 		 * Starts the writing. Called by an I/O thread, and must not block it.
@@ -141,9 +158,14 @@
 	 * @param headers the headers
 	 * @param body the body
 	 */
-	record Answer(int status, HeaderMap headers, byte[] body) {
+	public record Answer(int status, HeaderMap headers, byte[] body) {
 
-		String header(String name) {
+		/**
+		 * Looks up a header.
+		 * @param name its name
+		 * @return its first value, or null
+		 */
+		public String header(String name) {
 			return this.headers.getFirst(new HttpString(name));
 		}
 
