--- a/catkingate-agent/src/main/java/org/catkingate/agent/requests/AgentRequest.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/requests/AgentRequest.java
@@ -1,13 +1,17 @@
 package org.catkingate.agent.requests;
 
-import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 
 import io.undertow.client.ClientConnection;
 
+import org.catkingate.agent.idempotency.Admission;
+import org.catkingate.agent.idempotency.CallGuard;
+import org.catkingate.agent.idempotency.GuardedCall;
+import org.catkingate.agent.idempotency.RunPermit;
 import org.catkingate.agent.runners.RunnerGate;
+import org.catkingate.decisions.idempotency.KeptAnswer;
 import org.catkingate.runtime.peers.PeerConnection;
 import org.catkingate.wire.Traffic;
 
@@ -18,16 +22,11 @@
  */
 final class AgentRequest implements RunnerCall.Listener {
 
-	/** The longest answer that is kept for repeats, in bytes. */
-	static final int KEPT_ANSWER_BYTES = 1024 * 1024;
-
-	private static final String DIGEST_HEADER = "X-Weights-Digest";
-
 	private final Traffic.Dispatch dispatch;
 
 	private final AnswerStream answer;
 
-	private final NonIdempotentCalls once;
+	private final CallGuard guard;
 
 	private final long arrival;
 
@@ -45,25 +44,19 @@
 
 	private State state = State.ADMITTED;
 
-	private boolean guarded;
+	private volatile RunPermit permit;
 
 	private boolean cancelled;
 
 	private boolean slot;
 
-	private int status;
-
-	private List<Traffic.Header> headers = List.of();
-
-	private ByteArrayOutputStream kept;
-
 	private long endedMillis;
 
-	AgentRequest(Traffic.Dispatch dispatch, PeerConnection connection, NonIdempotentCalls once, long arrival,
+	AgentRequest(Traffic.Dispatch dispatch, PeerConnection connection, CallGuard guard, long arrival,
 			long deadlineMillis, Consumer<AgentRequest> finished) {
 		this.dispatch = dispatch;
 		this.answer = new AnswerStream(dispatch.request(), connection);
-		this.once = once;
+		this.guard = guard;
 		this.arrival = arrival;
 		this.deadlineMillis = deadlineMillis;
 		this.finished = finished;
@@ -183,45 +176,47 @@
 		if (this.dispatch.idempotent()) {
 			return true;
 		}
-		Verdict verdict = this.once.before(this.dispatch);
-		if (verdict instanceof Verdict.Run) {
-			synchronized (this) {
-				this.guarded = true;
-			}
-			this.kept = new ByteArrayOutputStream();
+		Admission admission = this.guard.admit(GuardedCall.of(this.dispatch));
+		if (admission instanceof Admission.Run run) {
+			this.permit = run.permit();
 			return true;
 		}
-		if (verdict instanceof Verdict.RefuseNotRun refusal) {
+		if (admission instanceof Admission.Refuse refusal) {
 			refuse(refusal.retryAfterMillis(), refusal.message());
 		}
-		else if (verdict instanceof Verdict.OutcomeUnknown unknown) {
-			finish(() -> this.answer.fail(Traffic.FailureReason.OUTCOME_UNKNOWN, 0, unknown.message()));
+		else if (admission instanceof Admission.Unknown unknown) {
+			finish(() -> this.answer.fail(Traffic.FailureReason.OUTCOME_UNKNOWN, unknown.retryAfterMillis(),
+					unknown.message()));
 		}
-		else if (verdict instanceof Verdict.Replay replay) {
+		else if (admission instanceof Admission.Replay replay) {
 			finish(() -> replay(replay.answer()));
 		}
 		return false;
 	}
 
 	private void replay(KeptAnswer first) {
-		this.answer.head(first.status(), first.headers());
-		if (first.body().length > 0) {
-			this.answer.data(first.body());
-		}
+		this.answer.head(first.status(), RunnerHeaders.sent(first.headers()));
+		first.pieces().forEach(this.answer::data);
 		this.answer.end();
 	}
 
 	private boolean markDispatched() {
+		boolean marked;
 		synchronized (this) {
-			if (this.state == State.ENTERED) {
+			marked = this.state == State.ENTERED;
+			if (marked) {
 				this.state = State.DISPATCHED;
-				return true;
 			}
 		}
-		if (this.guarded) {
-			this.once.notSent(this.dispatch);
+		if (!marked && this.permit != null) {
+			this.permit.notStarted();
 		}
-		return false;
+		if (marked && this.permit != null && !this.permit.start()) {
+			finish(() -> this.answer.fail(Traffic.FailureReason.NOT_RUN, 0,
+					"the call may not start any more; repeat it with the same Idempotency-Key"));
+			return false;
+		}
+		return marked;
 	}
 
 	/**
@@ -282,27 +277,23 @@
 	}
 
 	@Override
-	public boolean head(int newStatus, List<Traffic.Header> newHeaders) {
-		if (!weightsMatch(newHeaders)) {
+	public boolean head(int status, List<Traffic.Header> headers) {
+		if (!RunnerHeaders.showWeights(this.serving.digest(), status, headers)) {
 			this.gate.closeIfServing(this.serving.digest());
-			brokenOff();
 			finish(() -> this.answer.fail(Traffic.FailureReason.FAILED, 0,
 					"the runner answered from other weights than it was admitted with; it is taken out"));
 			return false;
 		}
-		this.status = newStatus;
-		this.headers = newHeaders;
-		this.answer.head(newStatus, newHeaders);
-		return true;
-	}
-
-	private boolean weightsMatch(List<Traffic.Header> newHeaders) {
-		if (this.serving.digest() == null) {
-			return true;
+		if (this.serving.digest() != null && RunnerHeaders.isRefusal(status)) {
+			finish(() -> this.answer.fail(Traffic.FailureReason.NOT_RUN, RunnerHeaders.retryAfterMillis(headers),
+					"the engine has no place free; come back later"));
+			return false;
+		}
+		if (this.permit != null) {
+			this.permit.head(status, RunnerHeaders.kept(headers));
 		}
-		return newHeaders.stream()
-			.filter((header) -> header.name().equalsIgnoreCase(DIGEST_HEADER))
-			.anyMatch((header) -> header.value().equals(this.serving.digest().hex()));
+		this.answer.head(status, headers);
+		return true;
 	}
 
 	@Override
@@ -312,8 +303,8 @@
 
 	@Override
 	public void data(byte[] bytes) {
-		if (this.kept != null && this.kept.size() <= KEPT_ANSWER_BYTES) {
-			this.kept.writeBytes(bytes);
+		if (this.permit != null) {
+			this.permit.data(bytes);
 		}
 		if (!this.answer.isTerminated()) {
 			this.answer.data(bytes);
@@ -323,29 +314,22 @@
 	@Override
 	public void ended(ClientConnection connection) {
 		this.connections.release(connection);
-		if (this.guarded && this.kept.size() <= KEPT_ANSWER_BYTES) {
-			this.once.answered(this.dispatch, new KeptAnswer(this.status, this.headers, this.kept.toByteArray()));
-		}
-		else {
-			brokenOff();
+		if (this.permit != null) {
+			this.permit.ended();
 		}
 		finish(this.answer::end);
 	}
 
 	@Override
 	public void failed(String reason) {
-		brokenOff();
+		if (this.permit != null) {
+			this.permit.failed();
+		}
 		Traffic.FailureReason kind = (this.dispatch.idempotent()) ? Traffic.FailureReason.FAILED
 				: Traffic.FailureReason.OUTCOME_UNKNOWN;
 		finish(() -> this.answer.fail(kind, 0, reason));
 	}
 
-	private void brokenOff() {
-		if (this.guarded) {
-			this.once.brokenOff(this.dispatch);
-		}
-	}
-
 	private void finish(Runnable lastMessage) {
 		RunnerGate entered;
 		synchronized (this) {
--- a/catkingate-agent/src/main/java/org/catkingate/agent/requests/AgentRequests.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/requests/AgentRequests.java
@@ -18,6 +18,7 @@
 import org.xnio.XnioExecutor;
 import org.xnio.XnioWorker;
 
+import org.catkingate.agent.idempotency.CallGuard;
 import org.catkingate.decisions.membership.FleetSnapshot;
 import org.catkingate.model.RequestId;
 import org.catkingate.model.RunnerId;
@@ -59,7 +60,7 @@
 
 	private final HeartbeatAge heartbeats;
 
-	private final NonIdempotentCalls once;
+	private final CallGuard guard;
 
 	private final MonotonicClock clock;
 
@@ -72,12 +73,12 @@
 	private volatile boolean draining;
 
 	private AgentRequests(List<RunnerEndpoint> runners, Supplier<FleetSnapshot> fleet, HeartbeatAge heartbeats,
-			NonIdempotentCalls once, MonotonicClock clock, AgentRequestSettings settings, XnioWorker worker) {
+			CallGuard guard, MonotonicClock clock, AgentRequestSettings settings, XnioWorker worker) {
 		this.lanes = lanes(runners, worker);
 		this.recent = new RecentRequests(settings.maximumHeartbeatAgeMillis());
 		this.fleet = fleet;
 		this.heartbeats = heartbeats;
-		this.once = once;
+		this.guard = guard;
 		this.clock = clock;
 		this.settings = settings;
 		this.worker = worker;
@@ -89,14 +90,14 @@
 	 * @param runners the runners of this instance
 	 * @param fleet the configuration in force
 	 * @param heartbeats the age of the agent's own heartbeats
-	 * @param once decides about non-idempotent calls
+	 * @param guard decides about non-idempotent calls
 	 * @param clock the clock
 	 * @param settings the limits
 	 * @return the requests, never null
 	 * @throws IOException if the threads cannot be started
 	 */
 	public static AgentRequests start(List<RunnerEndpoint> runners, Supplier<FleetSnapshot> fleet,
-			HeartbeatAge heartbeats, NonIdempotentCalls once, MonotonicClock clock, AgentRequestSettings settings)
+			HeartbeatAge heartbeats, CallGuard guard, MonotonicClock clock, AgentRequestSettings settings)
 			throws IOException {
 		OptionMap options = OptionMap.builder()
 			.set(Options.WORKER_IO_THREADS, settings.ioThreads())
@@ -106,7 +107,7 @@
 			.set(Options.WORKER_NAME, "runners")
 			.getMap();
 		XnioWorker worker = Xnio.getInstance().createWorker(options);
-		return new AgentRequests(runners, fleet, heartbeats, once, clock, settings, worker);
+		return new AgentRequests(runners, fleet, heartbeats, guard, clock, settings, worker);
 	}
 
 	private static Map<RunnerId, RunnerLane> lanes(List<RunnerEndpoint> runners, XnioWorker worker) {
@@ -166,7 +167,7 @@
 	private void accept(PeerConnection connection, Traffic.Dispatch dispatch) {
 		long now = this.clock.millis();
 		this.counts.arrived().increment();
-		AgentRequest request = new AgentRequest(dispatch, connection, this.once, this.arrivals.incrementAndGet(),
+		AgentRequest request = new AgentRequest(dispatch, connection, this.guard, this.arrivals.incrementAndGet(),
 				now + dispatch.deadlineMillis(), this::finished);
 		if (this.recent.contains(dispatch.request())
 				|| this.requests.putIfAbsent(dispatch.request(), request) != null) {
--- /dev/null
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/requests/RunnerHeaders.java
@@ -0,0 +1,82 @@
+package org.catkingate.agent.requests;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.catkingate.decisions.idempotency.KeptAnswer;
+import org.catkingate.model.Digest;
+import org.catkingate.wire.Traffic;
+
+/**
+ * What the head of a runner's answer tells. Stateless.
+ */
+final class RunnerHeaders {
+
+	private static final String DIGEST = "X-Weights-Digest";
+
+	private static final String RETRY_AFTER = "Retry-After";
+
+	private static final long RETRY_SOON_MILLIS = 1000;
+
+	private static final int MULTIPLE_CHOICES = 300;
+
+	private static final int TOO_MANY_REQUESTS = 429;
+
+	private static final int SERVICE_UNAVAILABLE = 503;
+
+	private RunnerHeaders() {
+	}
+
+	/**
+	 * Tells whether an answer was made from given weights. A success must name them; any
+	 * other answer must not name others.
+	 * @param expected the digest of the weights; null for a plain service
+	 * @param status the HTTP status
+	 * @param headers the headers
+	 * @return whether the answer may be passed on
+	 */
+	static boolean showWeights(Digest expected, int status, List<Traffic.Header> headers) {
+		if (expected == null) {
+			return true;
+		}
+		Optional<String> shown = first(headers, DIGEST);
+		return (shown.isPresent()) ? shown.get().equals(expected.hex()) : status >= MULTIPLE_CHOICES;
+	}
+
+	/**
+	 * Tells whether an engine refused a request without running it.
+	 * @param status the HTTP status
+	 * @return whether it had no place
+	 */
+	static boolean isRefusal(int status) {
+		return status == TOO_MANY_REQUESTS || status == SERVICE_UNAVAILABLE;
+	}
+
+	static long retryAfterMillis(List<Traffic.Header> headers) {
+		try {
+			return first(headers, RETRY_AFTER).map(Long::parseLong)
+				.map(TimeUnit.SECONDS::toMillis)
+				.orElse(RETRY_SOON_MILLIS);
+		}
+		catch (NumberFormatException ex) {
+			return RETRY_SOON_MILLIS;
+		}
+	}
+
+	private static Optional<String> first(List<Traffic.Header> headers, String name) {
+		return headers.stream()
+			.filter((header) -> header.name().equalsIgnoreCase(name))
+			.map(Traffic.Header::value)
+			.findFirst();
+	}
+
+	static List<KeptAnswer.Header> kept(List<Traffic.Header> headers) {
+		return headers.stream().map((header) -> new KeptAnswer.Header(header.name(), header.value())).toList();
+	}
+
+	static List<Traffic.Header> sent(List<KeptAnswer.Header> headers) {
+		return headers.stream().map((header) -> new Traffic.Header(header.name(), header.value())).toList();
+	}
+
+}
--- a/catkingate-entry/src/main/java/org/catkingate/entry/Call.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/Call.java
@@ -193,8 +193,7 @@
 	private Failure failureOf(Traffic.AnswerFailure failure) {
 		return switch (failure.reason()) {
 			case NOT_RUN -> Failure.comeBackSoon(FailureKind.NOT_RUN, failure.message());
-			case FAILED -> Failure.of(kindOfLoss(), failure.message());
-			case OUTCOME_UNKNOWN -> Failure.of(kindOfLoss(), failure.message());
+			case FAILED, OUTCOME_UNKNOWN -> new Failure(kindOfLoss(), failure.retryAfterMillis(), failure.message());
 		};
 	}
 
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/requests/LocalAgent.java
@@ -0,0 +1,160 @@
+package org.catkingate.tests.requests;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+
+import org.catkingate.agent.idempotency.Admission;
+import org.catkingate.agent.idempotency.CallGuard;
+import org.catkingate.agent.idempotency.GuardedCall;
+import org.catkingate.agent.idempotency.RunPermit;
+import org.catkingate.agent.requests.AgentRequestSettings;
+import org.catkingate.agent.requests.AgentRequests;
+import org.catkingate.agent.requests.RunnerEndpoint;
+import org.catkingate.agent.runners.RunnerGate;
+import org.catkingate.decisions.idempotency.KeptAnswer;
+import org.catkingate.decisions.membership.AgentView;
+import org.catkingate.decisions.membership.FleetSnapshot;
+import org.catkingate.model.DataCentreName;
+import org.catkingate.model.Digest;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.InstanceRecord;
+import org.catkingate.model.Labels;
+import org.catkingate.model.RegionName;
+import org.catkingate.model.Role;
+import org.catkingate.model.RunnerId;
+import org.catkingate.model.RunnerStatus;
+import org.catkingate.model.ServiceName;
+import org.catkingate.model.VersionId;
+import org.catkingate.runtime.MonotonicClock;
+import org.catkingate.wire.FrameTransport;
+import org.catkingate.wire.Handshake;
+
+/**
+ * An agent with one runner. Not for use by several threads.
+ */
+final class LocalAgent implements AutoCloseable {
+
+	static final RunnerId RUNNER = new RunnerId("r1");
+
+	private static final DataCentreName DATA_CENTRE = new DataCentreName("ahd-a");
+
+	private static final RegionName REGION = new RegionName("guj-west");
+
+	private final AtomicLong heartbeatAge = new AtomicLong();
+
+	private final InstanceId instance;
+
+	private final RunnerGate gate;
+
+	private final VersionId version;
+
+	private final Digest digest;
+
+	private final FrameTransport transport;
+
+	private final AgentRequests requests;
+
+	private final InetSocketAddress address;
+
+	private boolean draining;
+
+	LocalAgent(String name, ServiceName service, VersionId version, Digest digest, InetSocketAddress runner,
+			Supplier<FleetSnapshot> fleet) throws IOException {
+		this.instance = new InstanceId(name);
+		this.version = version;
+		this.digest = digest;
+		this.gate = RunnerGate.closed(RUNNER, service);
+		this.gate.open(version, digest);
+		this.transport = FrameTransport.create(1, LocalFleet.KEY, identity(name, Role.AGENT, System.nanoTime()));
+		this.requests = AgentRequests.start(List.of(new RunnerEndpoint(this.gate, runner)), fleet,
+				(sequence) -> this.heartbeatAge.get(), new EveryCallRuns(), MonotonicClock.system(),
+				AgentRequestSettings.defaults());
+		this.address = this.transport.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+				new ListenerBridge(this.requests));
+	}
+
+	static Handshake.PeerIdentity identity(String name, Role role, long incarnation) {
+		return new Handshake.PeerIdentity(new InstanceId(name), role, incarnation, DATA_CENTRE, REGION);
+	}
+
+	AgentView view() {
+		InstanceRecord record = new InstanceRecord(this.instance, Role.AGENT, this.address, DATA_CENTRE, REGION,
+				Labels.of(Map.of("role", "gpu")), false);
+		RunnerStatus status = new RunnerStatus(RUNNER, this.gate.service(), this.version, this.digest, true);
+		return new AgentView(record, 1, true, this.draining, List.of(status), List.of(), 0);
+	}
+
+	InstanceId instance() {
+		return this.instance;
+	}
+
+	InetSocketAddress address() {
+		return this.address;
+	}
+
+	RunnerGate gate() {
+		return this.gate;
+	}
+
+	AgentRequests requests() {
+		return this.requests;
+	}
+
+	void heartbeatsAreOld(long millis) {
+		this.heartbeatAge.set(millis);
+	}
+
+	void drain() {
+		this.draining = true;
+		this.requests.drain();
+	}
+
+	@Override
+	public void close() {
+		this.transport.close();
+		this.requests.close();
+	}
+
+	/**
+	 * Lets every call run.
+	 */
+	private static final class EveryCallRuns implements CallGuard, RunPermit {
+
+		@Override
+		public Admission admit(GuardedCall call) {
+			return new Admission.Run(this);
+		}
+
+		@Override
+		public boolean start() {
+			return true;
+		}
+
+		@Override
+		public void notStarted() {
+		}
+
+		@Override
+		public void head(int status, List<KeptAnswer.Header> headers) {
+		}
+
+		@Override
+		public void data(byte[] bytes) {
+		}
+
+		@Override
+		public void ended() {
+		}
+
+		@Override
+		public void failed() {
+		}
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/requests/LocalFleet.java
@@ -0,0 +1,190 @@
+package org.catkingate.tests.requests;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.awaitility.Awaitility;
+
+import org.catkingate.decisions.membership.AgentView;
+import org.catkingate.decisions.membership.FleetSnapshot;
+import org.catkingate.decisions.routing.Location;
+import org.catkingate.entry.EntryPolicies;
+import org.catkingate.entry.EntryRequests;
+import org.catkingate.entry.EntrySettings;
+import org.catkingate.model.AccountName;
+import org.catkingate.model.ConfigurationVersion;
+import org.catkingate.model.DataCentreName;
+import org.catkingate.model.Digest;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.Labels;
+import org.catkingate.model.RegionName;
+import org.catkingate.model.Role;
+import org.catkingate.model.Selector;
+import org.catkingate.model.ServiceName;
+import org.catkingate.model.VersionId;
+import org.catkingate.model.published.CallPattern;
+import org.catkingate.model.published.ClientAccount;
+import org.catkingate.model.published.InstanceGroup;
+import org.catkingate.model.published.PublishedConfiguration;
+import org.catkingate.model.published.RoutingRule;
+import org.catkingate.model.published.Service;
+import org.catkingate.runtime.MonotonicClock;
+import org.catkingate.runtime.peers.PeerConnections;
+import org.catkingate.wire.FrameTransport;
+import org.catkingate.wire.SharedKey;
+
+/**
+ * One entry and some agents in this process, with one engine service and one plain one.
+ * Not for use by several threads.
+ */
+final class LocalFleet implements AutoCloseable {
+
+	static final SharedKey KEY = SharedKey.of("a key of some length");
+
+	static final Duration PATIENCE = Duration.ofSeconds(20);
+
+	static final ServiceName ENGINE = new ServiceName("geet-llm");
+
+	static final ServiceName PLAIN = new ServiceName("catalogue-api");
+
+	static final VersionId VERSION = VersionId.of("lyrics", "1");
+
+	static final Digest DIGEST = Digest.of("weights".getBytes(StandardCharsets.UTF_8));
+
+	private static final String CALLERS_KEY = "callers-key";
+
+	private final List<LocalAgent> agents = new ArrayList<>();
+
+	private final FrameTransport transport;
+
+	private final EntryRequests entry;
+
+	private final ListenerBridge bridge;
+
+	private volatile FleetSnapshot snapshot;
+
+	private PublishedConfiguration configuration = configuration(account(1000, 1000, 1_000_000), 8, 8);
+
+	private LocalFleet(EntryPolicies policies) throws IOException {
+		this.snapshot = new FleetSnapshot(this.configuration, Map.of());
+		this.transport = FrameTransport.create(1, KEY, LocalAgent.identity("entry", Role.ENTRY, 1));
+		InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+		ListenerBridge[] later = new ListenerBridge[1];
+		PeerConnections connections = (instance) -> Optional.ofNullable(later[0].newest(instance));
+		this.entry = EntryRequests.start(EntrySettings.listeningOn(any),
+				new Location(new DataCentreName("ahd-a"), new RegionName("guj-west")), () -> this.snapshot, connections,
+				() -> 1, policies, MonotonicClock.system());
+		later[0] = new ListenerBridge(this.entry);
+		this.bridge = later[0];
+	}
+
+	static LocalFleet start() throws IOException {
+		return new LocalFleet(EntryPolicies.standard(1));
+	}
+
+	static ClientAccount account(int requestsPerSecond, int concurrent, int tokensPerSecond) {
+		return new ClientAccount(new AccountName("bar-1"), Digest.of(CALLERS_KEY.getBytes(StandardCharsets.UTF_8)),
+				Labels.none(), requestsPerSecond, concurrent, tokensPerSecond, 5);
+	}
+
+	static PublishedConfiguration configuration(ClientAccount account, int concurrent, int queued) {
+		Service engine = new Service(ENGINE, Service.Kind.ENGINE, true, "all", List.of(),
+				List.of(new CallPattern("POST", "/v1/completions")), 60_000, 1, 25, concurrent, queued);
+		Service plain = new Service(PLAIN, Service.Kind.PLAIN, false, "all",
+				List.of(new CallPattern("POST", "/purchases")), List.of(new CallPattern("POST", "/lookups*")), 60_000,
+				1, 25, concurrent, queued);
+		RoutingRule completions = new RoutingRule("completions", Selector.everything(),
+				new CallPattern("POST", "/v1/completions"), ENGINE, VERSION, Selector.everything());
+		RoutingRule purchases = new RoutingRule("purchases", Selector.everything(), new CallPattern("*", "/purchases"),
+				PLAIN, null, Selector.everything());
+		RoutingRule lookups = new RoutingRule("lookups", Selector.everything(), new CallPattern("*", "/lookups*"),
+				PLAIN, null, Selector.everything());
+		return new PublishedConfiguration(new ConfigurationVersion(1, DIGEST), Map.of(),
+				Map.of(ENGINE, engine, PLAIN, plain), Map.of("all", new InstanceGroup("all", Selector.everything())),
+				Map.of(), Map.of(account.name(), account), List.of(completions, purchases, lookups));
+	}
+
+	void publish(PublishedConfiguration published) {
+		this.configuration = published;
+		refresh();
+	}
+
+	LocalAgent addEngine(String name, InetSocketAddress runner) throws IOException {
+		return add(new LocalAgent(name, ENGINE, VERSION, DIGEST, runner, () -> this.snapshot));
+	}
+
+	LocalAgent addPlain(String name, InetSocketAddress runner) throws IOException {
+		return add(new LocalAgent(name, PLAIN, null, null, runner, () -> this.snapshot));
+	}
+
+	private LocalAgent add(LocalAgent agent) {
+		this.agents.add(agent);
+		connect(agent, agent.address());
+		refresh();
+		return agent;
+	}
+
+	/**
+	 * Opens one more connection to an agent and waits for it.
+	 * @param agent the agent
+	 * @param address where, perhaps through a proxy
+	 */
+	void connect(LocalAgent agent, InetSocketAddress address) {
+		Object before = this.bridge.newest(agent.instance());
+		this.transport.connect(address, this.bridge, () -> {
+		});
+		Awaitility.await().atMost(PATIENCE).until(() -> {
+			Object now = this.bridge.newest(agent.instance());
+			return now != null && now != before;
+		});
+	}
+
+	void refresh() {
+		Map<InstanceId, AgentView> views = new HashMap<>();
+		this.agents.forEach((agent) -> views.put(agent.instance(), agent.view()));
+		this.snapshot = new FleetSnapshot(this.configuration, views);
+	}
+
+	EntryRequests entry() {
+		return this.entry;
+	}
+
+	ListenerBridge bridge() {
+		return this.bridge;
+	}
+
+	URI uri(String path) {
+		return URI.create("http://127.0.0.1:" + this.entry.address().getPort() + path);
+	}
+
+	HttpRequest.Builder request(String path) {
+		return HttpRequest.newBuilder(uri(path))
+			.version(HttpClient.Version.HTTP_1_1)
+			.timeout(PATIENCE)
+			.header("Authorization", "Bearer " + CALLERS_KEY);
+	}
+
+	HttpRequest completion(String prompt, int tokens) {
+		String json = "{\"prompt\":\"" + prompt + "\",\"max_tokens\":" + tokens + ",\"stream\":true}";
+		return request("/v1/completions").POST(HttpRequest.BodyPublishers.ofString(json)).build();
+	}
+
+	@Override
+	public void close() {
+		this.entry.close();
+		this.transport.close();
+		this.agents.forEach(LocalAgent::close);
+	}
+
+}
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/requests/WholeAnswerTests.java
@@ -0,0 +1,140 @@
+package org.catkingate.tests.requests;
+
+import java.io.IOException;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.catkingate.standins.engine.Engine;
+import org.catkingate.standins.engine.Tokens;
+import org.catkingate.standins.plain.Plain;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+/**
+ * Tests that callers get whole answers, or see that they do not.
+ */
+class WholeAnswerTests {
+
+	private final HttpClient client = HttpClient.newHttpClient();
+
+	private LocalFleet fleet;
+
+	private Engine engine;
+
+	private Plain plain;
+
+	@BeforeEach
+	void start() throws IOException {
+		this.fleet = LocalFleet.start();
+		this.engine = Engine.start("--initial-digest", LocalFleet.DIGEST.hex(), "--initial-model", "lyrics",
+				"--initial-version", "1", "--token-micros", "200");
+		this.plain = Plain.start();
+	}
+
+	@AfterEach
+	void close() {
+		this.fleet.close();
+		this.engine.close();
+		this.plain.close();
+	}
+
+	private HttpResponse<String> send(HttpRequest request) throws IOException, InterruptedException {
+		return this.client.send(request, HttpResponse.BodyHandlers.ofString());
+	}
+
+	private static String text(String events) {
+		StringBuilder text = new StringBuilder();
+		for (String line : events.split("\n")) {
+			if (line.contains("\"text\":\"")) {
+				text.append(line.replaceAll(".*\"text\":\"([^\"]*)\".*", "$1"));
+			}
+		}
+		return text.toString();
+	}
+
+	@Nested
+	class AnEngine {
+
+		@Test
+		void streamsItsWholeAnswer() throws Exception {
+			WholeAnswerTests test = WholeAnswerTests.this;
+			test.fleet.addEngine("ahd-1", test.engine.address());
+			HttpResponse<String> response = send(test.fleet.completion("a song", 300));
+			assertThat(response.statusCode()).isEqualTo(200);
+			assertThat(response.headers().firstValue("X-Request-Id").orElseThrow()).hasSize(32);
+			assertThat(response.body()).endsWith("data: [DONE]\n\n");
+			assertThat(text(response.body())).isEqualTo(Tokens.text("a song", LocalFleet.DIGEST.hex(), 300));
+		}
+
+		@Test
+		void answersManyRequestsOverOneConnection() throws Exception {
+			WholeAnswerTests test = WholeAnswerTests.this;
+			test.fleet.addEngine("ahd-1", test.engine.address());
+			for (int i = 0; i < 50; i++) {
+				HttpResponse<String> response = send(test.fleet.completion("song " + i, 3));
+				assertThat(text(response.body())).isEqualTo(Tokens.text("song " + i, LocalFleet.DIGEST.hex(), 3));
+			}
+		}
+
+		@Test
+		void thatDiesInTheMiddleLeavesAVisiblyBrokenAnswer() throws Exception {
+			WholeAnswerTests test = WholeAnswerTests.this;
+			test.engine.configure("--die-after-tokens", "20");
+			test.fleet.addEngine("ahd-1", test.engine.address());
+			assertThatThrownBy(() -> send(test.fleet.completion("a song", 300))).isInstanceOf(IOException.class);
+		}
+
+		@Test
+		void withOtherWeightsIsTakenOutAndNothingOfItsAnswerPassedOn() throws Exception {
+			WholeAnswerTests test = WholeAnswerTests.this;
+			test.engine.close();
+			test.engine = Engine.start("--initial-digest", "0".repeat(64), "--initial-model", "lyrics",
+					"--initial-version", "1");
+			LocalAgent agent = test.fleet.addEngine("ahd-1", test.engine.address());
+			HttpResponse<String> response = send(test.fleet.completion("a song", 3));
+			assertThat(response.statusCode()).isIn(502, 503);
+			assertThat(response.body()).doesNotContain("choices");
+			assertThat(agent.gate().serving()).isEmpty();
+		}
+
+	}
+
+	@Nested
+	class APlainService {
+
+		@Test
+		void answersWithItsOwnLength() throws Exception {
+			WholeAnswerTests test = WholeAnswerTests.this;
+			test.plain.configure("--answer-bytes", "700000");
+			test.fleet.addPlain("ahd-2", test.plain.address());
+			HttpResponse<String> response = send(test.fleet.request("/lookups/7").build());
+			assertThat(response.statusCode()).isEqualTo(200);
+			assertThat(response.headers().firstValueAsLong("Content-Length")).hasValue(response.body().length());
+			assertThat(response.body()).contains("\"path\":\"/lookups/7\"").hasSizeGreaterThan(690_000);
+		}
+
+		@Test
+		void thatDiesWhileItRunsACallLeavesItsOutcomeUnknown() throws Exception {
+			WholeAnswerTests test = WholeAnswerTests.this;
+			test.plain.configure("--die-after-run", "true");
+			test.fleet.addPlain("ahd-2", test.plain.address());
+			HttpResponse<String> response = send(test.fleet.request("/purchases")
+				.header("Idempotency-Key", "k1")
+				.POST(HttpRequest.BodyPublishers.ofString("x"))
+				.build());
+			assertThat(response.statusCode()).isEqualTo(502);
+			assertThat(response.headers().firstValue("X-Catkingate-Outcome")).hasValue("unknown");
+			assertThat(response.body()).contains("\"kind\":\"outcome-unknown\"");
+			assertThat(test.plain.runsOf("k1")).isEqualTo(1);
+		}
+
+	}
+
+}
