Play agents of a service under faults and count the runs of each key

Cause: the argument that no key runs twice needs a test that tries to break it. Change: KeyWorld drives the real reducer, judge and memory with clocks that drift, lists that lag or differ, cuts, pauses, restarts, replacements beside living predecessors, late, lost and doubled messages; seeds are printed. The age of a key with a time is taken with twice the skew: the clocks of the agent that ran it and of the agent that judges may err in opposite directions.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/idempotency/Vouching.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/idempotency/Vouching.java
@@ -61,7 +61,7 @@
 			if (sinceBirth > ageMillis) {
 				return new Verdict(Reason.KEY_EXPIRED, 0);
 			}
-			ageMillis = sinceBirth + this.times.skewMillis();
+			ageMillis = sinceBirth + 2 * this.times.skewMillis();
 		}
 		return judge(new Question(state, keys, scope, this.times.coverMillis(ageMillis), nowMillis));
 	}
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/idempotency/AtMostOnceTests.java
@@ -0,0 +1,55 @@
+package org.catkingate.decisions.idempotency;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.lifecycle.AfterContainer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests that callers' keys run at most once, whatever fails. A failure prints its seed.
+ */
+class AtMostOnceTests {
+
+	private static final int TRIES = 150;
+
+	private static final Map<String, Integer> totals = new TreeMap<>();
+
+	@Property(tries = TRIES, shrinking = ShrinkingMode.OFF)
+	void noKeyRunsTwiceWhileInstancesAreReplacedAndAMajorityIsExpected(@ForAll long seed) {
+		check(seed, KeyWorld.Lists.LAGGING, 3);
+	}
+
+	@Property(tries = TRIES, shrinking = ShrinkingMode.OFF)
+	void noKeyRunsTwiceWhileInstancesAreReplacedAndNoNumberIsExpected(@ForAll long seed) {
+		check(seed, KeyWorld.Lists.LAGGING, 0);
+	}
+
+	@Property(tries = TRIES, shrinking = ShrinkingMode.OFF)
+	void noKeyRunsTwiceWhileTheListIsArbitraryAndAMajorityIsExpected(@ForAll long seed) {
+		check(seed, KeyWorld.Lists.ARBITRARY, 3);
+	}
+
+	private static void check(long seed, KeyWorld.Lists lists, int expectedRunners) {
+		KeyWorld world = new KeyWorld(seed, lists, expectedRunners);
+		world.play();
+		count(lists + "/" + expectedRunners + " RUNS", world.runs.size());
+		world.reasons.forEach((reason, number) -> count(lists + "/" + expectedRunners + " " + reason, number));
+		assertThat(world.runs).as("runs by key, seed %d", seed).allSatisfy((key, runs) -> assertThat(runs).isOne());
+	}
+
+	private static void count(String what, int number) {
+		totals.merge(what, number, Integer::sum);
+	}
+
+	@AfterContainer
+	static void theWorldsWereNotIdle() {
+		System.out.println(totals);
+		assertThat(totals.keySet()).anyMatch((name) -> name.endsWith("RUNS"));
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/idempotency/ModelAgent.java
@@ -0,0 +1,102 @@
+package org.catkingate.decisions.idempotency;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import org.catkingate.decisions.Effect;
+import org.catkingate.decisions.Step;
+import org.catkingate.model.Digest;
+import org.catkingate.model.ServiceName;
+
+/**
+ * One incarnation of an agent in {@link KeyWorld}, with a clock of its own. It calls the
+ * decision code and nothing else.
+ */
+final class ModelAgent {
+
+	static final ServiceName SERVICE = new ServiceName("catalogue");
+
+	static final Digest CONTENT = Digest.of(new byte[0]);
+
+	private static final int MAXIMUM_KEYS = 10_000;
+
+	private static final double DRIFT = 0.001;
+
+	private final KeyMemory memory = KeyMemory.bounded(MAXIMUM_KEYS, Long.MAX_VALUE);
+
+	private final KeyReducer reducer = KeyReducer.with(KeyWorld.TIMES);
+
+	private final Vouching vouching = Vouching.with(KeyWorld.TIMES);
+
+	private final long clockOrigin;
+
+	private final double clockRate;
+
+	private final long wallOffset;
+
+	private KeyState state;
+
+	long pausedUntil;
+
+	boolean isCutOff;
+
+	boolean isAlive = true;
+
+	ModelAgent(KeyHome home, Random random) {
+		this.state = KeyState.starting(home);
+		this.clockOrigin = random.nextInt(1_000_000);
+		this.clockRate = 1 + (random.nextDouble() * 2 - 1) * DRIFT;
+		this.wallOffset = random.nextInt((int) KeyWorld.TIMES.skewMillis() + 1) - KeyWorld.TIMES.skewMillis() / 2;
+	}
+
+	KeyHome home() {
+		return this.state.own();
+	}
+
+	long clock(long now) {
+		return this.clockOrigin + (long) (now * this.clockRate);
+	}
+
+	List<Effect> reduce(long now, KeyEvent event) {
+		Step<KeyState> step = this.reducer.reduce(this.state, clock(now), event);
+		this.state = step.state();
+		return step.effects();
+	}
+
+	Verdict judge(KeyScope scope, long heldMillis, long now) {
+		return this.vouching.judge(this.state, scope, heldMillis, clock(now), now + this.wallOffset);
+	}
+
+	Verdict.Reason admit(KeyScope scope, long now) {
+		this.memory.forgetUntil(clock(now));
+		if (this.memory.find(scope, CONTENT).kind() != Remembered.Kind.NEW) {
+			return null;
+		}
+		Verdict verdict = judge(scope, 0, now);
+		if (verdict.vouched()) {
+			this.memory.begin(scope, CONTENT);
+		}
+		return verdict.reason();
+	}
+
+	boolean start(KeyScope scope, long heldMillis, long now) {
+		if (judge(scope, heldMillis, now).vouched()) {
+			return true;
+		}
+		this.memory.release(scope);
+		return false;
+	}
+
+	void end(KeyScope scope, long now) {
+		this.memory.failed(scope, clock(now) + KeyWorld.TIMES.retentionMillis(KeyWorld.WINDOW));
+	}
+
+	List<KeyEvent> listRead(long askedAt, HomeView view) {
+		List<KeyEvent> events = new ArrayList<>();
+		events.add(new KeyEvent.ServicesSeen(List.of(new ServiceView(SERVICE, KeyWorld.WINDOW, 1, view))));
+		events.add(new KeyEvent.ListConfirmed(clock(askedAt)));
+		return events;
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/idempotency/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the decisions on non-idempotent calls.
+ */
+package org.catkingate.decisions.idempotency;
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/ProcessSettings.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/ProcessSettings.java
@@ -90,8 +90,8 @@
 	/**
 	 * How the process ends.
 	 *
-	 * @param noticeMillis how long the readiness check fails before callers are refused, in
-	 * milliseconds
+	 * @param noticeMillis how long the readiness check fails before callers are refused,
+	 * in milliseconds
 	 * @param limitMillis how long requests in progress may go on, in milliseconds
 	 */
 	public record Shutdown(long noticeMillis, long limitMillis) {
@@ -119,8 +119,8 @@
 	 * @param memoryBytes how much memory weights may take, in bytes
 	 * @param origin the origin; null if there is none
 	 * @param store the weight store; null if there is none
-	 * @param originBytesPerSecond how fast this agent may read from the origin, in bytes a
-	 * second
+	 * @param originBytesPerSecond how fast this agent may read from the origin, in bytes
+	 * a second
 	 * @param storeBytesPerSecond how fast it may read from the store, in bytes a second
 	 * @param linkBytesPerSecond how fast it may send to peers, in bytes a second
 	 * @param preference what distribution weighs more
