Decide membership from the list, announcements and silence, and keep links to peers

Cause: every process needs to know which agents may be given work, without shared state and although the platform's list lags.

Changed: MembershipReducer with its state, events and effects; ContactPlan (an entry meets its whole region and few agents elsewhere, agents a ring and weight-sharing neighbours, all by rendezvous hash); ReadSchedule for close and slow reading of the platform; PeerManager carries the effects out on the frame transport. A silent link is replaced before it is given up, a process that was paused trusts nobody until answered, and an empty or shrunken list is doubted for ten minutes.

Ruled out: spreading opinions on others' death; forgetting an instance as soon as a list lacks it; heartbeats that count any arrival as life, since a link that carries one direction only would then pass.

PeerManager has no test of its own yet.

--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/membership/Views.java
@@ -0,0 +1,56 @@
+package org.catkingate.decisions.membership;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.InstanceRecord;
+import org.catkingate.model.Role;
+import org.catkingate.model.published.PublishedConfiguration;
+
+/**
+ * Makes snapshots. Stateless.
+ */
+final class Views {
+
+	private Views() {
+	}
+
+	static FleetSnapshot snapshot(PublishedConfiguration configuration, Map<InstanceId, KnownInstance> instances,
+			Map<Long, Link> links) {
+		Map<InstanceId, Link> best = new HashMap<>();
+		for (Link link : links.values()) {
+			best.merge(link.peer().instance(), link, Views::better);
+		}
+		Map<InstanceId, AgentView> agents = new HashMap<>();
+		for (KnownInstance known : instances.values()) {
+			InstanceRecord instance = known.instance();
+			if (instance.role() == Role.AGENT) {
+				agents.put(instance.id(), view(instance, best.get(instance.id())));
+			}
+		}
+		return new FleetSnapshot(configuration, agents);
+	}
+
+	private static Link better(Link one, Link other) {
+		if (one.isVerified() != other.isVerified()) {
+			return one.isVerified() ? one : other;
+		}
+		return (one.number() > other.number()) ? one : other;
+	}
+
+	private static AgentView view(InstanceRecord instance, Link link) {
+		if (link == null) {
+			return new AgentView(instance, 0, false, instance.leaving(), List.of(), List.of(), 0);
+		}
+		long incarnation = link.peer().incarnation();
+		if (link.status() == null) {
+			return new AgentView(instance, incarnation, link.isVerified(), instance.leaving(), List.of(), List.of(), 0);
+		}
+		boolean draining = instance.leaving() || link.status().draining();
+		return new AgentView(instance, incarnation, link.isVerified(), draining, link.status().runners(), link.loads(),
+				link.loadsAtMillis());
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/membership/MembershipSession.java
@@ -0,0 +1,177 @@
+package org.catkingate.decisions.membership;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+import org.catkingate.decisions.Effect;
+import org.catkingate.decisions.Step;
+import org.catkingate.model.DataCentreName;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.InstanceRecord;
+import org.catkingate.model.Labels;
+import org.catkingate.model.RegionName;
+import org.catkingate.model.Role;
+import org.catkingate.model.RunnerId;
+import org.catkingate.model.RunnerStatus;
+import org.catkingate.model.ServiceName;
+
+/**
+ * Drives the reducer through a session and writes down what it wants done. For use by one
+ * thread.
+ */
+final class MembershipSession {
+
+	private final MembershipReducer reducer = MembershipReducer.create();
+
+	private final StringBuilder transcript = new StringBuilder();
+
+	private final List<Effect> effects = new ArrayList<>();
+
+	private String lastWritten = "";
+
+	private long now = 1000;
+
+	private MembershipState state;
+
+	private MembershipSession(Self self) {
+		this.state = MembershipState.starting(self, this.now);
+	}
+
+	static MembershipSession of(Role role) {
+		return new MembershipSession(new Self(new InstanceId("self"), role, 1, new DataCentreName("dc-a"),
+				new RegionName("r1"), Labels.of(Map.of("role", "gpu"))));
+	}
+
+	static InstanceRecord agent(String name, String dataCentre, String region) {
+		return agent(name, dataCentre, region, false);
+	}
+
+	static InstanceRecord agent(String name, String dataCentre, String region, boolean leaving) {
+		return new InstanceRecord(new InstanceId(name), Role.AGENT, new InetSocketAddress("127.0.0.1", 7000),
+				new DataCentreName(dataCentre), new RegionName(region), Labels.of(Map.of("role", "gpu")), leaving);
+	}
+
+	static List<InstanceRecord> near(int count) {
+		List<InstanceRecord> agents = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			agents.add(agent("a" + i, "dc-a", "r1"));
+		}
+		return agents;
+	}
+
+	MembershipSession with(MembershipEvent event) {
+		this.transcript.append(this.now).append(" ").append(event).append('\n');
+		reduce(event);
+		return this;
+	}
+
+	MembershipSession list(List<InstanceRecord> instances) {
+		return with(new MembershipEvent.ListRead(1, instances));
+	}
+
+	MembershipSession opens(long link, String name) {
+		return opens(link, name, 7);
+	}
+
+	MembershipSession opens(long link, String name, long incarnation) {
+		return links(link, true, name, incarnation);
+	}
+
+	MembershipSession accepts(long link, String name) {
+		return links(link, false, name, 7);
+	}
+
+	private MembershipSession links(long link, boolean dialled, String name, long incarnation) {
+		return with(new MembershipEvent.LinkOpened(link, dialled, new MembershipEvent.Peer(new InstanceId(name),
+				Role.AGENT, incarnation, new DataCentreName("dc-a"), new RegionName("r1"))));
+	}
+
+	MembershipSession announces(long link, boolean draining) {
+		RunnerStatus runner = new RunnerStatus(new RunnerId("r"), new ServiceName("s"), null, null, true);
+		return with(new MembershipEvent.StatusAnnounced(link, draining, Labels.none(), List.of(runner)));
+	}
+
+	MembershipSession passes(long millis, long... speakingLinks) {
+		this.transcript.append(this.now).append(" passes ").append(millis).append(" ms\n");
+		long end = this.now + millis;
+		while (this.now < end) {
+			this.now += Math.min(MembershipTimes.TICK_MILLIS, end - this.now);
+			reduce(new MembershipEvent.Ticked(heard(speakingLinks)));
+		}
+		return this;
+	}
+
+	MembershipSession isPaused(long millis, long... speakingLinks) {
+		this.transcript.append(this.now).append(" is paused for ").append(millis).append(" ms\n");
+		List<MembershipEvent.Heard> heard = heard(speakingLinks);
+		this.now += millis;
+		reduce(new MembershipEvent.Ticked(heard));
+		return this;
+	}
+
+	private List<MembershipEvent.Heard> heard(long... links) {
+		List<MembershipEvent.Heard> heard = new ArrayList<>();
+		for (long link : links) {
+			heard.add(new MembershipEvent.Heard(link, this.now, this.state.sequence(), List.of(1), this.now));
+		}
+		return heard;
+	}
+
+	private void reduce(MembershipEvent event) {
+		Step<MembershipState> step = this.reducer.reduce(this.state, this.now, event);
+		this.state = step.state();
+		this.effects.addAll(step.effects());
+		step.effects().forEach(this::write);
+	}
+
+	private void write(Effect effect) {
+		if (effect instanceof MembershipEffect.SendHeartbeats) {
+			return;
+		}
+		String text = (effect instanceof MembershipEffect.PublishSnapshot published) ? written(published.snapshot())
+				: effect.toString();
+		if (!text.equals(this.lastWritten)) {
+			this.transcript.append(this.now).append("   -> ").append(text).append('\n');
+		}
+		this.lastWritten = text;
+	}
+
+	private static String written(FleetSnapshot snapshot) {
+		return snapshot.agents()
+			.values()
+			.stream()
+			.sorted((one, other) -> one.instance().id().compareTo(other.instance().id()))
+			.map(MembershipSession::written)
+			.collect(Collectors.joining(" ", "snapshot ", ""));
+	}
+
+	private static String written(AgentView agent) {
+		return agent.instance().id() + (agent.reachable() ? "+" : "-") + (agent.draining() ? "draining" : "")
+				+ (agent.takesWork() ? "*" + agent.runners().size() : "");
+	}
+
+	AgentView agent(String name) {
+		return this.state.snapshot().agents().get(new InstanceId(name));
+	}
+
+	boolean takesWork(String name) {
+		AgentView agent = agent(name);
+		return agent != null && agent.takesWork();
+	}
+
+	<E extends Effect> List<E> effects(Class<E> type) {
+		return this.effects.stream().filter(type::isInstance).map(type::cast).toList();
+	}
+
+	MembershipState state() {
+		return this.state;
+	}
+
+	String transcript() {
+		return this.transcript.toString();
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/membership/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of membership.
+ */
+package org.catkingate.decisions.membership;
--- /dev/null
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/peers/HeartbeatTimes.java
@@ -0,0 +1,32 @@
+package org.catkingate.runtime.peers;
+
+/**
+ * When this process sent its latest heartbeats, by its own monotonic clock. Safe for use
+ * by any thread.
+ */
+final class HeartbeatTimes {
+
+	/** How many heartbeats are remembered; older ones count as never sent. */
+	private static final int REMEMBERED = 64;
+
+	private final long[] sentAtMillis = new long[REMEMBERED];
+
+	private long newest;
+
+	synchronized void sent(long sequence, long nowMillis) {
+		this.newest = sequence;
+		this.sentAtMillis[(int) (sequence % REMEMBERED)] = nowMillis;
+	}
+
+	synchronized long newest() {
+		return this.newest;
+	}
+
+	synchronized long ageMillis(long sequence, long nowMillis) {
+		if (sequence < 1 || sequence > this.newest || sequence <= this.newest - REMEMBERED) {
+			return Long.MAX_VALUE;
+		}
+		return nowMillis - this.sentAtMillis[(int) (sequence % REMEMBERED)];
+	}
+
+}
