Assemble the distribution at one agent, with runners, orders and a benchmark

Change: reducer of the runners (close, drain, order with a fencing number, read back, open), bounded share of switches without coordination, pause detection; WeightsDistribution puts reducers, memory, sources, engines and peers together; a benchmark of bursts over shaped links.

--- /dev/null
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/weights/OrdersIo.java
@@ -0,0 +1,112 @@
+package org.catkingate.agent.weights;
+
+import java.util.Map;
+import java.util.function.Consumer;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.catkingate.agent.runners.RunnerGate;
+import org.catkingate.decisions.Event;
+import org.catkingate.decisions.runners.RunnersEffect;
+import org.catkingate.decisions.runners.RunnersEvent;
+import org.catkingate.model.Digest;
+import org.catkingate.model.Manifest;
+import org.catkingate.model.RunnerId;
+import org.catkingate.runtime.MonotonicClock;
+
+/**
+ * Carries out the effects on runners and turns what comes back into events. Safe for use
+ * by any thread; nothing blocks.
+ */
+final class OrdersIo {
+
+	private static final Logger logger = LoggerFactory.getLogger(OrdersIo.class);
+
+	private final Map<RunnerId, RunnerGate> gates;
+
+	private final Map<RunnerId, EngineClient> engines;
+
+	private final ChunkMemory memory;
+
+	private final MonotonicClock clock;
+
+	private final Consumer<Event> events;
+
+	OrdersIo(WeightsParts parts, Map<RunnerId, RunnerGate> gates, ChunkMemory memory, Consumer<Event> events) {
+		this.gates = Map.copyOf(gates);
+		this.engines = parts.engines();
+		this.memory = memory;
+		this.clock = parts.clock();
+		this.events = events;
+	}
+
+	void carryOut(RunnersEffect effect) {
+		if (effect instanceof RunnersEffect.OpenGate open) {
+			this.gates.get(open.runner()).open(open.version(), open.digest());
+			log("gate-opened", open.runner(), String.valueOf(open.version()));
+		}
+		else if (effect instanceof RunnersEffect.CloseGate close) {
+			this.gates.get(close.runner()).close();
+			log("gate-closed", close.runner(), "");
+		}
+		else if (effect instanceof RunnersEffect.AskState ask) {
+			ask(ask.runner());
+		}
+		else if (effect instanceof RunnersEffect.OrderLoad order) {
+			order(order);
+		}
+	}
+
+	private void ask(RunnerId runner) {
+		long askedAt = this.clock.millis();
+		this.engines.get(runner).state().whenComplete((state, ex) -> {
+			if (ex != null) {
+				log("engine-silent", runner, ex.getMessage());
+				this.events.accept(new RunnersEvent.EngineSilent(runner));
+			}
+			else {
+				this.events.accept(new RunnersEvent.EngineReported(runner, askedAt, state.digest(), state.fence()));
+			}
+		});
+	}
+
+	private void order(RunnersEffect.OrderLoad order) {
+		if (this.clock.millis() > order.notAfterMillis()) {
+			this.events.accept(new RunnersEvent.OrderEnded(order.runner(), RunnersEvent.Outcome.NOT_SENT));
+			return;
+		}
+		Manifest manifest = order.manifest();
+		log("load-ordered", order.runner(), manifest.version() + " fence " + order.fence());
+		this.engines.get(order.runner())
+			.load(manifest, order.fence(), (index, offset, length) -> read(manifest, index, offset, length))
+			.whenComplete((state, ex) -> {
+				log("load-ended", order.runner(), (ex != null) ? ex.getMessage() : String.valueOf(state.digest()));
+				this.events.accept(new RunnersEvent.OrderEnded(order.runner(), outcome(ex)));
+			});
+	}
+
+	private byte[] read(Manifest manifest, int index, int offset, int length) throws WeightsException {
+		Digest chunk = manifest.chunks().get(index);
+		return this.memory.read(chunk, offset, length)
+			.orElseThrow(() -> new WeightsException(WeightsException.Kind.NOT_FOUND, "chunk " + index + " of "
+					+ manifest.version() + " is not held any more; the version was dropped while it was loaded"));
+	}
+
+	private static RunnersEvent.Outcome outcome(Throwable ex) {
+		if (ex == null) {
+			return RunnersEvent.Outcome.DONE;
+		}
+		boolean fenced = ex instanceof WeightsException failure && failure.kind() == WeightsException.Kind.FENCED;
+		return fenced ? RunnersEvent.Outcome.FENCED : RunnersEvent.Outcome.FAILED;
+	}
+
+	private static void log(String event, RunnerId runner, String detail) {
+		logger.atInfo()
+			.addKeyValue("event", event)
+			.addKeyValue("runner", runner)
+			.addKeyValue("detail", detail)
+			.log("runner changed");
+	}
+
+}
--- /dev/null
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/weights/Uploads.java
@@ -0,0 +1,121 @@
+package org.catkingate.agent.weights;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.catkingate.model.Digest;
+import org.catkingate.model.InstanceId;
+import org.catkingate.runtime.MonotonicClock;
+import org.catkingate.wire.FrameConnection;
+import org.catkingate.wire.FrameLimits;
+import org.catkingate.wire.Weights;
+
+/**
+ * Gives verified chunks to peers. A new chunk is refused while what is promised already
+ * takes long; and once an instance has given about one copy of what it holds, a peer is
+ * refused a chunk the first time that it asks, so that it turns to others. A chunk that
+ * was begun is not refused. Safe for use by any thread.
+ */
+final class Uploads {
+
+	private static final long LONGEST_QUEUE_MILLIS = 300;
+
+	private static final long DEFERRED_MILLIS = 300;
+
+	private static final double FAIR_COPIES = 1.1;
+
+	private static final int REMEMBERED_DEFERRALS = 10_000;
+
+	private final ChunkMemory memory;
+
+	private final TokenBucket rate;
+
+	private final ScheduledExecutorService timer;
+
+	private final MonotonicClock clock;
+
+	private final AtomicLong sentBytes = new AtomicLong();
+
+	private final AtomicLong busyUntilMillis = new AtomicLong();
+
+	private final Map<Deferral, Boolean> deferred = new ConcurrentHashMap<>();
+
+	Uploads(ChunkMemory memory, TokenBucket rate, ScheduledExecutorService timer, MonotonicClock clock) {
+		this.memory = memory;
+		this.rate = rate;
+		this.timer = timer;
+		this.clock = clock;
+	}
+
+	/**
+	 * Answers a request for a slice.
+	 * @param connection where to answer
+	 * @param request the request
+	 * @return whether the chunk is held, so that the request needs no other answer
+	 */
+	boolean answer(FrameConnection connection, Weights.ChunkRequest request) {
+		if (request.length() <= 0 || request.length() > FrameLimits.MAXIMUM_FRAME_BYTES / 2) {
+			return false;
+		}
+		if (this.memory.read(request.chunk(), request.offset(), 1).isEmpty()) {
+			return false;
+		}
+		long refusal = (request.offset() == 0) ? refusal(connection, request.chunk()) : 0;
+		if (refusal > 0) {
+			connection.send(new Weights.ChunkRefusal(request.chunk(), refusal));
+			return true;
+		}
+		long delay = this.rate.take(request.length());
+		this.busyUntilMillis.set(this.clock.millis() + delay);
+		if (delay > 0) {
+			this.timer.schedule(() -> send(connection, request), delay, TimeUnit.MILLISECONDS);
+		}
+		else {
+			send(connection, request);
+		}
+		return true;
+	}
+
+	private long refusal(FrameConnection connection, Digest chunk) {
+		long queue = this.busyUntilMillis.get() - this.clock.millis();
+		if (queue > LONGEST_QUEUE_MILLIS) {
+			return queue;
+		}
+		if (connection.isCongested()) {
+			return LONGEST_QUEUE_MILLIS;
+		}
+		boolean generous = this.sentBytes.get() < FAIR_COPIES * this.memory.usedBytes();
+		if (generous) {
+			return 0;
+		}
+		if (this.deferred.size() > REMEMBERED_DEFERRALS) {
+			this.deferred.clear();
+		}
+		Deferral deferral = new Deferral(connection.peer().instance(), chunk);
+		return (this.deferred.put(deferral, true) != null) ? 0 : DEFERRED_MILLIS;
+	}
+
+	private void send(FrameConnection connection, Weights.ChunkRequest request) {
+		Optional<byte[]> bytes = this.memory.read(request.chunk(), request.offset(), request.length());
+		if (bytes.isPresent()) {
+			this.sentBytes.addAndGet(bytes.get().length);
+			connection.send(new Weights.ChunkSlice(request.chunk(), request.offset(), bytes.get()));
+		}
+		else {
+			connection.send(new Weights.ChunkRefusal(request.chunk(), 0));
+		}
+	}
+
+	long sentBytes() {
+		return this.sentBytes.get();
+	}
+
+	private record Deferral(InstanceId peer, Digest chunk) {
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/weights/WeightsDistribution.java
@@ -0,0 +1,279 @@
+package org.catkingate.agent.weights;
+
+import java.net.URI;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadFactory;
+import java.util.function.Consumer;
+
+import org.xnio.XnioWorker;
+
+import org.catkingate.agent.runners.RunnerGate;
+import org.catkingate.decisions.Effect;
+import org.catkingate.decisions.Event;
+import org.catkingate.decisions.distribution.ChunkSet;
+import org.catkingate.decisions.distribution.DistributionEffect;
+import org.catkingate.decisions.distribution.DistributionEvent;
+import org.catkingate.decisions.distribution.DistributionSettings;
+import org.catkingate.decisions.distribution.DistributionState;
+import org.catkingate.decisions.distribution.Source;
+import org.catkingate.decisions.membership.FleetSnapshot;
+import org.catkingate.decisions.runners.RunnersEffect;
+import org.catkingate.decisions.runners.RunnersEvent;
+import org.catkingate.decisions.runners.RunnersSettings;
+import org.catkingate.decisions.runners.RunnersState;
+import org.catkingate.decisions.weights.WeightsEvent;
+import org.catkingate.decisions.weights.WeightsReducer;
+import org.catkingate.decisions.weights.WeightsState;
+import org.catkingate.model.Digest;
+import org.catkingate.model.RunnerId;
+import org.catkingate.model.RunnerStatus;
+import org.catkingate.model.ServiceName;
+import org.catkingate.runtime.ControlLoop;
+import org.catkingate.runtime.MonotonicClock;
+import org.catkingate.runtime.peers.PeerConnection;
+import org.catkingate.runtime.peers.PeerConnections;
+import org.catkingate.wire.Weights;
+
+/**
+ * The distribution of weights at one agent, from the configuration to the open gates. It
+ * has a control thread of its own. Safe for use by any thread.
+ *
+ * @since 0.1
+ */
+public final class WeightsDistribution implements AutoCloseable {
+
+	private static final long TICK_MILLIS = 20;
+
+	private static final long SOURCE_TIMEOUT_MILLIS = 10_000;
+
+	private static final long LOAD_TIMEOUT_MILLIS = 600_000;
+
+	private static final double BURST_SECONDS = 0.05;
+
+	private static final long REFUSED_MILLIS = 100;
+
+	private final ChunkMemory memory;
+
+	private final Uploads uploads;
+
+	private final DistributionIo distribution;
+
+	private final OrdersIo orders;
+
+	private final WeightsParts parts;
+
+	private final Map<RunnerId, RunnerGate> gates;
+
+	private final Consumer<List<RunnerStatus>> statuses;
+
+	private volatile ControlLoop<WeightsState> loop;
+
+	private List<RunnerStatus> told = List.of();
+
+	private WeightsDistribution(WeightsSettings settings, WeightsParts parts, List<RunnerGate> gates,
+			Consumer<List<RunnerStatus>> statuses) {
+		this.parts = parts;
+		this.statuses = statuses;
+		this.memory = ChunkMemory.ofBytes(settings.memoryBytes());
+		this.uploads = new Uploads(this.memory, parts.upload(), parts.timer(), parts.clock());
+		this.gates = new HashMap<>();
+		gates.forEach((gate) -> this.gates.put(gate.runner(), gate));
+		this.distribution = new DistributionIo(parts, this.memory, this::submit);
+		this.orders = new OrdersIo(parts, this.gates, this.memory, this::submit);
+		this.loop = ControlLoop.start(initial(settings), WeightsReducer.create(), this::carryOut, parts.clock(),
+				this::tick, TICK_MILLIS);
+	}
+
+	/**
+	 * Starts the distribution.
+	 * @param settings the settings
+	 * @param worker the I/O threads for HTTP
+	 * @param peers the connections to other agents
+	 * @param demand is told which connections are wanted
+	 * @param gates the gate of each runner in the settings
+	 * @param statuses is told the state of the runners whenever it changes, by the
+	 * control thread
+	 * @param clock the clock
+	 * @return the running distribution, never null
+	 */
+	public static WeightsDistribution start(WeightsSettings settings, XnioWorker worker, PeerConnections peers,
+			PeerDemand demand, List<RunnerGate> gates, Consumer<List<RunnerStatus>> statuses, MonotonicClock clock) {
+		WeightsSettings.Rates rates = settings.rates();
+		Map<Source, WeightSource> published = new HashMap<>();
+		addSource(published, new Source.Origin(), settings.origin(), rates.origin(), worker, clock);
+		addSource(published, new Source.Store(), settings.store(), rates.store(), worker, clock);
+		Map<RunnerId, EngineClient> engines = new HashMap<>();
+		settings.runners()
+			.forEach((runner) -> engines.put(runner.runner(),
+					HttpEngineClient.of(worker, runner.address(), LOAD_TIMEOUT_MILLIS)));
+		ThreadFactory threads = (task) -> {
+			Thread thread = new Thread(task, "weights");
+			thread.setDaemon(true);
+			return thread;
+		};
+		ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(threads);
+		ExecutorService digests = Executors.newSingleThreadExecutor(threads);
+		WeightsParts parts = new WeightsParts(published, engines, peers, demand, bucket(rates.upload(), clock),
+				bucket(rates.download(), clock), timer, digests, clock);
+		return new WeightsDistribution(settings, parts, gates, statuses);
+	}
+
+	private static void addSource(Map<Source, WeightSource> published, Source source, URI address, long rate,
+			XnioWorker worker, MonotonicClock clock) {
+		if (address != null) {
+			published.put(source, HttpWeightSource.of(worker, address, bucket(rate, clock), SOURCE_TIMEOUT_MILLIS));
+		}
+	}
+
+	private static TokenBucket bucket(long bytesPerSecond, MonotonicClock clock) {
+		return TokenBucket.of(bytesPerSecond, bytesPerSecond * BURST_SECONDS, clock);
+	}
+
+	private static WeightsState initial(WeightsSettings settings) {
+		DistributionSettings distribution = new DistributionSettings(settings.own(), settings.labels(),
+				settings.memoryBytes(), ChunkMemory.PAGE_BYTES, settings.origin() != null, settings.store() != null,
+				settings.preference());
+		Map<RunnerId, ServiceName> services = new HashMap<>();
+		settings.runners().forEach((runner) -> services.put(runner.runner(), runner.service()));
+		RunnersSettings runners = new RunnersSettings(settings.own().instance(), settings.labels(),
+				settings.startedAtEpochSeconds(), services);
+		return new WeightsState(DistributionState.initial(distribution), RunnersState.initial(runners));
+	}
+
+	private void submit(Event event) {
+		this.loop.submit(event);
+	}
+
+	private WeightsEvent tick() {
+		ControlLoop<WeightsState> started = this.loop;
+		if (started != null) {
+			tellStatuses(started.state().runners().statuses());
+		}
+		Map<RunnerId, Integer> inProgress = new HashMap<>();
+		this.gates.forEach((runner, gate) -> inProgress.put(runner, gate.inProgress()));
+		return new WeightsEvent.Ticked(inProgress);
+	}
+
+	private void tellStatuses(List<RunnerStatus> current) {
+		if (!current.equals(this.told)) {
+			this.told = current;
+			this.statuses.accept(current);
+		}
+	}
+
+	private void carryOut(Effect effect) {
+		if (effect instanceof DistributionEffect distributed) {
+			this.distribution.carryOut(distributed);
+		}
+		else if (effect instanceof RunnersEffect ordered) {
+			this.orders.carryOut(ordered);
+		}
+	}
+
+	/**
+	 * Takes note of a new configuration or fleet.
+	 * @param fleet what is known now
+	 */
+	public void fleetChanged(FleetSnapshot fleet) {
+		submit(new WeightsEvent.FleetChanged(fleet));
+	}
+
+	/**
+	 * A connection to another agent is open.
+	 * @param connection the connection
+	 */
+	public void opened(PeerConnection connection) {
+		this.distribution.connected(connection.frames().peer().instance());
+	}
+
+	/**
+	 * A connection to another agent is lost.
+	 * @param connection the connection
+	 */
+	public void lost(PeerConnection connection) {
+		submit(new DistributionEvent.PeerLost(connection.frames().peer().instance()));
+	}
+
+	/**
+	 * A message of another agent has arrived.
+	 * @param connection the connection
+	 * @param message the message
+	 */
+	public void received(PeerConnection connection, Weights message) {
+		Source.Peer source = new Source.Peer(connection.frames().peer().instance());
+		if (message instanceof Weights.ChunkSlice slice) {
+			this.distribution.sliceReceived(source, slice);
+		}
+		else if (message instanceof Weights.ChunkRequest request) {
+			requested(connection, request);
+		}
+		else if (message instanceof Weights.ChunkRefusal refusal) {
+			submit(new DistributionEvent.SliceRefused(source, refusal.chunk(), refusal.retryAfterMillis()));
+		}
+		else if (message instanceof Weights.ChunksHeld held) {
+			submit(new DistributionEvent.PeerAnnounced(source.instance(), held.manifest(),
+					ChunkSet.of(held.bitfield())));
+		}
+		else if (message instanceof Weights.ManifestRequest request) {
+			this.distribution.manifestRequested(connection, request);
+		}
+		else if (message instanceof Weights.ManifestContent content) {
+			this.distribution.manifestReceived(source, content);
+		}
+	}
+
+	private void requested(PeerConnection connection, Weights.ChunkRequest request) {
+		if (this.uploads.answer(connection.frames(), request)) {
+			return;
+		}
+		DistributionState state = this.loop.state().distribution();
+		Optional<Digest> manifest = state.manifestWith(request.chunk());
+		manifest.flatMap(state::chunksHeld)
+			.ifPresent((held) -> connection.frames().send(new Weights.ChunksHeld(manifest.get(), held.toBitfield())));
+		connection.frames().send(new Weights.ChunkRefusal(request.chunk(), manifest.isPresent() ? REFUSED_MILLIS : 0));
+	}
+
+	/**
+	 * Compares the digest that an answer carries with what the runner was let serve. On a
+	 * mismatch the gate is closed, and the engine is asked before it opens again.
+	 * @param runner the runner
+	 * @param serving what the request was let in with
+	 * @param answered the digest on the answer; null if it carries none
+	 * @return whether the answer may be relayed
+	 */
+	public boolean isAnsweredBy(RunnerId runner, RunnerGate.Serving serving, Digest answered) {
+		if (serving.digest() == null || serving.digest().equals(answered)) {
+			return true;
+		}
+		this.gates.get(runner).closeIfServing(serving.digest());
+		submit(new RunnersEvent.AnswerMismatched(runner));
+		return false;
+	}
+
+	/**
+	 * Tells how far the versions have come.
+	 * @return the progress, never null
+	 */
+	public WeightsProgress progress() {
+		DistributionState state = this.loop.state().distribution();
+		return new WeightsProgress(state.progress(), state.bytes(), this.uploads.sentBytes(),
+				this.distribution.arrivedBytes(), this.memory.usedBytes(), this.memory.allocatedBytes());
+	}
+
+	/**
+	 * Ends the threads. What is in transfer is lost.
+	 */
+	@Override
+	public void close() {
+		this.loop.close();
+		this.parts.timer().shutdownNow();
+		this.parts.digests().shutdownNow();
+	}
+
+}
--- /dev/null
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/weights/WeightsProgress.java
@@ -0,0 +1,25 @@
+package org.catkingate.agent.weights;
+
+import java.util.Map;
+import java.util.SortedMap;
+
+import org.catkingate.decisions.distribution.Distance;
+import org.catkingate.decisions.distribution.DistributionState;
+import org.catkingate.model.VersionId;
+
+/**
+ * How far the versions have come at one agent, for the dump and the metrics. Immutable
+ * and safe for use by any thread.
+ *
+ * @param versions the progress of each wanted version
+ * @param receivedBytes the bytes of verified chunks by where they came from
+ * @param sentBytes the bytes sent to peers
+ * @param arrivedBytes the bytes of all slices that have arrived, also in vain
+ * @param usedBytes the memory that holds chunks, in bytes
+ * @param allocatedBytes the memory allocated for chunks, in bytes
+ * @since 0.1
+ */
+public record WeightsProgress(SortedMap<VersionId, DistributionState.Progress> versions,
+		Map<Distance, Long> receivedBytes, long sentBytes, long arrivedBytes, long usedBytes, long allocatedBytes) {
+
+}
--- a/catkingate-bench/src/main/java/org/catkingate/bench/Bench.java
+++ b/catkingate-bench/src/main/java/org/catkingate/bench/Bench.java
@@ -1,5 +1,10 @@
 package org.catkingate.bench;
 
+import com.beust.jcommander.JCommander;
+
+import org.catkingate.bench.weights.WeightsBench;
+import org.catkingate.bench.weights.WeightsBenchOptions;
+
 /**
  * Entry point.
  */
@@ -11,8 +16,19 @@
 	/**
 	 * Runs the program.
 	 * @param args the arguments
+	 * @throws Exception if a benchmark cannot run
 	 */
-	public static void main(String[] args) {
+	public static void main(String[] args) throws Exception {
+		WeightsBenchOptions weights = new WeightsBenchOptions();
+		JCommander commands = JCommander.newBuilder()
+			.programName("catkingate-bench")
+			.addCommand("weights", weights)
+			.build();
+		commands.parse(args);
+		if ("weights".equals(commands.getParsedCommand())) {
+			System.exit(WeightsBench.run(weights, System.out) ? 0 : 1);
+		}
+		commands.usage();
 		System.exit(2);
 	}
 
--- /dev/null
+++ b/catkingate-bench/src/main/java/org/catkingate/bench/weights/BenchAgent.java
@@ -0,0 +1,144 @@
+package org.catkingate.bench.weights;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.xnio.XnioWorker;
+
+import org.catkingate.agent.weights.PeerDemand;
+import org.catkingate.agent.weights.WeightsDistribution;
+import org.catkingate.agent.weights.WeightsProgress;
+import org.catkingate.agent.weights.WeightsSettings;
+import org.catkingate.decisions.distribution.Member;
+import org.catkingate.decisions.membership.FleetSnapshot;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.InstanceRecord;
+import org.catkingate.model.Labels;
+import org.catkingate.model.Role;
+import org.catkingate.runtime.MonotonicClock;
+import org.catkingate.runtime.peers.PeerConnection;
+import org.catkingate.wire.ConnectionListener;
+import org.catkingate.wire.FrameConnection;
+import org.catkingate.wire.FrameTransport;
+import org.catkingate.wire.Handshake;
+import org.catkingate.wire.Message;
+import org.catkingate.wire.MessageCodec;
+import org.catkingate.wire.SharedKey;
+import org.catkingate.wire.Weights;
+
+/**
+ * One agent's distribution with connections of its own. Safe for use by any thread.
+ */
+final class BenchAgent implements ConnectionListener, AutoCloseable {
+
+	private static final String KEY = "a key of the benchmark";
+
+	private static final int LENGTH_BYTES = 4;
+
+	private final Member member;
+
+	private final FrameTransport transport;
+
+	private final InetSocketAddress address;
+
+	private final Map<InstanceId, PeerConnection> connections = new ConcurrentHashMap<>();
+
+	private final AtomicLong controlBytes = new AtomicLong();
+
+	private volatile WeightsDistribution distribution;
+
+	private BenchAgent(Member member) throws IOException {
+		this.member = member;
+		Handshake.PeerIdentity identity = new Handshake.PeerIdentity(member.instance(), Role.AGENT, 1,
+				member.dataCentre(), member.region());
+		this.transport = FrameTransport.create(1, SharedKey.of(KEY), identity);
+		this.address = this.transport.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), this);
+	}
+
+	static BenchAgent listening(Member member) throws IOException {
+		return new BenchAgent(member);
+	}
+
+	InstanceRecord instance() {
+		return new InstanceRecord(this.member.instance(), Role.AGENT, this.address, this.member.dataCentre(),
+				this.member.region(), Labels.none(), false);
+	}
+
+	void connectTo(BenchAgent other) {
+		this.transport.connect(other.address, this, () -> {
+			throw new IllegalStateException("no connection to " + other.member.instance());
+		});
+	}
+
+	int connections() {
+		return this.connections.size();
+	}
+
+	void start(WeightsSettings settings, XnioWorker worker) {
+		PeerDemand everyone = new PeerDemand() {
+
+			@Override
+			public void neighbours(Set<InstanceId> peers) {
+			}
+
+			@Override
+			public void connect(InstanceId peer) {
+			}
+
+		};
+		this.distribution = WeightsDistribution.start(settings, worker,
+				(peer) -> Optional.ofNullable(this.connections.get(peer)), everyone, List.of(), (statuses) -> {
+				}, MonotonicClock.system());
+	}
+
+	void fleetChanged(FleetSnapshot fleet) {
+		this.distribution.fleetChanged(fleet);
+	}
+
+	WeightsProgress progress() {
+		return this.distribution.progress();
+	}
+
+	boolean isWhole() {
+		return progress().versions()
+			.values()
+			.stream()
+			.anyMatch((version) -> version.chunks() > 0 && version.chunksHeld() == version.chunks());
+	}
+
+	long controlBytes() {
+		return this.controlBytes.get();
+	}
+
+	@Override
+	public void opened(FrameConnection connection) {
+		this.connections.put(connection.peer().instance(), PeerConnection.of(connection));
+	}
+
+	@Override
+	public void received(FrameConnection connection, Message message) {
+		if (!(message instanceof Weights.ChunkSlice)) {
+			this.controlBytes.addAndGet(LENGTH_BYTES + MessageCodec.encode(message).length);
+		}
+		this.distribution.received(this.connections.get(connection.peer().instance()), (Weights) message);
+	}
+
+	@Override
+	public void closed(FrameConnection connection, String reason) {
+		this.connections.values().removeIf((open) -> open.frames() == connection);
+	}
+
+	@Override
+	public void close() {
+		this.distribution.close();
+		this.transport.close();
+	}
+
+}
--- /dev/null
+++ b/catkingate-bench/src/main/java/org/catkingate/bench/weights/Burst.java
@@ -0,0 +1,178 @@
+package org.catkingate.bench.weights;
+
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import com.sun.management.OperatingSystemMXBean;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+import org.catkingate.agent.weights.WeightsProgress;
+import org.catkingate.agent.weights.WeightsSettings;
+import org.catkingate.decisions.distribution.Member;
+import org.catkingate.decisions.distribution.Preference;
+import org.catkingate.decisions.membership.AgentView;
+import org.catkingate.decisions.membership.FleetSnapshot;
+import org.catkingate.model.ConfigurationVersion;
+import org.catkingate.model.DataCentreName;
+import org.catkingate.model.Digest;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.Labels;
+import org.catkingate.model.RegionName;
+import org.catkingate.model.Selector;
+import org.catkingate.model.ServiceName;
+import org.catkingate.model.VersionId;
+import org.catkingate.model.published.PublishedConfiguration;
+import org.catkingate.model.published.Service;
+import org.catkingate.model.published.WeightsVersion;
+import org.catkingate.standins.weights.GeneratedWeights;
+import org.catkingate.standins.weights.WeightsServer;
+
+/**
+ * One burst: some agents fetch one version over shaped links. Used by one thread.
+ */
+final class Burst {
+
+	private static final ServiceName SERVICE = new ServiceName("llm");
+
+	private static final List<String> DATA_CENTRES = List.of("dc-a1", "dc-b1", "dc-c1", "dc-a2", "dc-b2", "dc-c2",
+			"dc-a3");
+
+	private static final long POLL_MILLIS = 10;
+
+	private static final int MEMORY_FACTOR = 2;
+
+	private static final double MILLIS_PER_SECOND = 1000.0;
+
+	private final WeightsBenchOptions options;
+
+	private final GeneratedWeights weights;
+
+	Burst(WeightsBenchOptions options, GeneratedWeights weights) {
+		this.options = options;
+		this.weights = weights;
+	}
+
+	Result run(int count, Preference preference, boolean shared) throws IOException, InterruptedException {
+		XnioWorker worker = Xnio.getInstance()
+			.createWorker(OptionMap.builder()
+				.set(Options.WORKER_IO_THREADS, 4)
+				.set(Options.THREAD_DAEMON, true)
+				.set(Options.WORKER_NAME, "http")
+				.getMap());
+		List<BenchAgent> agents = new ArrayList<>();
+		try (WeightsServer origin = WeightsServer.start("--bytes-per-s", Long.toString(this.options.originRate()))) {
+			origin.add(this.weights);
+			for (int i = 0; i < count; i++) {
+				agents.add(BenchAgent.listening(member(i)));
+			}
+			connect(agents);
+			URI address = URI.create("http://127.0.0.1:" + origin.address().getPort());
+			for (int i = 0; i < count; i++) {
+				agents.get(i).start(settings(member(i), address, preference), worker);
+			}
+			return measure(agents, origin, shared);
+		}
+		finally {
+			agents.forEach(BenchAgent::close);
+			worker.shutdownNow();
+		}
+	}
+
+	private static Member member(int index) {
+		String dataCentre = DATA_CENTRES.get(index % DATA_CENTRES.size());
+		String region = "region-" + dataCentre.charAt(3);
+		return new Member(new InstanceId("agent-" + index), new DataCentreName(dataCentre), new RegionName(region));
+	}
+
+	private static void connect(List<BenchAgent> agents) throws InterruptedException {
+		for (int i = 0; i < agents.size(); i++) {
+			for (int j = i + 1; j < agents.size(); j++) {
+				agents.get(i).connectTo(agents.get(j));
+			}
+		}
+		while (!agents.stream().allMatch((agent) -> agent.connections() == agents.size() - 1)) {
+			Thread.sleep(POLL_MILLIS);
+		}
+	}
+
+	private WeightsSettings settings(Member member, URI origin, Preference preference) {
+		long link = this.options.linkRate();
+		return new WeightsSettings(member, Labels.none(), MEMORY_FACTOR * this.options.bytes(), origin, null,
+				preference, new WeightsSettings.Rates(0, 0, link, link), 1, List.of());
+	}
+
+	private Result measure(List<BenchAgent> agents, WeightsServer origin, boolean shared) throws InterruptedException {
+		OperatingSystemMXBean system = (OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
+		long processorNanos = system.getProcessCpuTime();
+		long start = System.nanoTime();
+		for (BenchAgent agent : agents) {
+			agent.fleetChanged(fleet(shared ? agents : List.of(agent)));
+		}
+		long deadline = start + TimeUnit.SECONDS.toNanos(this.options.timeoutSeconds);
+		long whole = agents.stream().filter(BenchAgent::isWhole).count();
+		while (whole < agents.size() && System.nanoTime() < deadline) {
+			Thread.sleep(POLL_MILLIS);
+			whole = agents.stream().filter(BenchAgent::isWhole).count();
+		}
+		double seconds = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start) / MILLIS_PER_SECOND;
+		double processor = TimeUnit.NANOSECONDS.toMillis(system.getProcessCpuTime() - processorNanos)
+				/ MILLIS_PER_SECOND;
+		return result(agents, origin, (int) whole, seconds, processor);
+	}
+
+	private Result result(List<BenchAgent> agents, WeightsServer origin, int whole, double seconds, double processor) {
+		double size = this.options.bytes();
+		double busiest = 0;
+		double control = 0;
+		for (BenchAgent agent : agents) {
+			WeightsProgress progress = agent.progress();
+			busiest = Math.max(busiest, progress.arrivedBytes() + progress.sentBytes());
+			control += agent.controlBytes();
+		}
+		double ideal = size / this.options.linkRate();
+		return new Result(whole, seconds, seconds / ideal, origin.served().get("dataBytes").asLong() / size,
+				busiest / size, processor / agents.size(), control / agents.size());
+	}
+
+	private FleetSnapshot fleet(List<BenchAgent> agents) {
+		Map<InstanceId, AgentView> views = new HashMap<>();
+		for (BenchAgent agent : agents) {
+			views.put(agent.instance().id(), new AgentView(agent.instance(), 1, true, false, List.of(), List.of(), 0));
+		}
+		Service service = new Service(SERVICE, Service.Kind.ENGINE, true, "", List.of(), List.of(), 0, 0, 25, 1, 1);
+		WeightsVersion version = new WeightsVersion(
+				VersionId.of(this.weights.shape().model(), this.weights.shape().version()), SERVICE,
+				new Digest(this.weights.manifestDigest()), Selector.everything(), false);
+		PublishedConfiguration configuration = new PublishedConfiguration(
+				new ConfigurationVersion(1, Digest.of(new byte[0])), Map.of(), Map.of(SERVICE, service), Map.of(),
+				Map.of(version.id(), version), Map.of(), List.of());
+		return new FleetSnapshot(configuration, views);
+	}
+
+	/**
+	 * What was measured. Immutable.
+	 *
+	 * @param whole how many agents had the whole version in the end
+	 * @param seconds the time until all had it
+	 * @param overIdeal that time over the size divided by the rate of a link
+	 * @param originCopies the bytes that the origin sent, in copies
+	 * @param busiestLinkCopies the bytes on the busiest agent's link, both ways, in
+	 * copies
+	 * @param processorSecondsPerAgent processor time, origin and all, for each agent
+	 * @param controlBytesPerAgent the bytes of messages without weights that an agent got
+	 */
+	record Result(int whole, double seconds, double overIdeal, double originCopies, double busiestLinkCopies,
+			double processorSecondsPerAgent, double controlBytesPerAgent) {
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-bench/src/main/java/org/catkingate/bench/weights/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measures the distribution of weights.
+ */
+package org.catkingate.bench.weights;
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/Limits.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/Limits.java
@@ -18,7 +18,7 @@
 	static final int SLICE_BYTES = 128 * 1024;
 
 	/** The size of a slice from origin, store or other regions, in bytes. */
-	static final int UPSTREAM_SLICE_BYTES = 32 * 1024;
+	static final int UPSTREAM_SLICE_BYTES = 64 * 1024;
 
 	/** Slices asked for at a time in one transfer within the region. */
 	static final int SLICES_PER_TRANSFER = 3;
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/VersionSteps.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/VersionSteps.java
@@ -13,10 +13,7 @@
 import org.catkingate.model.Digest;
 import org.catkingate.model.InstanceId;
 import org.catkingate.model.InstanceRecord;
-import org.catkingate.model.Labels;
 import org.catkingate.model.Manifest;
-import org.catkingate.model.published.InstanceGroup;
-import org.catkingate.model.published.Service;
 import org.catkingate.model.published.WeightsVersion;
 
 /**
@@ -31,7 +28,7 @@
 	static void fleetChanged(Work work, FleetSnapshot fleet) {
 		Map<Digest, WeightsVersion> wanted = new TreeMap<>();
 		for (WeightsVersion version : fleet.configuration().versions().values()) {
-			if (isSelected(fleet, version, work.settings.labels())) {
+			if (Selection.isSelected(fleet.configuration(), version, work.settings.labels())) {
 				wanted.put(version.manifestDigest(), version);
 			}
 		}
@@ -44,15 +41,6 @@
 		work.add(new DistributionEffect.ConnectNeighbours(neighbours));
 	}
 
-	private static boolean isSelected(FleetSnapshot fleet, WeightsVersion version, Labels labels) {
-		Service service = fleet.configuration().services().get(version.service());
-		if (version.withdrawn() || service == null || !version.selector().matches(labels)) {
-			return false;
-		}
-		InstanceGroup group = fleet.configuration().groups().get(service.group());
-		return group == null || group.selector().matches(labels);
-	}
-
 	private static void drop(Work work, Set<Digest> wanted) {
 		List<Digest> dropped = new ArrayList<>(work.downloads.keySet());
 		dropped.removeAll(wanted);
@@ -95,7 +83,8 @@
 		Map<InstanceId, Member> members = new TreeMap<>();
 		for (AgentView agent : fleet.agents().values()) {
 			InstanceRecord instance = agent.instance();
-			if (!agent.draining() && !instance.leaving() && isSelected(fleet, version, instance.labels())) {
+			boolean leaving = agent.draining() || instance.leaving();
+			if (!leaving && Selection.isSelected(fleet.configuration(), version, instance.labels())) {
 				members.put(instance.id(), new Member(instance.id(), instance.dataCentre(), instance.region()));
 			}
 		}
--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/runners/RunnerState.java
@@ -0,0 +1,114 @@
+package org.catkingate.decisions.runners;
+
+import org.catkingate.model.Digest;
+import org.catkingate.model.RunnerId;
+import org.catkingate.model.ServiceName;
+import org.catkingate.model.VersionId;
+
+/**
+ * What is known of one runner. Immutable and safe for use by any thread.
+ *
+ * @param runner the runner
+ * @param service its service
+ * @param phase what is being done
+ * @param open what the gate is open with; null while it is closed
+ * @param report the engine's last valid report; null if there is none
+ * @param asking whether a report has been asked for
+ * @param validFromMillis reports asked for before are too old
+ * @param inProgress the requests in progress
+ * @param notBeforeMillis when the next order may be given
+ * @param failures how many orders have failed in a row
+ */
+record RunnerState(RunnerId runner, ServiceName service, Phase phase, Serving open, Report report, boolean asking,
+		long validFromMillis, int inProgress, long notBeforeMillis, int failures) {
+
+	static RunnerState initial(RunnerId runner, ServiceName service) {
+		return new RunnerState(runner, service, Phase.SETTLED, null, null, false, 0, 0, 0, 0);
+	}
+
+	boolean isOpen() {
+		return this.open != null;
+	}
+
+	boolean holds(Digest digest) {
+		return this.report != null && digest.equals(this.report.digest());
+	}
+
+	RunnerState in(Phase changed) {
+		return new RunnerState(this.runner, this.service, changed, this.open, this.report, this.asking,
+				this.validFromMillis, this.inProgress, this.notBeforeMillis, this.failures);
+	}
+
+	RunnerState openedWith(Serving changed) {
+		return new RunnerState(this.runner, this.service, this.phase, changed, this.report, this.asking,
+				this.validFromMillis, this.inProgress, this.notBeforeMillis, this.failures);
+	}
+
+	RunnerState reported(Report changed) {
+		return new RunnerState(this.runner, this.service, this.phase, this.open, changed, false, this.validFromMillis,
+				this.inProgress, this.notBeforeMillis, this.failures);
+	}
+
+	RunnerState asking(boolean changed) {
+		return new RunnerState(this.runner, this.service, this.phase, this.open, this.report, changed,
+				this.validFromMillis, this.inProgress, this.notBeforeMillis, this.failures);
+	}
+
+	/**
+	 * Forgets the report: only one asked for from now on counts.
+	 * @param now the monotonic time, in milliseconds
+	 * @return the changed state, never null
+	 */
+	RunnerState invalidated(long now) {
+		return new RunnerState(this.runner, this.service, this.phase, this.open, null, false, now, this.inProgress,
+				this.notBeforeMillis, this.failures);
+	}
+
+	RunnerState withInProgress(int changed) {
+		return new RunnerState(this.runner, this.service, this.phase, this.open, this.report, this.asking,
+				this.validFromMillis, changed, this.notBeforeMillis, this.failures);
+	}
+
+	RunnerState notBefore(long millis, int changedFailures) {
+		return new RunnerState(this.runner, this.service, this.phase, this.open, this.report, this.asking,
+				this.validFromMillis, this.inProgress, Math.max(this.notBeforeMillis, millis), changedFailures);
+	}
+
+	/**
+	 * What is being done to a runner.
+	 */
+	enum Phase {
+
+		/** Nothing. */
+		SETTLED,
+
+		/** It takes no more requests, and those in progress come to their end. */
+		DRAINING,
+
+		/** It has been ordered to load. */
+		LOADING
+
+	}
+
+	/**
+	 * What a gate is open with. Immutable.
+	 *
+	 * @param version the version; null for a plain service
+	 * @param digest the digest of the weights; null for a plain service
+	 */
+	record Serving(VersionId version, Digest digest) {
+
+	}
+
+	/**
+	 * An engine's report. Immutable.
+	 *
+	 * @param askedAtMillis when it was asked for
+	 * @param digest what the engine holds; null for nothing
+	 * @param fence the highest fencing number that it has accepted
+	 */
+	record Report(long askedAtMillis, Digest digest, long fence) {
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/runners/RunnersState.java
@@ -0,0 +1,88 @@
+package org.catkingate.decisions.runners;
+
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+
+import org.catkingate.decisions.membership.FleetSnapshot;
+import org.catkingate.model.RunnerId;
+import org.catkingate.model.RunnerStatus;
+import org.catkingate.model.VersionId;
+
+/**
+ * All that one agent knows of its runners. Immutable and safe for use by any thread.
+ *
+ * @since 0.1
+ */
+public final class RunnersState {
+
+	private final RunnersSettings settings;
+
+	private final FleetSnapshot fleet;
+
+	private final Map<RunnerId, RunnerState> runners;
+
+	private final Map<VersionId, Target> targets;
+
+	private final long tickedAtMillis;
+
+	RunnersState(RunnersSettings settings, FleetSnapshot fleet, Map<RunnerId, RunnerState> runners,
+			Map<VersionId, Target> targets, long tickedAtMillis) {
+		this.settings = Objects.requireNonNull(settings, "settings must not be null");
+		this.fleet = Objects.requireNonNull(fleet, "fleet must not be null");
+		this.runners = Collections.unmodifiableMap(runners);
+		this.targets = Collections.unmodifiableMap(targets);
+		this.tickedAtMillis = tickedAtMillis;
+	}
+
+	/**
+	 * Returns the state of an agent that has just started: all gates are closed.
+	 * @param settings what it knows of its runners
+	 * @return the state, never null
+	 */
+	public static RunnersState initial(RunnersSettings settings) {
+		Map<RunnerId, RunnerState> runners = new TreeMap<>();
+		settings.services().forEach((runner, service) -> runners.put(runner, RunnerState.initial(runner, service)));
+		return new RunnersState(settings, FleetSnapshot.empty(), runners, Map.of(), -1);
+	}
+
+	RunnersSettings settings() {
+		return this.settings;
+	}
+
+	FleetSnapshot fleet() {
+		return this.fleet;
+	}
+
+	Map<RunnerId, RunnerState> runners() {
+		return this.runners;
+	}
+
+	Map<VersionId, Target> targets() {
+		return this.targets;
+	}
+
+	long tickedAtMillis() {
+		return this.tickedAtMillis;
+	}
+
+	/**
+	 * Tells the state of each runner, for the other processes.
+	 * @return the statuses in the order of the runners' names
+	 */
+	public List<RunnerStatus> statuses() {
+		return this.runners.values().stream().map(RunnersState::status).toList();
+	}
+
+	private static RunnerStatus status(RunnerState runner) {
+		RunnerState.Serving serving = runner.open();
+		if (serving != null) {
+			return new RunnerStatus(runner.runner(), runner.service(), serving.version(), serving.digest(), true);
+		}
+		return new RunnerStatus(runner.runner(), runner.service(), null,
+				(runner.report() != null) ? runner.report().digest() : null, false);
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/runners/SwitchOrder.java
@@ -0,0 +1,103 @@
+package org.catkingate.decisions.runners;
+
+import java.util.Comparator;
+import java.util.List;
+
+import org.catkingate.decisions.distribution.Selection;
+import org.catkingate.decisions.membership.AgentView;
+import org.catkingate.decisions.membership.FleetSnapshot;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.RunnerId;
+import org.catkingate.model.RunnerStatus;
+import org.catkingate.model.published.Service;
+
+/**
+ * Bounds how many runners of a service switch at once, without coordination. All agents
+ * rank the runners of a version alike, and a runner switches when fewer than the bound
+ * before it are known to be pending. Runners that nothing is known of count as pending,
+ * but for a bounded time for each group of that size, so that a lost one holds up nobody
+ * for good. Stateless and safe for use by any thread.
+ */
+final class SwitchOrder {
+
+	/** How long a group of runners that nothing is known of is waited for. */
+	static final long GROUP_MILLIS = 20_000;
+
+	private static final int PERCENT = 100;
+
+	private static final long FNV_PRIME = 0x100000001b3L;
+
+	private SwitchOrder() {
+	}
+
+	static boolean maySwitch(RunnersState state, RunnerState runner, Target target, long now) {
+		Service service = state.fleet().configuration().services().get(runner.service());
+		if (service == null) {
+			return false;
+		}
+		InstanceId own = state.settings().instance();
+		long ownScore = score(target, own, runner.runner());
+		int runners = state.settings().services().size();
+		int before = 0;
+		for (AgentView agent : selected(state.fleet(), target, own)) {
+			List<RunnerStatus> statuses = statuses(agent, service);
+			runners += Math.max(1, statuses.size());
+			before += pendingBefore(agent, statuses, target, ownScore);
+		}
+		before += ownBefore(state, runner, target, ownScore);
+		int total = Math.max(runners, service.expectedRunners());
+		int bound = Math.max(1, total * service.switchingSharePercent() / PERCENT);
+		return before < bound || now - target.wholeAtMillis() >= before / bound * GROUP_MILLIS;
+	}
+
+	private static List<AgentView> selected(FleetSnapshot fleet, Target target, InstanceId own) {
+		return fleet.agents()
+			.values()
+			.stream()
+			.filter((agent) -> !agent.instance().id().equals(own))
+			.filter((agent) -> !agent.draining() && !agent.instance().leaving())
+			.filter((agent) -> Selection.isSelected(fleet.configuration(), target.version(), agent.instance().labels()))
+			.sorted(Comparator.comparing((agent) -> agent.instance().id()))
+			.toList();
+	}
+
+	private static List<RunnerStatus> statuses(AgentView agent, Service service) {
+		return agent.runners().stream().filter((status) -> status.service().equals(service.name())).toList();
+	}
+
+	private static int pendingBefore(AgentView agent, List<RunnerStatus> statuses, Target target, long ownScore) {
+		if (statuses.isEmpty()) {
+			return (score(target, agent.instance().id(), null) < ownScore) ? 1 : 0;
+		}
+		int count = 0;
+		for (RunnerStatus status : statuses) {
+			boolean done = status.admitting() && target.digest().equals(status.digest());
+			boolean switching = !status.admitting();
+			boolean earlier = score(target, agent.instance().id(), status.runner()) < ownScore;
+			count += (!done && (switching || earlier)) ? 1 : 0;
+		}
+		return count;
+	}
+
+	private static int ownBefore(RunnersState state, RunnerState runner, Target target, long ownScore) {
+		int count = 0;
+		for (RunnerState other : state.runners().values()) {
+			boolean same = other.service().equals(runner.service()) && !other.runner().equals(runner.runner());
+			boolean done = other.isOpen() && target.digest().equals(other.open().digest());
+			boolean switching = other.phase() != RunnerState.Phase.SETTLED;
+			boolean earlier = score(target, state.settings().instance(), other.runner()) < ownScore;
+			count += (same && !done && (switching || earlier)) ? 1 : 0;
+		}
+		return count;
+	}
+
+	private static long score(Target target, InstanceId instance, RunnerId runner) {
+		long hash = 0;
+		String text = target.id() + " " + instance + " " + runner;
+		for (int i = 0; i < text.length(); i++) {
+			hash = (hash ^ text.charAt(i)) * FNV_PRIME;
+		}
+		return (hash ^ (hash >>> 32)) * FNV_PRIME;
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/runners/Target.java
@@ -0,0 +1,37 @@
+package org.catkingate.decisions.runners;
+
+import java.util.Objects;
+
+import org.catkingate.model.Digest;
+import org.catkingate.model.Manifest;
+import org.catkingate.model.VersionId;
+import org.catkingate.model.published.WeightsVersion;
+
+/**
+ * A version that runners here may serve. Immutable and safe for use by any thread.
+ *
+ * @param version the version as configured
+ * @param manifest its manifest
+ * @param wholeAtMillis when all its chunks were held; negative if they are not
+ * @since 0.1
+ */
+public record Target(WeightsVersion version, Manifest manifest, long wholeAtMillis) {
+
+	public Target {
+		Objects.requireNonNull(version, "version must not be null");
+		Objects.requireNonNull(manifest, "manifest must not be null");
+	}
+
+	VersionId id() {
+		return this.version.id();
+	}
+
+	Digest digest() {
+		return this.manifest.digest();
+	}
+
+	boolean isWhole() {
+		return this.wholeAtMillis >= 0;
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/weights/WeightsEvent.java
@@ -0,0 +1,43 @@
+package org.catkingate.decisions.weights;
+
+import java.util.Map;
+import java.util.Objects;
+
+import org.catkingate.decisions.Event;
+import org.catkingate.decisions.membership.FleetSnapshot;
+import org.catkingate.model.RunnerId;
+
+/**
+ * What concerns both the distribution and the runners.
+ *
+ * @since 0.1
+ */
+public sealed interface WeightsEvent extends Event {
+
+	/**
+	 * Time has passed.
+	 *
+	 * @param inProgress the requests in progress on each runner
+	 */
+	record Ticked(Map<RunnerId, Integer> inProgress) implements WeightsEvent {
+
+		public Ticked {
+			inProgress = Map.copyOf(inProgress);
+		}
+
+	}
+
+	/**
+	 * The configuration or the fleet has changed.
+	 *
+	 * @param fleet what is known now
+	 */
+	record FleetChanged(FleetSnapshot fleet) implements WeightsEvent {
+
+		public FleetChanged {
+			Objects.requireNonNull(fleet, "fleet must not be null");
+		}
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/weights/WeightsReducer.java
@@ -0,0 +1,86 @@
+package org.catkingate.decisions.weights;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.catkingate.decisions.Effect;
+import org.catkingate.decisions.Event;
+import org.catkingate.decisions.Reducer;
+import org.catkingate.decisions.Step;
+import org.catkingate.decisions.distribution.DistributionEffect;
+import org.catkingate.decisions.distribution.DistributionEvent;
+import org.catkingate.decisions.distribution.DistributionReducer;
+import org.catkingate.decisions.distribution.DistributionState;
+import org.catkingate.decisions.runners.RunnersEvent;
+import org.catkingate.decisions.runners.RunnersReducer;
+import org.catkingate.decisions.runners.RunnersState;
+
+/**
+ * Reduces the events of the distribution and of the runners, and tells the runners which
+ * versions have come. Stateless and safe for use by any thread.
+ *
+ * @since 0.1
+ */
+public final class WeightsReducer implements Reducer<WeightsState> {
+
+	private final Reducer<DistributionState> distribution = DistributionReducer.create();
+
+	private final Reducer<RunnersState> runners = RunnersReducer.create();
+
+	private WeightsReducer() {
+	}
+
+	/**
+	 * Returns the reducer.
+	 * @return the reducer, never null
+	 */
+	public static WeightsReducer create() {
+		return new WeightsReducer();
+	}
+
+	@Override
+	public Step<WeightsState> reduce(WeightsState state, long nowMillis, Event event) {
+		if (event instanceof WeightsEvent.Ticked ticked) {
+			return reduceBoth(state, nowMillis, new DistributionEvent.Ticked(),
+					new RunnersEvent.Ticked(ticked.inProgress()));
+		}
+		if (event instanceof WeightsEvent.FleetChanged changed) {
+			return reduceBoth(state, nowMillis, new DistributionEvent.FleetChanged(changed.fleet()),
+					new RunnersEvent.FleetChanged(changed.fleet()));
+		}
+		return reduceBoth(state, nowMillis, event, event);
+	}
+
+	private Step<WeightsState> reduceBoth(WeightsState state, long now, Event forDistribution, Event forRunners) {
+		Step<DistributionState> distributed = this.distribution.reduce(state.distribution(), now, forDistribution);
+		List<Effect> effects = new ArrayList<>(distributed.effects());
+		RunnersState after = reduceRunners(state.runners(), now, forRunners, effects);
+		for (Effect effect : distributed.effects()) {
+			RunnersEvent following = following(effect);
+			if (following != null) {
+				after = reduceRunners(after, now, following, effects);
+			}
+		}
+		return new Step<>(new WeightsState(distributed.state(), after), effects);
+	}
+
+	private RunnersState reduceRunners(RunnersState state, long now, Event event, List<Effect> effects) {
+		Step<RunnersState> step = this.runners.reduce(state, now, event);
+		effects.addAll(step.effects());
+		return step.state();
+	}
+
+	private static RunnersEvent following(Effect effect) {
+		if (effect instanceof DistributionEffect.VersionKnown known) {
+			return new RunnersEvent.VersionKnown(known.version(), known.manifest());
+		}
+		if (effect instanceof DistributionEffect.VersionWhole whole) {
+			return new RunnersEvent.VersionWhole(whole.version(), whole.manifest());
+		}
+		if (effect instanceof DistributionEffect.VersionDropped dropped) {
+			return new RunnersEvent.VersionDropped(dropped.version().id());
+		}
+		return null;
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/weights/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Puts the distribution of weights and the runners of one agent together.
+ */
+package org.catkingate.decisions.weights;
