Give back the download rate of slices that are given up

Refused requests had used up the download rate, deferrals began before anything was given, and the delay that sizes the window included this process's own pacing. Change: measure the delay from the sending, give back what is not used, count fairness against the wanted bytes, serve other regions first.

--- a/catkingate-agent/src/main/java/org/catkingate/agent/weights/DistributionIo.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/weights/DistributionIo.java
@@ -47,7 +47,7 @@
 
 	private final PeerDemand demand;
 
-	private final TokenBucket download;
+	private final OutstandingSlices outstanding;
 
 	private final ScheduledExecutorService timer;
 
@@ -72,7 +72,7 @@
 		this.published = parts.published();
 		this.peers = parts.peers();
 		this.demand = parts.demand();
-		this.download = parts.download();
+		this.outstanding = new OutstandingSlices(parts.download());
 		this.timer = parts.timer();
 		this.digests = parts.digests();
 		this.clock = parts.clock();
@@ -91,6 +91,7 @@
 		}
 		else if (effect instanceof DistributionEffect.ReleaseChunk release) {
 			this.expected.remove(release.chunk());
+			this.outstanding.giveUp(release.chunk());
 			this.memory.release(release.chunk());
 		}
 		else if (effect instanceof DistributionEffect.FetchManifest fetch) {
@@ -141,13 +142,14 @@
 
 	private void verify(Digest chunk) {
 		this.expected.remove(chunk);
+		this.outstanding.giveUp(chunk);
 		boolean verified = this.memory.verify(chunk);
 		this.events
 			.accept(verified ? new DistributionEvent.ChunkVerified(chunk) : new DistributionEvent.ChunkCorrupt(chunk));
 	}
 
 	private void pace(DistributionEffect.RequestSlice request) {
-		long delay = this.download.take(request.length());
+		long delay = this.outstanding.take(request.chunk(), request.offset(), request.length());
 		if (delay > 0) {
 			this.timer.schedule(() -> request(request), delay, TimeUnit.MILLISECONDS);
 		}
@@ -160,6 +162,7 @@
 		if (!request.source().equals(this.expected.get(request.chunk()))) {
 			return;
 		}
+		this.outstanding.sent(request.chunk(), request.offset(), this.clock.millis());
 		if (request.source() instanceof Source.Peer peer) {
 			Message message = new Weights.ChunkRequest(request.chunk(), request.offset(), request.length());
 			if (!send(peer.instance(), message)) {
@@ -208,7 +211,8 @@
 	private void store(Source source, Digest chunk, int offset, byte[] bytes) {
 		this.arrivedBytes.addAndGet(bytes.length);
 		if (source.equals(this.expected.get(chunk)) && this.memory.store(chunk, offset, ByteBuffer.wrap(bytes))) {
-			this.events.accept(new DistributionEvent.SliceArrived(source, chunk, offset, bytes.length));
+			long took = this.outstanding.arrived(chunk, offset, this.clock.millis());
+			this.events.accept(new DistributionEvent.SliceArrived(source, chunk, offset, bytes.length, took));
 		}
 	}
 
--- /dev/null
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/weights/OutstandingSlices.java
@@ -0,0 +1,51 @@
+package org.catkingate.agent.weights;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.catkingate.model.Digest;
+
+/**
+ * The slices that have been asked for and have not arrived. What of the download rate was
+ * taken for them is given back if they are given up. Safe for use by any thread.
+ */
+final class OutstandingSlices {
+
+	private final Map<Digest, Map<Integer, Slice>> slices = new ConcurrentHashMap<>();
+
+	private final TokenBucket download;
+
+	OutstandingSlices(TokenBucket download) {
+		this.download = download;
+	}
+
+	long take(Digest chunk, int offset, int length) {
+		this.slices.computeIfAbsent(chunk, (digest) -> new ConcurrentHashMap<>()).put(offset, new Slice(length, 0));
+		return this.download.take(length);
+	}
+
+	void sent(Digest chunk, int offset, long nowMillis) {
+		Map<Integer, Slice> ofChunk = this.slices.get(chunk);
+		if (ofChunk != null) {
+			ofChunk.computeIfPresent(offset, (position, slice) -> new Slice(slice.length(), nowMillis));
+		}
+	}
+
+	long arrived(Digest chunk, int offset, long nowMillis) {
+		Map<Integer, Slice> ofChunk = this.slices.get(chunk);
+		Slice slice = (ofChunk != null) ? ofChunk.remove(offset) : null;
+		return (slice != null) ? nowMillis - slice.sentAtMillis() : 0;
+	}
+
+	void giveUp(Digest chunk) {
+		Map<Integer, Slice> ofChunk = this.slices.remove(chunk);
+		if (ofChunk != null) {
+			ofChunk.values().forEach((slice) -> this.download.giveBack(slice.length()));
+		}
+	}
+
+	private record Slice(int length, long sentAtMillis) {
+
+	}
+
+}
--- a/catkingate-agent/src/main/java/org/catkingate/agent/weights/TokenBucket.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/weights/TokenBucket.java
@@ -63,4 +63,12 @@
 		return (long) Math.ceil(waitNanos / NANOS_PER_MILLI);
 	}
 
+	/**
+	 * Gives back bytes that were taken and not used.
+	 * @param bytes how many
+	 */
+	public synchronized void giveBack(long bytes) {
+		this.available = Math.min(this.burstBytes, this.available + bytes);
+	}
+
 }
--- a/catkingate-agent/src/main/java/org/catkingate/agent/weights/Uploads.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/weights/Uploads.java
@@ -6,9 +6,11 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
 
 import org.catkingate.model.Digest;
 import org.catkingate.model.InstanceId;
+import org.catkingate.model.RegionName;
 import org.catkingate.runtime.MonotonicClock;
 import org.catkingate.wire.FrameConnection;
 import org.catkingate.wire.FrameLimits;
@@ -16,7 +18,7 @@
 
 /**
  * Gives verified chunks to peers. A new chunk is refused while what is promised already
- * takes long; and once an instance has given about one copy of what it holds, a peer is
+ * takes long; and once an instance has given about one copy of what is wanted, a peer is
  * refused a chunk the first time that it asks, so that it turns to others. A chunk that
  * was begun is not refused. Safe for use by any thread.
  */
@@ -38,13 +40,20 @@
 
 	private final MonotonicClock clock;
 
+	private final RegionName region;
+
+	private final LongSupplier wantedBytes;
+
 	private final AtomicLong sentBytes = new AtomicLong();
 
 	private final AtomicLong busyUntilMillis = new AtomicLong();
 
 	private final Map<Deferral, Boolean> deferred = new ConcurrentHashMap<>();
 
-	Uploads(ChunkMemory memory, TokenBucket rate, ScheduledExecutorService timer, MonotonicClock clock) {
+	Uploads(ChunkMemory memory, TokenBucket rate, ScheduledExecutorService timer, MonotonicClock clock,
+			RegionName region, LongSupplier wantedBytes) {
+		this.region = region;
+		this.wantedBytes = wantedBytes;
 		this.memory = memory;
 		this.rate = rate;
 		this.timer = timer;
@@ -71,7 +80,7 @@
 		}
 		long delay = this.rate.take(request.length());
 		this.busyUntilMillis.set(this.clock.millis() + delay);
-		if (delay > 0) {
+		if (delay > 0 && !isFar(connection)) {
 			this.timer.schedule(() -> send(connection, request), delay, TimeUnit.MILLISECONDS);
 		}
 		else {
@@ -80,15 +89,28 @@
 		return true;
 	}
 
+	/**
+	 * Tells whether a peer is in another region. What it gets goes before what others
+	 * get, since it is the only copy that its region gets this way.
+	 * @param connection the connection to the peer
+	 * @return whether it is
+	 */
+	private boolean isFar(FrameConnection connection) {
+		return !connection.peer().region().equals(this.region);
+	}
+
 	private long refusal(FrameConnection connection, Digest chunk) {
 		long queue = this.busyUntilMillis.get() - this.clock.millis();
+		if (isFar(connection)) {
+			return 0;
+		}
 		if (queue > LONGEST_QUEUE_MILLIS) {
 			return queue;
 		}
 		if (connection.isCongested()) {
 			return LONGEST_QUEUE_MILLIS;
 		}
-		boolean generous = this.sentBytes.get() < FAIR_COPIES * this.memory.usedBytes();
+		boolean generous = this.sentBytes.get() < FAIR_COPIES * this.wantedBytes.getAsLong();
 		if (generous) {
 			return 0;
 		}
--- a/catkingate-agent/src/main/java/org/catkingate/agent/weights/WeightsDistribution.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/weights/WeightsDistribution.java
@@ -81,7 +81,8 @@
 		this.parts = parts;
 		this.statuses = statuses;
 		this.memory = ChunkMemory.ofBytes(settings.memoryBytes());
-		this.uploads = new Uploads(this.memory, parts.upload(), parts.timer(), parts.clock());
+		this.uploads = new Uploads(this.memory, parts.upload(), parts.timer(), parts.clock(), settings.own().region(),
+				() -> this.loop.state().distribution().wantedBytes());
 		this.gates = new HashMap<>();
 		gates.forEach((gate) -> this.gates.put(gate.runner(), gate));
 		this.distribution = new DistributionIo(parts, this.memory, this::submit);
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/DistributionEvent.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/DistributionEvent.java
@@ -95,8 +95,10 @@
 	 * @param chunk the chunk
 	 * @param offset its first byte
 	 * @param length its size, in bytes
+	 * @param tookMillis the time from request to answer, in milliseconds
 	 */
-	record SliceArrived(Source source, Digest chunk, int offset, int length) implements DistributionEvent {
+	record SliceArrived(Source source, Digest chunk, int offset, int length,
+			long tookMillis) implements DistributionEvent {
 
 	}
 
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/DistributionState.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/DistributionState.java
@@ -99,6 +99,18 @@
 				download.refused());
 	}
 
+	/**
+	 * Sums up the sizes of the wanted versions whose manifests are known.
+	 * @return the sum, in bytes
+	 */
+	public long wantedBytes() {
+		long sum = 0;
+		for (Download download : this.downloads.values()) {
+			sum += download.isActive() ? download.content().manifest().totalBytes() : 0;
+		}
+		return sum;
+	}
+
 	/**
 	 * Returns the chunks held of a manifest that is wanted.
 	 * @param manifest the digest of the manifest's bytes
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/Transfer.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/Transfer.java
@@ -1,7 +1,7 @@
 package org.catkingate.decisions.distribution;
 
-import java.util.Map;
-import java.util.TreeMap;
+import java.util.Set;
+import java.util.TreeSet;
 
 import org.catkingate.model.Digest;
 
@@ -15,14 +15,14 @@
  * @param distance how far that is
  * @param requested how many bytes have been asked for, from the start
  * @param received how many bytes have arrived
- * @param outstanding when each slice was asked for that has not arrived, by offset
+ * @param outstanding the offsets of the slices that have been asked for and not arrived
  * @param progressAtMillis when the last slice arrived, or the start
  */
 record Transfer(Digest manifest, int index, int size, Source source, Distance distance, int requested, int received,
-		Map<Integer, Long> outstanding, long progressAtMillis) {
+		Set<Integer> outstanding, long progressAtMillis) {
 
 	static Transfer start(Digest manifest, int index, int size, Source source, Distance distance, long now) {
-		return new Transfer(manifest, index, size, source, distance, 0, 0, Map.of(), now);
+		return new Transfer(manifest, index, size, source, distance, 0, 0, Set.of(), now);
 	}
 
 	boolean isUpstream() {
@@ -49,15 +49,15 @@
 		return !isWhole() && now - this.progressAtMillis > Limits.STALL_MILLIS;
 	}
 
-	Transfer requestedSlice(long now) {
-		Map<Integer, Long> more = new TreeMap<>(this.outstanding);
-		more.put(this.requested, now);
+	Transfer requestedSlice() {
+		Set<Integer> more = new TreeSet<>(this.outstanding);
+		more.add(this.requested);
 		return new Transfer(this.manifest, this.index, this.size, this.source, this.distance,
 				this.requested + nextSliceLength(), this.received, more, this.progressAtMillis);
 	}
 
 	Transfer receivedSlice(int offset, int length, long now) {
-		Map<Integer, Long> fewer = new TreeMap<>(this.outstanding);
+		Set<Integer> fewer = new TreeSet<>(this.outstanding);
 		fewer.remove(offset);
 		return new Transfer(this.manifest, this.index, this.size, this.source, this.distance, this.requested,
 				this.received + length, fewer, now);
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/TransferPlanner.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/TransferPlanner.java
@@ -89,7 +89,7 @@
 			long start = (long) transfer.index() * download.content().manifest().chunkBytes();
 			work.add(new DistributionEffect.RequestSlice(transfer.source(), download.version().id(),
 					start + transfer.requested(), chunk, transfer.requested(), transfer.nextSliceLength()));
-			transfer = transfer.requestedSlice(work.now);
+			transfer = transfer.requestedSlice();
 			work.transfers.put(chunk, transfer);
 		}
 	}
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/TransferSteps.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/TransferSteps.java
@@ -20,12 +20,11 @@
 		if (!isExpected(transfer, event)) {
 			return;
 		}
-		long tookMillis = work.now - transfer.outstanding().get(event.offset());
 		Transfer further = transfer.receivedSlice(event.offset(), event.length(), work.now);
 		work.transfers.put(event.chunk(), further);
 		if (transfer.isUpstream()) {
 			work.changeSource(transfer.source(),
-					(state) -> state.withWindow(state.window().answered(work.now, tookMillis, event.length())));
+					(state) -> state.withWindow(state.window().answered(work.now, event.tookMillis(), event.length())));
 		}
 		if (further.isWhole()) {
 			work.add(new DistributionEffect.VerifyChunk(event.chunk()));
@@ -34,7 +33,7 @@
 
 	private static boolean isExpected(Transfer transfer, DistributionEvent.SliceArrived event) {
 		return transfer != null && transfer.source().equals(event.source())
-				&& transfer.outstanding().containsKey(event.offset())
+				&& transfer.outstanding().contains(event.offset())
 				&& transfer.lengthAt(event.offset()) == event.length();
 	}
 
