Cut runners' connections at once and never end an answer by closing

Cause: the HTTP client's close waits for the rest of the answer, so an engine whose caller had left went on; and a caller's 'Connection: close' made the server end bodies of unknown length by closing, where a cut looks like an end. Both were seen failing first (AbandonmentTests: 4 tokens generated after the caller left; no terminating chunk). Tests of refusals, abandonment and lost connections over real sockets added. Ruled out: DELETE /v1/requests/ID alone, which plain services do not have.

--- a/catkingate-agent/src/main/java/org/catkingate/agent/requests/RunnerCall.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/requests/RunnerCall.java
@@ -140,7 +140,7 @@
 		this.delimited = isDelimited(exchange.getRequest(), response);
 		if (!this.listener.head(response.getResponseCode(), headers(response))) {
 			this.over = true;
-			IoUtils.safeClose(this.connection);
+			cut();
 			return;
 		}
 		this.source = exchange.getResponseChannel();
@@ -229,11 +229,24 @@
 	private void fail(String reason) {
 		if (!this.over) {
 			this.over = true;
-			IoUtils.safeClose(this.connection);
+			cut();
 			this.listener.failed(reason);
 		}
 	}
 
+	/**
+	 * Closes the socket. The client's own close would first wait for the rest of the
+	 * answer, while the runner goes on.
+	 */
+	private void cut() {
+		try {
+			this.connection.performUpgrade().close();
+		}
+		catch (IOException ex) {
+			IoUtils.safeClose(this.connection);
+		}
+	}
+
 	/**
 	 * Goes on reading, since there is room.
 	 */
--- a/catkingate-entry/src/main/java/org/catkingate/entry/CallerAnswer.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/CallerAnswer.java
@@ -10,6 +10,8 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import io.undertow.util.StatusCodes;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 
@@ -66,10 +68,26 @@
 				this.exchange.getResponseHeaders().add(name, header.value());
 			}
 		}
+		if (mustBeChunked(status)) {
+			this.exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
+		}
 		this.sink = this.exchange.getResponseChannel();
 		this.sink.getWriteSetter().set((channel) -> this.writable.run());
 	}
 
+	/**
+	 * Tells whether the body needs an end of its own. Without one the server would end it
+	 * by closing the connection if the caller asked for that, and a cut would look like
+	 * an end.
+	 * @param status the HTTP status
+	 * @return whether there is a body of unknown length
+	 */
+	private boolean mustBeChunked(int status) {
+		return !this.exchange.getResponseHeaders().contains(Headers.CONTENT_LENGTH)
+				&& !this.exchange.getRequestMethod().equals(Methods.HEAD) && status != StatusCodes.NO_CONTENT
+				&& status != StatusCodes.NOT_MODIFIED;
+	}
+
 	void add(ByteBuffer bytes) {
 		this.pending.add(bytes);
 	}
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/requests/AbandonmentTests.java
@@ -0,0 +1,130 @@
+package org.catkingate.tests.requests;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import org.catkingate.standins.engine.Engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests that work whose caller has left stops, and that a slow caller costs little.
+ */
+class AbandonmentTests {
+
+	private static final int MANY_TOKENS = 100_000;
+
+	private LocalFleet fleet;
+
+	private Engine engine;
+
+	private LocalAgent agent;
+
+	@BeforeEach
+	void start() throws IOException {
+		this.fleet = LocalFleet.start();
+		this.engine = Runs.engine("--token-micros", "1000");
+		this.agent = this.fleet.addEngine("ahd-1", this.engine.address());
+	}
+
+	@AfterEach
+	void close() {
+		this.fleet.close();
+		this.engine.close();
+	}
+
+	private Socket call(int tokens) throws IOException {
+		Socket socket = new Socket("127.0.0.1", this.fleet.entry().address().getPort());
+		String body = "{\"prompt\":\"left\",\"max_tokens\":" + tokens + ",\"stream\":true}";
+		String head = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer callers-key\r\n"
+				+ "Content-Length: " + body.length() + "\r\n\r\n";
+		socket.getOutputStream().write((head + body).getBytes(StandardCharsets.US_ASCII));
+		return socket;
+	}
+
+	private void awaitInside(int count) {
+		Awaitility.await().atMost(LocalFleet.PATIENCE).until(() -> this.agent.gate().inProgress() == count);
+	}
+
+	@Test
+	void aCallerWhoLeavesBeforeTheFirstTokenStopsTheEngine() throws Exception {
+		this.engine.configure("--prefill-micros-per-character", "1000000");
+		Socket socket = call(MANY_TOKENS);
+		awaitInside(1);
+		socket.close();
+		awaitInside(0);
+		Awaitility.await().atMost(LocalFleet.PATIENCE).until(() -> this.engine.runs().size() == 1);
+		assertThat(this.engine.runs().get(0).cancelled()).isTrue();
+		assertThat(this.engine.runs().get(0).tokens()).isZero();
+	}
+
+	@Test
+	void aCallerWhoLeavesInTheMiddleStopsTheEngine() throws Exception {
+		try (Socket socket = call(MANY_TOKENS)) {
+			assertThat(socket.getInputStream().readNBytes(500)).hasSize(500);
+		}
+		Awaitility.await().atMost(LocalFleet.PATIENCE).until(() -> this.engine.runs().size() == 1);
+		assertThat(this.engine.runs().get(0).cancelled()).isTrue();
+		awaitInside(0);
+		Awaitility.await().atMost(LocalFleet.PATIENCE).until(() -> this.fleet.entry().inProgress() == 0);
+	}
+
+	@Test
+	void queuedWorkWhoseCallerLeftIsNotRun() throws Exception {
+		this.fleet.publish(LocalFleet.configuration(LocalFleet.account(1000, 1000, 1_000_000), 1, 8));
+		Socket running = call(MANY_TOKENS);
+		awaitInside(1);
+		Socket queued = call(10);
+		Awaitility.await().atMost(LocalFleet.PATIENCE).until(() -> this.agent.requests().load(LocalAgent.RUNNER) == 2);
+		queued.close();
+		Awaitility.await().atMost(LocalFleet.PATIENCE).until(() -> this.agent.requests().load(LocalAgent.RUNNER) == 1);
+		running.close();
+		Awaitility.await().atMost(LocalFleet.PATIENCE).until(() -> this.agent.requests().load(LocalAgent.RUNNER) == 0);
+		assertThat(this.engine.runs()).hasSize(1);
+	}
+
+	@Test
+	void aDeadlineThatPassesStopsTheEngine() throws Exception {
+		HttpRequest request = this.fleet.request("/v1/completions")
+			.header("X-Request-Timeout-Ms", "200")
+			.POST(HttpRequest.BodyPublishers.ofString("{\"prompt\":\"late\",\"max_tokens\":5000}"))
+			.build();
+		HttpResponse<String> response = HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString());
+		assertThat(response.statusCode()).isEqualTo(504);
+		assertThat(response.body()).contains("\"kind\":\"deadline-passed\"");
+		awaitInside(0);
+	}
+
+	@Test
+	void aCallerWhoDoesNotReadHoldsUpTheEngineAndGetsEverythingInTheEnd() throws Exception {
+		this.engine.configure("--token-micros", "1");
+		int tokens = 300_000;
+		try (Socket socket = new Socket()) {
+			socket.setReceiveBufferSize(4096);
+			socket.connect(this.fleet.entry().address());
+			String body = "{\"prompt\":\"slow\",\"max_tokens\":" + tokens + ",\"stream\":true}";
+			String head = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer callers-key\r\n"
+					+ "Connection: close\r\nContent-Length: " + body.length() + "\r\n\r\n";
+			socket.getOutputStream().write((head + body).getBytes(StandardCharsets.US_ASCII));
+			awaitInside(1);
+			TimeUnit.SECONDS.sleep(2);
+			assertThat(this.engine.runs()).isEmpty();
+			InputStream answer = socket.getInputStream();
+			byte[] all = answer.readAllBytes();
+			String end = new String(all, all.length - 100, 100, StandardCharsets.US_ASCII);
+			assertThat(end).contains("data: [DONE]").endsWith("0\r\n\r\n");
+		}
+	}
+
+}
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/requests/LostConnectionTests.java
@@ -0,0 +1,131 @@
+package org.catkingate.tests.requests;
+
+import java.io.IOException;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import org.catkingate.standins.engine.Engine;
+import org.catkingate.standins.plain.Plain;
+import org.catkingate.standins.proxy.Proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests that answers survive the loss of the connection between entry and agent.
+ */
+class LostConnectionTests {
+
+	private static final int TOKENS = 400;
+
+	private final HttpClient client = HttpClient.newHttpClient();
+
+	private LocalFleet fleet;
+
+	private Engine engine;
+
+	private Plain plain;
+
+	private Proxy proxy;
+
+	@BeforeEach
+	void start() throws IOException {
+		this.fleet = LocalFleet.start();
+		this.engine = Runs.engine("--token-micros", "2000");
+		this.plain = Plain.start("--delay-ms", "500");
+	}
+
+	@AfterEach
+	void close() {
+		this.fleet.close();
+		this.engine.close();
+		this.plain.close();
+		if (this.proxy != null) {
+			this.proxy.close();
+		}
+	}
+
+	private void throughProxy(LocalAgent agent) {
+		this.proxy = Proxy.start("--target", "127.0.0.1:" + agent.address().getPort());
+		this.fleet.connect(agent, this.proxy.address());
+	}
+
+	private CompletableFuture<HttpResponse<String>> send(HttpRequest request) {
+		return this.client.sendAsync(request, HttpResponse.BodyHandlers.ofString());
+	}
+
+	private void awaitInProgress(LocalAgent agent) {
+		Awaitility.await().atMost(LocalFleet.PATIENCE).until(() -> agent.gate().inProgress() > 0);
+	}
+
+	private void pauseShortly() throws InterruptedException {
+		TimeUnit.MILLISECONDS.sleep(150);
+	}
+
+	@Test
+	void anAnswerGoesOnOverANewConnectionAfterACut() throws Exception {
+		LocalAgent agent = this.fleet.addEngine("ahd-1", this.engine.address());
+		throughProxy(agent);
+		CompletableFuture<HttpResponse<String>> response = send(this.fleet.completion("cut", TOKENS));
+		awaitInProgress(agent);
+		pauseShortly();
+		this.proxy.cut();
+		this.fleet.connect(agent, agent.address());
+		assertThat(Runs.text(response.get(20, TimeUnit.SECONDS).body())).isEqualTo(Runs.expected("cut", TOKENS));
+		assertThat(this.engine.runs()).hasSize(1);
+	}
+
+	@Test
+	void anAnswerGoesOnOverANewConnectionWhenTheOldOneIsSilent() throws Exception {
+		LocalAgent agent = this.fleet.addEngine("ahd-1", this.engine.address());
+		throughProxy(agent);
+		CompletableFuture<HttpResponse<String>> response = send(this.fleet.completion("silent", TOKENS));
+		awaitInProgress(agent);
+		pauseShortly();
+		this.proxy.silence();
+		pauseShortly();
+		this.fleet.connect(agent, agent.address());
+		assertThat(Runs.text(response.get(20, TimeUnit.SECONDS).body())).isEqualTo(Runs.expected("silent", TOKENS));
+		assertThat(this.engine.runs()).hasSize(1);
+	}
+
+	@Test
+	void aPurchaseIsNotSentAgainWhenItsConnectionIsCut() throws Exception {
+		LocalAgent agent = this.fleet.addPlain("ahd-2", this.plain.address());
+		throughProxy(agent);
+		CompletableFuture<HttpResponse<String>> response = send(this.fleet.request("/purchases")
+			.header("Idempotency-Key", "k1")
+			.POST(HttpRequest.BodyPublishers.ofString("x"))
+			.build());
+		awaitInProgress(agent);
+		this.proxy.cut();
+		this.fleet.connect(agent, agent.address());
+		assertThat(response.get(20, TimeUnit.SECONDS).statusCode()).isEqualTo(201);
+		assertThat(this.plain.runsOf("k1")).isEqualTo(1);
+	}
+
+	@Test
+	void aPurchaseWhoseAgentCannotBeReachedAgainHasAnUnknownOutcome() throws Exception {
+		LocalAgent agent = this.fleet.addPlain("ahd-2", this.plain.address());
+		throughProxy(agent);
+		CompletableFuture<HttpResponse<String>> response = send(this.fleet.request("/purchases")
+			.header("Idempotency-Key", "k1")
+			.POST(HttpRequest.BodyPublishers.ofString("x"))
+			.build());
+		awaitInProgress(agent);
+		this.proxy.configure("--refuse", "true");
+		this.proxy.cut();
+		HttpResponse<String> answer = response.get(20, TimeUnit.SECONDS);
+		assertThat(answer.statusCode()).isEqualTo(502);
+		assertThat(answer.headers().firstValue("X-Catkingate-Outcome")).hasValue("unknown");
+		assertThat(this.plain.runsOf("k1")).isEqualTo(1);
+	}
+
+}
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/requests/RefusalTests.java
@@ -0,0 +1,211 @@
+package org.catkingate.tests.requests;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.catkingate.standins.engine.Engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests that what is refused as not run was not run, and is refused at once.
+ */
+class RefusalTests {
+
+	private final HttpClient client = HttpClient.newHttpClient();
+
+	private LocalFleet fleet;
+
+	private Engine engine;
+
+	@BeforeEach
+	void start() throws IOException {
+		this.fleet = LocalFleet.start();
+		this.engine = Runs.engine();
+	}
+
+	@AfterEach
+	void close() {
+		this.fleet.close();
+		this.engine.close();
+	}
+
+	private HttpResponse<String> send(HttpRequest request) throws IOException, InterruptedException {
+		return this.client.send(request, HttpResponse.BodyHandlers.ofString());
+	}
+
+	private void assertNotRun(HttpResponse<String> response, int status, String kind) {
+		assertThat(response.statusCode()).isEqualTo(status);
+		assertThat(response.body()).contains("\"kind\":\"" + kind + "\"");
+		assertThat(response.headers().firstValueAsLong("Retry-After").orElseThrow()).isPositive();
+		assertThat(this.engine.runs()).isEmpty();
+	}
+
+	@Nested
+	class AnAgentRefuses {
+
+		@Test
+		void whatWasDelayedForTooLong() throws Exception {
+			RefusalTests test = RefusalTests.this;
+			test.fleet.addEngine("ahd-1", test.engine.address()).heartbeatsAreOld(3001);
+			assertNotRun(send(test.fleet.completion("late", 3)), 503, "not-run");
+		}
+
+		@Test
+		void whatArrivesWhileItIsLeaving() throws Exception {
+			RefusalTests test = RefusalTests.this;
+			test.fleet.addEngine("ahd-1", test.engine.address()).drain();
+			assertNotRun(send(test.fleet.completion("late", 3)), 503, "not-run");
+		}
+
+		@Test
+		void whatItsClosedGateDoesNotLetIn() throws Exception {
+			RefusalTests test = RefusalTests.this;
+			test.fleet.addEngine("ahd-1", test.engine.address()).gate().close();
+			assertNotRun(send(test.fleet.completion("closed", 3)), 503, "not-run");
+		}
+
+		@Test
+		void whatItsRunnerCannotBeReachedFor() throws Exception {
+			RefusalTests test = RefusalTests.this;
+			test.fleet.addEngine("ahd-1", test.engine.address());
+			test.engine.close();
+			assertNotRun(send(test.fleet.completion("closed", 3)), 503, "not-run");
+		}
+
+		@Test
+		void whatExceedsItsQueueAtOnce() throws Exception {
+			RefusalTests test = RefusalTests.this;
+			test.engine.configure("--token-micros", "50000");
+			test.fleet.publish(LocalFleet.configuration(LocalFleet.account(1000, 1000, 1_000_000), 1, 1));
+			LocalAgent agent = test.fleet.addEngine("ahd-1", test.engine.address());
+			List<CompletableFuture<HttpResponse<String>>> taken = new ArrayList<>();
+			for (int i = 0; i < 2; i++) {
+				taken.add(test.client.sendAsync(test.fleet.completion("taken " + i, 60),
+						HttpResponse.BodyHandlers.ofString()));
+			}
+			Awaitility.await().atMost(LocalFleet.PATIENCE).until(() -> agent.requests().load(LocalAgent.RUNNER) == 2);
+			HttpResponse<String> response = send(test.fleet.completion("refused", 60));
+			assertThat(taken).noneMatch(CompletableFuture::isDone);
+			assertThat(response.statusCode()).isIn(429, 503);
+			assertThat(response.headers().firstValueAsLong("Retry-After").orElseThrow()).isPositive();
+		}
+
+	}
+
+	@Nested
+	class AnEntryRefuses {
+
+		@Test
+		void strangers() throws Exception {
+			RefusalTests test = RefusalTests.this;
+			HttpRequest request = HttpRequest.newBuilder(test.fleet.uri("/v1/completions"))
+				.header("Authorization", "Bearer another")
+				.build();
+			assertThat(send(request).statusCode()).isEqualTo(401);
+		}
+
+		@Test
+		void callsWithoutARule() throws Exception {
+			assertThat(send(RefusalTests.this.fleet.request("/elsewhere").build()).statusCode()).isEqualTo(404);
+		}
+
+		@Test
+		void whatNoRunnerServes() throws Exception {
+			assertNotRun(send(RefusalTests.this.fleet.completion("nobody", 3)), 503, "not-run");
+		}
+
+		@Test
+		void longBodiesOfKnownLength() throws Exception {
+			HttpRequest request = RefusalTests.this.fleet.request("/v1/completions")
+				.POST(HttpRequest.BodyPublishers.ofByteArray(new byte[1024 * 1024 + 1]))
+				.build();
+			assertThat(send(request).statusCode()).isEqualTo(413);
+		}
+
+		@Test
+		void accountsBeyondTheirRate() throws Exception {
+			RefusalTests test = RefusalTests.this;
+			test.fleet.addEngine("ahd-1", test.engine.address());
+			test.fleet.publish(LocalFleet.configuration(LocalFleet.account(2, 1000, 1_000_000), 8, 8));
+			int refused = 0;
+			for (int i = 0; i < 8; i++) {
+				HttpResponse<String> response = send(test.fleet.completion("rate", 1));
+				if (response.statusCode() == 429) {
+					assertThat(response.body()).contains("\"kind\":\"request-limit\"");
+					assertThat(response.headers().firstValueAsLong("Retry-After").orElseThrow()).isPositive();
+					refused++;
+				}
+			}
+			assertThat(refused).isPositive();
+			assertThat(test.engine.runs()).hasSize(8 - refused);
+		}
+
+		@Test
+		void accountsBeyondTheirTokens() throws Exception {
+			RefusalTests test = RefusalTests.this;
+			test.fleet.addEngine("ahd-1", test.engine.address());
+			test.fleet.publish(LocalFleet.configuration(LocalFleet.account(1000, 1000, 10), 8, 8));
+			assertThat(send(test.fleet.completion("first", 200)).statusCode()).isEqualTo(200);
+			HttpResponse<String> second = send(test.fleet.completion("second", 1));
+			assertThat(second.statusCode()).isEqualTo(429);
+			assertThat(second.body()).contains("\"kind\":\"token-limit\"");
+		}
+
+		@Test
+		void newWorkOnceItIsLeavingButFinishesTheOld() throws Exception {
+			RefusalTests test = RefusalTests.this;
+			test.engine.configure("--token-micros", "5000");
+			LocalAgent agent = test.fleet.addEngine("ahd-1", test.engine.address());
+			CompletableFuture<HttpResponse<String>> old = test.client.sendAsync(test.fleet.completion("old", 100),
+					HttpResponse.BodyHandlers.ofString());
+			Awaitility.await().atMost(LocalFleet.PATIENCE).until(() -> agent.gate().inProgress() == 1);
+			test.fleet.entry().takeNoMore();
+			agent.drain();
+			HttpResponse<String> late = send(test.fleet.completion("new", 1));
+			assertThat(late.statusCode()).isEqualTo(503);
+			assertThat(late.body()).contains("\"kind\":\"leaving\"");
+			assertThat(Runs.text(old.get(20, TimeUnit.SECONDS).body())).isEqualTo(Runs.expected("old", 100));
+			Awaitility.await()
+				.atMost(LocalFleet.PATIENCE)
+				.until(() -> test.fleet.entry().inProgress() == 0 && agent.requests().inProgress() == 0);
+		}
+
+	}
+
+	@Nested
+	class SlowSenders {
+
+		@Test
+		void areCutOff() throws Exception {
+			RefusalTests test = RefusalTests.this;
+			try (Socket socket = new Socket("127.0.0.1", test.fleet.entry().address().getPort())) {
+				socket.getOutputStream()
+					.write("POST /v1/completions HTTP/1.1\r\nHost: x\r\n".getBytes(StandardCharsets.US_ASCII));
+				socket.getOutputStream()
+					.write("Authorization: Bearer callers-key\r\nContent-Length: 100\r\n\r\nabc"
+						.getBytes(StandardCharsets.US_ASCII));
+				socket.setSoTimeout(20_000);
+				InputStream answer = socket.getInputStream();
+				assertThat(answer.read()).isEqualTo(-1);
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/requests/Runs.java
@@ -0,0 +1,47 @@
+package org.catkingate.tests.requests;
+
+import java.nio.charset.StandardCharsets;
+
+import org.catkingate.standins.engine.Engine;
+import org.catkingate.standins.engine.Tokens;
+
+/**
+ * Engines for tests, and the reading of their answers. Stateless.
+ */
+final class Runs {
+
+	private Runs() {
+	}
+
+	static Engine engine(String... more) {
+		String[] arguments = new String[8 + more.length];
+		String[] held = { "--initial-digest", LocalFleet.DIGEST.hex(), "--initial-model", "lyrics", "--initial-version",
+				"1", "--token-micros", "200" };
+		System.arraycopy(held, 0, arguments, 0, held.length);
+		System.arraycopy(more, 0, arguments, held.length, more.length);
+		return Engine.start(arguments);
+	}
+
+	static String expected(String prompt, int tokens) {
+		return Tokens.text(prompt, LocalFleet.DIGEST.hex(), tokens);
+	}
+
+	static String text(String events) {
+		StringBuilder text = new StringBuilder();
+		for (String line : events.split("\n")) {
+			if (line.contains("\"text\":\"")) {
+				text.append(line.replaceAll(".*\"text\":\"([^\"]*)\".*", "$1"));
+			}
+		}
+		return text.toString();
+	}
+
+	static int tokens(Engine engine) {
+		return engine.runs().stream().mapToInt((run) -> run.tokens()).sum();
+	}
+
+	static byte[] bytes(String text) {
+		return text.getBytes(StandardCharsets.UTF_8);
+	}
+
+}
--- a/catkingate-tests/src/test/java/org/catkingate/tests/requests/WholeAnswerTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/requests/WholeAnswerTests.java
@@ -11,7 +11,6 @@
 import org.junit.jupiter.api.Test;
 
 import org.catkingate.standins.engine.Engine;
-import org.catkingate.standins.engine.Tokens;
 import org.catkingate.standins.plain.Plain;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -33,8 +32,7 @@
 	@BeforeEach
 	void start() throws IOException {
 		this.fleet = LocalFleet.start();
-		this.engine = Engine.start("--initial-digest", LocalFleet.DIGEST.hex(), "--initial-model", "lyrics",
-				"--initial-version", "1", "--token-micros", "200");
+		this.engine = Runs.engine();
 		this.plain = Plain.start();
 	}
 
@@ -49,16 +47,6 @@
 		return this.client.send(request, HttpResponse.BodyHandlers.ofString());
 	}
 
-	private static String text(String events) {
-		StringBuilder text = new StringBuilder();
-		for (String line : events.split("\n")) {
-			if (line.contains("\"text\":\"")) {
-				text.append(line.replaceAll(".*\"text\":\"([^\"]*)\".*", "$1"));
-			}
-		}
-		return text.toString();
-	}
-
 	@Nested
 	class AnEngine {
 
@@ -70,7 +58,7 @@
 			assertThat(response.statusCode()).isEqualTo(200);
 			assertThat(response.headers().firstValue("X-Request-Id").orElseThrow()).hasSize(32);
 			assertThat(response.body()).endsWith("data: [DONE]\n\n");
-			assertThat(text(response.body())).isEqualTo(Tokens.text("a song", LocalFleet.DIGEST.hex(), 300));
+			assertThat(Runs.text(response.body())).isEqualTo(Runs.expected("a song", 300));
 		}
 
 		@Test
@@ -79,7 +67,7 @@
 			test.fleet.addEngine("ahd-1", test.engine.address());
 			for (int i = 0; i < 50; i++) {
 				HttpResponse<String> response = send(test.fleet.completion("song " + i, 3));
-				assertThat(text(response.body())).isEqualTo(Tokens.text("song " + i, LocalFleet.DIGEST.hex(), 3));
+				assertThat(Runs.text(response.body())).isEqualTo(Runs.expected("song " + i, 3));
 			}
 		}
 
