Add the harness that starts a fleet of entries, agents and stand-ins

Cause: integration tests need settings, addresses, proxies between the processes, and bounded waits, in one place. Not yet run against entry and agent, whose mains are not there.

--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/harness/Caller.java
@@ -0,0 +1,97 @@
+package org.catkingate.tests.harness;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+
+import org.catkingate.standins.Addresses;
+import org.catkingate.standins.HttpService;
+
+/**
+ * A client of the system, with the key of one client account. Safe for use by any thread.
+ */
+public final class Caller {
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(70);
+
+	private final HttpClient client = HttpClient.newBuilder()
+		.version(HttpClient.Version.HTTP_1_1)
+		.connectTimeout(Duration.ofSeconds(10))
+		.build();
+
+	private final InetSocketAddress entry;
+
+	private final String key;
+
+	private Caller(InetSocketAddress entry, String key) {
+		this.entry = entry;
+		this.key = key;
+	}
+
+	public static Caller of(Member entry, String key) {
+		return new Caller(entry.address(), key);
+	}
+
+	public CompletableFuture<Answer> complete(String prompt, int tokens) {
+		return send(completion(prompt, tokens).build());
+	}
+
+	public CompletableFuture<Answer> purchase(String idempotencyKey, String item) {
+		return send(request("/purchases").header("Idempotency-Key", idempotencyKey)
+			.POST(HttpRequest.BodyPublishers.ofString(item))
+			.build());
+	}
+
+	public CompletableFuture<Answer> lookUp(String name) {
+		return send(request("/lookups/" + name).build());
+	}
+
+	/**
+	 * Starts a streamed answer and leaves after its first byte.
+	 */
+	public void abandon(String prompt, int tokens) throws IOException, InterruptedException {
+		HttpResponse<InputStream> response = this.client.send(completion(prompt, tokens).build(),
+				HttpResponse.BodyHandlers.ofInputStream());
+		try (InputStream body = response.body()) {
+			body.read();
+		}
+	}
+
+	private HttpRequest.Builder completion(String prompt, int tokens) {
+		String body = HttpService.JSON.createObjectNode()
+			.put("model", "lyrics")
+			.put("prompt", prompt)
+			.put("max_tokens", tokens)
+			.put("stream", true)
+			.toString();
+		return request("/v1/completions").POST(HttpRequest.BodyPublishers.ofString(body));
+	}
+
+	private HttpRequest.Builder request(String path) {
+		return HttpRequest.newBuilder(URI.create("http://" + Addresses.format(this.entry) + path))
+			.header("Authorization", "Bearer " + this.key)
+			.timeout(TIMEOUT);
+	}
+
+	private CompletableFuture<Answer> send(HttpRequest request) {
+		long start = System.nanoTime();
+		return this.client.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray()).handle((response, failure) -> {
+			long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
+			return (failure != null) ? Answer.broken(cause(failure), millis) : Answer.of(response, millis);
+		});
+	}
+
+	private static IOException cause(Throwable failure) {
+		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
+		return (cause instanceof IOException broken) ? broken : new IOException(cause);
+	}
+
+}
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/harness/Fleet.java
@@ -0,0 +1,189 @@
+package org.catkingate.tests.harness;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import org.catkingate.standins.Addresses;
+import org.catkingate.standins.HttpService;
+import org.catkingate.standins.platform.Platform;
+import org.catkingate.standins.platform.Publication;
+import org.catkingate.standins.proxy.Proxy;
+import org.catkingate.standins.weights.WeightsServer;
+
+/**
+ * The processes of one test: entries and agents, the outside systems, and proxies between
+ * them. Closing it ends all of them, the last started first. For use by one thread.
+ */
+public final class Fleet implements AutoCloseable {
+
+	private static final String KEPT_OUTPUT = "catkingate.keep-output";
+
+	private static final String SHARED_KEY = "a key that all processes of the test share";
+
+	private static final String DATA_CENTRE = "ahd-a";
+
+	private static final String REGION = "guj-west";
+
+	private final Deque<AutoCloseable> resources = new ArrayDeque<>();
+
+	private final Path directory;
+
+	private final Platform platform;
+
+	private final WeightsServer origin;
+
+	private long revision;
+
+	private Fleet(Path directory) {
+		this.directory = directory;
+		this.platform = owned(Platform.start());
+		this.origin = owned(WeightsServer.start());
+	}
+
+	/**
+	 * Starts the platform and the origin.
+	 * @param directory where settings and output go, unless -Dcatkingate.keep-output
+	 * names another directory
+	 */
+	public static Fleet in(Path directory) throws IOException {
+		String kept = System.getProperty(KEPT_OUTPUT);
+		return new Fleet((kept != null) ? Files.createTempDirectory(Path.of(kept), "fleet") : directory);
+	}
+
+	public <T extends AutoCloseable> T owned(T resource) {
+		this.resources.push(resource);
+		return resource;
+	}
+
+	public Platform platform() {
+		return this.platform;
+	}
+
+	public WeightsServer origin() {
+		return this.origin;
+	}
+
+	public Proxy proxyTo(InetSocketAddress target) {
+		return owned(Proxy.start("--target", Addresses.format(target)));
+	}
+
+	public StandInProcess standIn(String name, String... arguments) {
+		return owned(StandInProcess.start(this.directory, name, arguments));
+	}
+
+	/**
+	 * Publishes a configuration under the next revision.
+	 */
+	public long publish(String... parts) {
+		this.revision++;
+		this.platform.publish(Publication.of(this.revision, List.of(parts)));
+		return this.revision;
+	}
+
+	public Member entry(String instance) {
+		return entry(instance, this.platform.address());
+	}
+
+	public Member entry(String instance, InetSocketAddress itsPlatform) {
+		InetSocketAddress operators = FreePorts.next();
+		InetSocketAddress callers = FreePorts.next();
+		String settings = shared(instance, "role=entry", itsPlatform, operators) + """
+				[peers]
+				shared-key = %s
+				[callers]
+				listen = %s
+				""".formatted(SHARED_KEY, Addresses.format(callers));
+		return start("entry", instance, callers, operators, null, settings);
+	}
+
+	public Member agent(String instance, String role, String service, InetSocketAddress... runners) {
+		return agent(instance, role, service, this.platform.address(), this.origin.address(), runners);
+	}
+
+	public Member agent(String instance, String role, String service, InetSocketAddress itsPlatform,
+			InetSocketAddress itsOrigin, InetSocketAddress... runners) {
+		InetSocketAddress operators = FreePorts.next();
+		InetSocketAddress peers = FreePorts.next();
+		StringBuilder settings = new StringBuilder(shared(instance, "role=" + role, itsPlatform, operators));
+		settings.append("""
+				[peers]
+				listen = %s
+				shared-key = %s
+				[weights]
+				memory-mb = 64
+				origin-url = http://%s
+				""".formatted(Addresses.format(peers), SHARED_KEY, Addresses.format(itsOrigin)));
+		for (int i = 0; i < runners.length; i++) {
+			settings.append("[runner r%d]%naddress = %s%nservice = %s%n".formatted(i + 1, Addresses.format(runners[i]),
+					service));
+		}
+		Proxy proxy = proxyTo(peers);
+		this.platform.instance(listed(instance, role, proxy.address()));
+		return start("agent", instance, peers, operators, proxy, settings.toString());
+	}
+
+	private static String shared(String instance, String labels, InetSocketAddress platform,
+			InetSocketAddress operators) {
+		return """
+				[process]
+				instance = %s
+				data-centre = %s
+				region = %s
+				labels = %s
+				[platform]
+				configuration-url = http://%s
+				instances-url = http://%s
+				[operators]
+				listen = %s
+				[shutdown]
+				notice-s = 0
+				""".formatted(instance, DATA_CENTRE, REGION, labels, Addresses.format(platform),
+				Addresses.format(platform), Addresses.format(operators));
+	}
+
+	/**
+	 * Makes an agent's record in the list of instances.
+	 */
+	public static ObjectNode listed(String instance, String role, InetSocketAddress address) {
+		ObjectNode json = HttpService.JSON.createObjectNode()
+			.put("id", instance)
+			.put("role", "agent")
+			.put("address", Addresses.format(address))
+			.put("dataCentre", DATA_CENTRE)
+			.put("region", REGION)
+			.put("leaving", false);
+		json.putObject("labels").put("role", role);
+		return json;
+	}
+
+	private Member start(String role, String instance, InetSocketAddress address, InetSocketAddress operators,
+			Proxy proxy, String settings) {
+		try {
+			return owned(Member.start(this.directory, role, instance, address, operators, proxy, settings));
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	@Override
+	public void close() {
+		while (!this.resources.isEmpty()) {
+			try {
+				this.resources.pop().close();
+			}
+			catch (Exception ex) {
+				throw new IllegalStateException("a resource of the test did not close", ex);
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/harness/FreePorts.java
@@ -0,0 +1,46 @@
+package org.catkingate.tests.harness;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Finds ports for processes whose address must be known before they start. They lie below
+ * the range from which the system gives out ports, so that nothing else takes them in
+ * between. Safe for use by any thread.
+ */
+final class FreePorts {
+
+	private static final int FIRST = 15_000;
+
+	private static final int COUNT = 15_000;
+
+	private static final AtomicInteger NEXT = new AtomicInteger(ThreadLocalRandom.current().nextInt(COUNT));
+
+	private FreePorts() {
+	}
+
+	static InetSocketAddress next() {
+		for (int tried = 0; tried < COUNT; tried++) {
+			int port = FIRST + NEXT.getAndIncrement() % COUNT;
+			if (isFree(port)) {
+				return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+			}
+		}
+		throw new IllegalStateException("no port is free");
+	}
+
+	private static boolean isFree(int port) {
+		try (ServerSocket socket = new ServerSocket()) {
+			socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+			return true;
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
+}
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/harness/Member.java
@@ -0,0 +1,132 @@
+package org.catkingate.tests.harness;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.awaitility.Awaitility;
+
+import org.catkingate.standins.Addresses;
+import org.catkingate.standins.HttpService;
+import org.catkingate.standins.proxy.Proxy;
+
+/**
+ * An entry or agent that runs as a process, and its successors under the same settings.
+ * For use by one thread.
+ */
+public final class Member implements AutoCloseable {
+
+	private static final Duration CALL_TIMEOUT = Duration.ofSeconds(5);
+
+	private static final HttpClient CLIENT = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+	private final Path directory;
+
+	private final String role;
+
+	private final String instance;
+
+	private final InetSocketAddress address;
+
+	private final InetSocketAddress operators;
+
+	private final Proxy proxy;
+
+	private ChildProcess process;
+
+	private Member(Path directory, String role, String instance, InetSocketAddress address, InetSocketAddress operators,
+			Proxy proxy) {
+		this.directory = directory;
+		this.role = role;
+		this.instance = instance;
+		this.address = address;
+		this.operators = operators;
+		this.proxy = proxy;
+	}
+
+	static Member start(Path directory, String role, String instance, InetSocketAddress address,
+			InetSocketAddress operators, Proxy proxy, String settings) throws IOException {
+		Member member = new Member(directory, role, instance, address, operators, proxy);
+		Files.writeString(member.settings(), settings);
+		member.restart();
+		return member;
+	}
+
+	private Path settings() {
+		return this.directory.resolve(this.instance + ".ini");
+	}
+
+	/**
+	 * Starts a process under the same settings, which remembers nothing.
+	 */
+	public void restart() {
+		this.process = ChildProcess.start(this.directory, this.instance,
+				ChildProcess.executable("catkingate", this.role, settings().toString()));
+	}
+
+	public String instance() {
+		return this.instance;
+	}
+
+	public InetSocketAddress address() {
+		return this.address;
+	}
+
+	/**
+	 * Returns the proxy through which other processes reach an agent.
+	 */
+	public Proxy proxy() {
+		return this.proxy;
+	}
+
+	public ChildProcess process() {
+		return this.process;
+	}
+
+	public boolean isReady() {
+		try {
+			return get("/readyz").statusCode() == 200;
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
+	public void awaitReady() {
+		Awaitility.await(this.instance + " ready").atMost(ChildProcess.PATIENCE).until(() -> {
+			if (!this.process.isAlive()) {
+				throw new IllegalStateException(this.process.output() + this.process.errors());
+			}
+			return isReady();
+		});
+	}
+
+	public JsonNode state() throws IOException {
+		return HttpService.JSON.readTree(get("/state").body());
+	}
+
+	public HttpResponse<String> get(String path) throws IOException {
+		URI uri = URI.create("http://" + Addresses.format(this.operators) + path);
+		try {
+			return CLIENT.send(HttpRequest.newBuilder(uri).timeout(CALL_TIMEOUT).build(),
+					HttpResponse.BodyHandlers.ofString());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IOException(ex);
+		}
+	}
+
+	@Override
+	public void close() {
+		this.process.close();
+	}
+
+}
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/harness/Published.java
@@ -0,0 +1,91 @@
+package org.catkingate.tests.harness;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+import org.catkingate.standins.weights.GeneratedWeights;
+
+/**
+ * The configuration that the tests publish: a service of model engines and a plain one,
+ * one client account. Stateless.
+ */
+public final class Published {
+
+	/** The key of the client account. */
+	public static final String KEY = "key-of-the-test";
+
+	private static final String FLEET = """
+			[data-centre ahd-a]
+			region = guj-west
+			[group gpus]
+			selector = role=gpu
+			[group shops]
+			selector = role=shop
+			[service llm]
+			kind = engine
+			checks-fencing = true
+			group = gpus
+			switching-share-percent = 50
+			[service shop]
+			kind = plain
+			group = shops
+			non-idempotent-calls = POST /purchases
+			idempotent-calls = GET /lookups*
+			repeat-window-s = 60
+			expected-runners = %d
+			[account bar]
+			key-sha256 = %s
+			labels = kind=bar
+			requests-per-s = 100000
+			concurrent-requests = 10000
+			tokens-per-s = 100000000
+			priority = 5
+			""";
+
+	private static final String SHOP_RULES = """
+			[rule purchases]
+			order = 20
+			call = POST /purchases
+			service = shop
+			[rule lookups]
+			order = 21
+			call = GET /lookups*
+			service = shop
+			""";
+
+	private static final String VERSION = """
+			[version %1$s %2$s]
+			service = llm
+			manifest-sha256 = %3$s
+			selector = role=gpu
+			[rule completions]
+			order = 10
+			call = POST /v1/completions
+			service = llm
+			version = %1$s %2$s
+			""";
+
+	private Published() {
+	}
+
+	public static String[] parts(int shops, GeneratedWeights weights) {
+		return new String[] { FLEET.formatted(shops, sha256(KEY)) + SHOP_RULES, version(weights) };
+	}
+
+	public static String version(GeneratedWeights weights) {
+		return VERSION.formatted(weights.shape().model(), weights.shape().version(), weights.manifestDigest());
+	}
+
+	private static String sha256(String text) {
+		try {
+			return HexFormat.of()
+				.formatHex(MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8)));
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+}
