Let the proxy hold bytes back and deliver them late

Cause: a frame that a stalled link delays must be refused, and a partition that heals delivers what TCP sends again; the blackhole drops it instead. Measured: mvn -pl catkingate-standins verify passes, whatIsHeldArrivesLate with it.

--- a/catkingate-standins/src/main/java/org/catkingate/standins/proxy/Direction.java
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/proxy/Direction.java
@@ -21,6 +21,8 @@
 
 	private static final int QUEUED_PIECES = 256;
 
+	private static final long HOLD_LOOK_MILLIS = 5;
+
 	private static final Piece END = new Piece(new byte[0], 0, 0);
 
 	private final Socket source;
@@ -109,7 +111,7 @@
 		try {
 			Piece piece = this.queue.take();
 			while (piece != END) {
-				TimeUnit.NANOSECONDS.sleep(piece.dueNanos() - System.nanoTime());
+				awaitDue(piece);
 				if (!this.silent.getAsBoolean()) {
 					this.target.getOutputStream().write(piece.bytes(), 0, piece.count());
 				}
@@ -125,6 +127,13 @@
 		}
 	}
 
+	private void awaitDue(Piece piece) throws InterruptedException {
+		TimeUnit.NANOSECONDS.sleep(piece.dueNanos() - System.nanoTime());
+		while (this.options.hold) {
+			Thread.sleep(HOLD_LOOK_MILLIS);
+		}
+	}
+
 	private record Piece(byte[] bytes, int count, long dueNanos) {
 
 	}
--- a/catkingate-standins/src/main/java/org/catkingate/standins/proxy/ProxiedConnection.java
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/proxy/ProxiedConnection.java
@@ -54,7 +54,10 @@
 	}
 
 	private boolean isSilent() {
-		return this.silent || this.options.blackhole;
+		if (this.options.blackhole) {
+			this.silent = true;
+		}
+		return this.silent;
 	}
 
 	boolean isOver() {
--- a/catkingate-standins/src/main/java/org/catkingate/standins/proxy/ProxyOptions.java
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/proxy/ProxyOptions.java
@@ -34,7 +34,12 @@
 	@Parameter(names = "--corrupt-percent", description = "share of pieces in which a byte is changed")
 	volatile double corruptPercent;
 
-	@Parameter(names = "--blackhole", arity = 1, description = "swallow everything, on new connections too")
+	@Parameter(names = "--hold", arity = 1,
+			description = "hold back everything, and deliver it late once this is false")
+	volatile boolean hold;
+
+	@Parameter(names = "--blackhole", arity = 1,
+			description = "swallow everything, on new connections too; those open meanwhile stay silent")
 	volatile boolean blackhole;
 
 	@Parameter(names = "--refuse", arity = 1, description = "close new connections at once")
--- a/catkingate-standins/src/test/java/org/catkingate/standins/proxy/ProxyTests.java
+++ b/catkingate-standins/src/test/java/org/catkingate/standins/proxy/ProxyTests.java
@@ -99,6 +99,19 @@
 		}
 	}
 
+	@Test
+	void whatIsHeldArrivesLate() throws IOException {
+		this.proxy.configure("--hold", "true");
+		try (Socket socket = connect()) {
+			socket.getOutputStream().write(4);
+			socket.setSoTimeout(SILENCE_MILLIS);
+			assertThatExceptionOfType(SocketTimeoutException.class).isThrownBy(() -> socket.getInputStream().read());
+			this.proxy.configure("--hold", "false");
+			socket.setSoTimeout(PATIENCE_MILLIS);
+			assertThat(socket.getInputStream().read()).isEqualTo(4);
+		}
+	}
+
 	@Test
 	void cutResetsOpenConnections() throws IOException {
 		try (Socket socket = connect()) {
