--- a/catkingate-standins/src/main/java/org/catkingate/standins/weights/WeightsServer.java
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/weights/WeightsServer.java
@@ -175,6 +175,7 @@
 
 	@Override
 	public void configure(String... arguments) {
+		this.corrupted.set(0);
 		this.options.update(arguments);
 	}
 
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/faults/EngineProcess.java
@@ -0,0 +1,88 @@
+package org.catkingate.tests.faults;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.awaitility.Awaitility;
+
+import org.catkingate.standins.Addresses;
+import org.catkingate.standins.HttpService;
+import org.catkingate.standins.engine.EngineRun;
+import org.catkingate.tests.harness.ChildProcess;
+import org.catkingate.tests.harness.Fleet;
+import org.catkingate.tests.harness.StandInProcess;
+
+/**
+ * An engine and its successors at the same address. What a killed one ran is read just
+ * before. For use by one thread.
+ */
+public final class EngineProcess {
+
+	private final Fleet fleet;
+
+	private final String name;
+
+	private final String[] arguments;
+
+	private final List<EngineRun> former = new ArrayList<>();
+
+	private StandInProcess current;
+
+	private EngineProcess(Fleet fleet, String name, String... arguments) {
+		this.fleet = fleet;
+		this.name = name;
+		this.arguments = arguments;
+		this.current = fleet.standIn(name, arguments);
+	}
+
+	public static EngineProcess start(Fleet fleet, String name, String... options) {
+		String[] arguments = Stream.concat(Stream.of("engine"), Stream.of(options)).toArray(String[]::new);
+		return new EngineProcess(fleet, name, arguments);
+	}
+
+	public InetSocketAddress address() {
+		return this.current.address();
+	}
+
+	public StandInProcess standIn() {
+		return this.current;
+	}
+
+	public void kill() throws IOException, InterruptedException {
+		this.former.addAll(currentRuns());
+		this.current.process().kill();
+	}
+
+	public void restart() {
+		String[] listening = Stream
+			.concat(Stream.of(this.arguments), Stream.of("--listen", Addresses.format(this.current.address())))
+			.toArray(String[]::new);
+		this.current = this.fleet.standIn(this.name, listening);
+	}
+
+	public List<EngineRun> runs() throws IOException, InterruptedException {
+		List<EngineRun> all = new ArrayList<>(this.former);
+		all.addAll(currentRuns());
+		return all;
+	}
+
+	/**
+	 * Waits until nothing runs or waits, so that every run is on record.
+	 */
+	void awaitIdle() {
+		Awaitility.await("idle engine").atMost(ChildProcess.PATIENCE).ignoreExceptions().until(() -> {
+			JsonNode state = this.current.get("/engine/state");
+			return state.get("running").asInt() + state.get("waiting").asInt() == 0;
+		});
+	}
+
+	private List<EngineRun> currentRuns() throws IOException, InterruptedException {
+		JsonNode runs = this.current.control("runs").get("runs");
+		return List.of(HttpService.JSON.convertValue(runs, EngineRun[].class));
+	}
+
+}
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/faults/Fault.java
@@ -0,0 +1,165 @@
+package org.catkingate.tests.faults;
+
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.catkingate.standins.StandIn;
+import org.catkingate.standins.plain.Plain;
+import org.catkingate.tests.harness.ChildProcess;
+import org.catkingate.tests.harness.Member;
+
+/**
+ * A fault that a test can force, and how it is healed.
+ */
+public enum Fault {
+
+	/** The connections to an agent go silent for good; new ones work. */
+	SILENT_CONNECTIONS((fleet, random) -> {
+		pick(fleet.agents(), random).proxy().silence();
+		return Fault::nothing;
+	}),
+
+	/** The connections to an agent are reset. */
+	CUT_CONNECTIONS((fleet, random) -> {
+		pick(fleet.agents(), random).proxy().cut();
+		return Fault::nothing;
+	}),
+
+	/** The link to an agent delays and loses. */
+	POOR_LINK((fleet, random) -> options(pick(fleet.agents(), random).proxy(), "--delay-ms 5 --loss-percent 20",
+			"--delay-ms 0 --loss-percent 0")),
+
+	/** The link to an agent changes bytes. */
+	CORRUPT_LINK((fleet, random) -> options(pick(fleet.agents(), random).proxy(), "--corrupt-percent 5",
+			"--corrupt-percent 0")),
+
+	/** An agent is cut off; what was sent arrives late. */
+	STALLED_LINK((fleet, random) -> options(pick(fleet.agents(), random).proxy(), "--hold true", "--hold false")),
+
+	/** An agent is cut off; what was sent is lost. */
+	PARTITION(
+			(fleet, random) -> options(pick(fleet.agents(), random).proxy(), "--blackhole true", "--blackhole false")),
+
+	/** An agent is paused and woken. */
+	FROZEN_AGENT((fleet, random) -> freeze(pick(fleet.agents(), random).process())),
+
+	/** An agent is killed and replaced. */
+	KILLED_AGENT((fleet, random) -> kill(pick(fleet.agents(), random))),
+
+	/** An agent is asked to end and is replaced. */
+	LEAVING_AGENT((fleet, random) -> terminate(pick(fleet.agents(), random))),
+
+	/** An entry is paused and woken. */
+	FROZEN_ENTRY((fleet, random) -> freeze(pick(fleet.entries(), random).process())),
+
+	/** An entry is killed and replaced. */
+	KILLED_ENTRY((fleet, random) -> kill(pick(fleet.entries(), random))),
+
+	/** An engine is paused and woken. */
+	FROZEN_ENGINE((fleet, random) -> freeze(pick(fleet.engines(), random).standIn().process())),
+
+	/** An engine is killed and comes back without weights. */
+	KILLED_ENGINE((fleet, random) -> {
+		EngineProcess engine = pick(fleet.engines(), random);
+		engine.kill();
+		return engine::restart;
+	}),
+
+	/** A plain service runs calls and closes without an answer. */
+	DYING_SERVICE((fleet, random) -> {
+		Plain shop = pick(fleet.shops(), random);
+		return options(shop, "--die-after-run true", "--die-after-run false");
+	}),
+
+	/** The platform is down. */
+	PLATFORM_DOWN((fleet, random) -> options(fleet.fleet().platform(), "--down true", "--down false")),
+
+	/** The configuration service is stale, and restarted processes meet it so. */
+	PLATFORM_STALE((fleet, random) -> {
+		long index = fleet.fleet().platform().index();
+		fleet.publish();
+		return options(fleet.fleet().platform(), "--serve-index " + index, "--serve-index -1");
+	}),
+
+	/**
+	 * A new version is published while the origin corrupts a chunk of it now and then.
+	 */
+	CORRUPT_ORIGIN((fleet, random) -> {
+		Heal heal = options(fleet.fleet().origin(), "--corrupt-chunk 3 --corrupt-times 3", "--corrupt-chunk -1");
+		fleet.changeVersion();
+		return heal;
+	}),
+
+	/** A new version is published. */
+	VERSION_CHANGE((fleet, random) -> {
+		fleet.changeVersion();
+		return Fault::nothing;
+	});
+
+	private final Injection injection;
+
+	Fault(Injection injection) {
+		this.injection = injection;
+	}
+
+	/**
+	 * Forces the fault.
+	 * @return how to heal it
+	 */
+	public Heal inject(TestFleet fleet, SplittableRandom random) throws Exception {
+		return this.injection.inject(fleet, random);
+	}
+
+	private static <T> T pick(List<T> all, SplittableRandom random) {
+		return all.get(random.nextInt(all.size()));
+	}
+
+	private static void nothing() {
+	}
+
+	private static Heal options(StandIn standIn, String now, String later) {
+		standIn.configure(now.split(" "));
+		return () -> standIn.configure(later.split(" "));
+	}
+
+	private static Heal freeze(ChildProcess process) {
+		process.freeze();
+		return process::thaw;
+	}
+
+	private static Heal kill(Member member) {
+		member.process().kill();
+		return member::restart;
+	}
+
+	private static Heal terminate(Member member) {
+		if (member.process().isAlive()) {
+			member.process().terminate();
+		}
+		return () -> {
+			member.process().awaitExit(ChildProcess.PATIENCE);
+			member.restart();
+		};
+	}
+
+	/**
+	 * Forces a fault.
+	 */
+	@FunctionalInterface
+	interface Injection {
+
+		Heal inject(TestFleet fleet, SplittableRandom random) throws Exception;
+
+	}
+
+	/**
+	 * Heals a fault.
+	 */
+	@FunctionalInterface
+	public interface Heal {
+
+		void heal() throws Exception;
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/faults/TestFleet.java
@@ -0,0 +1,178 @@
+package org.catkingate.tests.faults;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+
+import org.awaitility.Awaitility;
+
+import org.catkingate.standins.plain.Plain;
+import org.catkingate.standins.weights.GeneratedWeights;
+import org.catkingate.tests.harness.Answer;
+import org.catkingate.tests.harness.Caller;
+import org.catkingate.tests.harness.ChildProcess;
+import org.catkingate.tests.harness.Fleet;
+import org.catkingate.tests.harness.Member;
+import org.catkingate.tests.harness.Published;
+
+/**
+ * Two entries, two agents with an engine each and two with a plain service each, all
+ * serving. For use by one thread.
+ */
+public final class TestFleet implements AutoCloseable {
+
+	private static final int PAIR = 2;
+
+	private static final long WEIGHTS_BYTES = 2_000_000;
+
+	private static final int CHUNK_BYTES = 65_536;
+
+	private final Fleet fleet;
+
+	private final List<EngineProcess> engines = new ArrayList<>();
+
+	private final List<Plain> shops = new ArrayList<>();
+
+	private final List<Member> gpus = new ArrayList<>();
+
+	private final List<Member> shopAgents = new ArrayList<>();
+
+	private final List<Member> entries = new ArrayList<>();
+
+	private final List<Caller> callers = new ArrayList<>();
+
+	private final Set<String> digests = new TreeSet<>();
+
+	private GeneratedWeights weights;
+
+	private TestFleet(Fleet fleet) {
+		this.fleet = fleet;
+	}
+
+	/**
+	 * Starts all and waits until both entries answer every kind of request.
+	 */
+	public static TestFleet serving(Path directory, String... engineOptions) throws IOException {
+		TestFleet all = new TestFleet(Fleet.in(directory));
+		try {
+			all.start(engineOptions);
+			return all;
+		}
+		catch (RuntimeException | Error ex) {
+			all.close();
+			throw ex;
+		}
+	}
+
+	private void start(String... engineOptions) {
+		changeVersion();
+		for (int i = 1; i <= PAIR; i++) {
+			EngineProcess engine = EngineProcess.start(this.fleet, "engine-" + i, engineOptions);
+			Plain shop = this.fleet.owned(Plain.start());
+			this.engines.add(engine);
+			this.shops.add(shop);
+			this.gpus.add(this.fleet.agent("gpu-" + i, "gpu", "llm", engine.address()));
+			this.shopAgents.add(this.fleet.agent("shop-" + i, "shop", "shop", shop.address()));
+		}
+		for (int i = 1; i <= PAIR; i++) {
+			Member entry = this.fleet.entry("entry-" + i);
+			this.entries.add(entry);
+			this.callers.add(Caller.of(entry, Published.KEY));
+		}
+		this.entries.forEach(Member::awaitReady);
+		awaitServing();
+	}
+
+	/**
+	 * Publishes a new version of the model; it shares half of its chunks with the last.
+	 */
+	public GeneratedWeights changeVersion() {
+		int number = this.digests.size() + 1;
+		this.weights = GeneratedWeights.of(new GeneratedWeights.Shape("lyrics", Integer.toString(number), number, 0, 2,
+				WEIGHTS_BYTES, CHUNK_BYTES));
+		this.digests.add(this.weights.digest());
+		this.fleet.origin().add(this.weights);
+		publish();
+		return this.weights;
+	}
+
+	public void publish() {
+		this.fleet.publish(Published.parts(PAIR, this.weights));
+	}
+
+	/**
+	 * Waits until each entry has a whole answer to a completion of the newest version and
+	 * to a lookup, and has a purchase run.
+	 */
+	public void awaitServing() {
+		for (Caller caller : this.callers) {
+			Awaitility.await("serving again")
+				.atMost(ChildProcess.PATIENCE)
+				.pollInterval(100, TimeUnit.MILLISECONDS)
+				.ignoreExceptions()
+				.until(() -> isServing(caller));
+		}
+	}
+
+	private boolean isServing(Caller caller) throws Exception {
+		long limitMillis = 5000;
+		Answer completion = caller.complete("probe", 1).get(limitMillis, TimeUnit.MILLISECONDS);
+		Answer lookup = caller.lookUp("probe").get(limitMillis, TimeUnit.MILLISECONDS);
+		Answer purchase = caller.purchase("probe-" + System.nanoTime(), "probe")
+			.get(limitMillis, TimeUnit.MILLISECONDS);
+		return completion.isWholeStream() && completion.digest().filter(this.weights.digest()::equals).isPresent()
+				&& lookup.isWhole() && purchase.isWhole();
+	}
+
+	public Fleet fleet() {
+		return this.fleet;
+	}
+
+	public GeneratedWeights weights() {
+		return this.weights;
+	}
+
+	public Set<String> digests() {
+		return this.digests;
+	}
+
+	public List<EngineProcess> engines() {
+		return this.engines;
+	}
+
+	public List<Plain> shops() {
+		return this.shops;
+	}
+
+	public List<Member> gpus() {
+		return this.gpus;
+	}
+
+	public List<Member> shopAgents() {
+		return this.shopAgents;
+	}
+
+	public List<Member> agents() {
+		List<Member> all = new ArrayList<>(this.gpus);
+		all.addAll(this.shopAgents);
+		return all;
+	}
+
+	public List<Member> entries() {
+		return this.entries;
+	}
+
+	public List<Caller> callers() {
+		return this.callers;
+	}
+
+	@Override
+	public void close() {
+		this.fleet.close();
+	}
+
+}
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/faults/Workload.java
@@ -0,0 +1,121 @@
+package org.catkingate.tests.faults;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+
+import org.catkingate.tests.harness.Answer;
+import org.catkingate.tests.harness.Caller;
+
+/**
+ * A random mixture of requests, drawn from a seed. A caller repeats some purchases with
+ * the same key at any entry, also while the first is in progress, and leaves some
+ * completions. Safe for use by any thread.
+ */
+public final class Workload {
+
+	private static final int CONCURRENCY = 24;
+
+	private static final int HIGHEST_TOKENS = 40;
+
+	private static final int RECENT_KEYS = 8;
+
+	private static final long TIMEOUT_SECONDS = 90;
+
+	private final List<Attempt> attempts = Collections.synchronizedList(new ArrayList<>());
+
+	private final List<CompletableFuture<?>> pending = new ArrayList<>();
+
+	private final Semaphore free = new Semaphore(CONCURRENCY);
+
+	private final List<Caller> callers;
+
+	private final SplittableRandom random;
+
+	private final long seed;
+
+	private int next;
+
+	public Workload(List<Caller> callers, long seed) {
+		this.callers = List.copyOf(callers);
+		this.random = new SplittableRandom(seed);
+		this.seed = seed;
+	}
+
+	/**
+	 * Sends requests and returns when the last is on its way.
+	 * @param count how many
+	 * @param pauseMillis the pause between two
+	 */
+	public void send(int count, long pauseMillis) throws InterruptedException {
+		for (int i = 0; i < count; i++) {
+			if (!this.free.tryAcquire(TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
+				throw new IllegalStateException("no answer for " + TIMEOUT_SECONDS + " s");
+			}
+			sendOne(this.callers.get(this.random.nextInt(this.callers.size())));
+			Thread.sleep(pauseMillis);
+		}
+	}
+
+	private void sendOne(Caller caller) {
+		int tokens = 1 + this.random.nextInt(HIGHEST_TOKENS);
+		int kind = this.random.nextInt(10);
+		String name = "w" + this.seed + "-" + this.next;
+		this.next++;
+		if (kind < 4) {
+			record(Attempt.Kind.COMPLETION, name, tokens, caller.complete(name, tokens));
+		}
+		else if (kind < 6) {
+			this.pending.add(CompletableFuture.runAsync(() -> abandon(caller, name)));
+		}
+		else if (kind < 8) {
+			String key = this.random.nextBoolean() ? name : recentKey();
+			record(Attempt.Kind.PURCHASE, key, 0, caller.purchase(key, "item of " + key));
+		}
+		else {
+			record(Attempt.Kind.LOOKUP, name, 0, caller.lookUp(name));
+		}
+	}
+
+	private String recentKey() {
+		return "w" + this.seed + "-recent-" + (this.next / 40) + "-" + this.random.nextInt(RECENT_KEYS);
+	}
+
+	private void record(Attempt.Kind kind, String name, int tokens, CompletableFuture<Answer> answer) {
+		this.pending.add(answer.thenAccept((got) -> {
+			this.attempts.add(new Attempt(kind, name, tokens, got));
+			this.free.release();
+		}));
+	}
+
+	private void abandon(Caller caller, String name) {
+		try {
+			caller.abandon(name, HIGHEST_TOKENS);
+		}
+		catch (IOException ex) {
+			// a caller who leaves does not ask why
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		finally {
+			this.free.release();
+		}
+	}
+
+	/**
+	 * Waits for every answer.
+	 */
+	List<Attempt> finish() {
+		CompletableFuture.allOf(this.pending.toArray(CompletableFuture[]::new))
+			.orTimeout(TIMEOUT_SECONDS, TimeUnit.SECONDS)
+			.join();
+		return List.copyOf(this.attempts);
+	}
+
+}
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/faults/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Faults, a workload, and the judge of its outcome.
+ */
+package org.catkingate.tests.faults;
--- a/catkingate-tests/src/test/java/org/catkingate/tests/harness/StandInProcess.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/harness/StandInProcess.java
@@ -54,7 +54,11 @@
 	}
 
 	public JsonNode control(String path) throws IOException, InterruptedException {
-		URI uri = URI.create("http://" + Addresses.format(this.address) + "/control/" + path);
+		return get("/control/" + path);
+	}
+
+	public JsonNode get(String path) throws IOException, InterruptedException {
+		URI uri = URI.create("http://" + Addresses.format(this.address) + path);
 		return HttpService.JSON
 			.readTree(CLIENT.send(HttpRequest.newBuilder(uri).build(), HttpResponse.BodyHandlers.ofString()).body());
 	}
