Guard non-idempotent calls at the agent

Cause: the dispatch at the agent needs the decisions on keys at run time. New messages at the end of the codec's kinds. A home is known by name and address: a replacement under the same name elsewhere is another home. The model's lists now stay wrong for long, and the list of members shrinks and grows: single rules removed had gone unnoticed with the first lists. Ruled out: the shared key for tickets; an agent that shares it could take another incarnation's ticket for its own.

--- /dev/null
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/idempotency/KeyExchange.java
@@ -0,0 +1,205 @@
+package org.catkingate.agent.idempotency;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.LongSupplier;
+
+import org.catkingate.decisions.Effect;
+import org.catkingate.decisions.Step;
+import org.catkingate.decisions.idempotency.HomeView;
+import org.catkingate.decisions.idempotency.KeyEffect;
+import org.catkingate.decisions.idempotency.KeyEvent;
+import org.catkingate.decisions.idempotency.KeyHome;
+import org.catkingate.decisions.idempotency.KeyReducer;
+import org.catkingate.decisions.idempotency.KeyRouting;
+import org.catkingate.decisions.idempotency.KeyScope;
+import org.catkingate.decisions.idempotency.KeyState;
+import org.catkingate.decisions.idempotency.KeyStatement;
+import org.catkingate.decisions.idempotency.ServiceView;
+import org.catkingate.decisions.idempotency.Verdict;
+import org.catkingate.decisions.idempotency.Vouching;
+import org.catkingate.decisions.idempotency.VouchingTimes;
+import org.catkingate.decisions.membership.FleetSnapshot;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.ServiceName;
+import org.catkingate.model.published.Service;
+import org.catkingate.runtime.MonotonicClock;
+import org.catkingate.runtime.peers.PeerConnection;
+import org.catkingate.runtime.peers.PeerConnections;
+import org.catkingate.wire.Keys;
+
+/**
+ * Keeps the agent's knowledge of the homes of keys: learns from the fleet's snapshots,
+ * the list's confirmations and the other agents' statements, and makes its own. Safe for
+ * use by any thread; never blocks on I/O.
+ *
+ * @since 0.1
+ */
+public final class KeyExchange {
+
+	private final KeyReducer reducer;
+
+	private final Vouching vouching;
+
+	private final VouchingTimes times;
+
+	private final Map<ServiceName, Integer> ownRunners;
+
+	private final PeerConnections peers;
+
+	private final MonotonicClock clock;
+
+	private final LongSupplier wallMillis;
+
+	private KeyState state;
+
+	private KeyExchange(KeyHome own, Map<ServiceName, Integer> ownRunners, VouchingTimes times, PeerConnections peers,
+			MonotonicClock clock, LongSupplier wallMillis) {
+		this.reducer = KeyReducer.with(times);
+		this.vouching = Vouching.with(times);
+		this.times = times;
+		this.ownRunners = Map.copyOf(ownRunners);
+		this.peers = peers;
+		this.clock = clock;
+		this.wallMillis = wallMillis;
+		this.state = KeyState.starting(own);
+	}
+
+	/**
+	 * Starts without knowledge.
+	 * @param own the agent, with the address that the platform's list has of it
+	 * @param ownRunners how many runners of each service it has
+	 * @param times the bounds
+	 * @param peers the connections to other agents
+	 * @param clock the monotonic clock
+	 * @param wallMillis the wall clock, in milliseconds since 1970
+	 * @return the exchange, never null
+	 */
+	public static KeyExchange start(KeyHome own, Map<ServiceName, Integer> ownRunners, VouchingTimes times,
+			PeerConnections peers, MonotonicClock clock, LongSupplier wallMillis) {
+		Objects.requireNonNull(peers, "peers must not be null");
+		return new KeyExchange(own, ownRunners, times, peers, clock, wallMillis);
+	}
+
+	/**
+	 * Learns what the fleet looks like. To be told of every snapshot.
+	 * @param snapshot the snapshot in force
+	 */
+	public void fleet(FleetSnapshot snapshot) {
+		List<ServiceView> services = new ArrayList<>();
+		for (Service service : snapshot.configuration().services().values()) {
+			int runners = this.ownRunners.getOrDefault(service.name(), 0);
+			if (runners > 0 && KeyRouting.isGuarded(service)) {
+				HomeView view = KeyRouting.view(snapshot, service);
+				services.add(new ServiceView(service.name(), service.repeatWindowMillis(), runners, view));
+			}
+		}
+		reduce(new KeyEvent.ServicesSeen(services));
+	}
+
+	/**
+	 * Learns that the platform has confirmed the list that the snapshots are made from.
+	 * @param askedAtMillis when the read that it answers was sent, in milliseconds of the
+	 * monotonic clock
+	 */
+	public void listConfirmed(long askedAtMillis) {
+		reduce(new KeyEvent.ListConfirmed(askedAtMillis));
+	}
+
+	/**
+	 * Asks the other agents. To be called once a second.
+	 */
+	public void tick() {
+		reduce(new KeyEvent.AskTime());
+	}
+
+	/**
+	 * Takes a message of another agent.
+	 * @param connection the connection
+	 * @param message the message
+	 */
+	public void received(PeerConnection connection, Keys message) {
+		InstanceId sender = connection.frames().peer().instance();
+		if (message instanceof Keys.ViewQuestion question) {
+			reduce(new KeyEvent.Asked(sender, question.service(), question.askedAtMillis()));
+		}
+		else if (message instanceof Keys.ViewStatement statement) {
+			reduce(new KeyEvent.Stated(sender, statement.service(), statement.askedAtMillis(),
+					statement(sender, statement)));
+		}
+	}
+
+	private static KeyStatement statement(InstanceId sender, Keys.ViewStatement message) {
+		KeyHome speaker = new KeyHome(sender, message.host(), message.port());
+		List<KeyStatement.StatedView> views = message.views()
+			.stream()
+			.map((view) -> new KeyStatement.StatedView(view.fingerprint(), view.endedMillisAgo()))
+			.toList();
+		return new KeyStatement(speaker, message.runners(), message.coveredMillis(), views);
+	}
+
+	/**
+	 * Judges a caller's key.
+	 * @param scope the key
+	 * @param heldMillis for how long the agent has had the call, in milliseconds
+	 * @return the verdict, never null
+	 */
+	Verdict judge(KeyScope scope, long heldMillis) {
+		return this.vouching.judge(state(), scope, heldMillis, this.clock.millis(), this.wallMillis.getAsLong());
+	}
+
+	/**
+	 * For how long the outcome of a call must be remembered after its end.
+	 * @param service the service
+	 * @return the span, in milliseconds
+	 */
+	long retentionMillis(ServiceName service) {
+		KeyState known = state();
+		long window = (known.services().containsKey(service)) ? known.services().get(service).repeatWindowMillis() : 0;
+		return this.times.retentionMillis(window);
+	}
+
+	/**
+	 * Returns what is known now, for the dump of the process's state.
+	 * @return the state, never null
+	 */
+	public synchronized KeyState state() {
+		return this.state;
+	}
+
+	private void reduce(KeyEvent event) {
+		List<Effect> effects;
+		synchronized (this) {
+			Step<KeyState> step = this.reducer.reduce(this.state, this.clock.millis(), event);
+			this.state = step.state();
+			effects = step.effects();
+		}
+		effects.forEach(this::carryOut);
+	}
+
+	private void carryOut(Effect effect) {
+		if (effect instanceof KeyEffect.Ask ask) {
+			send(ask.agent(), new Keys.ViewQuestion(ask.service(), ask.askedAtMillis()));
+		}
+		else if (effect instanceof KeyEffect.Answer answer) {
+			send(answer.agent(), message(answer));
+		}
+	}
+
+	private static Keys message(KeyEffect.Answer answer) {
+		KeyStatement statement = answer.statement();
+		List<Keys.HeldView> views = statement.views()
+			.stream()
+			.map((view) -> new Keys.HeldView(view.fingerprint(), view.endedMillisAgo()))
+			.toList();
+		return new Keys.ViewStatement(answer.service(), answer.askedAtMillis(), statement.speaker().host(),
+				statement.speaker().port(), statement.runners(), statement.coveredMillis(), views);
+	}
+
+	private void send(InstanceId agent, Keys message) {
+		this.peers.to(agent).ifPresent((connection) -> connection.frames().send(message));
+	}
+
+}
--- /dev/null
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/idempotency/TicketOffice.java
@@ -0,0 +1,151 @@
+package org.catkingate.agent.idempotency;
+
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.security.SecureRandom;
+import java.util.HexFormat;
+import java.util.Objects;
+
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+import org.catkingate.decisions.idempotency.KeyScope;
+import org.catkingate.decisions.idempotency.KeyTicket;
+import org.catkingate.model.AccountName;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.ServiceName;
+import org.catkingate.runtime.MonotonicClock;
+
+/**
+ * Issues and checks the keys of one agent incarnation. The secret that they are signed
+ * with is drawn at the start and never leaves the process, so no other incarnation takes
+ * them for its own. Safe for use by any thread.
+ *
+ * @since 0.1
+ */
+public final class TicketOffice {
+
+	/** For how long an issued key may be used, in milliseconds. */
+	public static final long VALID_MILLIS = 15 * 60 * 1000;
+
+	private static final String ALGORITHM = "HmacSHA256";
+
+	private static final int SECRET_BYTES = 32;
+
+	private static final int TOKEN_BYTES = 16;
+
+	private static final SecureRandom RANDOM = new SecureRandom();
+
+	private final InstanceId agent;
+
+	private final long incarnation;
+
+	private final MonotonicClock clock;
+
+	private final SecretKeySpec secret;
+
+	private TicketOffice(InstanceId agent, long incarnation, MonotonicClock clock) {
+		this.agent = agent;
+		this.incarnation = incarnation;
+		this.clock = clock;
+		this.secret = new SecretKeySpec(random(SECRET_BYTES), ALGORITHM);
+	}
+
+	/**
+	 * Opens the office of an incarnation.
+	 * @param agent the agent
+	 * @param incarnation the incarnation that the agent proves to its peers
+	 * @param clock the clock
+	 * @return the office, never null
+	 */
+	public static TicketOffice open(InstanceId agent, long incarnation, MonotonicClock clock) {
+		Objects.requireNonNull(agent, "agent must not be null");
+		Objects.requireNonNull(clock, "clock must not be null");
+		return new TicketOffice(agent, incarnation, clock);
+	}
+
+	private static byte[] random(int count) {
+		byte[] bytes = new byte[count];
+		RANDOM.nextBytes(bytes);
+		return bytes;
+	}
+
+	/**
+	 * Issues a key.
+	 * @param account the client account that may use it
+	 * @param service the service that it may be used for
+	 * @return the key, never null
+	 */
+	public String issue(AccountName account, ServiceName service) {
+		String token = HexFormat.of().formatHex(random(TOKEN_BYTES));
+		KeyTicket unsigned = new KeyTicket(this.agent, this.incarnation, this.clock.millis(), token, "");
+		String mac = mac(unsigned, account, service);
+		return new KeyTicket(unsigned.agent(), unsigned.incarnation(), unsigned.issuedAtMillis(), token, mac).text();
+	}
+
+	/**
+	 * Checks a key.
+	 * @param scope the key, and who uses it for what
+	 * @return what it is worth, never null
+	 */
+	Check check(KeyScope scope) {
+		KeyTicket ticket = KeyTicket.parse(scope.key()).orElse(null);
+		if (ticket == null) {
+			return Check.FORGED;
+		}
+		if (!ticket.agent().equals(this.agent) || ticket.incarnation() != this.incarnation) {
+			return Check.OTHER_INCARNATION;
+		}
+		byte[] expected = bytes(mac(ticket, scope.account(), scope.service()));
+		if (!MessageDigest.isEqual(expected, bytes(ticket.mac()))) {
+			return Check.FORGED;
+		}
+		return (this.clock.millis() - ticket.issuedAtMillis() > VALID_MILLIS) ? Check.EXPIRED : Check.VALID;
+	}
+
+	/**
+	 * Returns until when the outcome of a key's call must be remembered, at the least.
+	 * @param key a key that was valid
+	 * @return the time, in milliseconds of the monotonic clock
+	 */
+	long rememberUntilMillis(String key) {
+		return KeyTicket.parse(key).orElseThrow().issuedAtMillis() + VALID_MILLIS + 1;
+	}
+
+	private String mac(KeyTicket ticket, AccountName account, ServiceName service) {
+		try {
+			Mac mac = Mac.getInstance(ALGORITHM);
+			mac.init(this.secret);
+			mac.update(bytes(ticket.signedText() + "\n" + account + "\n" + service));
+			return HexFormat.of().formatHex(mac.doFinal(), 0, TOKEN_BYTES);
+		}
+		catch (GeneralSecurityException ex) {
+			throw new IllegalStateException("this Java runtime lacks " + ALGORITHM + "; install a complete one", ex);
+		}
+	}
+
+	private static byte[] bytes(String text) {
+		return text.getBytes(StandardCharsets.US_ASCII);
+	}
+
+	/**
+	 * What a key is worth here.
+	 */
+	enum Check {
+
+		/** Issued by this incarnation, for this account and service, lately. */
+		VALID,
+
+		/** Issued by this incarnation too long ago. */
+		EXPIRED,
+
+		/** Issued by another agent, or another incarnation of this one. */
+		OTHER_INCARNATION,
+
+		/** Issued by nobody, or for another account or service. */
+		FORGED
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/idempotency/UnkeyedPermit.java
@@ -0,0 +1,40 @@
+package org.catkingate.agent.idempotency;
+
+import java.util.List;
+
+import org.catkingate.decisions.idempotency.KeptAnswer;
+
+/**
+ * The permit of a call without a key: it runs once since the system sends it once.
+ * Stateless.
+ */
+enum UnkeyedPermit implements RunPermit {
+
+	INSTANCE;
+
+	@Override
+	public boolean start() {
+		return true;
+	}
+
+	@Override
+	public void notStarted() {
+	}
+
+	@Override
+	public void head(int status, List<KeptAnswer.Header> headers) {
+	}
+
+	@Override
+	public void data(byte[] bytes) {
+	}
+
+	@Override
+	public void ended() {
+	}
+
+	@Override
+	public void failed() {
+	}
+
+}
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/idempotency/KeyHome.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/idempotency/KeyHome.java
@@ -13,16 +13,17 @@
  * cannot run twice at once. Immutable and safe for use by any thread.
  *
  * @param instance the instance
- * @param address where it listens for peers
+ * @param host the IP number at which it listens for peers
+ * @param port the port of that address
  * @since 0.1
  */
-public record KeyHome(InstanceId instance, InetSocketAddress address) implements Comparable<KeyHome> {
+public record KeyHome(InstanceId instance, String host, int port) implements Comparable<KeyHome> {
 
 	private static final Comparator<KeyHome> ORDER = Comparator.comparing(KeyHome::text);
 
 	public KeyHome {
 		Objects.requireNonNull(instance, "instance must not be null");
-		Objects.requireNonNull(address, "address must not be null");
+		Objects.requireNonNull(host, "host must not be null");
 	}
 
 	/**
@@ -31,11 +32,22 @@
 	 * @return the home, never null
 	 */
 	public static KeyHome of(InstanceRecord instance) {
-		return new KeyHome(instance.id(), instance.address());
+		return of(instance.id(), instance.address());
+	}
+
+	/**
+	 * Makes a home.
+	 * @param instance the instance
+	 * @param address where it listens for peers, as the platform's list has it
+	 * @return the home, never null
+	 */
+	public static KeyHome of(InstanceId instance, InetSocketAddress address) {
+		String host = (address.isUnresolved()) ? address.getHostString() : address.getAddress().getHostAddress();
+		return new KeyHome(instance, host, address.getPort());
 	}
 
 	String text() {
-		return this.instance.value() + "@" + this.address.getHostString() + ":" + this.address.getPort();
+		return this.instance.value() + "@" + this.host + ":" + this.port;
 	}
 
 	@Override
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/idempotency/KeyWorld.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/idempotency/KeyWorld.java
@@ -1,6 +1,5 @@
 package org.catkingate.decisions.idempotency;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -44,6 +43,8 @@
 
 	private final TreeMap<Long, List<KeyHome>> trueLists = new TreeMap<>();
 
+	private final Map<KeyHome, List<KeyHome>> arbitraryLists = new HashMap<>();
+
 	private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) -> Long.compare(a.at(), b.at()));
 
 	private final Map<KeyScope, Long> firstAttempts = new HashMap<>();
@@ -106,8 +107,8 @@
 		if (chance(150)) {
 			restart(any());
 		}
-		if (this.lists == Lists.LAGGING && chance(150)) {
-			replace();
+		if (chance(200)) {
+			changeList();
 		}
 		if (chance(200)) {
 			this.agents.forEach((agent) -> agent.isCutOff = false);
@@ -120,31 +121,50 @@
 		this.agents.add(new ModelAgent(agent.home(), this.random));
 	}
 
-	private void replace() {
+	private void changeList() {
+		if (this.lists == Lists.LAGGING) {
+			changeTrueList();
+		}
+		else {
+			changeArbitraryList();
+		}
+	}
+
+	private void changeTrueList() {
 		List<KeyHome> list = new ArrayList<>(this.trueLists.lastEntry().getValue());
-		int index = this.random.nextInt(list.size());
-		KeyHome successor = home(this.random.nextInt(NAMES + 2));
-		list.removeIf((home) -> home.instance().equals(successor.instance()));
-		if (index < list.size()) {
-			list.remove(index);
+		if (list.size() > 1 && !chance(3)) {
+			list.remove(this.random.nextInt(list.size()));
+		}
+		if (list.size() < NAMES + 1 && !chance(3)) {
+			KeyHome successor = home(this.random.nextInt(NAMES + 2));
+			list.removeIf((home) -> home.instance().equals(successor.instance()));
+			list.add(successor);
+			this.agents.add(new ModelAgent(successor, this.random));
 		}
-		list.add(successor);
 		this.trueLists.put(this.now, list);
-		this.agents.add(new ModelAgent(successor, this.random));
 		if (this.agents.size() > 2 * NAMES) {
 			this.agents.remove(0).isAlive = false;
 		}
 	}
 
+	private void changeArbitraryList() {
+		List<KeyHome> all = this.trueLists.firstEntry().getValue();
+		ModelAgent agent = any();
+		List<KeyHome> some = all.stream()
+			.filter((home) -> home.equals(agent.home()) || this.random.nextBoolean())
+			.toList();
+		this.arbitraryLists.put(agent.home(), (chance(2)) ? all : some);
+	}
+
 	private KeyHome home(int name) {
-		return new KeyHome(new InstanceId("i" + name), InetSocketAddress.createUnresolved("10.0.0.1", this.ports++));
+		return new KeyHome(new InstanceId("i" + name), "10.0.0.1", this.ports++);
 	}
 
 	private void readList(ModelAgent agent) {
 		if (agent.isCutOff || chance(2)) {
 			return;
 		}
-		HomeView view = HomeView.of(this.expectedRunners, (this.lists == Lists.LAGGING) ? lagging() : arbitrary());
+		HomeView view = HomeView.of(this.expectedRunners, (this.lists == Lists.LAGGING) ? lagging() : arbitrary(agent));
 		List<KeyEvent> events = agent.listRead(this.now, view);
 		at(this.now + this.random.nextInt(500), agent, () -> events.forEach((event) -> agent.reduce(this.now, event)));
 	}
@@ -154,13 +174,8 @@
 		return this.trueLists.floorEntry(then).getValue();
 	}
 
-	private List<KeyHome> arbitrary() {
-		List<KeyHome> all = this.trueLists.firstEntry().getValue();
-		long era = this.now / 40_000;
-		if (!chance(400) || era % 2 == 0) {
-			return all;
-		}
-		return all.stream().filter((home) -> this.random.nextBoolean()).toList();
+	private List<KeyHome> arbitrary(ModelAgent agent) {
+		return this.arbitraryLists.getOrDefault(agent.home(), this.trueLists.firstEntry().getValue());
 	}
 
 	private void send(ModelAgent sender, List<Effect> effects) {
--- a/catkingate-wire/src/main/java/org/catkingate/wire/MessageCodec.java
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/MessageCodec.java
@@ -35,7 +35,8 @@
 			Traffic.AnswerHead.class, Traffic.AnswerData.class, Traffic.AnswerEnd.class, Traffic.AnswerFailure.class,
 			Traffic.Cancel.class, Traffic.AnswerProgress.class, Traffic.Attach.class, Weights.ChunksHeld.class,
 			Weights.ManifestRequest.class, Weights.ManifestContent.class, Weights.ChunkRequest.class,
-			Weights.ChunkSlice.class, Weights.ChunkRefusal.class);
+			Weights.ChunkSlice.class, Weights.ChunkRefusal.class, Keys.ViewQuestion.class, Keys.ViewStatement.class,
+			Keys.IssueKey.class, Keys.IssuedKey.class);
 
 	private static final int ANSWER_DATA = KINDS.indexOf(Traffic.AnswerData.class);
 
--- a/catkingate-wire/src/test/java/org/catkingate/wire/MessageCodecTests.java
+++ b/catkingate-wire/src/test/java/org/catkingate/wire/MessageCodecTests.java
@@ -61,6 +61,19 @@
 			assertThat(roundTrip(dispatch)).usingRecursiveComparison().isEqualTo(dispatch);
 		}
 
+		@Test
+		void keepStatementsOfViews() throws WireException {
+			Message statement = new Keys.ViewStatement(new ServiceName("s"), 7, "127.0.0.1", 70, 2, 1L << 40,
+					List.of(new Keys.HeldView(-1, 12), new Keys.HeldView(Long.MIN_VALUE, 0)));
+			assertThat(roundTrip(statement)).isEqualTo(statement);
+		}
+
+		@Test
+		void keepIssuedKeys() throws WireException {
+			Message issued = new Keys.IssuedKey(REQUEST, "ckt1~a~1", 900_000);
+			assertThat(roundTrip(issued)).isEqualTo(issued);
+		}
+
 		@Test
 		void keepAnswerData() throws WireException {
 			Traffic.AnswerData data = new Traffic.AnswerData(REQUEST, 1L << 40, new byte[] { 0, -1 });
