--- /dev/null
+++ b/catkingate-agent/src/test/java/org/catkingate/agent/idempotency/Fleets.java
@@ -0,0 +1,52 @@
+package org.catkingate.agent.idempotency;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.catkingate.decisions.membership.AgentView;
+import org.catkingate.decisions.membership.FleetSnapshot;
+import org.catkingate.model.ConfigurationVersion;
+import org.catkingate.model.DataCentreName;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.InstanceRecord;
+import org.catkingate.model.Labels;
+import org.catkingate.model.RegionName;
+import org.catkingate.model.Role;
+import org.catkingate.model.Selector;
+import org.catkingate.model.ServiceName;
+import org.catkingate.model.published.InstanceGroup;
+import org.catkingate.model.published.PublishedConfiguration;
+import org.catkingate.model.published.Service;
+
+/**
+ * Snapshots of a fleet with one plain service on all agents.
+ */
+final class Fleets {
+
+	static final ServiceName SERVICE = new ServiceName("catalogue-api");
+
+	static final long WINDOW_MILLIS = 60_000;
+
+	private Fleets() {
+	}
+
+	static FleetSnapshot of(int expectedRunners, Map<String, InetSocketAddress> agents) {
+		Service service = new Service(SERVICE, Service.Kind.PLAIN, false, "all", List.of(), List.of(), WINDOW_MILLIS,
+				expectedRunners, 100, 1, 1);
+		InstanceGroup all = new InstanceGroup("all", Selector.everything());
+		PublishedConfiguration configuration = new PublishedConfiguration(ConfigurationVersion.none(), Map.of(),
+				Map.of(SERVICE, service), Map.of("all", all), Map.of(), Map.of(), List.of());
+		Map<InstanceId, AgentView> views = new HashMap<>();
+		agents.forEach((name, address) -> views.put(new InstanceId(name), view(name, address)));
+		return new FleetSnapshot(configuration, views);
+	}
+
+	private static AgentView view(String name, InetSocketAddress address) {
+		InstanceRecord instance = new InstanceRecord(new InstanceId(name), Role.AGENT, address,
+				new DataCentreName("ahd-a"), new RegionName("guj-west"), Labels.none(), false);
+		return new AgentView(instance, 1, true, false, List.of(), List.of(), 0);
+	}
+
+}
--- /dev/null
+++ b/catkingate-agent/src/test/java/org/catkingate/agent/idempotency/KeyExchangeTests.java
@@ -0,0 +1,218 @@
+package org.catkingate.agent.idempotency;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import org.catkingate.decisions.idempotency.KeyHome;
+import org.catkingate.decisions.idempotency.KeyScope;
+import org.catkingate.decisions.idempotency.Verdict;
+import org.catkingate.decisions.idempotency.VouchingTimes;
+import org.catkingate.decisions.membership.FleetSnapshot;
+import org.catkingate.model.AccountName;
+import org.catkingate.model.DataCentreName;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.RegionName;
+import org.catkingate.model.Role;
+import org.catkingate.runtime.peers.PeerConnection;
+import org.catkingate.wire.ConnectionListener;
+import org.catkingate.wire.FrameConnection;
+import org.catkingate.wire.FrameTransport;
+import org.catkingate.wire.Handshake;
+import org.catkingate.wire.Keys;
+import org.catkingate.wire.Message;
+import org.catkingate.wire.SharedKey;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+/**
+ * Tests for {@link KeyExchange} between agents on real connections.
+ */
+class KeyExchangeTests {
+
+	private static final SharedKey SHARED_KEY = SharedKey.of("a secret of the tests");
+
+	private static final VouchingTimes TIMES = VouchingTimes.ordinary();
+
+	private static final long COVER_MILLIS = TIMES.retentionMillis(Fleets.WINDOW_MILLIS);
+
+	private static final Duration PATIENCE = Duration.ofSeconds(20);
+
+	private final AtomicLong nowMillis = new AtomicLong(1_000);
+
+	private final Map<String, Agent> agents = new HashMap<>();
+
+	private final Map<String, InetSocketAddress> addresses = new HashMap<>();
+
+	@BeforeEach
+	void startAgents() throws Exception {
+		for (String name : List.of("a", "b", "c")) {
+			this.agents.put(name, new Agent(name));
+		}
+		for (Agent agent : this.agents.values()) {
+			this.agents.values().stream().filter((other) -> other != agent).forEach(agent::connect);
+		}
+		this.agents.values().forEach((agent) -> await().atMost(PATIENCE).until(() -> agent.open.size() == 2));
+		FleetSnapshot snapshot = Fleets.of(3, this.addresses);
+		this.agents.values().forEach((agent) -> agent.exchange.fleet(snapshot));
+		pass(COVER_MILLIS);
+	}
+
+	@AfterEach
+	void stopAgents() {
+		this.agents.values().forEach((agent) -> agent.transport.close());
+	}
+
+	private void pass(long millis) {
+		this.nowMillis.addAndGet(millis);
+		this.agents.values().forEach((agent) -> agent.exchange.listConfirmed(this.nowMillis.get()));
+	}
+
+	private void askAll() {
+		this.agents.values().forEach((agent) -> agent.exchange.tick());
+	}
+
+	private Map<String, Verdict.Reason> verdicts(String key) {
+		KeyScope scope = new KeyScope(new AccountName("bar"), Fleets.SERVICE, key);
+		Map<String, Verdict.Reason> verdicts = new HashMap<>();
+		this.agents.forEach((name, agent) -> verdicts.put(name, agent.exchange.judge(scope, 0).reason()));
+		return verdicts;
+	}
+
+	private void awaitOneVoucher(String key) {
+		await().atMost(PATIENCE).untilAsserted(() -> assertThat(vouchers(key)).hasSize(1));
+	}
+
+	private List<String> vouchers(String key) {
+		List<String> vouchers = new ArrayList<>();
+		verdicts(key).forEach((name, reason) -> {
+			if (reason == Verdict.Reason.VOUCHED) {
+				vouchers.add(name);
+			}
+		});
+		return vouchers;
+	}
+
+	@Test
+	void oneAgentVouchesForEachKeyOnceOthersHaveAgreed() {
+		assertThat(vouchers("k")).isEmpty();
+		askAll();
+		awaitOneVoucher("k");
+		awaitOneVoucher("l");
+	}
+
+	@Test
+	void nobodyVouchesOnceTheStatementsAreOld() {
+		askAll();
+		awaitOneVoucher("k");
+		pass(TIMES.statementMillis() + 1);
+		assertThat(vouchers("k")).isEmpty();
+	}
+
+	@Test
+	void oneSilentAgentDoesNotHinderTheHomesOfOtherKeys() {
+		askAll();
+		awaitOneVoucher("k");
+		String home = vouchers("k").get(0);
+		this.agents.values().stream().filter((agent) -> !agent.name.equals(home)).findFirst().orElseThrow().hush();
+		pass(TIMES.statementMillis() + 1);
+		askAll();
+		awaitOneVoucher("k");
+	}
+
+	@Test
+	void anAgentCutOffFromTheMajorityDoesNotVouch() {
+		askAll();
+		awaitOneVoucher("k");
+		Agent home = this.agents.get(vouchers("k").get(0));
+		home.hush();
+		pass(TIMES.statementMillis() + 1);
+		askAll();
+		assertThat(verdicts("k")).containsEntry(home.name, Verdict.Reason.NOT_AGREED);
+		assertThat(vouchers("k")).isEmpty();
+	}
+
+	@Test
+	void keysMoveOnlyAfterTheWait() {
+		askAll();
+		awaitOneVoucher("k");
+		String former = vouchers("k").get(0);
+		this.agents.remove(former).transport.close();
+		this.addresses.remove(former);
+		FleetSnapshot smaller = Fleets.of(3, this.addresses);
+		this.agents.values().forEach((agent) -> agent.exchange.fleet(smaller));
+		pass(COVER_MILLIS);
+		askAll();
+		assertThat(vouchers("k")).isEmpty();
+		pass(1);
+		askAll();
+		awaitOneVoucher("k");
+	}
+
+	/**
+	 * An agent with a listener, and the exchange on it.
+	 */
+	private final class Agent implements ConnectionListener {
+
+		private final String name;
+
+		private final FrameTransport transport;
+
+		private final Map<InstanceId, PeerConnection> open = new ConcurrentHashMap<>();
+
+		private final KeyExchange exchange;
+
+		private volatile boolean hushed;
+
+		private Agent(String name) throws Exception {
+			this.name = name;
+			this.transport = FrameTransport.create(1, SHARED_KEY, new Handshake.PeerIdentity(new InstanceId(name),
+					Role.AGENT, 1, new DataCentreName("ahd-a"), new RegionName("guj-west")));
+			InetSocketAddress address = this.transport.listen(new InetSocketAddress("127.0.0.1", 0), this);
+			KeyExchangeTests.this.addresses.put(name, address);
+			this.exchange = KeyExchange.start(KeyHome.of(new InstanceId(name), address), Map.of(Fleets.SERVICE, 1),
+					TIMES, (instance) -> Optional.ofNullable(this.open.get(instance)),
+					() -> TimeUnit.MILLISECONDS.toNanos(KeyExchangeTests.this.nowMillis.get()),
+					KeyExchangeTests.this.nowMillis::get);
+		}
+
+		private void connect(Agent other) {
+			this.transport.connect(KeyExchangeTests.this.addresses.get(other.name), this, () -> {
+			});
+		}
+
+		private void hush() {
+			this.hushed = true;
+		}
+
+		@Override
+		public void opened(FrameConnection connection) {
+			this.open.put(connection.peer().instance(), PeerConnection.of(connection));
+		}
+
+		@Override
+		public void received(FrameConnection connection, Message message) {
+			if (!this.hushed) {
+				this.exchange.received(PeerConnection.of(connection), (Keys) message);
+			}
+		}
+
+		@Override
+		public void closed(FrameConnection connection, String reason) {
+		}
+
+	}
+
+}
