Take the views from the platform's list and bound the exchange

A mesh of all agents of a large service would cost more than a node's share for control. Change: KeyExchange learns configuration and list; agents of services with at most 12 agents meet each other (ContactPlan), larger ones take issued keys only. The list may be confirmed up to a minute ago, since agents read it at the slow pace.

--- a/catkingate-agent/src/main/java/org/catkingate/agent/idempotency/KeyExchange.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/idempotency/KeyExchange.java
@@ -21,9 +21,11 @@
 import org.catkingate.decisions.idempotency.Verdict;
 import org.catkingate.decisions.idempotency.Vouching;
 import org.catkingate.decisions.idempotency.VouchingTimes;
-import org.catkingate.decisions.membership.FleetSnapshot;
 import org.catkingate.model.InstanceId;
+import org.catkingate.model.InstanceRecord;
+import org.catkingate.model.Role;
 import org.catkingate.model.ServiceName;
+import org.catkingate.model.published.PublishedConfiguration;
 import org.catkingate.model.published.Service;
 import org.catkingate.runtime.MonotonicClock;
 import org.catkingate.runtime.peers.PeerConnection;
@@ -84,15 +86,18 @@
 	}
 
 	/**
-	 * Learns what the fleet looks like. To be told of every snapshot.
-	 * @param snapshot the snapshot in force
+	 * Learns what the fleet looks like. To be told of every list and configuration.
+	 * @param configuration the configuration in force
+	 * @param instances the platform's list as it was read last, this agent's own line
+	 * included
 	 */
-	public void fleet(FleetSnapshot snapshot) {
+	public void fleet(PublishedConfiguration configuration, List<InstanceRecord> instances) {
+		List<InstanceRecord> agents = instances.stream().filter((instance) -> instance.role() == Role.AGENT).toList();
 		List<ServiceView> services = new ArrayList<>();
-		for (Service service : snapshot.configuration().services().values()) {
+		for (Service service : configuration.services().values()) {
 			int runners = this.ownRunners.getOrDefault(service.name(), 0);
-			if (runners > 0 && KeyRouting.isGuarded(service)) {
-				HomeView view = KeyRouting.view(snapshot, service);
+			if (runners > 0 && service.takesCallersKeys()) {
+				HomeView view = KeyRouting.view(configuration, service, agents);
 				services.add(new ServiceView(service.name(), service.repeatWindowMillis(), runners, view));
 			}
 		}
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/idempotency/KeyReducer.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/idempotency/KeyReducer.java
@@ -12,6 +12,7 @@
 import org.catkingate.decisions.Reducer;
 import org.catkingate.decisions.Step;
 import org.catkingate.model.ServiceName;
+import org.catkingate.model.published.Service;
 
 /**
  * Keeps an agent's knowledge of the homes of keys. Stateless and safe for use by any
@@ -97,10 +98,11 @@
 	private Step<KeyState> askTime(KeyState state, long nowMillis) {
 		List<Effect> questions = new ArrayList<>();
 		state.services().forEach((service, keys) -> {
-			for (KeyHome member : keys.history().latest().members()) {
-				if (!member.equals(state.own())) {
-					questions.add(new KeyEffect.Ask(member.instance(), service, nowMillis));
-				}
+			List<KeyHome> members = keys.history().latest().members();
+			if (members.size() <= Service.MOST_AGENTS_FOR_KEYS) {
+				members.stream()
+					.filter((member) -> !member.equals(state.own()))
+					.forEach((member) -> questions.add(new KeyEffect.Ask(member.instance(), service, nowMillis)));
 			}
 		});
 		return new Step<>(state, questions);
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/idempotency/KeyRouting.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/idempotency/KeyRouting.java
@@ -3,14 +3,13 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
-import java.util.TreeSet;
 
 import org.catkingate.decisions.membership.AgentView;
 import org.catkingate.decisions.membership.FleetSnapshot;
 import org.catkingate.model.InstanceId;
 import org.catkingate.model.InstanceRecord;
 import org.catkingate.model.published.InstanceGroup;
+import org.catkingate.model.published.PublishedConfiguration;
 import org.catkingate.model.published.Service;
 
 /**
@@ -71,60 +70,27 @@
 	/**
 	 * Makes the view of a service's agents, by the platform's list and the service's
 	 * group.
-	 * @param snapshot what the process knows
+	 * @param configuration the configuration in force
 	 * @param service the service
+	 * @param agents the agents' lines of the list
 	 * @return the view, never null
 	 */
-	public static HomeView view(FleetSnapshot snapshot, Service service) {
-		return view(snapshot, service, snapshot.agents().values().stream().map(AgentView::instance).toList());
-	}
-
-	/**
-	 * Makes the view of a service's agents out of given instances.
-	 * @param snapshot what the process knows
-	 * @param service the service
-	 * @param instances the agents' lines of the list
-	 * @return the view, never null
-	 */
-	public static HomeView view(FleetSnapshot snapshot, Service service, Collection<InstanceRecord> instances) {
-		InstanceGroup group = snapshot.configuration().groups().get(service.group());
+	public static HomeView view(PublishedConfiguration configuration, Service service,
+			Collection<InstanceRecord> agents) {
+		InstanceGroup group = configuration.groups().get(service.group());
 		if (group == null) {
 			return HomeView.of(service.expectedRunners(), List.of());
 		}
-		List<KeyHome> members = instances.stream()
-			.filter((instance) -> !instance.leaving() && group.selector().matches(instance.labels()))
+		List<KeyHome> members = agents.stream()
+			.filter((agent) -> !agent.leaving() && group.selector().matches(agent.labels()))
 			.map(KeyHome::of)
 			.toList();
 		return HomeView.of(service.expectedRunners(), members);
 	}
 
-	/**
-	 * Tells whether the agents of a service keep vouching for callers' keys: if it is
-	 * plain or names calls that may run once only.
-	 * @param service the service
-	 * @return whether its agents exchange statements
-	 */
-	public static boolean isGuarded(Service service) {
-		return service.kind() == Service.Kind.PLAIN || !service.nonIdempotentCalls().isEmpty();
-	}
-
-	/**
-	 * Finds the agents that an agent must be connected to, to vouch for keys.
-	 * @param snapshot what the agent knows
-	 * @param own the agent itself, as the list has it
-	 * @return the instances in order, without the agent itself
-	 */
-	public static Set<InstanceId> neededPeers(FleetSnapshot snapshot, InstanceRecord own) {
-		Set<InstanceId> needed = new TreeSet<>();
-		for (Service service : snapshot.configuration().services().values()) {
-			HomeView view = view(snapshot, service);
-			InstanceGroup group = snapshot.configuration().groups().get(service.group());
-			if (isGuarded(service) && group != null && group.selector().matches(own.labels())) {
-				view.members().forEach((member) -> needed.add(member.instance()));
-			}
-		}
-		needed.remove(own.id());
-		return needed;
+	private static HomeView view(FleetSnapshot snapshot, Service service) {
+		List<InstanceRecord> agents = snapshot.agents().values().stream().map(AgentView::instance).toList();
+		return view(snapshot.configuration(), service, agents);
 	}
 
 }
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/idempotency/VouchingTimes.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/idempotency/VouchingTimes.java
@@ -16,7 +16,7 @@
 
 	private static final long STATEMENT_MILLIS = 3_000;
 
-	private static final long LIST_MILLIS = 30_000;
+	private static final long LIST_MILLIS = 60_000;
 
 	private static final long LIST_LAG_MILLIS = 30_000;
 
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/membership/ContactPlan.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/membership/ContactPlan.java
@@ -28,8 +28,8 @@
  * Which agents a process keeps contact with. An entry meets all agents of its region and,
  * of each other region, a few that each rule could send requests to. An agent meets a few
  * agents: a ring through its data centre and region, so that news reaches all; one in
- * each other region; and neighbours that share weights. All choices are by rendezvous
- * hash. Stateless.
+ * each other region; neighbours that share weights; and all that agree with it on
+ * callers' keys. All choices are by rendezvous hash. Stateless.
  */
 final class ContactPlan {
 
@@ -107,6 +107,7 @@
 		addNext(region.stream().filter(this::isInDataCentre).toList());
 		addNext(region);
 		farRegions(this.agents).values().forEach((far) -> add(nearest(far, 1)));
+		this.configuration.services().values().forEach(this::addThoseThatAgreeOnKeys);
 		for (WeightsVersion version : this.configuration.versions().values()) {
 			List<Selector> wanted = List.of(groupOf(version.service()), version.selector());
 			if (!version.withdrawn() && matches(wanted, this.self.labels())) {
@@ -115,6 +116,17 @@
 		}
 	}
 
+	private void addThoseThatAgreeOnKeys(Service service) {
+		InstanceGroup group = this.configuration.groups().get(service.group());
+		if (!service.takesCallersKeys() || group == null || !group.selector().matches(this.self.labels())) {
+			return;
+		}
+		List<InstanceRecord> others = matching(List.of(group.selector()));
+		if (others.size() < Service.MOST_AGENTS_FOR_KEYS) {
+			add(others);
+		}
+	}
+
 	private void addNeighbours(List<InstanceRecord> sharers) {
 		Predicate<InstanceRecord> inside = this::isInDataCentre;
 		add(nearest(sharers.stream().filter(inside).toList(), NEIGHBOURS_IN_DATA_CENTRE));
--- a/catkingate-model/src/main/java/org/catkingate/model/published/Service.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/published/Service.java
@@ -27,6 +27,12 @@
 		List<CallPattern> nonIdempotentCalls, List<CallPattern> idempotentCalls, long repeatWindowMillis,
 		int expectedRunners, int switchingSharePercent, int concurrentRequests, int queuedRequests) {
 
+	/**
+	 * The most agents of one service that agree on callers' keys. The agents of a larger
+	 * service take only keys that they have issued.
+	 */
+	public static final int MOST_AGENTS_FOR_KEYS = 12;
+
 	public Service {
 		Objects.requireNonNull(name, "name must not be null");
 		Objects.requireNonNull(kind, "kind must not be null");
@@ -52,6 +58,15 @@
 		return CallPattern.isIdempotentMethod(method);
 	}
 
+	/**
+	 * Tells whether the agents of the service agree on callers' keys, for which they meet
+	 * each other.
+	 * @return whether it is plain or names calls that may run once only
+	 */
+	public boolean takesCallersKeys() {
+		return this.kind == Kind.PLAIN || !this.nonIdempotentCalls.isEmpty();
+	}
+
 	/**
 	 * What the runners of a service are.
 	 */
