Cut agents off from the list and from each other apart, and move lists at restarts

Cause: with the age or the reach of statements unchecked the worlds stayed green: a cut off agent also lost the list, and a restarted one kept its view. Change: the two cuts are apart, and a restart may come with another list.

--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/idempotency/KeyWorld.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/idempotency/KeyWorld.java
@@ -104,6 +104,10 @@
 			ModelAgent agent = any();
 			agent.isCutOff = !agent.isCutOff;
 		}
+		if (this.lists == Lists.LAGGING && chance(80)) {
+			ModelAgent agent = any();
+			agent.isWithoutList = !agent.isWithoutList;
+		}
 		if (chance(150)) {
 			restart(any());
 		}
@@ -112,12 +116,16 @@
 		}
 		if (chance(200)) {
 			this.agents.forEach((agent) -> agent.isCutOff = false);
+			this.agents.forEach((agent) -> agent.isWithoutList = false);
 		}
 	}
 
 	private void restart(ModelAgent agent) {
 		agent.isAlive = false;
 		this.agents.remove(agent);
+		if (this.lists == Lists.ARBITRARY) {
+			changeArbitraryList(agent);
+		}
 		this.agents.add(new ModelAgent(agent.home(), this.random));
 	}
 
@@ -148,8 +156,11 @@
 	}
 
 	private void changeArbitraryList() {
+		changeArbitraryList(any());
+	}
+
+	private void changeArbitraryList(ModelAgent agent) {
 		List<KeyHome> all = this.trueLists.firstEntry().getValue();
-		ModelAgent agent = any();
 		List<KeyHome> some = all.stream()
 			.filter((home) -> home.equals(agent.home()) || this.random.nextBoolean())
 			.toList();
@@ -161,7 +172,7 @@
 	}
 
 	private void readList(ModelAgent agent) {
-		if (agent.isCutOff || chance(2)) {
+		if (agent.isWithoutList || chance(2)) {
 			return;
 		}
 		HomeView view = HomeView.of(this.expectedRunners, (this.lists == Lists.LAGGING) ? lagging() : arbitrary(agent));
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/idempotency/ModelAgent.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/idempotency/ModelAgent.java
@@ -41,6 +41,8 @@
 
 	boolean isCutOff;
 
+	boolean isWithoutList;
+
 	boolean isAlive = true;
 
 	ModelAgent(KeyHome home, Random random) {
