Check frames against a checksum, and send nothing before a heartbeat is known

Cause: a byte changed between entry and agent reached the caller as part of its answer; and a request on a new connection carried no heartbeat back, so that the agent would refuse it. Frames now carry the CRC-32C of their message. Ruled out: a digest over the whole answer, which finds a change after the caller has it.

--- a/catkingate-entry/src/main/java/org/catkingate/entry/CallSupport.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/CallSupport.java
@@ -118,6 +118,7 @@
 				return Optional.empty();
 			}
 			Optional<Attempt> attempt = this.connections.to(runner.get().instance())
+				.filter(CallSupport::hasHeartbeat)
 				.flatMap((connection) -> send(call, new Attempt(wireId, runner.get(), connection), connection,
 						leftMillis));
 			if (attempt.isPresent()) {
@@ -129,6 +130,10 @@
 		return Optional.empty();
 	}
 
+	private static boolean hasHeartbeat(PeerConnection connection) {
+		return connection.newestHeartbeat().get() > 0;
+	}
+
 	private Optional<Attempt> send(Call call, Attempt attempt, PeerConnection connection, long leftMillis) {
 		this.byWireId.put(attempt.wireId(), call);
 		this.loads.started(attempt.runner());
--- a/catkingate-tests/src/test/java/org/catkingate/tests/requests/ListenerBridge.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/requests/ListenerBridge.java
@@ -33,6 +33,7 @@
 	@Override
 	public void opened(FrameConnection connection) {
 		PeerConnection peer = PeerConnection.of(connection);
+		peer.newestHeartbeat().set(1);
 		this.open.put(connection, peer);
 		this.newest.put(connection.peer().instance(), peer);
 		this.listener.opened(peer);
--- a/catkingate-wire/src/main/java/org/catkingate/wire/FrameConnection.java
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/FrameConnection.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.zip.CRC32C;
 
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
@@ -18,9 +19,10 @@
 import org.xnio.channels.StreamSourceChannel;
 
 /**
- * One TCP connection that carries messages in frames: a length of four bytes and a
- * message. Lengths are checked before allocation, and only the handshake is accepted
- * until the peer has proved the shared key.
+ * One TCP connection that carries messages in frames: a length of four bytes, the CRC-32C
+ * of the message in four more, and the message. Lengths are checked before allocation, a
+ * frame whose bytes do not fit its checksum closes the connection, and only the handshake
+ * is accepted until the peer has proved the shared key.
  * <p>
  * {@link #send} and {@link #close} may be called by any thread; everything else of the
  * connection, the listener's calls included, happens on one I/O thread. Messages of one
@@ -61,10 +63,12 @@
 
 	private final AtomicBoolean closed = new AtomicBoolean();
 
-	private final ByteBuffer length = ByteBuffer.allocate(FrameLimits.LENGTH_BYTES);
+	private final ByteBuffer header = ByteBuffer.allocate(FrameLimits.HEADER_BYTES);
 
 	private ByteBuffer frame;
 
+	private int expectedChecksum;
+
 	private Handshake.Hello peerHello;
 
 	private volatile Handshake.PeerIdentity peer;
@@ -115,8 +119,8 @@
 			return false;
 		}
 		byte[] bytes = MessageCodec.encode(message);
-		ByteBuffer buffer = ByteBuffer.allocate(FrameLimits.LENGTH_BYTES + bytes.length);
-		buffer.putInt(bytes.length).put(bytes).flip();
+		ByteBuffer buffer = ByteBuffer.allocate(FrameLimits.HEADER_BYTES + bytes.length);
+		buffer.putInt(bytes.length).putInt(checksum(bytes)).put(bytes).flip();
 		if (this.queuedBytes.addAndGet(buffer.remaining()) > FrameLimits.MAXIMUM_QUEUED_BYTES) {
 			closeWith("send queue is full");
 			return false;
@@ -245,22 +249,37 @@
 	private void consume(ByteBuffer buffer) throws IOException {
 		while (buffer.hasRemaining() && !this.closed.get()) {
 			if (this.frame == null) {
-				transfer(buffer, this.length);
-				if (this.length.hasRemaining()) {
+				transfer(buffer, this.header);
+				if (this.header.hasRemaining()) {
 					return;
 				}
-				this.frame = ByteBuffer.allocate(checkedLength(this.length.flip().getInt()));
-				this.length.clear();
+				this.frame = ByteBuffer.allocate(checkedLength(this.header.flip().getInt()));
+				this.expectedChecksum = this.header.getInt();
+				this.header.clear();
 			}
 			transfer(buffer, this.frame);
 			if (!this.frame.hasRemaining()) {
 				byte[] bytes = this.frame.array();
 				this.frame = null;
+				verify(bytes);
 				received(MessageCodec.decode(bytes));
 			}
 		}
 	}
 
+	private void verify(byte[] bytes) throws WireException {
+		if (checksum(bytes) != this.expectedChecksum) {
+			throw new WireException(WireException.Kind.MALFORMED,
+					"received a frame that was changed on its way; check the network between the instances");
+		}
+	}
+
+	private static int checksum(byte[] bytes) {
+		CRC32C checksum = new CRC32C();
+		checksum.update(bytes);
+		return (int) checksum.getValue();
+	}
+
 	private int checkedLength(int value) throws WireException {
 		int limit = (this.peer != null) ? FrameLimits.MAXIMUM_FRAME_BYTES : FrameLimits.MAXIMUM_HANDSHAKE_BYTES;
 		if (value <= 0 || value > limit) {
--- a/catkingate-wire/src/main/java/org/catkingate/wire/FrameLimits.java
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/FrameLimits.java
@@ -19,8 +19,8 @@
 	/** The queue above which a connection counts as congested, in bytes. */
 	static final int CONGESTED_BYTES = 1024 * 1024;
 
-	/** The size of the length in front of each frame, in bytes. */
-	static final int LENGTH_BYTES = 4;
+	/** The size of length and checksum in front of each message, in bytes. */
+	static final int HEADER_BYTES = 8;
 
 	/** The time that a peer has to prove the shared key, in milliseconds. */
 	static final int HANDSHAKE_MILLIS = 3000;
--- a/catkingate-wire/src/test/java/org/catkingate/wire/FrameConnectionTests.java
+++ b/catkingate-wire/src/test/java/org/catkingate/wire/FrameConnectionTests.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.zip.CRC32C;
 
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
@@ -57,6 +58,12 @@
 		return FrameTransport.create(1, SharedKey.of(key), identity);
 	}
 
+	private static int checksum(byte[] bytes) {
+		CRC32C checksum = new CRC32C();
+		checksum.update(bytes);
+		return (int) checksum.getValue();
+	}
+
 	@Nested
 	class PeersWithTheSameKey {
 
@@ -96,7 +103,7 @@
 		void whoClaimLongFrames() throws Exception {
 			try (Socket socket = new Socket(FrameConnectionTests.this.address.getAddress(),
 					FrameConnectionTests.this.address.getPort())) {
-				socket.getOutputStream().write(ByteBuffer.allocate(4).putInt(1 << 30).array());
+				socket.getOutputStream().write(ByteBuffer.allocate(8).putInt(1 << 30).array());
 				assertThat(FrameConnectionTests.this.atServer.closed.get(20, TimeUnit.SECONDS))
 					.contains("a frame of 1073741824 bytes where at most 4096 are allowed");
 			}
@@ -107,13 +114,28 @@
 			try (Socket socket = new Socket(FrameConnectionTests.this.address.getAddress(),
 					FrameConnectionTests.this.address.getPort())) {
 				byte[] message = MessageCodec.encode(new Control.Heartbeat(1, 0, List.of()));
-				socket.getOutputStream().write(ByteBuffer.allocate(4).putInt(message.length).array());
+				socket.getOutputStream()
+					.write(ByteBuffer.allocate(8).putInt(message.length).putInt(checksum(message)).array());
 				socket.getOutputStream().write(message);
 				assertThat(FrameConnectionTests.this.atServer.closed.get(20, TimeUnit.SECONDS))
 					.contains("set the same [peers] shared-key");
 			}
 		}
 
+		@Test
+		void whoseBytesWereChangedOnTheirWay() throws Exception {
+			try (Socket socket = new Socket(FrameConnectionTests.this.address.getAddress(),
+					FrameConnectionTests.this.address.getPort())) {
+				byte[] message = MessageCodec.encode(new Control.Heartbeat(1, 0, List.of()));
+				int checksum = checksum(message);
+				message[message.length - 1] ^= 1;
+				socket.getOutputStream().write(ByteBuffer.allocate(8).putInt(message.length).putInt(checksum).array());
+				socket.getOutputStream().write(message);
+				assertThat(FrameConnectionTests.this.atServer.closed.get(20, TimeUnit.SECONDS))
+					.contains("a frame that was changed on its way");
+			}
+		}
+
 		@Test
 		void whoSayNothing() throws Exception {
 			try (Socket socket = new Socket(FrameConnectionTests.this.address.getAddress(),
