Ask the guard when a call arrives, and refuse only what was not sent

Cause: the guard was asked when a connection to the runner was ready, so that the wait in the queue did not count into the age of the key, and a repeat whose answer is known needed a free runner. And refuse() read the state under the lock but ended the request after it: a call marked as dispatched in between by the I/O thread was answered NOT_RUN. Ruled out: passing the time of arrival to the guard; it would still need the runner for a replay. The race was found by reading; no test forces it.

--- a/catkingate-agent/src/main/java/org/catkingate/agent/idempotency/CallGuard.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/idempotency/CallGuard.java
@@ -1,8 +1,9 @@
 package org.catkingate.agent.idempotency;
 
 /**
- * Decides on each non-idempotent call, with or without a key, before it is dispatched to
- * a runner. Idempotent calls do not come here. Safe for use by any thread; never blocks.
+ * Decides on each non-idempotent call, with or without a key, when it arrives: before it
+ * waits for a runner, since the time that a key may be repeated runs from then.
+ * Idempotent calls do not come here. Safe for use by any thread; never blocks.
  *
  * @since 0.1
  */
--- a/catkingate-agent/src/main/java/org/catkingate/agent/idempotency/KeyTable.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/idempotency/KeyTable.java
@@ -188,6 +188,9 @@
 
 		@Override
 		public synchronized boolean start() {
+			if (!this.open) {
+				return false;
+			}
 			long heldMillis = KeyTable.this.clock.millis() - this.admittedAtMillis;
 			if (this.ticketed || KeyTable.this.exchange.judge(this.scope, heldMillis).vouched()) {
 				KeyTable.this.counts.started().increment();
--- a/catkingate-agent/src/main/java/org/catkingate/agent/requests/AgentRequests.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/requests/AgentRequests.java
@@ -173,6 +173,14 @@
 				|| this.requests.putIfAbsent(dispatch.request(), request) != null) {
 			return;
 		}
+		Optional<String> delay = delay(dispatch);
+		if (delay.isPresent()) {
+			refuse(request, delay.get());
+			return;
+		}
+		if (!request.admit()) {
+			return;
+		}
 		Optional<String> objection = objection(dispatch);
 		if (objection.isPresent()) {
 			refuse(request, objection.get());
@@ -181,16 +189,20 @@
 		enqueue(request);
 	}
 
-	private Optional<String> objection(Traffic.Dispatch dispatch) {
-		if (this.draining) {
-			return Optional.of("the agent is leaving; send the request to another");
-		}
+	private Optional<String> delay(Traffic.Dispatch dispatch) {
 		if (dispatch.deadlineMillis() <= 0) {
 			return Optional.of("the deadline has passed; allow more time");
 		}
 		if (this.heartbeats.millisSince(dispatch.heartbeat()) > this.settings.maximumHeartbeatAgeMillis()) {
 			return Optional.of("the request was delayed on its way for too long; send it again");
 		}
+		return Optional.empty();
+	}
+
+	private Optional<String> objection(Traffic.Dispatch dispatch) {
+		if (this.draining) {
+			return Optional.of("the agent is leaving; send the request to another");
+		}
 		RunnerLane lane = this.lanes.get(dispatch.runner());
 		if (lane == null || !lane.gate().service().equals(dispatch.service())) {
 			return Optional.of("the agent has no such runner; send the request to another");
