Send keyed calls to their one agent, issue keys, and refuse after a pause

Cause: an entry chose any runner for a call with a key, and a call that lay in its buffers while it was paused could be sent long after its caller stopped. Change: KeyedCalls sends a keyed call to the home of its key or the issuer only, also when no runner there admits (the agent may hold the answer); KeyDesk answers POST /catkingate/idempotency-keys?service=S with a key issued by an agent; an entry refuses keyed calls for a second after a gap of 1.5 s in its own ticks, and does not send one that it has held for 5 s. A refusal's Retry-After is the agent's. Keys may have 255 characters, since issued ones have up to 233.

--- /dev/null
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/idempotency/IdempotencyKeys.java
@@ -0,0 +1,125 @@
+package org.catkingate.agent.idempotency;
+
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+
+import org.catkingate.decisions.idempotency.KeyHome;
+import org.catkingate.decisions.idempotency.KeyState;
+import org.catkingate.decisions.idempotency.VouchingTimes;
+import org.catkingate.model.InstanceRecord;
+import org.catkingate.model.ServiceName;
+import org.catkingate.model.published.PublishedConfiguration;
+import org.catkingate.runtime.MonotonicClock;
+import org.catkingate.runtime.peers.PeerConnection;
+import org.catkingate.runtime.peers.PeerConnections;
+import org.catkingate.wire.Keys;
+
+/**
+ * Everything about the keys of non-idempotent calls at one agent. Whoever runs the agent
+ * tells it of lists, configurations, confirmations, messages and ticks. Safe for use by
+ * any thread; never blocks on I/O.
+ *
+ * @since 0.1
+ */
+public final class IdempotencyKeys {
+
+	/** The interval of {@link #tick()}, in milliseconds. */
+	public static final long TICK_MILLIS = 1_000;
+
+	private final KeyExchange exchange;
+
+	private final TicketOffice tickets;
+
+	private final KeyTable table;
+
+	private IdempotencyKeys(KeyExchange exchange, TicketOffice tickets, KeyTable table) {
+		this.exchange = exchange;
+		this.tickets = tickets;
+		this.table = table;
+	}
+
+	/**
+	 * Starts without memory.
+	 * @param own the agent, with the address that the platform's list has of it
+	 * @param incarnation the incarnation that the agent proves to its peers
+	 * @param ownRunners how many runners of each service it has
+	 * @param times the bounds
+	 * @param peers the connections to other processes
+	 * @param clock the monotonic clock
+	 * @param wallMillis the wall clock, in milliseconds since 1970
+	 * @return the keys, never null
+	 */
+	public static IdempotencyKeys start(KeyHome own, long incarnation, Map<ServiceName, Integer> ownRunners,
+			VouchingTimes times, PeerConnections peers, MonotonicClock clock, LongSupplier wallMillis) {
+		KeyExchange exchange = KeyExchange.start(own, ownRunners, times, peers, clock, wallMillis);
+		TicketOffice tickets = TicketOffice.open(own.instance(), incarnation, clock);
+		return new IdempotencyKeys(exchange, tickets, KeyTable.create(exchange, tickets, clock));
+	}
+
+	/**
+	 * Returns what decides on each call.
+	 * @return the guard, never null
+	 */
+	public CallGuard guard() {
+		return this.table;
+	}
+
+	/**
+	 * Learns what the fleet looks like. To be told of every list read and configuration.
+	 * @param configuration the configuration in force
+	 * @param instances the platform's list as it was read last, this agent's own line
+	 * included
+	 */
+	public void fleet(PublishedConfiguration configuration, List<InstanceRecord> instances) {
+		this.exchange.fleet(configuration, instances);
+	}
+
+	/**
+	 * Learns that the platform has confirmed the list. To be told after
+	 * {@link #fleet(PublishedConfiguration, List)} if the list has changed.
+	 * @param askedAtMillis when the read that it answers was sent, in milliseconds of the
+	 * monotonic clock
+	 */
+	public void listConfirmed(long askedAtMillis) {
+		this.exchange.listConfirmed(askedAtMillis);
+	}
+
+	/**
+	 * Asks the other agents. To be called every {@link #TICK_MILLIS}.
+	 */
+	public void tick() {
+		this.exchange.tick();
+	}
+
+	/**
+	 * Takes a message.
+	 * @param connection the connection
+	 * @param message the message
+	 */
+	public void received(PeerConnection connection, Keys message) {
+		if (message instanceof Keys.IssueKey wanted) {
+			String key = this.tickets.issue(wanted.account(), wanted.service());
+			connection.frames().send(new Keys.IssuedKey(wanted.request(), key, TicketOffice.VALID_MILLIS));
+			return;
+		}
+		this.exchange.received(connection, message);
+	}
+
+	/**
+	 * Returns what has become of calls since the agent started.
+	 * @return the counts, never null
+	 */
+	public KeyCounts counts() {
+		return this.table.counts();
+	}
+
+	/**
+	 * Returns what is known of the homes of keys, for the dump of the process's state.
+	 * @return the state, never null
+	 */
+	public KeyState state() {
+		return this.exchange.state();
+	}
+
+}
--- a/catkingate-agent/src/main/java/org/catkingate/agent/requests/AgentRequest.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/requests/AgentRequest.java
@@ -12,6 +12,7 @@
 import org.catkingate.agent.idempotency.RunPermit;
 import org.catkingate.agent.runners.RunnerGate;
 import org.catkingate.decisions.idempotency.KeptAnswer;
+import org.catkingate.decisions.idempotency.Vouching;
 import org.catkingate.runtime.peers.PeerConnection;
 import org.catkingate.wire.Traffic;
 
@@ -216,7 +217,7 @@
 			this.permit.notStarted();
 		}
 		if (marked && this.permit != null && !this.permit.start()) {
-			finish(false, () -> this.answer.fail(Traffic.FailureReason.NOT_RUN, 0,
+			finish(false, () -> this.answer.fail(Traffic.FailureReason.NOT_RUN, Vouching.RETRY_MILLIS,
 					"the call may not start any more; repeat it with the same Idempotency-Key"));
 			return false;
 		}
--- a/catkingate-entry/src/main/java/org/catkingate/entry/Call.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/Call.java
@@ -192,11 +192,18 @@
 
 	private Failure failureOf(Traffic.AnswerFailure failure) {
 		return switch (failure.reason()) {
-			case NOT_RUN -> Failure.comeBackSoon(FailureKind.NOT_RUN, failure.message());
+			case NOT_RUN -> notRun(failure);
 			case FAILED, OUTCOME_UNKNOWN -> new Failure(kindOfLoss(), failure.retryAfterMillis(), failure.message());
 		};
 	}
 
+	private Failure notRun(Traffic.AnswerFailure failure) {
+		if (this.request.isKeyed()) {
+			return new Failure(FailureKind.NOT_RUN, failure.retryAfterMillis(), failure.message());
+		}
+		return Failure.comeBackSoon(FailureKind.NOT_RUN, failure.message());
+	}
+
 	private FailureKind kindOfLoss() {
 		return (this.request.idempotent()) ? FailureKind.RUNNER_FAILED : FailureKind.OUTCOME_UNKNOWN;
 	}
--- a/catkingate-entry/src/main/java/org/catkingate/entry/CallHandler.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/CallHandler.java
@@ -16,6 +16,7 @@
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 
+import org.catkingate.decisions.idempotency.KeyScope;
 import org.catkingate.decisions.limits.LimitDecision;
 import org.catkingate.model.RequestId;
 import org.catkingate.model.published.ClientAccount;
@@ -37,18 +38,19 @@
 
 	private static final HttpString IDEMPOTENCY_KEY = new HttpString("Idempotency-Key");
 
-	private static final int LONGEST_IDEMPOTENCY_KEY = 128;
-
 	private final Accounts accounts = new Accounts();
 
 	private final CallSupport support;
 
+	private final KeyDesk keys;
+
 	private final EntrySettings settings;
 
 	private final BooleanSupplier leaving;
 
-	CallHandler(CallSupport support, EntrySettings settings, BooleanSupplier leaving) {
+	CallHandler(CallSupport support, KeyDesk keys, EntrySettings settings, BooleanSupplier leaving) {
 		this.support = support;
+		this.keys = keys;
 		this.settings = settings;
 		this.leaving = leaving;
 	}
@@ -75,14 +77,19 @@
 		checkForm(exchange);
 		PublishedConfiguration configuration = this.support.fleet().configuration();
 		ClientAccount account = account(exchange, configuration);
+		if (exchange.getRequestPath().equals(KeyDesk.PATH)) {
+			this.keys.issue(exchange, id, account);
+			return;
+		}
 		RoutingRule rule = rule(exchange, configuration, account);
 		Service service = configuration.service(rule.service())
 			.orElseThrow(() -> refused(FailureKind.NO_RULE, "the rule names no known service; publish it"));
+		checkPause(exchange);
 		LimitDecision decision = this.support.startWithinLimits(account);
 		if (!decision.isAllowed()) {
 			throw new CallRefusedException(Failure.of(decision));
 		}
-		readBody(exchange, new Admitted(id, account, rule, service));
+		readBody(exchange, new Admitted(id, account, rule, service, this.support.nowMillis()));
 	}
 
 	private void checkForm(HttpServerExchange exchange) throws CallRefusedException {
@@ -98,8 +105,15 @@
 					"the body may have at most " + this.settings.maximumBodyBytes() + " bytes; send less");
 		}
 		String key = exchange.getRequestHeaders().getFirst(IDEMPOTENCY_KEY);
-		if (key != null && (key.isEmpty() || key.length() > LONGEST_IDEMPOTENCY_KEY)) {
-			throw refused(FailureKind.BAD_REQUEST, "Idempotency-Key must have 1 to 128 characters");
+		if (key != null && !KeyScope.isValidKey(key)) {
+			throw refused(FailureKind.BAD_REQUEST, "Idempotency-Key must have 1 to 255 printable ASCII characters");
+		}
+	}
+
+	private void checkPause(HttpServerExchange exchange) throws CallRefusedException {
+		if (exchange.getRequestHeaders().contains(IDEMPOTENCY_KEY) && this.support.wasPausedLately()) {
+			throw new CallRefusedException(Failure.comeBackSoon(FailureKind.NOT_RUN,
+					"this entry was paused, and the call may have waited for long; repeat with the same key"));
 		}
 	}
 
@@ -145,7 +159,8 @@
 		boolean idempotent = admitted.service().isIdempotent(method, exchange.getRequestPath());
 		String key = exchange.getRequestHeaders().getFirst(IDEMPOTENCY_KEY);
 		return new CallRequest(admitted.id(), admitted.account(), admitted.rule(), admitted.service(), idempotent, key,
-				this.support.nowMillis() + timeoutMillis(exchange), method, target(exchange), headers(exchange), body);
+				admitted.arrivedAtMillis(), this.support.nowMillis() + timeoutMillis(exchange), method,
+				target(exchange), headers(exchange), body);
 	}
 
 	private long timeoutMillis(HttpServerExchange exchange) {
@@ -182,7 +197,8 @@
 	 * @param rule the rule that applies
 	 * @param service where the rule sends it
 	 */
-	private record Admitted(RequestId id, ClientAccount account, RoutingRule rule, Service service) {
+	private record Admitted(RequestId id, ClientAccount account, RoutingRule rule, Service service,
+			long arrivedAtMillis) {
 
 	}
 
--- a/catkingate-entry/src/main/java/org/catkingate/entry/CallRequest.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/CallRequest.java
@@ -17,6 +17,7 @@
  * @param service where the rule sends it
  * @param idempotent whether a second run does no harm
  * @param idempotencyKey the caller's key for a non-idempotent call; null for none
+ * @param arrivedAtMillis when the head arrived, in milliseconds of the monotonic clock
  * @param deadlineMillis when the whole answer is due, in milliseconds of the monotonic
  * clock
  * @param method the HTTP method
@@ -25,11 +26,19 @@
  * @param body the body
  */
 record CallRequest(RequestId id, ClientAccount account, RoutingRule rule, Service service, boolean idempotent,
-		String idempotencyKey, long deadlineMillis, String method, String target, List<Traffic.Header> headers,
-		byte[] body) {
+		String idempotencyKey, long arrivedAtMillis, long deadlineMillis, String method, String target,
+		List<Traffic.Header> headers, byte[] body) {
 
 	CallRequest {
 		headers = List.copyOf(headers);
 	}
 
+	/**
+	 * Tells whether only the agent of its key may run the call.
+	 * @return whether it is not idempotent and has a key
+	 */
+	boolean isKeyed() {
+		return !this.idempotent && this.idempotencyKey != null;
+	}
+
 }
--- a/catkingate-entry/src/main/java/org/catkingate/entry/CallSupport.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/CallSupport.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 
+import org.catkingate.decisions.idempotency.PauseWatch;
 import org.catkingate.decisions.limits.LimitDecision;
 import org.catkingate.decisions.membership.FleetSnapshot;
 import org.catkingate.decisions.retries.RetryBudget;
@@ -29,6 +30,13 @@
 	/** How many runners are tried for one attempt whose connections turn out closed. */
 	private static final int SENDS_PER_ATTEMPT = 4;
 
+	/** The interval of {@link #tick()}, in milliseconds. */
+	static final long TICK_MILLIS = 250;
+
+	private static final long PAUSE_MILLIS = 1_500;
+
+	private static final long SETTLE_MILLIS = 1_000;
+
 	private final Map<RequestId, Call> byWireId = new ConcurrentHashMap<>();
 
 	private final AtomicReference<RetryBudget> budget = new AtomicReference<>(RetryBudget.initial());
@@ -51,6 +59,8 @@
 
 	private final long attachPatienceMillis;
 
+	private final PauseWatch pauses;
+
 	CallSupport(Supplier<FleetSnapshot> fleet, PeerConnections connections, EntryPolicies policies,
 			AccountLimits limits, Location location, MonotonicClock clock, long attachPatienceMillis) {
 		this.fleet = fleet;
@@ -59,6 +69,7 @@
 		this.limits = limits;
 		this.clock = clock;
 		this.attachPatienceMillis = attachPatienceMillis;
+		this.pauses = PauseWatch.starting(PAUSE_MILLIS, SETTLE_MILLIS, clock.millis());
 		this.loads = new RunnerLoads(clock);
 		this.router = new Router(policies.routing(), location, this.loads, clock, policies.seed());
 	}
@@ -79,6 +90,17 @@
 		return this.fleet.get();
 	}
 
+	/**
+	 * Takes note that the process runs; to be called at a steady interval.
+	 */
+	void tick() {
+		wasPausedLately();
+	}
+
+	boolean wasPausedLately() {
+		return this.pauses.isSuspect(nowMillis());
+	}
+
 	LimitDecision startWithinLimits(ClientAccount account) {
 		return this.limits.start(account);
 	}
@@ -113,7 +135,7 @@
 	 */
 	Optional<Attempt> send(Call call, RequestId wireId, long leftMillis) {
 		for (int i = 0; i < SENDS_PER_ATTEMPT; i++) {
-			Optional<RunnerKey> runner = this.router.choose(fleet(), call.request(), call.tried());
+			Optional<RunnerKey> runner = choose(call);
 			if (runner.isEmpty()) {
 				return Optional.empty();
 			}
@@ -130,6 +152,13 @@
 		return Optional.empty();
 	}
 
+	private Optional<RunnerKey> choose(Call call) {
+		if (call.request().isKeyed()) {
+			return KeyedCalls.runner(fleet(), call.request(), call.tried(), nowMillis());
+		}
+		return this.router.choose(fleet(), call.request(), call.tried());
+	}
+
 	private static boolean hasHeartbeat(PeerConnection connection) {
 		return connection.newestHeartbeat().get() > 0;
 	}
@@ -153,6 +182,9 @@
 	}
 
 	Failure noRunner(Call call) {
+		if (call.request().isKeyed()) {
+			return KeyedCalls.failure(fleet(), call.request());
+		}
 		if (this.router.hasCandidates(fleet(), call.request().rule())) {
 			return Failure.comeBackSoon(FailureKind.NOT_RUN,
 					"every runner that could be reached refused the request; come back later");
--- a/catkingate-entry/src/main/java/org/catkingate/entry/EntryRequests.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/EntryRequests.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
@@ -19,6 +20,7 @@
 import org.catkingate.runtime.peers.PeerConnection;
 import org.catkingate.runtime.peers.PeerConnections;
 import org.catkingate.runtime.peers.PeerListener;
+import org.catkingate.wire.Keys;
 import org.catkingate.wire.Message;
 import org.catkingate.wire.Traffic;
 
@@ -38,6 +40,8 @@
 
 	private final CallSupport support;
 
+	private final KeyDesk keys;
+
 	private volatile Undertow server;
 
 	private volatile boolean announced;
@@ -46,6 +50,7 @@
 
 	private EntryRequests(CallSupport support) {
 		this.support = support;
+		this.keys = new KeyDesk(support);
 	}
 
 	/**
@@ -67,13 +72,16 @@
 		CallSupport support = new CallSupport(fleet, connections, policies, new AccountLimits(entries, clock), own,
 				clock, settings.attachPatienceMillis());
 		EntryRequests requests = new EntryRequests(support);
-		requests.server = server(settings, new CallHandler(support, settings, () -> requests.leaving));
+		requests.server = server(settings, new CallHandler(support, requests.keys, settings, () -> requests.leaving));
 		try {
 			requests.server.start();
 		}
 		catch (RuntimeException ex) {
 			throw new IOException("cannot listen on " + settings.listen() + "; choose another [callers] listen", ex);
 		}
+		requests.server.getWorker()
+			.getIoThread()
+			.executeAtInterval(support::tick, CallSupport.TICK_MILLIS, TimeUnit.MILLISECONDS);
 		return requests;
 	}
 
@@ -112,6 +120,9 @@
 				inbox(call).deliver(call, connection, traffic);
 			}
 		}
+		else if (message instanceof Keys.IssuedKey issued) {
+			this.keys.issued(issued);
+		}
 	}
 
 	private IoThreadInbox inbox(Call call) {
