Let an agent take a line of the list for its own only if it meets itself there

Cause: where something stands in front of an agent, the list has another address than the agent listens on; and the line of its name may be that of a replacement. Change: an agent connects to the listed address and compares incarnations (SelfDial); only MetItself makes it the home at that address. Ruled out: a setting for the advertised address; whoever forgets it has every caller's key refused.

--- a/catkingate-agent/src/main/java/org/catkingate/agent/idempotency/IdempotencyKeys.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/idempotency/IdempotencyKeys.java
@@ -13,6 +13,7 @@
 import org.catkingate.runtime.MonotonicClock;
 import org.catkingate.runtime.peers.PeerConnection;
 import org.catkingate.runtime.peers.PeerConnections;
+import org.catkingate.runtime.peers.PeerListener;
 import org.catkingate.wire.Keys;
 
 /**
@@ -41,19 +42,21 @@
 
 	/**
 	 * Starts without memory.
-	 * @param own the agent, with the address that the platform's list has of it
+	 * @param listening the agent, with the address that it listens on
 	 * @param incarnation the incarnation that the agent proves to its peers
 	 * @param ownRunners how many runners of each service it has
 	 * @param times the bounds
 	 * @param peers the connections to other processes
+	 * @param selfDial tells whether an address leads to this process
 	 * @param clock the monotonic clock
 	 * @param wallMillis the wall clock, in milliseconds since 1970
 	 * @return the keys, never null
 	 */
-	public static IdempotencyKeys start(KeyHome own, long incarnation, Map<ServiceName, Integer> ownRunners,
-			VouchingTimes times, PeerConnections peers, MonotonicClock clock, LongSupplier wallMillis) {
-		KeyExchange exchange = KeyExchange.start(own, ownRunners, times, peers, clock, wallMillis);
-		TicketOffice tickets = TicketOffice.open(own.instance(), incarnation, clock);
+	public static IdempotencyKeys start(KeyHome listening, long incarnation, Map<ServiceName, Integer> ownRunners,
+			VouchingTimes times, PeerConnections peers, SelfDial selfDial, MonotonicClock clock,
+			LongSupplier wallMillis) {
+		KeyExchange exchange = KeyExchange.start(listening, ownRunners, times, peers, selfDial, clock, wallMillis);
+		TicketOffice tickets = TicketOffice.open(listening.instance(), incarnation, clock);
 		return new IdempotencyKeys(exchange, tickets, KeyTable.create(exchange, tickets, clock));
 	}
 
@@ -106,6 +109,15 @@
 		this.exchange.received(connection, message);
 	}
 
+	/**
+	 * Makes a listener that takes the messages about keys and leaves the rest to another.
+	 * @param others is told of everything else
+	 * @return the listener, never null
+	 */
+	public PeerListener before(PeerListener others) {
+		return new KeyMessages(this, others);
+	}
+
 	/**
 	 * Returns what has become of calls since the agent started.
 	 * @return the counts, never null
--- a/catkingate-agent/src/main/java/org/catkingate/agent/idempotency/KeyExchange.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/idempotency/KeyExchange.java
@@ -55,34 +55,40 @@
 
 	private final LongSupplier wallMillis;
 
+	private final SelfDial selfDial;
+
 	private KeyState state;
 
-	private KeyExchange(KeyHome own, Map<ServiceName, Integer> ownRunners, VouchingTimes times, PeerConnections peers,
-			MonotonicClock clock, LongSupplier wallMillis) {
+	private volatile InstanceRecord ownLine;
+
+	private KeyExchange(KeyHome listening, Map<ServiceName, Integer> ownRunners, VouchingTimes times,
+			PeerConnections peers, SelfDial selfDial, MonotonicClock clock, LongSupplier wallMillis) {
 		this.reducer = KeyReducer.with(times);
 		this.vouching = Vouching.with(times);
 		this.times = times;
 		this.ownRunners = Map.copyOf(ownRunners);
 		this.peers = peers;
+		this.selfDial = selfDial;
 		this.clock = clock;
 		this.wallMillis = wallMillis;
-		this.state = KeyState.starting(own);
+		this.state = KeyState.starting(listening);
 	}
 
 	/**
 	 * Starts without knowledge.
-	 * @param own the agent, with the address that the platform's list has of it
+	 * @param listening the agent, with the address that it listens on
 	 * @param ownRunners how many runners of each service it has
 	 * @param times the bounds
 	 * @param peers the connections to other agents
+	 * @param selfDial tells whether an address leads to this process
 	 * @param clock the monotonic clock
 	 * @param wallMillis the wall clock, in milliseconds since 1970
 	 * @return the exchange, never null
 	 */
-	public static KeyExchange start(KeyHome own, Map<ServiceName, Integer> ownRunners, VouchingTimes times,
-			PeerConnections peers, MonotonicClock clock, LongSupplier wallMillis) {
+	public static KeyExchange start(KeyHome listening, Map<ServiceName, Integer> ownRunners, VouchingTimes times,
+			PeerConnections peers, SelfDial selfDial, MonotonicClock clock, LongSupplier wallMillis) {
 		Objects.requireNonNull(peers, "peers must not be null");
-		return new KeyExchange(own, ownRunners, times, peers, clock, wallMillis);
+		return new KeyExchange(listening, ownRunners, times, peers, selfDial, clock, wallMillis);
 	}
 
 	/**
@@ -102,6 +108,19 @@
 			}
 		}
 		reduce(new KeyEvent.ServicesSeen(services));
+		this.ownLine = ownLine(agents);
+	}
+
+	private InstanceRecord ownLine(List<InstanceRecord> agents) {
+		InstanceId own = state().listening().instance();
+		return agents.stream().filter((agent) -> agent.id().equals(own)).findFirst().orElse(null);
+	}
+
+	private void meetItself() {
+		InstanceRecord line = this.ownLine;
+		if (line != null && !KeyHome.of(line).equals(state().own())) {
+			this.selfDial.dial(line.address(), () -> reduce(new KeyEvent.MetItself(KeyHome.of(line))));
+		}
 	}
 
 	/**
@@ -117,6 +136,7 @@
 	 * Asks the other agents. To be called once a second.
 	 */
 	public void tick() {
+		meetItself();
 		reduce(new KeyEvent.AskTime());
 	}
 
--- /dev/null
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/idempotency/SelfDial.java
@@ -0,0 +1,55 @@
+package org.catkingate.agent.idempotency;
+
+import java.net.InetSocketAddress;
+
+import org.catkingate.wire.ConnectionListener;
+import org.catkingate.wire.FrameConnection;
+import org.catkingate.wire.FrameTransport;
+import org.catkingate.wire.Message;
+
+/**
+ * Finds out whether an address leads to this process. An agent whose name the platform
+ * has given to a replacement learns so, also if something stands in front of either.
+ *
+ * @since 0.1
+ */
+@FunctionalInterface
+public interface SelfDial {
+
+	/**
+	 * Connects, without waiting.
+	 * @param address the address
+	 * @param itself is run if this process answers there, by another thread
+	 */
+	void dial(InetSocketAddress address, Runnable itself);
+
+	/**
+	 * Dials over a transport.
+	 * @param transport makes connections and proves this process's identity
+	 * @param incarnation the incarnation of this process
+	 * @return the dial, never null
+	 */
+	static SelfDial over(FrameTransport transport, long incarnation) {
+		return (address, itself) -> transport.connect(address, new ConnectionListener() {
+
+			@Override
+			public void opened(FrameConnection connection) {
+				if (connection.peer().incarnation() == incarnation) {
+					itself.run();
+				}
+				connection.close("it was made to learn who answers");
+			}
+
+			@Override
+			public void received(FrameConnection connection, Message message) {
+			}
+
+			@Override
+			public void closed(FrameConnection connection, String reason) {
+			}
+
+		}, () -> {
+		});
+	}
+
+}
--- a/catkingate-agent/src/test/java/org/catkingate/agent/idempotency/KeyExchangeTests.java
+++ b/catkingate-agent/src/test/java/org/catkingate/agent/idempotency/KeyExchangeTests.java
@@ -182,11 +182,12 @@
 		private Agent(String name) throws Exception {
 			this.name = name;
 			this.transport = FrameTransport.create(1, SHARED_KEY, new Handshake.PeerIdentity(new InstanceId(name),
-					Role.AGENT, 1, new DataCentreName("ahd-a"), new RegionName("guj-west")));
+					Role.AGENT, name.hashCode(), new DataCentreName("ahd-a"), new RegionName("guj-west")));
 			InetSocketAddress address = this.transport.listen(new InetSocketAddress("127.0.0.1", 0), this);
 			KeyExchangeTests.this.addresses.put(name, address);
 			this.exchange = KeyExchange.start(KeyHome.of(new InstanceId(name), address), Map.of(Fleets.SERVICE, 1),
 					TIMES, (instance) -> Optional.ofNullable(this.open.get(instance)),
+					SelfDial.over(this.transport, name.hashCode()),
 					() -> TimeUnit.MILLISECONDS.toNanos(KeyExchangeTests.this.nowMillis.get()),
 					KeyExchangeTests.this.nowMillis::get);
 		}
--- a/catkingate-agent/src/test/java/org/catkingate/agent/idempotency/KeyTableTests.java
+++ b/catkingate-agent/src/test/java/org/catkingate/agent/idempotency/KeyTableTests.java
@@ -51,7 +51,8 @@
 
 	private void start(long incarnation) {
 		this.exchange = KeyExchange.start(KeyHome.of(OWN, ADDRESS), Map.of(Fleets.SERVICE, 1), TIMES,
-				(instance) -> Optional.empty(), this::nanos, () -> this.nowMillis);
+				(instance) -> Optional.empty(), (address, itself) -> {
+				}, this::nanos, () -> this.nowMillis);
 		this.exchange.fleet(Fleets.configuration(0), Fleets.list(Map.of(OWN.value(), ADDRESS)));
 		this.tickets = TicketOffice.open(OWN, incarnation, this::nanos);
 		this.table = KeyTable.bounded(this.exchange, this.tickets, this::nanos, 2, 100);
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/idempotency/KeyEvent.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/idempotency/KeyEvent.java
@@ -27,6 +27,20 @@
 
 	}
 
+	/**
+	 * The agent has connected to the address that the list has of it, and has met itself
+	 * there: it is not a replacement's.
+	 *
+	 * @param listed the agent as the list has it
+	 */
+	record MetItself(KeyHome listed) implements KeyEvent {
+
+		public MetItself {
+			Objects.requireNonNull(listed, "listed must not be null");
+		}
+
+	}
+
 	/**
 	 * The platform has confirmed the list that the views are made from.
 	 *
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/idempotency/KeyReducer.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/idempotency/KeyReducer.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.OptionalLong;
 
 import org.catkingate.decisions.Effect;
 import org.catkingate.decisions.Event;
@@ -43,8 +42,11 @@
 		if (event instanceof KeyEvent.ServicesSeen seen) {
 			return Step.to(seen(state, seen.services(), nowMillis));
 		}
+		if (event instanceof KeyEvent.MetItself met) {
+			return Step.to(state.knownAs(met.listed()));
+		}
 		if (event instanceof KeyEvent.ListConfirmed confirmed) {
-			return Step.to(confirmed(state, Math.min(nowMillis, confirmed.askedAtMillis())));
+			return Step.to(state.confirmed(Math.min(nowMillis, confirmed.askedAtMillis())));
 		}
 		if (event instanceof KeyEvent.Asked asked) {
 			return asked(state, asked, nowMillis);
@@ -66,12 +68,7 @@
 					: ServiceKeys.first(service, nowMillis);
 			known.put(service.service(), keys);
 		}
-		return new KeyState(state.own(), state.listConfirmedAtMillis(), known);
-	}
-
-	private KeyState confirmed(KeyState state, long askedAtMillis) {
-		long latest = Math.max(askedAtMillis, state.listConfirmedAtMillis().orElse(askedAtMillis));
-		return new KeyState(state.own(), OptionalLong.of(latest), state.services());
+		return state.withServices(known);
 	}
 
 	private Step<KeyState> asked(KeyState state, KeyEvent.Asked asked, long nowMillis) {
@@ -92,7 +89,7 @@
 		}
 		Map<ServiceName, ServiceKeys> services = new HashMap<>(state.services());
 		services.put(stated.service(), keys.heard(stated.statement(), stated.askedAtMillis()));
-		return new KeyState(state.own(), state.listConfirmedAtMillis(), services);
+		return state.withServices(services);
 	}
 
 	private Step<KeyState> askTime(KeyState state, long nowMillis) {
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/idempotency/AtMostOnceTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/idempotency/AtMostOnceTests.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
@@ -34,6 +35,12 @@
 		check(seed, KeyWorld.Lists.ARBITRARY, 3);
 	}
 
+	@Example
+	void noKeyRunsTwiceInWorldsWhereANameWasGivenOutAgainAtOnce() {
+		check(-647, KeyWorld.Lists.LAGGING, 3);
+		check(-109795, KeyWorld.Lists.LAGGING, 0);
+	}
+
 	private static void check(long seed, KeyWorld.Lists lists, int expectedRunners) {
 		KeyWorld world = new KeyWorld(seed, lists, expectedRunners);
 		world.play();
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/idempotency/ModelAgent.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/idempotency/ModelAgent.java
@@ -45,15 +45,19 @@
 
 	boolean isAlive = true;
 
+	private final KeyHome home;
+
 	ModelAgent(KeyHome home, Random random) {
-		this.state = KeyState.starting(home);
+		this.home = home;
 		this.clockOrigin = random.nextInt(1_000_000);
 		this.clockRate = 1 + (random.nextDouble() * 2 - 1) * DRIFT;
 		this.wallOffset = random.nextInt((int) KeyWorld.TIMES.skewMillis() + 1) - KeyWorld.TIMES.skewMillis() / 2;
+		KeyHome listening = new KeyHome(home.instance(), "127.0.0.1", home.port());
+		this.state = KeyState.starting(listening);
 	}
 
 	KeyHome home() {
-		return this.state.own();
+		return this.home;
 	}
 
 	long clock(long now) {
@@ -97,6 +101,9 @@
 	List<KeyEvent> listRead(long askedAt, HomeView view) {
 		List<KeyEvent> events = new ArrayList<>();
 		events.add(new KeyEvent.ServicesSeen(List.of(new ServiceView(SERVICE, KeyWorld.WINDOW, 1, view))));
+		if (view.members().contains(this.home)) {
+			events.add(new KeyEvent.MetItself(this.home));
+		}
 		events.add(new KeyEvent.ListConfirmed(clock(askedAt)));
 		return events;
 	}
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/idempotency/VouchingTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/idempotency/VouchingTests.java
@@ -87,6 +87,27 @@
 
 	}
 
+	@Nested
+	class AnAgentListedAtAnotherAddress {
+
+		private static final long LATER = 10_000_000;
+
+		private final KeyState agent = sees(KeyState.starting(new KeyHome(A.instance(), "127.0.0.1", 7100)), 0, 0, A);
+
+		@Test
+		void isNotTheHomeOfKeysSinceAReplacementMayBeThere() {
+			assertThat(judge(confirmed(this.agent, LATER), "k", LATER, 0).reason()).isEqualTo(Verdict.Reason.NOT_HOME);
+		}
+
+		@Test
+		void isTheHomeOnceItHasMetItselfThere() {
+			KeyEvent met = new KeyEvent.MetItself(A);
+			KeyState known = VouchingTests.this.reducer.reduce(this.agent, LATER, met).state();
+			assertThat(vouches(confirmed(known, LATER), LATER)).isTrue();
+		}
+
+	}
+
 	@Nested
 	class AWitness {
 
