--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/requests/KeyedFleet.java
@@ -0,0 +1,312 @@
+package org.catkingate.tests.requests;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.awaitility.Awaitility;
+
+import org.catkingate.agent.idempotency.IdempotencyKeys;
+import org.catkingate.agent.idempotency.SelfDial;
+import org.catkingate.agent.requests.AgentRequestSettings;
+import org.catkingate.agent.requests.AgentRequests;
+import org.catkingate.agent.requests.RunnerEndpoint;
+import org.catkingate.agent.runners.RunnerGate;
+import org.catkingate.decisions.idempotency.HomeView;
+import org.catkingate.decisions.idempotency.KeyHome;
+import org.catkingate.decisions.idempotency.KeyScope;
+import org.catkingate.decisions.idempotency.KeyTicket;
+import org.catkingate.decisions.idempotency.VouchingTimes;
+import org.catkingate.decisions.membership.AgentView;
+import org.catkingate.decisions.membership.FleetSnapshot;
+import org.catkingate.decisions.routing.Location;
+import org.catkingate.entry.EntryPolicies;
+import org.catkingate.entry.EntryRequests;
+import org.catkingate.entry.EntrySettings;
+import org.catkingate.model.ConfigurationVersion;
+import org.catkingate.model.DataCentreName;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.InstanceRecord;
+import org.catkingate.model.Labels;
+import org.catkingate.model.RegionName;
+import org.catkingate.model.Role;
+import org.catkingate.model.RunnerStatus;
+import org.catkingate.model.Selector;
+import org.catkingate.model.published.CallPattern;
+import org.catkingate.model.published.ClientAccount;
+import org.catkingate.model.published.InstanceGroup;
+import org.catkingate.model.published.PublishedConfiguration;
+import org.catkingate.model.published.RoutingRule;
+import org.catkingate.model.published.Service;
+import org.catkingate.runtime.MonotonicClock;
+import org.catkingate.wire.FrameTransport;
+
+/**
+ * Entries and agents of one plain service whose calls may run once only, in this process
+ * on real connections. Time for keys is the system's clock plus what the test adds. Not
+ * for use by several threads.
+ */
+final class KeyedFleet implements AutoCloseable {
+
+	static final VouchingTimes TIMES = VouchingTimes.ordinary();
+
+	static final long WINDOW_MILLIS = 60_000;
+
+	private static final ClientAccount ACCOUNT = LocalFleet.account(1000, 1000, 1_000_000);
+
+	private final AtomicLong addedMillis = new AtomicLong();
+
+	private final MonotonicClock clock = () -> System.nanoTime()
+			+ TimeUnit.MILLISECONDS.toNanos(this.addedMillis.get());
+
+	private final PublishedConfiguration configuration;
+
+	private final List<Entry> entries = new ArrayList<>();
+
+	private final List<Agent> agents = new ArrayList<>();
+
+	KeyedFleet(int expectedRunners) {
+		Service service = new Service(LocalFleet.PLAIN, Service.Kind.PLAIN, false, "all",
+				List.of(new CallPattern("POST", "/purchases")), List.of(), WINDOW_MILLIS, expectedRunners, 100, 8, 8);
+		RoutingRule purchases = new RoutingRule("purchases", Selector.everything(), new CallPattern("*", "/purchases"),
+				LocalFleet.PLAIN, null, Selector.everything());
+		this.configuration = new PublishedConfiguration(new ConfigurationVersion(1, LocalFleet.DIGEST), Map.of(),
+				Map.of(LocalFleet.PLAIN, service), Map.of("all", new InstanceGroup("all", Selector.everything())),
+				Map.of(), Map.of(ACCOUNT.name(), ACCOUNT), List.of(purchases));
+	}
+
+	static HttpRequest purchase(Entry entry, String key) {
+		return request(entry, "/purchases").header("Idempotency-Key", key)
+			.POST(HttpRequest.BodyPublishers.ofString("one licence"))
+			.build();
+	}
+
+	static HttpRequest issue(Entry entry) {
+		return request(entry, "/catkingate/idempotency-keys?service=" + LocalFleet.PLAIN)
+			.POST(HttpRequest.BodyPublishers.noBody())
+			.build();
+	}
+
+	private static HttpRequest.Builder request(Entry entry, String path) {
+		return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + entry.requests.address().getPort() + path))
+			.version(HttpClient.Version.HTTP_1_1)
+			.timeout(LocalFleet.PATIENCE)
+			.header("Authorization", "Bearer callers-key");
+	}
+
+	Entry entry(String name) throws IOException {
+		Entry entry = new Entry(name);
+		this.entries.add(entry);
+		return entry;
+	}
+
+	Agent agent(String name, InetSocketAddress runner) throws IOException {
+		Agent agent = new Agent(name, runner);
+		this.agents.add(agent);
+		return agent;
+	}
+
+	/**
+	 * Lets time pass for the keys, during which the list stays confirmed.
+	 * @param millis how long
+	 */
+	void pass(long millis) {
+		this.addedMillis.addAndGet(millis);
+		this.agents.forEach(Agent::confirmList);
+	}
+
+	void passTheWait() {
+		pass(TIMES.retentionMillis(WINDOW_MILLIS));
+	}
+
+	/**
+	 * Connects and shows to each other a part of the fleet.
+	 * @param someEntries the entries
+	 * @param someAgents the agents, which the list shown to all of them names
+	 */
+	void connect(List<Entry> someEntries, List<Agent> someAgents) {
+		someAgents.forEach((agent) -> agent.see(someAgents));
+		someEntries.forEach((entry) -> entry.see(someAgents));
+	}
+
+	/**
+	 * Asks around and waits for the answers.
+	 * @param someAgents the agents that must agree
+	 */
+	void agree(List<Agent> someAgents) {
+		someAgents.forEach((agent) -> agent.keys.tick());
+		Awaitility.await()
+			.atMost(LocalFleet.PATIENCE)
+			.until(() -> someAgents.stream().allMatch((agent) -> agent.hasHeard(someAgents.size() - 1)));
+	}
+
+	@Override
+	public void close() {
+		this.entries.forEach(Entry::close);
+		this.agents.forEach(Agent::close);
+	}
+
+	private static void connect(FrameTransport transport, ListenerBridge bridge, Agent agent) {
+		Object before = bridge.newest(agent.home.instance());
+		transport.connect(agent.address, bridge, () -> {
+		});
+		Awaitility.await().atMost(LocalFleet.PATIENCE).until(() -> {
+			Object now = bridge.newest(agent.home.instance());
+			return now != null && now != before;
+		});
+	}
+
+	/**
+	 * An entry.
+	 */
+	final class Entry {
+
+		private final FrameTransport transport;
+
+		private final EntryRequests requests;
+
+		private final ListenerBridge bridge;
+
+		private volatile FleetSnapshot snapshot = new FleetSnapshot(KeyedFleet.this.configuration, Map.of());
+
+		private Entry(String name) throws IOException {
+			this.transport = FrameTransport.create(1, LocalFleet.KEY,
+					LocalAgent.identity(name, Role.ENTRY, System.nanoTime()));
+			ListenerBridge[] later = new ListenerBridge[1];
+			this.requests = EntryRequests.start(
+					EntrySettings.listeningOn(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)),
+					new Location(new DataCentreName("ahd-a"), new RegionName("guj-west")), () -> this.snapshot,
+					(instance) -> Optional.ofNullable(later[0].newest(instance)), () -> 1, EntryPolicies.standard(1),
+					MonotonicClock.system());
+			later[0] = new ListenerBridge(this.requests);
+			this.bridge = later[0];
+		}
+
+		void see(List<Agent> seen) {
+			seen.forEach((agent) -> KeyedFleet.connect(this.transport, this.bridge, agent));
+			Map<InstanceId, AgentView> views = new HashMap<>();
+			seen.forEach((agent) -> views.put(agent.home.instance(), agent.view()));
+			this.snapshot = new FleetSnapshot(KeyedFleet.this.configuration, views);
+		}
+
+		private void close() {
+			this.requests.close();
+			this.transport.close();
+		}
+
+	}
+
+	/**
+	 * An agent with one runner.
+	 */
+	final class Agent {
+
+		private final long incarnation = System.nanoTime();
+
+		private final RunnerGate gate = RunnerGate.closed(LocalAgent.RUNNER, LocalFleet.PLAIN);
+
+		private final FrameTransport transport;
+
+		private final IdempotencyKeys keys;
+
+		private final AgentRequests requests;
+
+		private final ListenerBridge bridge;
+
+		private final InetSocketAddress address;
+
+		private final KeyHome home;
+
+		private Agent(String name, InetSocketAddress runner) throws IOException {
+			this.gate.open(null, null);
+			this.transport = FrameTransport.create(1, LocalFleet.KEY,
+					LocalAgent.identity(name, Role.AGENT, this.incarnation));
+			ListenerBridge[] later = new ListenerBridge[1];
+			InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+			this.address = this.transport.listen(any, new LateListener(later));
+			this.home = KeyHome.of(new InstanceId(name), this.address);
+			this.keys = IdempotencyKeys.start(this.home, this.incarnation, Map.of(LocalFleet.PLAIN, 1), TIMES,
+					(instance) -> Optional.ofNullable(later[0].newest(instance)),
+					SelfDial.over(this.transport, this.incarnation), KeyedFleet.this.clock, System::currentTimeMillis);
+			this.requests = AgentRequests.start(List.of(new RunnerEndpoint(this.gate, runner)),
+					() -> new FleetSnapshot(KeyedFleet.this.configuration, Map.of()), (sequence) -> 0,
+					this.keys.guard(), MonotonicClock.system(), AgentRequestSettings.defaults());
+			later[0] = new ListenerBridge(this.keys.before(this.requests));
+			this.bridge = later[0];
+		}
+
+		private void see(List<Agent> seen) {
+			seen.stream()
+				.filter((other) -> other != this)
+				.forEach((other) -> KeyedFleet.connect(this.transport, this.bridge, other));
+			this.keys.fleet(KeyedFleet.this.configuration, seen.stream().map(Agent::line).toList());
+			confirmList();
+		}
+
+		private void confirmList() {
+			this.keys.listConfirmed(KeyedFleet.this.clock.millis());
+		}
+
+		private boolean hasHeard(int others) {
+			long now = KeyedFleet.this.clock.millis();
+			return this.keys.state()
+				.services()
+				.get(LocalFleet.PLAIN)
+				.heard()
+				.values()
+				.stream()
+				.filter((heard) -> now - heard.askedAtMillis() < TIMES.statementMillis())
+				.count() == others;
+		}
+
+		private InstanceRecord line() {
+			return new InstanceRecord(this.home.instance(), Role.AGENT, this.address, new DataCentreName("ahd-a"),
+					new RegionName("guj-west"), Labels.none(), false);
+		}
+
+		private AgentView view() {
+			RunnerStatus status = new RunnerStatus(LocalAgent.RUNNER, LocalFleet.PLAIN, null, null, true);
+			return new AgentView(line(), this.incarnation, true, false, List.of(status), List.of(), 0);
+		}
+
+		String name() {
+			return this.home.instance().value();
+		}
+
+		boolean isHomeOf(String key) {
+			KeyScope scope = new KeyScope(ACCOUNT.name(), LocalFleet.PLAIN, key);
+			List<KeyHome> homes = KeyedFleet.this.agents.stream().map((agent) -> agent.home).toList();
+			return HomeView.of(0, homes).home(scope).orElseThrow().equals(this.home);
+		}
+
+		boolean hasIssued(String key) {
+			return KeyTicket.parse(key).orElseThrow().incarnation() == this.incarnation;
+		}
+
+		boolean isBusy() {
+			return this.gate.inProgress() > 0;
+		}
+
+		void kill() {
+			KeyedFleet.this.agents.remove(this);
+			close();
+		}
+
+		private void close() {
+			this.transport.close();
+			this.requests.close();
+		}
+
+	}
+
+}
