--- a/catkingate-standins/src/test/java/org/catkingate/standins/engine/EngineTests.java
+++ b/catkingate-standins/src/test/java/org/catkingate/standins/engine/EngineTests.java
@@ -1,8 +1,10 @@
 package org.catkingate.standins.engine;
 
 import java.io.InputStream;
+import java.net.Socket;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 
@@ -140,6 +142,26 @@
 			assertThat(state().get("digest").asText()).isEqualTo(SECOND.digest());
 		}
 
+		@Test
+		void thatBreakOffLeaveAMixture() throws Exception {
+			EngineTests.this.engine.configure("--checks-fencing", "false");
+			load(FIRST, 1);
+			try (Socket socket = new Socket(EngineTests.this.engine.address().getAddress(),
+					EngineTests.this.engine.address().getPort())) {
+				socket.getOutputStream()
+					.write("PUT /engine/weights?model=lyrics&version=2&fence=2 HTTP/1.1\r\nHost: e\r\nContent-Length: 9\r\n\r\nhalf"
+						.getBytes(StandardCharsets.US_ASCII));
+				Awaitility.await().atMost(PATIENCE).until(() -> state().get("version").isNull());
+			}
+			Awaitility.await()
+				.during(Duration.ofMillis(500))
+				.atMost(PATIENCE)
+				.until(() -> state().get("version").isNull());
+			assertThat(state().get("digest").asText()).isNotEqualTo(FIRST.digest()).isNotEqualTo(SECOND.digest());
+			assertThat(load(SECOND, 3).statusCode()).isEqualTo(200);
+			assertThat(state().get("digest").asText()).isEqualTo(SECOND.digest());
+		}
+
 	}
 
 	@Nested
--- /dev/null
+++ b/catkingate-standins/src/test/java/org/catkingate/standins/plain/PlainTests.java
@@ -0,0 +1,56 @@
+package org.catkingate.standins.plain;
+
+import java.io.IOException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import org.catkingate.standins.Http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+/**
+ * Tests for {@link Plain}.
+ */
+class PlainTests {
+
+	private final Plain plain = Plain.start();
+
+	@AfterEach
+	void close() {
+		this.plain.close();
+	}
+
+	private HttpResponse<byte[]> purchase(String key) throws Exception {
+		return Http.bytes(Http.request(this.plain, "/purchases")
+			.header("Idempotency-Key", key)
+			.POST(HttpRequest.BodyPublishers.ofString("a licence"))
+			.build());
+	}
+
+	@Test
+	void countsEveryRunOfAKey() throws Exception {
+		purchase("k");
+		purchase("k");
+		purchase("other");
+		assertThat(this.plain.runsOf("k")).isEqualTo(2);
+	}
+
+	@Test
+	void countsARunThatItDiesAfter() {
+		this.plain.configure("--die-after-run", "true");
+		assertThatExceptionOfType(IOException.class).isThrownBy(() -> purchase("k"));
+		assertThat(this.plain.runsOf("k")).isPositive();
+	}
+
+	@Test
+	void repeatsPathAndBodyInItsAnswers() throws Exception {
+		assertThat(new String(purchase("k").body(), StandardCharsets.UTF_8)).contains("\"path\":\"/purchases\"",
+				"\"body\":\"a licence\"");
+	}
+
+}
--- /dev/null
+++ b/catkingate-standins/src/test/java/org/catkingate/standins/plain/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the stand-ins.
+ */
+package org.catkingate.standins.plain;
--- a/catkingate-tests/src/test/java/org/catkingate/tests/harness/Caller.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/harness/Caller.java
@@ -8,10 +8,13 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+
 import org.catkingate.standins.Addresses;
 import org.catkingate.standins.HttpService;
 
@@ -50,6 +53,26 @@
 			.build());
 	}
 
+	/**
+	 * Asks for a key that binds a purchase to one agent.
+	 */
+	public CompletableFuture<Optional<String>> issuedKey() {
+		HttpRequest request = request("/catkingate/idempotency-keys?service=shop")
+			.POST(HttpRequest.BodyPublishers.noBody())
+			.build();
+		return send(request)
+			.thenApply((answer) -> answer.isWhole() ? Optional.of(key(answer.body())) : Optional.empty());
+	}
+
+	private static String key(String body) {
+		try {
+			return HttpService.JSON.readTree(body).get("key").asText();
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalStateException("no JSON: " + body, ex);
+		}
+	}
+
 	public CompletableFuture<Answer> lookUp(String name) {
 		return send(request("/lookups/" + name).build());
 	}
