Follow the platform and peers in one assembly, and adopt only higher configurations

Cause: an accepted configuration must be in force everywhere within seconds and never revert, also where the service does not reach or is stale; entry and agent need the fleet's state in a few lines.

Changed: ConfigurationReducer takes heads and parts from the service and from peers, adopts a higher version whole, keeps rejections, and makes a new process ask its peers first (three that know, or all contacts, or 5 s; 15 s while a higher one is offered). FleetReducer joins it with membership; PlatformClient reads service and list; Fleet assembles all and describes itself in FleetDump. The list is read closely until it is known once, and slow reads are five seconds apart or further, so that all slow readers together make ten calls a second.

Ruled out: adopting the service's word at once at start (a stale service would bring an old revision back); closed connections on a rejected revision; a second reducer loop for configuration.

--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/configuration/Adoption.java
@@ -0,0 +1,28 @@
+package org.catkingate.decisions.configuration;
+
+import java.util.Objects;
+
+import org.catkingate.model.ConfigurationVersion;
+import org.catkingate.model.published.ConfigurationBundle;
+import org.catkingate.model.published.PublishedConfiguration;
+
+/**
+ * A whole and valid version with the bytes that it came from. Immutable and safe for use
+ * by any thread.
+ *
+ * @param bundle the bytes
+ * @param configuration what they say
+ * @since 0.1
+ */
+public record Adoption(ConfigurationBundle bundle, PublishedConfiguration configuration) {
+
+	public Adoption {
+		Objects.requireNonNull(bundle, "bundle must not be null");
+		Objects.requireNonNull(configuration, "configuration must not be null");
+	}
+
+	ConfigurationVersion version() {
+		return this.bundle.version();
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/fleet/FleetReducer.java
@@ -0,0 +1,127 @@
+package org.catkingate.decisions.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.catkingate.decisions.Effect;
+import org.catkingate.decisions.Event;
+import org.catkingate.decisions.Reducer;
+import org.catkingate.decisions.Step;
+import org.catkingate.decisions.configuration.ConfigurationEffect;
+import org.catkingate.decisions.configuration.ConfigurationEvent;
+import org.catkingate.decisions.configuration.ConfigurationReducer;
+import org.catkingate.decisions.configuration.ConfigurationState;
+import org.catkingate.decisions.membership.MembershipEffect;
+import org.catkingate.decisions.membership.MembershipEvent;
+import org.catkingate.decisions.membership.MembershipReducer;
+import org.catkingate.decisions.membership.MembershipState;
+
+/**
+ * Reduces the events of membership and of configuration, and lets each know what it needs
+ * of the other. Stateless and safe for use by any thread.
+ *
+ * @since 0.1
+ */
+public final class FleetReducer implements Reducer<FleetState> {
+
+	private final Reducer<MembershipState> membership = MembershipReducer.create();
+
+	private final Reducer<ConfigurationState> configuration = ConfigurationReducer.create();
+
+	private FleetReducer() {
+	}
+
+	/**
+	 * Creates the reducer.
+	 * @return the reducer, never null
+	 */
+	public static FleetReducer create() {
+		return new FleetReducer();
+	}
+
+	@Override
+	public Step<FleetState> reduce(FleetState state, long nowMillis, Event event) {
+		Reduction reduction = new Reduction(state, nowMillis);
+		if (event instanceof MembershipEvent) {
+			reduction.ofMembership(event);
+			if (event instanceof MembershipEvent.Ticked) {
+				reduction.ofConfiguration(new ConfigurationEvent.Ticked());
+			}
+			if (event instanceof MembershipEvent.LinkClosed closed) {
+				reduction.ofConfiguration(new ConfigurationEvent.PeerLost(closed.link()));
+			}
+		}
+		else {
+			reduction.ofConfiguration(event);
+		}
+		return reduction.finish();
+	}
+
+	/**
+	 * One reduction in progress. For use by one thread.
+	 */
+	private final class Reduction {
+
+		private final long now;
+
+		private final List<Effect> effects = new ArrayList<>();
+
+		private MembershipState members;
+
+		private ConfigurationState publications;
+
+		private ConfigurationEvent.DutyChanged duty;
+
+		private ConfigurationEvent.ContactsChanged contacts;
+
+		private Reduction(FleetState state, long nowMillis) {
+			this.now = nowMillis;
+			this.members = state.membership();
+			this.publications = state.configuration();
+			this.duty = state.duty();
+			this.contacts = state.contacts();
+		}
+
+		private void ofMembership(Event event) {
+			Step<MembershipState> step = FleetReducer.this.membership.reduce(this.members, this.now, event);
+			this.members = step.state();
+			this.effects.addAll(step.effects());
+			for (Effect effect : step.effects()) {
+				if (effect instanceof MembershipEffect.CloseConnection closed) {
+					ofConfiguration(new ConfigurationEvent.PeerLost(closed.link()));
+				}
+			}
+			tellConfiguration();
+		}
+
+		private void tellConfiguration() {
+			ConfigurationEvent.DutyChanged nextDuty = Duties.duty(this.members);
+			if (!nextDuty.equals(this.duty)) {
+				this.duty = nextDuty;
+				ofConfiguration(nextDuty);
+			}
+			ConfigurationEvent.ContactsChanged nextContacts = Duties.contacts(this.members);
+			if (!nextContacts.equals(this.contacts)) {
+				this.contacts = nextContacts;
+				ofConfiguration(nextContacts);
+			}
+		}
+
+		private void ofConfiguration(Event event) {
+			Step<ConfigurationState> step = FleetReducer.this.configuration.reduce(this.publications, this.now, event);
+			this.publications = step.state();
+			this.effects.addAll(step.effects());
+			for (Effect effect : step.effects()) {
+				if (effect instanceof ConfigurationEffect.Adopted adopted) {
+					ofMembership(new MembershipEvent.ConfigurationInForce(adopted.configuration()));
+				}
+			}
+		}
+
+		private Step<FleetState> finish() {
+			return new Step<>(new FleetState(this.members, this.publications, this.duty, this.contacts), this.effects);
+		}
+
+	}
+
+}
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/membership/MembershipState.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/membership/MembershipState.java
@@ -12,7 +12,6 @@
 import org.catkingate.decisions.reading.ReadPace;
 import org.catkingate.decisions.reading.ReadSchedule;
 import org.catkingate.model.InstanceId;
-import org.catkingate.model.Role;
 import org.catkingate.model.published.PublishedConfiguration;
 
 /**
@@ -53,8 +52,7 @@
 	 * @return the state, never null
 	 */
 	public static MembershipState starting(Self self, long nowMillis) {
-		ReadPace pace = (self.role() == Role.ENTRY) ? ReadPace.CLOSE : ReadPace.SLOW;
-		ReadSchedule list = ReadSchedule.startingAt(nowMillis, self.incarnation()).at(nowMillis, pace, 1);
+		ReadSchedule list = ReadSchedule.startingAt(nowMillis, self.incarnation()).at(nowMillis, ReadPace.CLOSE, 1);
 		return new MembershipState(self, PublishedConfiguration.empty(), new TreeMap<>(Map.of()),
 				new TreeMap<>(Map.of()), new TreeSet<>(Set.of()), 0, 0, nowMillis, list, false, 0,
 				FleetSnapshot.empty());
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/membership/MembershipWork.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/membership/MembershipWork.java
@@ -11,6 +11,7 @@
 
 import org.catkingate.decisions.Rendezvous;
 import org.catkingate.decisions.Step;
+import org.catkingate.decisions.reading.ReadPace;
 import org.catkingate.decisions.reading.ReadSchedule;
 import org.catkingate.model.InstanceId;
 import org.catkingate.model.InstanceRecord;
@@ -94,7 +95,6 @@
 	}
 
 	void listRead(long index, List<InstanceRecord> records) {
-		this.list = this.list.answered(this.now, index);
 		boolean keepMissing = isDoubtful(records);
 		Map<InstanceId, InstanceRecord> byId = new HashMap<>();
 		records.forEach((record) -> byId.put(record.id(), record));
@@ -102,7 +102,9 @@
 		this.instances.replaceAll((id, known) -> relisted(known, byId.remove(id), keepMissing));
 		byId.forEach((id, record) -> this.instances.put(id, KnownInstance.of(record, 0)));
 		this.listKnown |= !records.isEmpty();
-		this.list = this.list.at(this.now, this.list.pace(), fleetSize());
+		boolean slow = this.listKnown && this.self.role() == Role.AGENT;
+		this.list = this.list.at(this.now, slow ? ReadPace.SLOW : ReadPace.CLOSE, fleetSize())
+			.answered(this.now, index);
 		chooseContacts();
 	}
 
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/reading/ReadPace.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/reading/ReadPace.java
@@ -22,7 +22,7 @@
 
 	private static final long CLOSE_GAP_MILLIS = 100;
 
-	private static final long SHORTEST_SLOW_MILLIS = 15_000;
+	private static final long SHORTEST_SLOW_MILLIS = 5000;
 
 	private static final long SLOW_READS_PER_SECOND_OF_FLEET = 10;
 
--- /dev/null
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/fleet/ContentCodec.java
@@ -0,0 +1,80 @@
+package org.catkingate.runtime.fleet;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.zip.GZIPInputStream;
+import java.util.zip.GZIPOutputStream;
+
+import org.catkingate.model.Digest;
+import org.catkingate.model.published.ConfigurationBundle;
+import org.catkingate.model.published.ConfigurationHead;
+import org.catkingate.wire.Control;
+import org.catkingate.wire.FrameLimits;
+
+/**
+ * Makes and reads messages with parts of a publication. Each part is compressed once and
+ * kept as long as it is in the publication sent last. For use by one thread, but for
+ * {@link #read}, which is for any.
+ */
+final class ContentCodec {
+
+	/** The most compressed bytes in one message; the asker asks again for the rest. */
+	private static final int MAXIMUM_CONTENT_BYTES = FrameLimits.MAXIMUM_FRAME_BYTES - 1024 * 1024;
+
+	private final Map<Digest, byte[]> compressed = new HashMap<>();
+
+	Control.ConfigurationContent write(ConfigurationBundle bundle, Set<Digest> held) {
+		this.compressed.keySet().retainAll(bundle.parts().keySet());
+		List<byte[]> parts = new ArrayList<>();
+		long size = bundle.head().length;
+		for (Map.Entry<Digest, byte[]> part : bundle.parts().entrySet()) {
+			if (held.contains(part.getKey())) {
+				continue;
+			}
+			byte[] packed = this.compressed.computeIfAbsent(part.getKey(), (digest) -> compress(part.getValue()));
+			size += packed.length;
+			if (size > MAXIMUM_CONTENT_BYTES) {
+				break;
+			}
+			parts.add(packed);
+		}
+		return new Control.ConfigurationContent(bundle.version(), bundle.head(), parts);
+	}
+
+	static List<byte[]> read(Control.ConfigurationContent content) throws IOException {
+		List<byte[]> parts = new ArrayList<>();
+		for (byte[] part : content.parts()) {
+			parts.add(decompress(part));
+		}
+		return parts;
+	}
+
+	private static byte[] compress(byte[] bytes) {
+		ByteArrayOutputStream output = new ByteArrayOutputStream();
+		try (GZIPOutputStream gzip = new GZIPOutputStream(output)) {
+			gzip.write(bytes);
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("a part could not be compressed in memory", ex);
+		}
+		return output.toByteArray();
+	}
+
+	private static byte[] decompress(byte[] bytes) throws IOException {
+		try (GZIPInputStream gzip = new GZIPInputStream(new ByteArrayInputStream(bytes))) {
+			byte[] part = gzip.readNBytes(ConfigurationHead.MAXIMUM_VALUE_BYTES + 1);
+			if (part.length > ConfigurationHead.MAXIMUM_VALUE_BYTES) {
+				throw new IOException("a part from a peer is longer than " + ConfigurationHead.MAXIMUM_VALUE_BYTES
+						+ " bytes; run the same release everywhere");
+			}
+			return part;
+		}
+	}
+
+}
--- /dev/null
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/fleet/Fleet.java
@@ -0,0 +1,282 @@
+package org.catkingate.runtime.fleet;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.catkingate.decisions.Effect;
+import org.catkingate.decisions.Event;
+import org.catkingate.decisions.configuration.ConfigurationEffect;
+import org.catkingate.decisions.fleet.FleetReducer;
+import org.catkingate.decisions.fleet.FleetState;
+import org.catkingate.decisions.membership.FleetSnapshot;
+import org.catkingate.decisions.membership.MembershipEffect;
+import org.catkingate.decisions.membership.MembershipEvent;
+import org.catkingate.decisions.membership.MembershipTimes;
+import org.catkingate.decisions.membership.Self;
+import org.catkingate.model.ConfigurationVersion;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.Role;
+import org.catkingate.model.RunnerStatus;
+import org.catkingate.model.published.PublishedConfiguration;
+import org.catkingate.runtime.ControlLoop;
+import org.catkingate.runtime.MonotonicClock;
+import org.catkingate.runtime.peers.PeerConnection;
+import org.catkingate.runtime.peers.PeerConnections;
+import org.catkingate.runtime.peers.PeerListener;
+import org.catkingate.runtime.peers.PeerManager;
+import org.catkingate.runtime.platform.PlatformClient;
+import org.catkingate.wire.Control;
+import org.catkingate.wire.FrameTransport;
+import org.catkingate.wire.Handshake;
+
+/**
+ * What a process knows of the fleet, kept up to date by one control thread: it follows
+ * the platform and the peers, and publishes an immutable snapshot. Safe for use by any
+ * thread.
+ *
+ * @since 0.1
+ */
+public final class Fleet implements PeerConnections, AutoCloseable {
+
+	private static final Logger logger = LoggerFactory.getLogger(Fleet.class);
+
+	private final FleetSettings settings;
+
+	private final MonotonicClock clock;
+
+	private final CountDownLatch started = new CountDownLatch(1);
+
+	private final List<Consumer<FleetSnapshot>> listeners = new CopyOnWriteArrayList<>();
+
+	private volatile PeerManager peers;
+
+	private volatile PlatformClient platform;
+
+	private volatile ControlLoop<FleetState> loop;
+
+	private volatile InetSocketAddress address;
+
+	private volatile FleetSnapshot snapshot = FleetSnapshot.empty();
+
+	private volatile ConfigurationVersion version = ConfigurationVersion.none();
+
+	private volatile Control.AgentStatus status;
+
+	private volatile Supplier<List<Integer>> loads = List::of;
+
+	private Fleet(FleetSettings settings, MonotonicClock clock) {
+		this.settings = settings;
+		this.clock = clock;
+		Self self = settings.self();
+		this.status = (self.role() == Role.AGENT) ? new Control.AgentStatus(false, self.labels(), List.of()) : null;
+	}
+
+	/**
+	 * Creates a fleet that knows nothing and does nothing before {@link #start}.
+	 * @param settings what it needs
+	 * @param clock the clock
+	 * @return the fleet, never null
+	 */
+	public static Fleet create(FleetSettings settings, MonotonicClock clock) {
+		Objects.requireNonNull(settings, "settings must not be null");
+		Objects.requireNonNull(clock, "clock must not be null");
+		return new Fleet(settings, clock);
+	}
+
+	/**
+	 * Begins to follow the platform and the peers.
+	 * @param listener is told of connections and of messages that are not control
+	 * @throws IOException if an address cannot be used or threads cannot be started
+	 */
+	public void start(PeerListener listener) throws IOException {
+		Self self = this.settings.self();
+		Handshake.PeerIdentity own = new Handshake.PeerIdentity(self.instance(), self.role(), self.incarnation(),
+				self.dataCentre(), self.region());
+		this.platform = PlatformClient.create(this.settings.configuration(), this.settings.instances());
+		this.peers = PeerManager.builder(own, this.clock)
+			.listeners(listener, new ControlEvents(self, this::submit))
+			.greeting(this::status)
+			.greeting(this::announcement)
+			.loads(() -> this.loads.get())
+			.over(FrameTransport.create(this.settings.ioThreads(), this.settings.sharedKey(), own));
+		FleetEffects effects = new FleetEffects(this.peers, this.platform, this::submit, this::publish);
+		FleetReducer reducer = FleetReducer.create();
+		this.loop = ControlLoop.start(FleetState.starting(self, this.clock.millis()), (state, now, event) -> {
+			effects.note(event);
+			return reducer.reduce(state, now, event);
+		}, effects, this.clock, this::tick, MembershipTimes.TICK_MILLIS);
+		if (this.settings.listen() != null) {
+			this.address = this.peers.listen(this.settings.listen());
+		}
+		this.started.countDown();
+	}
+
+	private Event tick() {
+		try {
+			this.started.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		return new MembershipEvent.Ticked(this.peers.heard());
+	}
+
+	private void submit(Event event) {
+		this.loop.submit(event);
+	}
+
+	private void publish(Effect effect) {
+		if (effect instanceof MembershipEffect.PublishSnapshot published) {
+			this.snapshot = published.snapshot();
+			this.listeners.forEach((listener) -> listener.accept(published.snapshot()));
+		}
+		else if (effect instanceof ConfigurationEffect.Adopted adopted) {
+			adopt(adopted.configuration());
+		}
+		else if (effect instanceof ConfigurationEffect.PeersAsked asked) {
+			logger.atInfo()
+				.addKeyValue("event", "peers-asked")
+				.addKeyValue("peers", asked.peers())
+				.log("this process has asked its peers for their configuration");
+		}
+	}
+
+	private void adopt(PublishedConfiguration configuration) {
+		this.version = configuration.version();
+		this.peers.sendCurrent(this::announcement);
+		logger.atInfo()
+			.addKeyValue("event", "configuration-in-force")
+			.addKeyValue("revision", this.version.revision())
+			.addKeyValue("version", this.version.toString())
+			.log("a published configuration is in force");
+	}
+
+	private Control.AgentStatus status() {
+		return this.status;
+	}
+
+	private Control.ConfigurationAnnouncement announcement() {
+		return new Control.ConfigurationAnnouncement(this.version);
+	}
+
+	/**
+	 * Returns where an agent accepts links.
+	 * @return the address, empty for an entry and before the start
+	 */
+	public Optional<InetSocketAddress> address() {
+		return Optional.ofNullable(this.address);
+	}
+
+	/**
+	 * Returns what is known now.
+	 * @return the newest snapshot, never null
+	 */
+	public FleetSnapshot snapshot() {
+		return this.snapshot;
+	}
+
+	/**
+	 * Adds a listener, which the control thread calls with each new snapshot; it must not
+	 * block.
+	 * @param listener the listener
+	 */
+	public void onSnapshotChange(Consumer<FleetSnapshot> listener) {
+		this.listeners.add(listener);
+	}
+
+	@Override
+	public Optional<PeerConnection> to(InstanceId instance) {
+		PeerManager manager = this.peers;
+		return (manager != null) ? manager.to(instance) : Optional.empty();
+	}
+
+	/**
+	 * Tells how long ago this process sent a heartbeat.
+	 * @param sequence its sequence
+	 * @return the age in milliseconds; {@link Long#MAX_VALUE} if it was never sent
+	 */
+	public long heartbeatAgeMillis(long sequence) {
+		PeerManager manager = this.peers;
+		return (manager != null) ? manager.heartbeatAgeMillis(sequence) : Long.MAX_VALUE;
+	}
+
+	/**
+	 * Announces what an agent serves.
+	 * @param runners its runners
+	 */
+	public synchronized void setRunners(List<RunnerStatus> runners) {
+		announce(new Control.AgentStatus(this.status.draining(), this.status.labels(), runners));
+	}
+
+	/**
+	 * Announces that an agent takes no more work, for good.
+	 */
+	public synchronized void drain() {
+		announce(new Control.AgentStatus(true, this.status.labels(), this.status.runners()));
+	}
+
+	private void announce(Control.AgentStatus next) {
+		if (next.equals(this.status)) {
+			return;
+		}
+		this.status = next;
+		PeerManager manager = this.peers;
+		if (manager != null) {
+			manager.sendCurrent(this::status);
+		}
+	}
+
+	/**
+	 * Sets what an agent's heartbeats report.
+	 * @param reported gives the load of each runner, in the order of the runners
+	 */
+	public void setLoads(Supplier<List<Integer>> reported) {
+		this.loads = Objects.requireNonNull(reported, "reported must not be null");
+	}
+
+	/**
+	 * Tells whether the process may serve.
+	 * @return whether it has asked its peers and a configuration is in force
+	 */
+	public boolean isReady() {
+		ControlLoop<FleetState> running = this.loop;
+		return running != null && running.state().isReady();
+	}
+
+	/**
+	 * Describes the state for operators.
+	 * @return the description, empty before the start
+	 */
+	public Optional<FleetDump> dump() {
+		ControlLoop<FleetState> running = this.loop;
+		return Optional.ofNullable(running).map((present) -> FleetDump.of(present.state()));
+	}
+
+	/**
+	 * Closes all links and stops following the platform.
+	 */
+	@Override
+	public void close() {
+		this.started.countDown();
+		if (this.loop != null) {
+			this.loop.close();
+		}
+		if (this.peers != null) {
+			this.peers.close();
+		}
+		if (this.platform != null) {
+			this.platform.close();
+		}
+	}
+
+}
--- /dev/null
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/fleet/FleetEffects.java
@@ -0,0 +1,183 @@
+package org.catkingate.runtime.fleet;
+
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.catkingate.decisions.Effect;
+import org.catkingate.decisions.Event;
+import org.catkingate.decisions.configuration.ConfigurationEffect;
+import org.catkingate.decisions.configuration.ConfigurationEvent;
+import org.catkingate.decisions.configuration.Rejection;
+import org.catkingate.decisions.membership.MembershipEffect;
+import org.catkingate.decisions.membership.MembershipEvent;
+import org.catkingate.model.published.ConfigurationBundle;
+import org.catkingate.runtime.peers.PeerManager;
+import org.catkingate.runtime.platform.PlatformClient;
+import org.catkingate.wire.Control;
+
+/**
+ * Carries effects out. Used by the control thread only, and never blocks it.
+ */
+final class FleetEffects implements Consumer<Effect> {
+
+	private static final Logger logger = LoggerFactory.getLogger(FleetEffects.class);
+
+	private final PeerManager peers;
+
+	private final PlatformClient platform;
+
+	private final Consumer<Event> events;
+
+	private final Consumer<Effect> published;
+
+	private final ContentCodec contents = new ContentCodec();
+
+	private boolean headFailing;
+
+	private boolean listFailing;
+
+	FleetEffects(PeerManager peers, PlatformClient platform, Consumer<Event> events, Consumer<Effect> published) {
+		this.peers = peers;
+		this.platform = platform;
+		this.events = events;
+		this.published = published;
+	}
+
+	@Override
+	public void accept(Effect effect) {
+		if (effect instanceof MembershipEffect.SendHeartbeats send) {
+			this.peers.sendHeartbeats(send.sequence());
+		}
+		else if (effect instanceof MembershipEffect.OpenConnection open) {
+			this.peers.open(open.instance(), open.address());
+		}
+		else if (effect instanceof MembershipEffect.CloseConnection close) {
+			this.peers.close(close.link(), close.reason());
+		}
+		else if (effect instanceof MembershipEffect.PauseNoticed pause) {
+			logger.atWarn()
+				.addKeyValue("event", "process-was-paused")
+				.addKeyValue("gapMillis", pause.gapMillis())
+				.log("this process was paused and checks its peers again");
+		}
+		else if (effect instanceof MembershipEffect.ReadList read) {
+			readList(read);
+		}
+		else if (effect instanceof ConfigurationEffect) {
+			acceptConfiguration(effect);
+		}
+		else {
+			this.published.accept(effect);
+		}
+	}
+
+	private void acceptConfiguration(Effect effect) {
+		if (effect instanceof ConfigurationEffect.ReadHead read) {
+			readHead(read);
+		}
+		else if (effect instanceof ConfigurationEffect.ReadPart read) {
+			readPart(read);
+		}
+		else if (effect instanceof ConfigurationEffect.Pull pull) {
+			this.peers.send(pull.link(), new Control.ConfigurationPull(pull.version(), pull.held()));
+		}
+		else if (effect instanceof ConfigurationEffect.SendContent send) {
+			this.peers.send(send.link(), this.contents.write(send.bundle(), Set.copyOf(send.held())));
+		}
+		else if (effect instanceof ConfigurationEffect.Rejected rejected) {
+			log(rejected.rejection());
+		}
+		else {
+			this.published.accept(effect);
+		}
+	}
+
+	private void readList(MembershipEffect.ReadList read) {
+		submit(this.platform.instances(read.after(), read.waitMillis()),
+				(list) -> new MembershipEvent.ListRead(list.index(), list.value()), new MembershipEvent.ListUnchanged(),
+				MembershipEvent.ListFailed::new);
+	}
+
+	private void readHead(ConfigurationEffect.ReadHead read) {
+		submit(this.platform.value(ConfigurationBundle.HEAD_KEY, read.after(), read.waitMillis()),
+				(head) -> new ConfigurationEvent.HeadRead(head.index(), head.value()),
+				new ConfigurationEvent.HeadUnchanged(), ConfigurationEvent.HeadFailed::new);
+	}
+
+	private void readPart(ConfigurationEffect.ReadPart read) {
+		ConfigurationEvent failed = new ConfigurationEvent.PartFailed(read.part());
+		submit(this.platform.value(ConfigurationBundle.partKey(read.part()), 0, 0),
+				(part) -> new ConfigurationEvent.PartRead(read.part(), part.value()), failed, (reason) -> failed);
+	}
+
+	private <T> void submit(CompletableFuture<Optional<PlatformClient.Indexed<T>>> reading,
+			Function<PlatformClient.Indexed<T>, Event> changed, Event unchanged, Function<String, Event> failed) {
+		reading.whenComplete((answer, failure) -> {
+			if (failure != null) {
+				Throwable cause = (failure.getCause() != null) ? failure.getCause() : failure;
+				this.events.accept(failed.apply(cause.getMessage()));
+			}
+			else {
+				this.events.accept(answer.map(changed).orElse(unchanged));
+			}
+		});
+	}
+
+	private static void log(Rejection rejection) {
+		logger.atError()
+			.addKeyValue("event", "configuration-rejected")
+			.addKeyValue("version", rejection.version().toString())
+			.addKeyValue("head", rejection.head().hex())
+			.addKeyValue("problems", rejection.problems().toString())
+			.log("a published configuration is not adopted; correct it and publish a higher revision");
+	}
+
+	/**
+	 * Logs once when reads of the platform begin to fail, and once when they work again.
+	 * @param event an event that is about to be reduced
+	 */
+	void note(Event event) {
+		if (event instanceof ConfigurationEvent.HeadFailed failed) {
+			noteFailure("configuration-service", failed.reason(), this.headFailing);
+			this.headFailing = true;
+		}
+		else if (event instanceof ConfigurationEvent.HeadRead || event instanceof ConfigurationEvent.HeadUnchanged) {
+			noteRecovery("configuration-service", this.headFailing);
+			this.headFailing = false;
+		}
+		else if (event instanceof MembershipEvent.ListFailed failed) {
+			noteFailure("list-of-instances", failed.reason(), this.listFailing);
+			this.listFailing = true;
+		}
+		else if (event instanceof MembershipEvent.ListRead || event instanceof MembershipEvent.ListUnchanged) {
+			noteRecovery("list-of-instances", this.listFailing);
+			this.listFailing = false;
+		}
+	}
+
+	private static void noteFailure(String what, String reason, boolean failing) {
+		if (!failing) {
+			logger.atWarn()
+				.addKeyValue("event", "platform-read-failed")
+				.addKeyValue("what", what)
+				.addKeyValue("reason", reason)
+				.log("the platform gives no answer; what is in force stays");
+		}
+	}
+
+	private static void noteRecovery(String what, boolean failing) {
+		if (failing) {
+			logger.atInfo()
+				.addKeyValue("event", "platform-read-again")
+				.addKeyValue("what", what)
+				.log("the platform answers again");
+		}
+	}
+
+}
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/peers/LinkListener.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/peers/LinkListener.java
@@ -35,8 +35,9 @@
 	/**
 	 * A control message other than a heartbeat has arrived.
 	 * @param link the link's number
+	 * @param peer who has sent it
 	 * @param message the message
 	 */
-	void received(long link, Control message);
+	void received(long link, Handshake.PeerIdentity peer, Control message);
 
 }
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/peers/PeerManager.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/peers/PeerManager.java
@@ -252,7 +252,7 @@
 				link.heartbeat(heartbeat, now);
 			}
 			else if (message instanceof Control controlMessage) {
-				PeerManager.this.control.received(link.number(), controlMessage);
+				PeerManager.this.control.received(link.number(), frames.peer(), controlMessage);
 			}
 			else {
 				PeerManager.this.traffic.received(link.connection(), message);
--- /dev/null
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/platform/InstanceListJson.java
@@ -0,0 +1,98 @@
+package org.catkingate.runtime.platform;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.catkingate.model.DataCentreName;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.InstanceRecord;
+import org.catkingate.model.Labels;
+import org.catkingate.model.RegionName;
+import org.catkingate.model.Role;
+
+/**
+ * Reads the JSON form of the platform's list. An instance that cannot be understood is
+ * left out and logged, so that it does not hide the others. Stateless.
+ */
+final class InstanceListJson {
+
+	private static final Logger logger = LoggerFactory.getLogger(InstanceListJson.class);
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private static final int HIGHEST_PORT = 65_535;
+
+	private InstanceListJson() {
+	}
+
+	static PlatformClient.Indexed<List<InstanceRecord>> parse(byte[] json) throws PlatformException {
+		JsonNode root = read(json);
+		if (root == null || !root.path("index").isIntegralNumber() || !root.path("instances").isArray()) {
+			throw new PlatformException(PlatformException.Kind.MALFORMED,
+					"the list of instances is not {\"index\":N,\"instances\":[...]}; check the platform");
+		}
+		List<InstanceRecord> instances = new ArrayList<>();
+		for (JsonNode item : root.get("instances")) {
+			try {
+				instances.add(instance(item));
+			}
+			catch (IllegalArgumentException ex) {
+				logger.atWarn()
+					.addKeyValue("event", "instance-not-understood")
+					.addKeyValue("instance", item.path("id").asText())
+					.addKeyValue("reason", ex.getMessage())
+					.log("an instance of the platform's list is left out; correct its entry");
+			}
+		}
+		return new PlatformClient.Indexed<>(root.get("index").asLong(), instances);
+	}
+
+	private static JsonNode read(byte[] json) throws PlatformException {
+		try {
+			return MAPPER.readTree(json);
+		}
+		catch (IOException ex) {
+			throw new PlatformException(PlatformException.Kind.MALFORMED,
+					"the list of instances is no JSON; check the platform", ex);
+		}
+	}
+
+	private static InstanceRecord instance(JsonNode item) {
+		Map<String, String> labels = new TreeMap<>();
+		item.path("labels").properties().forEach((label) -> labels.put(label.getKey(), label.getValue().asText()));
+		return new InstanceRecord(new InstanceId(text(item, "id")),
+				Role.valueOf(text(item, "role").toUpperCase(Locale.ROOT)), address(text(item, "address")),
+				new DataCentreName(text(item, "dataCentre")), new RegionName(text(item, "region")), Labels.of(labels),
+				item.path("leaving").asBoolean());
+	}
+
+	private static String text(JsonNode item, String field) {
+		if (!item.path(field).isTextual()) {
+			throw new IllegalArgumentException("field " + field + " must be text");
+		}
+		return item.get(field).asText();
+	}
+
+	private static InetSocketAddress address(String written) {
+		int colon = written.lastIndexOf(':');
+		if (!written.substring(0, Math.max(colon, 0)).matches("[0-9.]+|\\[?[0-9a-fA-F:.]+]?")) {
+			throw new IllegalArgumentException("address '" + written + "' must be IP:PORT");
+		}
+		int port = Integer.parseInt(written.substring(colon + 1));
+		if (port < 0 || port > HIGHEST_PORT) {
+			throw new IllegalArgumentException("port " + port + " must be from 0 to " + HIGHEST_PORT);
+		}
+		return new InetSocketAddress(written.substring(0, colon), port);
+	}
+
+}
--- /dev/null
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/platform/PlatformClient.java
@@ -0,0 +1,166 @@
+package org.catkingate.runtime.platform;
+
+import java.io.IOException;
+import java.net.URI;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+
+import io.undertow.client.ClientRequest;
+import io.undertow.util.Methods;
+import io.undertow.util.StatusCodes;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+import org.catkingate.model.InstanceRecord;
+import org.catkingate.model.published.ConfigurationHead;
+import org.catkingate.runtime.http.HttpCalls;
+
+/**
+ * Reads the configuration service and the list of instances over HTTP. Every read ends:
+ * with an answer, or with a {@link PlatformException} as the cause. Safe for use by any
+ * thread.
+ *
+ * @since 0.1
+ */
+public final class PlatformClient implements AutoCloseable {
+
+	private static final int MAXIMUM_LIST_BYTES = 8 * 1024 * 1024;
+
+	private static final long ANSWER_MILLIS = 3500;
+
+	private static final String INDEX_HEADER = "X-Index";
+
+	private final XnioWorker worker;
+
+	private final HttpCalls calls;
+
+	private final URI configuration;
+
+	private final URI instances;
+
+	private PlatformClient(XnioWorker worker, URI configuration, URI instances) {
+		this.worker = worker;
+		this.calls = HttpCalls.on(worker);
+		this.configuration = configuration;
+		this.instances = instances;
+	}
+
+	/**
+	 * Starts a client with one I/O thread.
+	 * @param configuration where the configuration service is
+	 * @param instances where the list of instances is
+	 * @return the client, never null
+	 * @throws IOException if the thread cannot be started
+	 */
+	public static PlatformClient create(URI configuration, URI instances) throws IOException {
+		Objects.requireNonNull(configuration, "configuration must not be null");
+		Objects.requireNonNull(instances, "instances must not be null");
+		OptionMap options = OptionMap.builder()
+			.set(Options.WORKER_IO_THREADS, 1)
+			.set(Options.WORKER_TASK_CORE_THREADS, 1)
+			.set(Options.WORKER_TASK_MAX_THREADS, 1)
+			.set(Options.THREAD_DAEMON, true)
+			.set(Options.WORKER_NAME, "platform")
+			.getMap();
+		return new PlatformClient(Xnio.getInstance().createWorker(options), configuration, instances);
+	}
+
+	/**
+	 * Reads one key of the configuration service.
+	 * @param key the key
+	 * @param after the index seen last; 0 for none
+	 * @param waitMillis how long the service may wait for a change, in milliseconds
+	 * @return the value, empty if it has not changed
+	 */
+	public CompletableFuture<Optional<Indexed<byte[]>>> value(String key, long after, long waitMillis) {
+		return read(this.configuration, "/configuration/" + key, after, waitMillis,
+				ConfigurationHead.MAXIMUM_VALUE_BYTES);
+	}
+
+	/**
+	 * Reads the list of instances.
+	 * @param after the index seen last; 0 for none
+	 * @param waitMillis how long the platform may wait for a change, in milliseconds
+	 * @return the list, empty if it has not changed
+	 */
+	public CompletableFuture<Optional<Indexed<List<InstanceRecord>>>> instances(long after, long waitMillis) {
+		return read(this.instances, "/instances", after, waitMillis, MAXIMUM_LIST_BYTES)
+			.thenApply((answer) -> answer.map(PlatformClient::parsed));
+	}
+
+	private static Indexed<List<InstanceRecord>> parsed(Indexed<byte[]> answer) {
+		try {
+			return InstanceListJson.parse(answer.value());
+		}
+		catch (PlatformException ex) {
+			throw new CompletionException(ex);
+		}
+	}
+
+	private CompletableFuture<Optional<Indexed<byte[]>>> read(URI base, String path, long after, long waitMillis,
+			int maximumBytes) {
+		String query = (after > 0) ? "?after=" + after + "&wait-ms=" + waitMillis : "";
+		ClientRequest request = new ClientRequest().setMethod(Methods.GET).setPath(path + query);
+		return this.calls.call(base, request, HttpCalls.Body.none(), maximumBytes, waitMillis + ANSWER_MILLIS)
+			.handle((answer, failure) -> {
+				if (failure != null) {
+					throw new CompletionException(new PlatformException(PlatformException.Kind.UNREACHABLE,
+							base + path + " gave no whole answer; check that the platform is up", failure));
+				}
+				return indexed(base + path, answer);
+			});
+	}
+
+	private static Optional<Indexed<byte[]>> indexed(String what, HttpCalls.Answer answer) {
+		if (answer.status() == StatusCodes.NOT_MODIFIED) {
+			return Optional.empty();
+		}
+		if (answer.status() == StatusCodes.NOT_FOUND) {
+			throw failure(PlatformException.Kind.ABSENT, what + " is not there; publish it");
+		}
+		if (answer.status() != StatusCodes.OK) {
+			throw failure(PlatformException.Kind.REFUSED,
+					what + " was answered with status " + answer.status() + "; see the platform's log");
+		}
+		return Optional.of(new Indexed<>(index(what, answer.header(INDEX_HEADER)), answer.body()));
+	}
+
+	private static long index(String what, String header) {
+		try {
+			return (header != null) ? Long.parseLong(header) : 0;
+		}
+		catch (NumberFormatException ex) {
+			throw failure(PlatformException.Kind.MALFORMED,
+					what + " came with the index '" + header + "'; the header " + INDEX_HEADER + " must be a number");
+		}
+	}
+
+	private static CompletionException failure(PlatformException.Kind kind, String message) {
+		return new CompletionException(new PlatformException(kind, message));
+	}
+
+	/**
+	 * Ends the thread; reads in progress fail.
+	 */
+	@Override
+	public void close() {
+		this.worker.shutdownNow();
+	}
+
+	/**
+	 * A value and its index. Immutable if the value is.
+	 *
+	 * @param <T> the type of the value
+	 * @param index the index, 0 if the platform gave none
+	 * @param value the value
+	 */
+	public record Indexed<T>(long index, T value) {
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-runtime/src/test/java/org/catkingate/runtime/fleet/SmallFleet.java
@@ -0,0 +1,161 @@
+package org.catkingate.runtime.fleet;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.awaitility.Awaitility;
+import org.awaitility.core.ConditionFactory;
+
+import org.catkingate.decisions.membership.AgentView;
+import org.catkingate.decisions.membership.Self;
+import org.catkingate.model.DataCentreName;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.Labels;
+import org.catkingate.model.RegionName;
+import org.catkingate.model.Role;
+import org.catkingate.model.RunnerId;
+import org.catkingate.model.RunnerStatus;
+import org.catkingate.model.ServiceName;
+import org.catkingate.runtime.MonotonicClock;
+import org.catkingate.runtime.peers.PeerConnection;
+import org.catkingate.runtime.peers.PeerListener;
+import org.catkingate.standins.platform.Platform;
+import org.catkingate.standins.platform.Publication;
+import org.catkingate.wire.Message;
+import org.catkingate.wire.SharedKey;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * A platform and a few processes, all in this process. For use by one thread.
+ */
+final class SmallFleet implements AutoCloseable {
+
+	private static final Duration PATIENCE = Duration.ofSeconds(40);
+
+	private final Platform platform = Platform.start("--listen", "127.0.0.1:0");
+
+	private final Map<String, Fleet> processes = new TreeMap<>();
+
+	private long incarnation = 1000;
+
+	static ConditionFactory eventually() {
+		return Awaitility.await().atMost(PATIENCE).pollInterval(Duration.ofMillis(20));
+	}
+
+	Platform platform() {
+		return this.platform;
+	}
+
+	void publish(long revision, String... parts) {
+		this.platform.publish(Publication.of(revision, List.of(parts)));
+	}
+
+	static String group(String name) {
+		return "[group " + name + "]\nselector = *\n";
+	}
+
+	Fleet entry(String name) throws IOException {
+		return start(name, Role.ENTRY, url(this.platform.address()));
+	}
+
+	Fleet agent(String name) throws IOException {
+		return agent(name, url(this.platform.address()));
+	}
+
+	Fleet agent(String name, URI configuration) throws IOException {
+		Fleet fleet = start(name, Role.AGENT, configuration);
+		list(name, "agent", fleet.address().orElseThrow());
+		fleet.setRunners(List.of(new RunnerStatus(new RunnerId("r1"), new ServiceName("s"), null, null, true)));
+		return fleet;
+	}
+
+	void list(String name, String role, InetSocketAddress address) {
+		ObjectNode instance = new ObjectMapper().createObjectNode()
+			.put("id", name)
+			.put("role", role)
+			.put("address", address.getAddress().getHostAddress() + ":" + address.getPort())
+			.put("dataCentre", "dc-a")
+			.put("region", "r1")
+			.put("leaving", false);
+		instance.putObject("labels");
+		this.platform.instance(instance);
+	}
+
+	private Fleet start(String name, Role role, URI configuration) throws IOException {
+		Self self = new Self(new InstanceId(name), role, this.incarnation++, new DataCentreName("dc-a"),
+				new RegionName("r1"), Labels.none());
+		InetSocketAddress listen = (role == Role.AGENT) ? new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)
+				: null;
+		FleetSettings settings = new FleetSettings(self, configuration, url(this.platform.address()), listen,
+				SharedKey.of("a key for these tests"), 1);
+		Fleet fleet = Fleet.create(settings, MonotonicClock.system());
+		fleet.start(new Silent());
+		this.processes.put(name, fleet);
+		return fleet;
+	}
+
+	static URI url(InetSocketAddress address) {
+		return URI.create("http://127.0.0.1:" + address.getPort());
+	}
+
+	void stop(String name) {
+		this.processes.remove(name).close();
+	}
+
+	static long revision(Fleet fleet) {
+		return fleet.snapshot().configuration().version().revision();
+	}
+
+	List<Long> revisions() {
+		return new ArrayList<>(this.processes.values().stream().map(SmallFleet::revision).toList());
+	}
+
+	void awaitRevision(long revision) {
+		eventually().untilAsserted(() -> assertThat(revisions()).allMatch((seen) -> seen == revision));
+	}
+
+	static boolean givesWork(Fleet entry, String agent) {
+		AgentView view = entry.snapshot().agents().get(new InstanceId(agent));
+		return view != null && view.takesWork() && !view.runners().isEmpty();
+	}
+
+	@Override
+	public void close() {
+		this.processes.values().forEach(Fleet::close);
+		this.platform.close();
+	}
+
+	/**
+	 * Takes no part in traffic.
+	 */
+	static final class Silent implements PeerListener {
+
+		@Override
+		public void opened(PeerConnection connection) {
+		}
+
+		@Override
+		public void received(PeerConnection connection, Message message) {
+		}
+
+		@Override
+		public void lost(PeerConnection connection) {
+		}
+
+		@Override
+		public void drained(PeerConnection connection) {
+		}
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-runtime/src/test/java/org/catkingate/runtime/fleet/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the fleet with the platform's stand-in.
+ */
+package org.catkingate.runtime.fleet;
