Test configuration and membership by sessions, golden files and properties

Cause: revisions must never fall and states must converge under any order of events; these are forced, not argued.

A failure of a read that was already given up no longer postpones the next read (a test showed that it could starve reading); a part that cannot be read keeps its reason for the dump.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/configuration/ConfigurationEvent.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/configuration/ConfigurationEvent.java
@@ -56,8 +56,9 @@
 	 * The service has not given a part.
 	 *
 	 * @param part the digest that was asked for
+	 * @param reason why, for the dump
 	 */
-	record PartFailed(Digest part) implements ConfigurationEvent {
+	record PartFailed(Digest part, String reason) implements ConfigurationEvent {
 
 	}
 
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/configuration/ConfigurationReducer.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/configuration/ConfigurationReducer.java
@@ -59,7 +59,7 @@
 			work.partRead(read.part(), read.bytes());
 		}
 		else if (event instanceof ConfigurationEvent.PartFailed failed) {
-			work.partFailed(failed.part());
+			work.partFailed(failed.part(), failed.reason());
 		}
 		else {
 			return false;
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/configuration/ConfigurationWork.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/configuration/ConfigurationWork.java
@@ -96,7 +96,7 @@
 			Map<Digest, Long> reading = this.transfer.reading();
 			reading.forEach((part, until) -> {
 				if (this.now >= until) {
-					partFailed(part);
+					partFailed(part, "no answer in time");
 				}
 			});
 		}
@@ -156,19 +156,19 @@
 			return;
 		}
 		if (!Digest.of(bytes).equals(part)) {
-			partFailed(part);
+			partFailed(part, "the bytes are not those of its digest");
 			return;
 		}
 		this.parts.put(part, bytes);
 		this.transfer = this.transfer.read(part);
 	}
 
-	void partFailed(Digest part) {
+	void partFailed(Digest part, String reason) {
 		if (this.transfer != null && this.transfer.parsed().parts().contains(part)) {
 			long full = ConfigurationTimes.FIRST_BACKOFF_MILLIS << Math.min(HIGHEST_SHIFT, this.transfer.failures());
 			long bounded = Math.min(ConfigurationTimes.LONGEST_BACKOFF_MILLIS, full);
 			double jitter = Rendezvous.unit(this.seed + this.transfer.failures());
-			this.transfer = this.transfer.failed(part, this.now + Math.round(bounded * (0.5 + jitter)));
+			this.transfer = this.transfer.failed(part, reason, this.now + Math.round(bounded * (0.5 + jitter)));
 		}
 	}
 
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/configuration/Transfer.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/configuration/Transfer.java
@@ -17,10 +17,11 @@
  * @param parsed the head
  * @param reading until when the answer for each part may take, in milliseconds
  * @param failures how many reads have failed in a row
+ * @param reason why the last one failed; empty if none has
  * @param dueAtMillis when missing parts may be read, in milliseconds
  * @since 0.1
  */
-public record Transfer(byte[] head, ConfigurationHead parsed, Map<Digest, Long> reading, int failures,
+public record Transfer(byte[] head, ConfigurationHead parsed, Map<Digest, Long> reading, int failures, String reason,
 		long dueAtMillis) {
 
 	public Transfer {
@@ -30,7 +31,7 @@
 	}
 
 	static Transfer of(byte[] head, ConfigurationHead parsed, long nowMillis) {
-		return new Transfer(head, parsed, Map.of(), 0, nowMillis);
+		return new Transfer(head, parsed, Map.of(), 0, "", nowMillis);
 	}
 
 	ConfigurationVersion version() {
@@ -40,15 +41,15 @@
 	Transfer reading(Digest part, long untilMillis) {
 		Map<Digest, Long> next = new TreeMap<>(this.reading);
 		next.put(part, untilMillis);
-		return new Transfer(this.head, this.parsed, next, this.failures, this.dueAtMillis);
+		return new Transfer(this.head, this.parsed, next, this.failures, this.reason, this.dueAtMillis);
 	}
 
 	Transfer read(Digest part) {
-		return new Transfer(this.head, this.parsed, without(part), 0, this.dueAtMillis);
+		return new Transfer(this.head, this.parsed, without(part), 0, "", this.dueAtMillis);
 	}
 
-	Transfer failed(Digest part, long nextMillis) {
-		return new Transfer(this.head, this.parsed, without(part), this.failures + 1, nextMillis);
+	Transfer failed(Digest part, String why, long nextMillis) {
+		return new Transfer(this.head, this.parsed, without(part), this.failures + 1, why, nextMillis);
 	}
 
 	private Map<Digest, Long> without(Digest part) {
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/reading/ReadSchedule.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/reading/ReadSchedule.java
@@ -90,11 +90,15 @@
 	}
 
 	/**
-	 * Takes note that a read failed, or gave what cannot be used.
+	 * Takes note that a read failed, or gave what cannot be used. The failure of a read
+	 * that has been given up changes nothing.
 	 * @param nowMillis the time
 	 * @return the next schedule, never null
 	 */
 	public ReadSchedule failed(long nowMillis) {
+		if (!isReading()) {
+			return this;
+		}
 		long due = nowMillis + this.pace.delayAfterFailure(this.failures, this.fleetSize, random());
 		return new ReadSchedule(this.pace, this.fleetSize, this.index, due, 0, this.failures + 1, this.reads,
 				this.seed);
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/configuration/ConfigurationSession.java
@@ -0,0 +1,149 @@
+package org.catkingate.decisions.configuration;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
+
+import org.catkingate.decisions.Effect;
+import org.catkingate.decisions.Step;
+import org.catkingate.decisions.reading.ReadPace;
+import org.catkingate.model.Digest;
+import org.catkingate.model.published.ConfigurationBundle;
+
+/**
+ * Drives the reducer through a session and writes down what it wants done. For use by one
+ * thread.
+ */
+final class ConfigurationSession {
+
+	private final ConfigurationReducer reducer = ConfigurationReducer.create();
+
+	private final StringBuilder transcript = new StringBuilder();
+
+	private final List<Effect> effects = new ArrayList<>();
+
+	private long now = 1000;
+
+	private ConfigurationState state = ConfigurationState.starting(1, this.now);
+
+	/**
+	 * A publication of a few groups.
+	 * @param revision its revision
+	 * @param groups the name of each group, in a part of its own
+	 * @return the publication
+	 */
+	static ConfigurationBundle bundle(long revision, String... groups) {
+		return ConfigurationBundle.of(revision,
+				Stream.of(groups).map((name) -> "[group " + name + "]\nselector = *\n").toList());
+	}
+
+	static ConfigurationSession started() {
+		ConfigurationSession session = new ConfigurationSession();
+		session.with(new ConfigurationEvent.ContactsChanged(true, Set.of()));
+		return session.with(new ConfigurationEvent.DutyChanged(ReadPace.CLOSE, 10));
+	}
+
+	static ConfigurationSession startingWith(boolean complete, Long... contacts) {
+		return new ConfigurationSession().with(new ConfigurationEvent.ContactsChanged(complete, Set.of(contacts)));
+	}
+
+	ConfigurationSession with(ConfigurationEvent event) {
+		this.transcript.append(this.now).append(' ').append(written(event)).append('\n');
+		reduce(event);
+		return this;
+	}
+
+	ConfigurationSession serviceGives(ConfigurationBundle bundle) {
+		with(new ConfigurationEvent.HeadRead(bundle.version().revision(), bundle.head()));
+		bundle.parts().forEach((digest, part) -> with(new ConfigurationEvent.PartRead(digest, part)));
+		return this;
+	}
+
+	ConfigurationSession offers(long link, ConfigurationBundle bundle) {
+		return with(new ConfigurationEvent.Offered(link, 0, bundle.version()));
+	}
+
+	ConfigurationSession sends(long link, ConfigurationBundle bundle) {
+		return with(new ConfigurationEvent.ContentArrived(link, bundle.head(), List.copyOf(bundle.parts().values())));
+	}
+
+	ConfigurationSession passes(long millis) {
+		this.transcript.append(this.now).append(" passes ").append(millis).append(" ms\n");
+		long end = this.now + millis;
+		while (this.now < end) {
+			this.now += Math.min(250, end - this.now);
+			reduce(new ConfigurationEvent.Ticked());
+		}
+		return this;
+	}
+
+	ConfigurationSession passesWhileTheServiceIsDown(long millis) {
+		long end = this.now + millis;
+		while (this.now < end) {
+			passes(250);
+			if (this.state.head().isReading()) {
+				with(new ConfigurationEvent.HeadFailed("down"));
+			}
+		}
+		return this;
+	}
+
+	private void reduce(ConfigurationEvent event) {
+		Step<ConfigurationState> step = this.reducer.reduce(this.state, this.now, event);
+		this.state = step.state();
+		this.effects.addAll(step.effects());
+		step.effects()
+			.forEach(
+					(effect) -> this.transcript.append(this.now).append("   -> ").append(written(effect)).append('\n'));
+	}
+
+	private static String written(Object item) {
+		if (item instanceof ConfigurationEvent.HeadRead read) {
+			return "HeadRead[index=" + read.index() + ", " + firstLines(read.head()) + "]";
+		}
+		if (item instanceof ConfigurationEvent.PartRead read) {
+			return "PartRead[" + firstLines(read.bytes()) + "]";
+		}
+		if (item instanceof ConfigurationEvent.ContentArrived arrived) {
+			return "ContentArrived[link=" + arrived.link() + ", " + firstLines(arrived.head()) + ", parts="
+					+ arrived.parts().size() + "]";
+		}
+		if (item instanceof ConfigurationEffect.SendContent send) {
+			return "SendContent[link=" + send.link() + ", version=" + send.bundle().version() + ", held="
+					+ send.held().size() + "]";
+		}
+		if (item instanceof ConfigurationEffect.Adopted adopted) {
+			return "Adopted[" + adopted.configuration().version() + "]";
+		}
+		return item.toString();
+	}
+
+	private static String firstLines(byte[] bytes) {
+		String[] lines = new String(bytes, StandardCharsets.UTF_8).split("\n");
+		return String.join(" ", Arrays.copyOf(lines, Math.min(2, lines.length)));
+	}
+
+	long revision() {
+		return this.state.version().revision();
+	}
+
+	ConfigurationState state() {
+		return this.state;
+	}
+
+	<E extends Effect> List<E> effects(Class<E> type) {
+		return this.effects.stream().filter(type::isInstance).map(type::cast).toList();
+	}
+
+	List<Digest> partsRead() {
+		return effects(ConfigurationEffect.ReadPart.class).stream().map(ConfigurationEffect.ReadPart::part).toList();
+	}
+
+	String transcript() {
+		return this.transcript.toString();
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/configuration/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of which configuration is in force.
+ */
+package org.catkingate.decisions.configuration;
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/membership/MembershipPropertiesTests.java
@@ -0,0 +1,114 @@
+package org.catkingate.decisions.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.InstanceRecord;
+import org.catkingate.model.Role;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Properties of {@link MembershipReducer} under shuffled, delayed, duplicated and lost
+ * events.
+ */
+class MembershipPropertiesTests {
+
+	private static final int TRIES = 300;
+
+	private static final int AGENTS = 4;
+
+	private static final int EVENTS = 120;
+
+	private final MembershipSession session = MembershipSession.of(Role.ENTRY);
+
+	private long lastLink;
+
+	@Property(tries = TRIES)
+	void workGoesOnlyToAgentsThatAreLinkedAndNotLeaving(@ForAll long seed) {
+		Random random = new Random(seed);
+		for (int i = 0; i < EVENTS; i++) {
+			disturb(random);
+			for (AgentView agent : this.session.state().snapshot().agents().values()) {
+				if (agent.takesWork()) {
+					assertThat(agent.instance().leaving()).isFalse();
+					assertThat(liveLinks(agent.instance().id())).anyMatch(Link::isVerified)
+						.anyMatch((link) -> link.status() == null || !link.status().draining());
+				}
+			}
+		}
+		assertHeartbeatsRise();
+	}
+
+	@Property(tries = TRIES)
+	void whoeverLivesIsGivenWorkOnceTheTroubleIsOver(@ForAll long seed) {
+		Random random = new Random(seed);
+		for (int i = 0; i < EVENTS; i++) {
+			disturb(random);
+		}
+		List<InstanceRecord> living = MembershipSession.near(1 + random.nextInt(AGENTS));
+		long[] speaking = new long[living.size()];
+		for (int i = 0; i < living.size(); i++) {
+			speaking[i] = ++this.lastLink;
+			this.session.opens(speaking[i], living.get(i).id().value(), 1000 + i).announces(speaking[i], false);
+		}
+		this.session.passes(MembershipTimes.DOUBT_MILLIS, speaking).list(living);
+		this.session.passes(MembershipTimes.GRACE_MILLIS, speaking).list(living).passes(1000, speaking);
+		for (int i = 0; i < AGENTS; i++) {
+			assertThat(this.session.takesWork("a" + i)).as("a" + i).isEqualTo(i < living.size());
+		}
+		assertThat(this.session.state().links().keySet()).hasSize(living.size());
+	}
+
+	private void disturb(Random random) {
+		long link = 1 + random.nextInt((int) this.lastLink + 1);
+		switch (random.nextInt(8)) {
+			case 0 -> this.session.list(someAgents(random));
+			case 1 -> open(random);
+			case 2 -> this.session.with(new MembershipEvent.LinkClosed(link));
+			case 3 -> this.session.announces(link, random.nextInt(3) == 0);
+			case 4 -> this.session.with(new MembershipEvent.DialFailed(new InstanceId("a" + random.nextInt(AGENTS))));
+			case 5 -> this.session.isPaused(random.nextInt(5000), link);
+			case 6 -> this.session.with(new MembershipEvent.ListFailed("any"));
+			default -> this.session.passes(250L * (1 + random.nextInt(8)), link, 1 + random.nextInt(3));
+		}
+	}
+
+	private void open(Random random) {
+		String name = "a" + random.nextInt(AGENTS);
+		this.session.opens(++this.lastLink, name, random.nextInt(2));
+	}
+
+	private static List<InstanceRecord> someAgents(Random random) {
+		List<InstanceRecord> listed = new ArrayList<>();
+		for (int i = 0; i < AGENTS; i++) {
+			if (random.nextBoolean()) {
+				listed.add(MembershipSession.agent("a" + i, "dc-a", "r1", random.nextInt(4) == 0));
+			}
+		}
+		return listed;
+	}
+
+	private List<Link> liveLinks(InstanceId instance) {
+		return this.session.state()
+			.links()
+			.values()
+			.stream()
+			.filter((link) -> link.peer().instance().equals(instance))
+			.toList();
+	}
+
+	private void assertHeartbeatsRise() {
+		List<Long> sequences = this.session.effects(MembershipEffect.SendHeartbeats.class)
+			.stream()
+			.map(MembershipEffect.SendHeartbeats::sequence)
+			.toList();
+		assertThat(sequences).isSorted().doesNotHaveDuplicates();
+	}
+
+}
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/fleet/FleetDump.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/fleet/FleetDump.java
@@ -52,10 +52,12 @@
 	 * @param offers the version in force at each peer, by link
 	 * @param rejected the publications not adopted
 	 * @param lowerReads how often the service gave a lower version
+	 * @param reading the higher version whose parts are being read, and why the last read
+	 * failed; empty if none is
 	 * @param service how the service is read
 	 */
 	public record Configuration(long revision, String version, boolean peersAsked, int partsHeld,
-			Map<Long, String> offers, List<Rejected> rejected, long lowerReads, Reading service) {
+			Map<Long, String> offers, List<Rejected> rejected, long lowerReads, String reading, Reading service) {
 
 		private static Configuration of(ConfigurationState state) {
 			Map<Long, String> offers = new TreeMap<>();
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/fleet/FleetEffects.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/fleet/FleetEffects.java
@@ -111,9 +111,10 @@
 	}
 
 	private void readPart(ConfigurationEffect.ReadPart read) {
-		ConfigurationEvent failed = new ConfigurationEvent.PartFailed(read.part());
 		submit(this.platform.value(ConfigurationBundle.partKey(read.part()), 0, 0),
-				(part) -> new ConfigurationEvent.PartRead(read.part(), part.value()), failed, (reason) -> failed);
+				(part) -> new ConfigurationEvent.PartRead(read.part(), part.value()),
+				new ConfigurationEvent.PartFailed(read.part(), "not changed"),
+				(reason) -> new ConfigurationEvent.PartFailed(read.part(), reason));
 	}
 
 	private <T> void submit(CompletableFuture<Optional<PlatformClient.Indexed<T>>> reading,
@@ -151,6 +152,9 @@
 			noteRecovery("configuration-service", this.headFailing);
 			this.headFailing = false;
 		}
+		else if (event instanceof ConfigurationEvent.PartFailed failed) {
+			noteFailure("part " + failed.part(), failed.reason(), false);
+		}
 		else if (event instanceof MembershipEvent.ListFailed failed) {
 			noteFailure("list-of-instances", failed.reason(), this.listFailing);
 			this.listFailing = true;
