--- /dev/null
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/AgentPeers.java
@@ -0,0 +1,64 @@
+package org.catkingate.agent;
+
+import org.catkingate.agent.idempotency.KeyExchange;
+import org.catkingate.agent.requests.AgentRequests;
+import org.catkingate.agent.weights.WeightsDistribution;
+import org.catkingate.runtime.peers.PeerConnection;
+import org.catkingate.runtime.peers.PeerListener;
+import org.catkingate.wire.Keys;
+import org.catkingate.wire.Message;
+import org.catkingate.wire.Weights;
+
+/**
+ * Hands each message of a peer to the part of the agent that it is for. Immutable and
+ * safe for use by any thread.
+ */
+final class AgentPeers implements PeerListener {
+
+	private final AgentRequests requests;
+
+	private final WeightsDistribution weights;
+
+	private final KeyExchange keys;
+
+	private AgentPeers(AgentRequests requests, WeightsDistribution weights, KeyExchange keys) {
+		this.requests = requests;
+		this.weights = weights;
+		this.keys = keys;
+	}
+
+	static AgentPeers sharing(AgentRequests requests, WeightsDistribution weights, KeyExchange keys) {
+		return new AgentPeers(requests, weights, keys);
+	}
+
+	@Override
+	public void opened(PeerConnection connection) {
+		this.requests.opened(connection);
+		this.weights.opened(connection);
+	}
+
+	@Override
+	public void received(PeerConnection connection, Message message) {
+		if (message instanceof Weights weightsMessage) {
+			this.weights.received(connection, weightsMessage);
+		}
+		else if (message instanceof Keys keysMessage) {
+			this.keys.received(connection, keysMessage);
+		}
+		else {
+			this.requests.received(connection, message);
+		}
+	}
+
+	@Override
+	public void lost(PeerConnection connection) {
+		this.requests.lost(connection);
+		this.weights.lost(connection);
+	}
+
+	@Override
+	public void drained(PeerConnection connection) {
+		this.requests.drained(connection);
+	}
+
+}
--- /dev/null
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/AgentProcess.java
@@ -0,0 +1,262 @@
+package org.catkingate.agent;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+import org.catkingate.agent.idempotency.KeyExchange;
+import org.catkingate.agent.idempotency.KeyTable;
+import org.catkingate.agent.idempotency.TicketOffice;
+import org.catkingate.agent.requests.AgentRequestSettings;
+import org.catkingate.agent.requests.AgentRequests;
+import org.catkingate.agent.requests.RunnerEndpoint;
+import org.catkingate.agent.runners.RunnerGate;
+import org.catkingate.agent.weights.WeightsDistribution;
+import org.catkingate.agent.weights.WeightsSettings;
+import org.catkingate.decisions.distribution.Member;
+import org.catkingate.decisions.distribution.Preference;
+import org.catkingate.decisions.idempotency.KeyHome;
+import org.catkingate.decisions.idempotency.VouchingTimes;
+import org.catkingate.decisions.membership.FleetSnapshot;
+import org.catkingate.decisions.membership.Self;
+import org.catkingate.model.InstanceRecord;
+import org.catkingate.model.RunnerId;
+import org.catkingate.model.RunnerStatus;
+import org.catkingate.model.ServiceName;
+import org.catkingate.model.published.PublishedConfiguration;
+import org.catkingate.runtime.MonotonicClock;
+import org.catkingate.runtime.fleet.Fleet;
+import org.catkingate.runtime.fleet.FleetSettings;
+import org.catkingate.runtime.fleet.ListListener;
+import org.catkingate.runtime.operators.OperatorsEndpoint;
+import org.catkingate.runtime.operators.Readiness;
+import org.catkingate.runtime.process.GracefulEnd;
+import org.catkingate.runtime.process.RunningProcess;
+import org.catkingate.runtime.process.Selves;
+import org.catkingate.runtime.settings.ProcessSettings;
+
+/**
+ * A whole agent. Safe for use by any thread.
+ *
+ * @since 0.1
+ */
+public final class AgentProcess implements RunningProcess, ListListener {
+
+	private static final Logger logger = LoggerFactory.getLogger(AgentProcess.class);
+
+	private static final long KEY_TICK_MILLIS = 1000;
+
+	private final ProcessSettings settings;
+
+	private final MonotonicClock clock;
+
+	private final Self self;
+
+	private final Readiness readiness = Readiness.starting();
+
+	private final List<RunnerGate> gates = new ArrayList<>();
+
+	private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(AgentProcess::daemon);
+
+	private final XnioWorker worker;
+
+	private final Fleet fleet;
+
+	private final ContactDemand contacts;
+
+	private final KeyExchange keys;
+
+	private final KeyTable keyTable;
+
+	private final AgentRequests requests;
+
+	private final WeightsDistribution weights;
+
+	private final OperatorsEndpoint operators;
+
+	private final GracefulEnd end;
+
+	// used by the control thread only
+	private List<InstanceRecord> listed = List.of();
+
+	private AgentProcess(ProcessSettings settings, MonotonicClock clock) throws IOException {
+		this.settings = settings;
+		this.clock = clock;
+		this.self = Selves.of(settings.process());
+		settings.runners().forEach((runner) -> this.gates.add(RunnerGate.closed(runner.id(), runner.service())));
+		this.worker = Xnio.getInstance().createWorker(workerOptions());
+		this.fleet = Fleet.create(fleetSettings(), clock);
+		this.contacts = ContactDemand.of(this.fleet);
+		this.keys = keyExchange();
+		TicketOffice tickets = TicketOffice.open(this.self.instance(), this.self.incarnation(), clock);
+		this.keyTable = KeyTable.create(this.keys, tickets, clock);
+		this.weights = WeightsDistribution.start(weightsSettings(), this.worker, this.fleet, this.contacts, this.gates,
+				this::runnersChanged, clock);
+		this.requests = AgentRequests.start(endpoints(), this.fleet::snapshot, this.fleet::heartbeatAgeMillis,
+				this.keyTable, clock, AgentRequestSettings.defaults());
+		this.fleet.setLoads(this::loads);
+		this.fleet.onSnapshotChange(this::fleetChanged);
+		this.fleet.onList(this);
+		this.fleet.start(AgentPeers.sharing(this.requests, this.weights, this.keys));
+		this.timer.scheduleAtFixedRate(this.keys::tick, KEY_TICK_MILLIS, KEY_TICK_MILLIS, TimeUnit.MILLISECONDS);
+		this.operators = OperatorsEndpoint.start(settings.operators().listen(), this.readiness, metrics(), this::state);
+		this.end = GracefulEnd.with(settings.shutdown(), this.readiness, clock);
+	}
+
+	/**
+	 * Starts an agent.
+	 * @param settings the settings
+	 * @return the running agent, never null
+	 * @throws IOException if an address cannot be used
+	 */
+	public static AgentProcess start(ProcessSettings settings) throws IOException {
+		AgentProcess process = new AgentProcess(settings, MonotonicClock.system());
+		logger.atInfo()
+			.addKeyValue("event", "started")
+			.addKeyValue("instance", settings.process().instance())
+			.addKeyValue("peers", process.fleet.address().orElse(null))
+			.addKeyValue("operators", process.operators.address())
+			.log("the agent has started");
+		return process;
+	}
+
+	private static Thread daemon(Runnable task) {
+		Thread thread = new Thread(task, "keys");
+		thread.setDaemon(true);
+		return thread;
+	}
+
+	private static OptionMap workerOptions() {
+		return OptionMap.builder()
+			.set(Options.WORKER_IO_THREADS, 1)
+			.set(Options.WORKER_TASK_CORE_THREADS, 1)
+			.set(Options.WORKER_TASK_MAX_THREADS, 1)
+			.set(Options.THREAD_DAEMON, true)
+			.set(Options.WORKER_NAME, "outside")
+			.getMap();
+	}
+
+	private FleetSettings fleetSettings() {
+		return new FleetSettings(this.self, this.settings.platform().configuration(),
+				this.settings.platform().instances(), this.settings.peers().listen(), this.settings.peers().sharedKey(),
+				this.settings.peers().ioThreads());
+	}
+
+	private KeyExchange keyExchange() {
+		InetSocketAddress listen = this.settings.peers().listen();
+		KeyHome home = new KeyHome(this.self.instance(), listen.getAddress().getHostAddress(), listen.getPort());
+		Map<ServiceName, Integer> counts = new HashMap<>();
+		this.gates.forEach((gate) -> counts.merge(gate.service(), 1, Integer::sum));
+		return KeyExchange.start(home, counts, VouchingTimes.ordinary(), this.fleet, this.clock,
+				InstantSource.system()::millis);
+	}
+
+	private WeightsSettings weightsSettings() {
+		ProcessSettings.Weights chosen = this.settings.weights();
+		Preference preference = (chosen.preference() == ProcessSettings.Preference.TIME) ? Preference.TIME
+				: Preference.ORIGIN_BYTES;
+		WeightsSettings.Rates rates = new WeightsSettings.Rates(chosen.originBytesPerSecond(),
+				chosen.storeBytesPerSecond(), chosen.linkBytesPerSecond(), chosen.linkBytesPerSecond());
+		List<WeightsSettings.Runner> runners = this.settings.runners()
+			.stream()
+			.map((runner) -> new WeightsSettings.Runner(runner.id(), runner.service(), url(runner.address())))
+			.toList();
+		Member own = new Member(this.self.instance(), this.self.dataCentre(), this.self.region());
+		return new WeightsSettings(own, this.self.labels(), chosen.memoryBytes(), chosen.origin(), chosen.store(),
+				preference, rates, InstantSource.system().instant().getEpochSecond(), runners);
+	}
+
+	private static URI url(InetSocketAddress address) {
+		return URI.create("http://" + address.getHostString() + ":" + address.getPort());
+	}
+
+	private List<RunnerEndpoint> endpoints() {
+		List<RunnerEndpoint> endpoints = new ArrayList<>();
+		for (int i = 0; i < this.gates.size(); i++) {
+			endpoints.add(new RunnerEndpoint(this.gates.get(i), this.settings.runners().get(i).address()));
+		}
+		return endpoints;
+	}
+
+	private List<Integer> loads() {
+		return this.gates.stream().map((gate) -> this.requests.load(gate.runner())).toList();
+	}
+
+	private void runnersChanged(List<RunnerStatus> statuses) {
+		this.fleet.setRunners(inOrderOfGates(statuses));
+	}
+
+	private List<RunnerStatus> inOrderOfGates(List<RunnerStatus> statuses) {
+		Map<RunnerId, RunnerStatus> byRunner = new HashMap<>();
+		statuses.forEach((status) -> byRunner.put(status.runner(), status));
+		return this.gates.stream()
+			.map((gate) -> byRunner.get(gate.runner()))
+			.filter((status) -> status != null)
+			.toList();
+	}
+
+	private void fleetChanged(FleetSnapshot snapshot) {
+		this.weights.fleetChanged(snapshot);
+		tellKeys(snapshot.configuration());
+		if (this.readiness.phase() == Readiness.Phase.STARTING && this.fleet.isReady()) {
+			this.readiness.ready();
+			logger.atInfo().addKeyValue("event", "ready").log("the agent knows a configuration");
+		}
+	}
+
+	private void tellKeys(PublishedConfiguration configuration) {
+		this.keys.fleet(configuration, this.listed);
+		this.contacts.ofKeys(this.keys.neededPeers());
+	}
+
+	@Override
+	public void listRead(long askedAtMillis, List<InstanceRecord> instances) {
+		this.listed = instances;
+		tellKeys(this.fleet.snapshot().configuration());
+		this.keys.listConfirmed(askedAtMillis);
+	}
+
+	@Override
+	public void listConfirmed(long askedAtMillis) {
+		this.keys.listConfirmed(askedAtMillis);
+	}
+
+	private PrometheusRegistry metrics() {
+		return AgentMetrics.of(this.fleet, this.requests, this.weights, this.keyTable.counts());
+	}
+
+	private AgentDump state() {
+		return AgentDump.of(this.readiness.phase(), this.fleet, this.gates, this.requests, this.weights, this.keyTable);
+	}
+
+	@Override
+	public void stop() {
+		this.end.run(this.fleet::drain, this.requests::drain, this.requests::inProgress, this::close);
+	}
+
+	private void close() {
+		this.timer.shutdownNow();
+		this.requests.close();
+		this.weights.close();
+		this.fleet.close();
+		this.operators.close();
+		this.worker.shutdownNow();
+	}
+
+}
--- a/catkingate-agent/src/main/java/org/catkingate/agent/idempotency/KeyExchange.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/idempotency/KeyExchange.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.LongSupplier;
 
 import org.catkingate.decisions.Effect;
@@ -17,6 +19,7 @@
 import org.catkingate.decisions.idempotency.KeyScope;
 import org.catkingate.decisions.idempotency.KeyState;
 import org.catkingate.decisions.idempotency.KeyStatement;
+import org.catkingate.decisions.idempotency.ServiceKeys;
 import org.catkingate.decisions.idempotency.ServiceView;
 import org.catkingate.decisions.idempotency.Verdict;
 import org.catkingate.decisions.idempotency.Vouching;
@@ -145,6 +148,20 @@
 		return new KeyStatement(speaker, message.runners(), message.coveredMillis(), views);
 	}
 
+	/**
+	 * Finds the agents that this one must be connected to, to vouch for keys.
+	 * @return the instances in order, without this agent's own
+	 */
+	public Set<InstanceId> neededPeers() {
+		KeyState known = state();
+		Set<InstanceId> needed = new TreeSet<>();
+		for (ServiceKeys service : known.services().values()) {
+			service.members().forEach((member) -> needed.add(member.instance()));
+		}
+		needed.remove(known.own().instance());
+		return needed;
+	}
+
 	/**
 	 * Judges a caller's key.
 	 * @param scope the key
--- a/catkingate-cli/src/main/java/org/catkingate/cli/CommandLine.java
+++ b/catkingate-cli/src/main/java/org/catkingate/cli/CommandLine.java
@@ -28,6 +28,8 @@
 
 	static CommandLine withAllCommands(PrintStream out, PrintStream err) {
 		CommandLine commandLine = new CommandLine(out, err);
+		commandLine.commands.put("agent", new AgentCommand());
+		commandLine.commands.put("entry", new EntryCommand());
 		commandLine.commands.put("check", new CheckCommand(out));
 		commandLine.commands.put("dump", new DumpCommand(out));
 		commandLine.commands.put("version", new VersionCommand(out));
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/idempotency/ServiceKeys.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/idempotency/ServiceKeys.java
@@ -1,5 +1,6 @@
 package org.catkingate.decisions.idempotency;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
@@ -62,6 +63,14 @@
 				this.history.stated(nowMillis));
 	}
 
+	/**
+	 * Returns the agents of the service, by the own view.
+	 * @return the members of the newest view
+	 */
+	public Collection<KeyHome> members() {
+		return this.history.latest().members();
+	}
+
 	/**
 	 * A statement and when it was asked for. Immutable.
 	 *
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/membership/FleetSnapshot.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/membership/FleetSnapshot.java
@@ -12,15 +12,28 @@
  *
  * @param configuration the configuration in force
  * @param agents the agents by instance
+ * @param entries how many entries serve, as far as the list tells; at least 1
  * @since 0.1
  */
-public record FleetSnapshot(PublishedConfiguration configuration, Map<InstanceId, AgentView> agents) {
+public record FleetSnapshot(PublishedConfiguration configuration, Map<InstanceId, AgentView> agents, int entries) {
 
-	private static final FleetSnapshot EMPTY = new FleetSnapshot(PublishedConfiguration.empty(), Map.of());
+	private static final FleetSnapshot EMPTY = new FleetSnapshot(PublishedConfiguration.empty(), Map.of(), 1);
 
 	public FleetSnapshot {
 		Objects.requireNonNull(configuration, "configuration must not be null");
 		agents = Map.copyOf(agents);
+		if (entries < 1) {
+			throw new IllegalArgumentException("entries must be positive");
+		}
+	}
+
+	/**
+	 * Makes a snapshot with one entry.
+	 * @param configuration the configuration in force
+	 * @param agents the agents by instance
+	 */
+	public FleetSnapshot(PublishedConfiguration configuration, Map<InstanceId, AgentView> agents) {
+		this(configuration, agents, 1);
 	}
 
 	/**
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/membership/MembershipEvent.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/membership/MembershipEvent.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 
 import org.catkingate.decisions.Event;
 import org.catkingate.model.DataCentreName;
@@ -110,6 +111,19 @@
 
 	}
 
+	/**
+	 * Other parts of this process want to be in contact with agents.
+	 *
+	 * @param agents all that they want, in place of those before
+	 */
+	record ContactsDemanded(Set<InstanceId> agents) implements MembershipEvent {
+
+		public ContactsDemanded {
+			agents = Set.copyOf(agents);
+		}
+
+	}
+
 	/**
 	 * Time has passed.
 	 *
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/membership/MembershipReducer.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/membership/MembershipReducer.java
@@ -47,6 +47,9 @@
 		else if (event instanceof MembershipEvent.ConfigurationInForce adopted) {
 			work.configurationInForce(adopted.configuration());
 		}
+		else if (event instanceof MembershipEvent.ContactsDemanded demanded) {
+			work.contactsDemanded(demanded.agents());
+		}
 		else {
 			reduceList(work, event);
 		}
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/membership/MembershipState.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/membership/MembershipState.java
@@ -24,6 +24,7 @@
  * @param instances the instances remembered, without this one
  * @param links the open links by number; a higher number is newer
  * @param wanted the agents that this process keeps contact with
+ * @param demanded the agents that other parts of this process want contact with
  * @param lastTickMillis when the last tick was, in milliseconds; 0 before the first
  * @param sequence the sequence of the last heartbeat sent
  * @param heartbeatAtMillis when the next heartbeat is due, in milliseconds
@@ -35,13 +36,14 @@
  */
 public record MembershipState(Self self, PublishedConfiguration configuration,
 		SortedMap<InstanceId, KnownInstance> instances, SortedMap<Long, Link> links, SortedSet<InstanceId> wanted,
-		long lastTickMillis, long sequence, long heartbeatAtMillis, ReadSchedule list, boolean listKnown,
-		long doubtSinceMillis, FleetSnapshot snapshot) {
+		Set<InstanceId> demanded, long lastTickMillis, long sequence, long heartbeatAtMillis, ReadSchedule list,
+		boolean listKnown, long doubtSinceMillis, FleetSnapshot snapshot) {
 
 	public MembershipState {
 		Objects.requireNonNull(self, "self must not be null");
 		instances = Collections.unmodifiableSortedMap(new TreeMap<>(instances));
 		links = Collections.unmodifiableSortedMap(new TreeMap<>(links));
+		demanded = Set.copyOf(demanded);
 		wanted = Collections.unmodifiableSortedSet(new TreeSet<>(wanted));
 	}
 
@@ -54,7 +56,7 @@
 	public static MembershipState starting(Self self, long nowMillis) {
 		ReadSchedule list = ReadSchedule.startingAt(nowMillis, self.incarnation()).at(nowMillis, ReadPace.CLOSE, 1);
 		return new MembershipState(self, PublishedConfiguration.empty(), new TreeMap<>(Map.of()),
-				new TreeMap<>(Map.of()), new TreeSet<>(Set.of()), 0, 0, nowMillis, list, false, 0,
+				new TreeMap<>(Map.of()), new TreeSet<>(Set.of()), Set.of(), 0, 0, nowMillis, list, false, 0,
 				FleetSnapshot.empty());
 	}
 
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/membership/MembershipWork.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/membership/MembershipWork.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SortedMap;
 import java.util.SortedSet;
 import java.util.TreeMap;
@@ -47,6 +48,8 @@
 
 	private SortedSet<InstanceId> wanted;
 
+	private Set<InstanceId> demanded;
+
 	private long lastTick;
 
 	private long sequence;
@@ -67,6 +70,7 @@
 		this.published = state.snapshot();
 		this.configuration = state.configuration();
 		this.wanted = state.wanted();
+		this.demanded = state.demanded();
 		this.lastTick = state.lastTickMillis();
 		this.sequence = state.sequence();
 		this.heartbeatAt = state.heartbeatAtMillis();
@@ -76,7 +80,7 @@
 	}
 
 	Step<MembershipState> finish() {
-		FleetSnapshot snapshot = Views.snapshot(this.configuration, this.instances, this.links);
+		FleetSnapshot snapshot = Views.snapshot(this.self, this.configuration, this.instances, this.links);
 		if (snapshot.equals(this.published)) {
 			snapshot = this.published;
 		}
@@ -84,8 +88,8 @@
 			this.effects.add(new MembershipEffect.PublishSnapshot(snapshot));
 		}
 		MembershipState state = new MembershipState(this.self, this.configuration, this.instances, this.links,
-				this.wanted, this.lastTick, this.sequence, this.heartbeatAt, this.list, this.listKnown, this.doubtSince,
-				snapshot);
+				this.wanted, this.demanded, this.lastTick, this.sequence, this.heartbeatAt, this.list, this.listKnown,
+				this.doubtSince, snapshot);
 		return new Step<>(state, List.copyOf(this.effects));
 	}
 
@@ -94,6 +98,11 @@
 		chooseContacts();
 	}
 
+	void contactsDemanded(Set<InstanceId> agents) {
+		this.demanded = agents;
+		chooseContacts();
+	}
+
 	void listRead(long index, List<InstanceRecord> records) {
 		boolean keepMissing = isDoubtful(records);
 		Map<InstanceId, InstanceRecord> byId = new HashMap<>();
@@ -306,6 +315,7 @@
 	private void chooseContacts() {
 		this.wanted = ContactPlan.choose(this.self, this.configuration,
 				this.instances.values().stream().map(KnownInstance::instance).toList());
+		this.demanded.stream().filter(this.instances::containsKey).forEach(this.wanted::add);
 	}
 
 }
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/membership/Views.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/membership/Views.java
@@ -17,20 +17,24 @@
 	private Views() {
 	}
 
-	static FleetSnapshot snapshot(PublishedConfiguration configuration, Map<InstanceId, KnownInstance> instances,
-			Map<Long, Link> links) {
+	static FleetSnapshot snapshot(Self self, PublishedConfiguration configuration,
+			Map<InstanceId, KnownInstance> instances, Map<Long, Link> links) {
 		Map<InstanceId, Link> best = new HashMap<>();
 		for (Link link : links.values()) {
 			best.merge(link.peer().instance(), link, Views::better);
 		}
 		Map<InstanceId, AgentView> agents = new HashMap<>();
+		int entries = (self.role() == Role.ENTRY) ? 1 : 0;
 		for (KnownInstance known : instances.values()) {
 			InstanceRecord instance = known.instance();
 			if (instance.role() == Role.AGENT) {
 				agents.put(instance.id(), view(instance, best.get(instance.id())));
 			}
+			else if (known.isListed() && !instance.leaving()) {
+				entries++;
+			}
 		}
-		return new FleetSnapshot(configuration, agents);
+		return new FleetSnapshot(configuration, agents, Math.max(1, entries));
 	}
 
 	private static Link better(Link one, Link other) {
--- /dev/null
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/EntryProcess.java
@@ -0,0 +1,172 @@
+package org.catkingate.entry;
+
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.LongAdder;
+
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.instrumentation.jvm.JvmMetrics;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.catkingate.decisions.membership.Self;
+import org.catkingate.decisions.routing.Location;
+import org.catkingate.runtime.MonotonicClock;
+import org.catkingate.runtime.fleet.Fleet;
+import org.catkingate.runtime.fleet.FleetDump;
+import org.catkingate.runtime.fleet.FleetSettings;
+import org.catkingate.runtime.operators.OperatorsEndpoint;
+import org.catkingate.runtime.operators.Readiness;
+import org.catkingate.runtime.process.GracefulEnd;
+import org.catkingate.runtime.process.RunningProcess;
+import org.catkingate.runtime.process.Selves;
+import org.catkingate.runtime.settings.ProcessSettings;
+
+/**
+ * A whole entry. Safe for use by any thread.
+ *
+ * @since 0.1
+ */
+public final class EntryProcess implements RunningProcess {
+
+	private static final Logger logger = LoggerFactory.getLogger(EntryProcess.class);
+
+	private final Readiness readiness = Readiness.starting();
+
+	private final PrometheusRegistry metrics = new PrometheusRegistry();
+
+	private final Fleet fleet;
+
+	private final EntryRequests requests;
+
+	private final OperatorsEndpoint operators;
+
+	private final GracefulEnd end;
+
+	private EntryProcess(ProcessSettings settings, MonotonicClock clock) throws IOException {
+		Self self = Selves.of(settings.process());
+		this.fleet = Fleet.create(fleetSettings(settings, self), clock);
+		this.requests = EntryRequests.start(requestSettings(settings.callers()),
+				new Location(self.dataCentre(), self.region()), this.fleet::snapshot, this.fleet,
+				() -> this.fleet.snapshot().entries(), EntryPolicies.standard(new SecureRandom().nextLong()), clock);
+		this.fleet.onSnapshotChange((snapshot) -> turnReady());
+		this.fleet.start(this.requests);
+		registerMetrics();
+		this.operators = OperatorsEndpoint.start(settings.operators().listen(), this.readiness, this.metrics,
+				this::state);
+		this.end = GracefulEnd.with(settings.shutdown(), this.readiness, clock);
+	}
+
+	/**
+	 * Starts an entry. It serves at once what it can and is ready once it knows a
+	 * configuration.
+	 * @param settings the settings
+	 * @return the running entry, never null
+	 * @throws IOException if an address cannot be used
+	 */
+	public static EntryProcess start(ProcessSettings settings) throws IOException {
+		EntryProcess process = new EntryProcess(settings, MonotonicClock.system());
+		logger.atInfo()
+			.addKeyValue("event", "started")
+			.addKeyValue("instance", settings.process().instance())
+			.addKeyValue("callers", process.requests.address())
+			.addKeyValue("operators", process.operators.address())
+			.log("the entry has started");
+		return process;
+	}
+
+	private static FleetSettings fleetSettings(ProcessSettings settings, Self self) {
+		return new FleetSettings(self, settings.platform().configuration(), settings.platform().instances(), null,
+				settings.peers().sharedKey(), settings.peers().ioThreads());
+	}
+
+	private static EntrySettings requestSettings(ProcessSettings.Callers callers) {
+		EntrySettings defaults = EntrySettings.listeningOn(callers.listen());
+		return new EntrySettings(callers.listen(), callers.ioThreads(), callers.maximumBodyBytes(),
+				callers.maximumHeaderBytes(), defaults.maximumConnections(), defaults.headTimeoutMillis(),
+				defaults.bodyTimeoutMillis(), defaults.idleTimeoutMillis(), callers.requestTimeoutMillis(),
+				defaults.maximumDeadlineMillis(), defaults.attachPatienceMillis());
+	}
+
+	private void turnReady() {
+		if (this.readiness.phase() == Readiness.Phase.STARTING && this.fleet.isReady()) {
+			this.readiness.ready();
+			logger.atInfo().addKeyValue("event", "ready").log("callers may be sent here");
+		}
+	}
+
+	private void registerMetrics() {
+		JvmMetrics.builder().register(this.metrics);
+		EntryCounts counts = this.requests.counts();
+		counter("catkingate_requests_started", "Requests taken in", counts.started());
+		counter("catkingate_requests_answered", "Requests answered whole", counts.answered());
+		counter("catkingate_requests_retried", "Attempts beyond the first", counts.retries());
+		counter("catkingate_attempts_refused", "Attempts that an agent refused as not run", counts.refusedByAgents());
+		counter("catkingate_callers_left", "Requests whose caller left before the end", counts.callersLeft());
+		CounterWithCallback.builder()
+			.name("catkingate_requests_failed")
+			.help("Failures that callers were told, by kind")
+			.labelNames("kind")
+			.callback((callback) -> counts.failures().forEach((kind, count) -> callback.call(count.sum(), kind.name())))
+			.register(this.metrics);
+		GaugeWithCallback.builder()
+			.name("catkingate_requests_in_progress")
+			.help("Requests in progress")
+			.callback((callback) -> callback.call(this.requests.inProgress()))
+			.register(this.metrics);
+		GaugeWithCallback.builder()
+			.name("catkingate_configuration_revision")
+			.help("The revision in force")
+			.callback((callback) -> callback.call(this.fleet.snapshot().configuration().version().revision()))
+			.register(this.metrics);
+	}
+
+	private void counter(String name, String help, LongAdder count) {
+		CounterWithCallback.builder()
+			.name(name)
+			.help(help)
+			.callback((callback) -> callback.call(count.sum()))
+			.register(this.metrics);
+	}
+
+	private EntryDump state() {
+		EntryCounts counts = this.requests.counts();
+		Map<String, Long> failures = new TreeMap<>();
+		counts.failures().forEach((kind, count) -> failures.put(kind.name(), count.sum()));
+		return new EntryDump(this.readiness.phase(), this.fleet.dump().orElse(null),
+				VersionReplicas.of(this.fleet.snapshot()), this.requests.inProgress(), counts.started().sum(),
+				counts.answered().sum(), failures);
+	}
+
+	@Override
+	public void stop() {
+		this.end.run(this.requests::announceLeaving, this.requests::takeNoMore, this.requests::inProgress, this::close);
+	}
+
+	private void close() {
+		this.requests.close();
+		this.fleet.close();
+		this.operators.close();
+	}
+
+	/**
+	 * The state of an entry for operators. Immutable.
+	 *
+	 * @param phase the phase in the life of the process
+	 * @param fleet what it knows of the fleet
+	 * @param versions how many runners serve each version
+	 * @param requestsInProgress requests in progress
+	 * @param requestsStarted requests taken in
+	 * @param requestsAnswered requests answered whole
+	 * @param requestsFailed failures that callers were told, by kind
+	 */
+	record EntryDump(Readiness.Phase phase, FleetDump fleet, Map<String, VersionReplicas> versions,
+			long requestsInProgress, long requestsStarted, long requestsAnswered, Map<String, Long> requestsFailed) {
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/VersionReplicas.java
@@ -0,0 +1,45 @@
+package org.catkingate.entry;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.catkingate.decisions.membership.AgentView;
+import org.catkingate.decisions.membership.FleetSnapshot;
+import org.catkingate.model.RunnerStatus;
+import org.catkingate.model.published.WeightsVersion;
+
+/**
+ * How far a version has come, as far as this process is in contact with the agents.
+ * Immutable and safe for use by any thread.
+ *
+ * @param serving how many runners serve it
+ * @param selected how many runners it belongs on
+ */
+record VersionReplicas(int serving, int selected) {
+
+	static Map<String, VersionReplicas> of(FleetSnapshot fleet) {
+		Map<String, VersionReplicas> versions = new TreeMap<>();
+		fleet.configuration()
+			.versions()
+			.values()
+			.stream()
+			.filter((version) -> !version.withdrawn())
+			.forEach((version) -> versions.put(version.id().toString(), count(fleet, version)));
+		return versions;
+	}
+
+	private static VersionReplicas count(FleetSnapshot fleet, WeightsVersion version) {
+		int serving = 0;
+		int selected = 0;
+		for (AgentView agent : fleet.agents().values()) {
+			boolean belongs = version.selector().matches(agent.instance().labels());
+			for (RunnerStatus runner : agent.runners()) {
+				boolean ofService = runner.service().equals(version.service());
+				selected += (belongs && ofService) ? 1 : 0;
+				serving += (runner.admitting() && version.id().equals(runner.version())) ? 1 : 0;
+			}
+		}
+		return new VersionReplicas(serving, selected);
+	}
+
+}
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/fleet/Fleet.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/fleet/Fleet.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
@@ -58,6 +59,12 @@
 
 	private final List<Consumer<FleetSnapshot>> listeners = new CopyOnWriteArrayList<>();
 
+	private final List<ListListener> listListeners = new CopyOnWriteArrayList<>();
+
+	private long listAskedAtMillis;
+
+	private volatile Set<InstanceId> demandedAtStart = Set.of();
+
 	private volatile PeerManager peers;
 
 	private volatile PlatformClient platform;
@@ -113,14 +120,26 @@
 		FleetReducer reducer = FleetReducer.create();
 		this.loop = ControlLoop.start(FleetState.starting(self, this.clock.millis()), (state, now, event) -> {
 			effects.note(event);
+			tellList(event);
 			return reducer.reduce(state, now, event);
 		}, effects, this.clock, this::tick, MembershipTimes.TICK_MILLIS);
 		if (this.settings.listen() != null) {
 			this.address = this.peers.listen(this.settings.listen());
 		}
+		submit(new MembershipEvent.ContactsDemanded(this.demandedAtStart));
 		this.started.countDown();
 	}
 
+	// only one read of the list is in progress at a time
+	private void tellList(Event event) {
+		if (event instanceof MembershipEvent.ListRead read) {
+			this.listListeners.forEach((listener) -> listener.listRead(this.listAskedAtMillis, read.instances()));
+		}
+		else if (event instanceof MembershipEvent.ListUnchanged) {
+			this.listListeners.forEach((listener) -> listener.listConfirmed(this.listAskedAtMillis));
+		}
+	}
+
 	private Event tick() {
 		try {
 			this.started.await();
@@ -136,7 +155,10 @@
 	}
 
 	private void publish(Effect effect) {
-		if (effect instanceof MembershipEffect.PublishSnapshot published) {
+		if (effect instanceof MembershipEffect.ReadList) {
+			this.listAskedAtMillis = this.clock.millis();
+		}
+		else if (effect instanceof MembershipEffect.PublishSnapshot published) {
 			this.snapshot = published.snapshot();
 			this.listeners.forEach((listener) -> listener.accept(published.snapshot()));
 		}
@@ -194,6 +216,28 @@
 		this.listeners.add(listener);
 	}
 
+	/**
+	 * Adds a listener to what the platform answers about its list.
+	 * @param listener the listener
+	 */
+	public void onList(ListListener listener) {
+		this.listListeners.add(listener);
+	}
+
+	/**
+	 * Keeps contact with more agents than membership chooses by itself.
+	 * @param agents all that are wanted besides, in place of those given before
+	 */
+	public void keepContact(Set<InstanceId> agents) {
+		ControlLoop<FleetState> running = this.loop;
+		if (running != null) {
+			running.submit(new MembershipEvent.ContactsDemanded(agents));
+		}
+		else {
+			this.demandedAtStart = Set.copyOf(agents);
+		}
+	}
+
 	@Override
 	public Optional<PeerConnection> to(InstanceId instance) {
 		PeerManager manager = this.peers;
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/fleet/FleetEffects.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/fleet/FleetEffects.java
@@ -67,6 +67,7 @@
 				.log("this process was paused and checks its peers again");
 		}
 		else if (effect instanceof MembershipEffect.ReadList read) {
+			this.published.accept(effect);
 			readList(read);
 		}
 		else if (effect instanceof ConfigurationEffect) {
