--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/configuration/Transfer.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/configuration/Transfer.java
@@ -34,7 +34,11 @@
 		return new Transfer(head, parsed, Map.of(), 0, "", nowMillis);
 	}
 
-	ConfigurationVersion version() {
+	/**
+	 * Returns the version whose parts are being read.
+	 * @return the version, never null
+	 */
+	public ConfigurationVersion version() {
 		return this.parsed.version();
 	}
 
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/fleet/FleetDump.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/fleet/FleetDump.java
@@ -7,6 +7,7 @@
 
 import org.catkingate.decisions.configuration.ConfigurationState;
 import org.catkingate.decisions.configuration.Rejection;
+import org.catkingate.decisions.configuration.Transfer;
 import org.catkingate.decisions.fleet.FleetState;
 import org.catkingate.decisions.membership.AgentView;
 import org.catkingate.decisions.membership.Link;
@@ -64,7 +65,11 @@
 			state.offers().forEach((link, offer) -> offers.put(link, offer.version().toString()));
 			return new Configuration(state.version().revision(), state.version().toString(), state.startup().finished(),
 					state.parts().size(), offers, state.rejections().stream().map(Rejected::of).toList(),
-					state.lowerReads(), Reading.of(state.head()));
+					state.lowerReads(), reading(state.transfer()), Reading.of(state.head()));
+		}
+
+		private static String reading(Transfer transfer) {
+			return (transfer != null) ? (transfer.version() + " " + transfer.reason()).strip() : "";
 		}
 
 	}
--- a/catkingate-runtime/src/test/java/org/catkingate/runtime/fleet/FleetTests.java
+++ b/catkingate-runtime/src/test/java/org/catkingate/runtime/fleet/FleetTests.java
@@ -58,7 +58,7 @@
 			Fleet agent = FleetTests.this.fleet.agent("a1");
 			InetSocketAddress address = agent.address().orElseThrow();
 			try (Proxy proxy = Proxy.start("--listen", "127.0.0.1:0", "--target", "127.0.0.1:" + address.getPort())) {
-				FleetTests.this.fleet.list("a1", "agent", proxy.address());
+				FleetTests.this.fleet.list("a1", proxy.address());
 				Fleet entry = FleetTests.this.fleet.entry("e1");
 				SmallFleet.eventually().until(() -> SmallFleet.givesWork(entry, "a1"));
 				proxy.configure("--blackhole", "true");
--- a/catkingate-runtime/src/test/java/org/catkingate/runtime/fleet/SmallFleet.java
+++ b/catkingate-runtime/src/test/java/org/catkingate/runtime/fleet/SmallFleet.java
@@ -65,7 +65,12 @@
 	}
 
 	Fleet entry(String name) throws IOException {
-		return start(name, Role.ENTRY, url(this.platform.address()));
+		return entry(name, MonotonicClock.system());
+	}
+
+	Fleet entry(String name, MonotonicClock clock) throws IOException {
+		URI url = url(this.platform.address());
+		return start(self(name, Role.ENTRY, "r1"), url, url, clock);
 	}
 
 	Fleet agent(String name) throws IOException {
@@ -73,34 +78,46 @@
 	}
 
 	Fleet agent(String name, URI configuration) throws IOException {
-		Fleet fleet = start(name, Role.AGENT, configuration);
-		list(name, "agent", fleet.address().orElseThrow());
+		return agent(name, "r1", configuration, this.platform);
+	}
+
+	Fleet agent(String name, String region, URI configuration, Platform lister) throws IOException {
+		Fleet fleet = start(self(name, Role.AGENT, region), configuration, url(lister.address()),
+				MonotonicClock.system());
+		list(lister, name, region, fleet.address().orElseThrow());
 		fleet.setRunners(List.of(new RunnerStatus(new RunnerId("r1"), new ServiceName("s"), null, null, true)));
 		return fleet;
 	}
 
-	void list(String name, String role, InetSocketAddress address) {
+	void list(String name, InetSocketAddress address) {
+		list(this.platform, name, "r1", address);
+	}
+
+	static void list(Platform lister, String name, String region, InetSocketAddress address) {
 		ObjectNode instance = new ObjectMapper().createObjectNode()
 			.put("id", name)
-			.put("role", role)
+			.put("role", "agent")
 			.put("address", address.getAddress().getHostAddress() + ":" + address.getPort())
-			.put("dataCentre", "dc-a")
-			.put("region", "r1")
+			.put("dataCentre", "dc-" + region)
+			.put("region", region)
 			.put("leaving", false);
 		instance.putObject("labels");
-		this.platform.instance(instance);
+		lister.instance(instance);
+	}
+
+	private Self self(String name, Role role, String region) {
+		return new Self(new InstanceId(name), role, this.incarnation++, new DataCentreName("dc-" + region),
+				new RegionName(region), Labels.none());
 	}
 
-	private Fleet start(String name, Role role, URI configuration) throws IOException {
-		Self self = new Self(new InstanceId(name), role, this.incarnation++, new DataCentreName("dc-a"),
-				new RegionName("r1"), Labels.none());
-		InetSocketAddress listen = (role == Role.AGENT) ? new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)
-				: null;
-		FleetSettings settings = new FleetSettings(self, configuration, url(this.platform.address()), listen,
+	private Fleet start(Self self, URI configuration, URI instances, MonotonicClock clock) throws IOException {
+		InetSocketAddress listen = (self.role() == Role.AGENT)
+				? new InetSocketAddress(InetAddress.getLoopbackAddress(), 0) : null;
+		FleetSettings settings = new FleetSettings(self, configuration, instances, listen,
 				SharedKey.of("a key for these tests"), 1);
-		Fleet fleet = Fleet.create(settings, MonotonicClock.system());
+		Fleet fleet = Fleet.create(settings, clock);
 		fleet.start(new Silent());
-		this.processes.put(name, fleet);
+		this.processes.put(self.instance().value(), fleet);
 		return fleet;
 	}
 
