--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/membership/MembershipWork.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/membership/MembershipWork.java
@@ -5,12 +5,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SortedMap;
 import java.util.SortedSet;
 import java.util.TreeMap;
 
 import org.catkingate.decisions.Rendezvous;
 import org.catkingate.decisions.Step;
+import org.catkingate.decisions.reading.ReadPace;
 import org.catkingate.decisions.reading.ReadSchedule;
 import org.catkingate.model.InstanceId;
 import org.catkingate.model.InstanceRecord;
@@ -46,6 +48,8 @@
 
 	private SortedSet<InstanceId> wanted;
 
+	private Set<InstanceId> demanded;
+
 	private long lastTick;
 
 	private long sequence;
@@ -66,6 +70,7 @@
 		this.published = state.snapshot();
 		this.configuration = state.configuration();
 		this.wanted = state.wanted();
+		this.demanded = state.demanded();
 		this.lastTick = state.lastTickMillis();
 		this.sequence = state.sequence();
 		this.heartbeatAt = state.heartbeatAtMillis();
@@ -75,7 +80,7 @@
 	}
 
 	Step<MembershipState> finish() {
-		FleetSnapshot snapshot = Views.snapshot(this.configuration, this.instances, this.links);
+		FleetSnapshot snapshot = Views.snapshot(this.self, this.configuration, this.instances, this.links);
 		if (snapshot.equals(this.published)) {
 			snapshot = this.published;
 		}
@@ -83,8 +88,8 @@
 			this.effects.add(new MembershipEffect.PublishSnapshot(snapshot));
 		}
 		MembershipState state = new MembershipState(this.self, this.configuration, this.instances, this.links,
-				this.wanted, this.lastTick, this.sequence, this.heartbeatAt, this.list, this.listKnown, this.doubtSince,
-				snapshot);
+				this.wanted, this.demanded, this.lastTick, this.sequence, this.heartbeatAt, this.list, this.listKnown,
+				this.doubtSince, snapshot);
 		return new Step<>(state, List.copyOf(this.effects));
 	}
 
@@ -93,8 +98,12 @@
 		chooseContacts();
 	}
 
+	void contactsDemanded(Set<InstanceId> agents) {
+		this.demanded = agents;
+		chooseContacts();
+	}
+
 	void listRead(long index, List<InstanceRecord> records) {
-		this.list = this.list.answered(this.now, index);
 		boolean keepMissing = isDoubtful(records);
 		Map<InstanceId, InstanceRecord> byId = new HashMap<>();
 		records.forEach((record) -> byId.put(record.id(), record));
@@ -102,7 +111,9 @@
 		this.instances.replaceAll((id, known) -> relisted(known, byId.remove(id), keepMissing));
 		byId.forEach((id, record) -> this.instances.put(id, KnownInstance.of(record, 0)));
 		this.listKnown |= !records.isEmpty();
-		this.list = this.list.at(this.now, this.list.pace(), fleetSize());
+		boolean slow = this.listKnown && this.self.role() == Role.AGENT;
+		this.list = this.list.at(this.now, slow ? ReadPace.SLOW : ReadPace.CLOSE, fleetSize())
+			.answered(this.now, index);
 		chooseContacts();
 	}
 
@@ -304,6 +315,7 @@
 	private void chooseContacts() {
 		this.wanted = ContactPlan.choose(this.self, this.configuration,
 				this.instances.values().stream().map(KnownInstance::instance).toList());
+		this.demanded.stream().filter(this.instances::containsKey).forEach(this.wanted::add);
 	}
 
 }
