Wire the keys into the agent's process through one front

Cause: AgentProcess was wired to the parts before agents met themselves, and messages that ask for an issued key went unanswered.

--- a/catkingate-agent/src/main/java/org/catkingate/agent/AgentDump.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/AgentDump.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-import org.catkingate.agent.idempotency.KeyTable;
+import org.catkingate.agent.idempotency.KeyCounts;
 import org.catkingate.agent.requests.AgentRequests;
 import org.catkingate.agent.runners.RunnerGate;
 import org.catkingate.agent.weights.WeightsDistribution;
@@ -27,7 +27,7 @@
 		int requestsInProgress, Keys keys) {
 
 	static AgentDump of(Readiness.Phase phase, Fleet fleet, List<RunnerGate> gates, AgentRequests requests,
-			WeightsDistribution weights, KeyTable keys) {
+			WeightsDistribution weights, KeyCounts keys) {
 		Map<String, Runner> runners = new TreeMap<>();
 		gates.forEach((gate) -> runners.put(gate.runner().value(), Runner.of(gate)));
 		return new AgentDump(phase, fleet.dump().orElse(null), runners, weights.progress(), requests.inProgress(),
@@ -61,9 +61,9 @@
 	 */
 	record Keys(long started, long refused, long replayed, long unknown) {
 
-		private static Keys of(KeyTable table) {
-			return new Keys(table.counts().started().sum(), table.counts().refused().sum(),
-					table.counts().replayed().sum(), table.counts().unknown().sum());
+		private static Keys of(KeyCounts counts) {
+			return new Keys(counts.started().sum(), counts.refused().sum(), counts.replayed().sum(),
+					counts.unknown().sum());
 		}
 
 	}
--- a/catkingate-agent/src/main/java/org/catkingate/agent/AgentPeers.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/AgentPeers.java
@@ -1,6 +1,6 @@
 package org.catkingate.agent;
 
-import org.catkingate.agent.idempotency.KeyExchange;
+import org.catkingate.agent.idempotency.IdempotencyKeys;
 import org.catkingate.agent.requests.AgentRequests;
 import org.catkingate.agent.weights.WeightsDistribution;
 import org.catkingate.runtime.peers.PeerConnection;
@@ -19,15 +19,15 @@
 
 	private final WeightsDistribution weights;
 
-	private final KeyExchange keys;
+	private final IdempotencyKeys keys;
 
-	private AgentPeers(AgentRequests requests, WeightsDistribution weights, KeyExchange keys) {
+	private AgentPeers(AgentRequests requests, WeightsDistribution weights, IdempotencyKeys keys) {
 		this.requests = requests;
 		this.weights = weights;
 		this.keys = keys;
 	}
 
-	static AgentPeers sharing(AgentRequests requests, WeightsDistribution weights, KeyExchange keys) {
+	static AgentPeers sharing(AgentRequests requests, WeightsDistribution weights, IdempotencyKeys keys) {
 		return new AgentPeers(requests, weights, keys);
 	}
 
--- a/catkingate-agent/src/main/java/org/catkingate/agent/AgentProcess.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/AgentProcess.java
@@ -20,9 +20,8 @@
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 
-import org.catkingate.agent.idempotency.KeyExchange;
-import org.catkingate.agent.idempotency.KeyTable;
-import org.catkingate.agent.idempotency.TicketOffice;
+import org.catkingate.agent.idempotency.IdempotencyKeys;
+import org.catkingate.agent.idempotency.SelfDial;
 import org.catkingate.agent.requests.AgentRequestSettings;
 import org.catkingate.agent.requests.AgentRequests;
 import org.catkingate.agent.requests.RunnerEndpoint;
@@ -60,8 +59,6 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(AgentProcess.class);
 
-	private static final long KEY_TICK_MILLIS = 1000;
-
 	private final ProcessSettings settings;
 
 	private final MonotonicClock clock;
@@ -80,9 +77,7 @@
 
 	private final ContactDemand contacts;
 
-	private final KeyExchange keys;
-
-	private final KeyTable keyTable;
+	private final IdempotencyKeys keys;
 
 	private final AgentRequests requests;
 
@@ -103,18 +98,17 @@
 		this.worker = Xnio.getInstance().createWorker(workerOptions());
 		this.fleet = Fleet.create(fleetSettings(), clock);
 		this.contacts = ContactDemand.of(this.fleet);
-		this.keys = keyExchange();
-		TicketOffice tickets = TicketOffice.open(this.self.instance(), this.self.incarnation(), clock);
-		this.keyTable = KeyTable.create(this.keys, tickets, clock);
+		this.keys = keys();
 		this.weights = WeightsDistribution.start(weightsSettings(), this.worker, this.fleet, this.contacts, this.gates,
 				this::runnersChanged, clock);
 		this.requests = AgentRequests.start(endpoints(), this.fleet::snapshot, this.fleet::heartbeatAgeMillis,
-				this.keyTable, clock, AgentRequestSettings.defaults());
+				this.keys.guard(), clock, AgentRequestSettings.defaults());
 		this.fleet.setLoads(this::loads);
 		this.fleet.onSnapshotChange(this::fleetChanged);
 		this.fleet.onList(this);
 		this.fleet.start(AgentPeers.sharing(this.requests, this.weights, this.keys));
-		this.timer.scheduleAtFixedRate(this.keys::tick, KEY_TICK_MILLIS, KEY_TICK_MILLIS, TimeUnit.MILLISECONDS);
+		this.timer.scheduleAtFixedRate(this.keys::tick, IdempotencyKeys.TICK_MILLIS, IdempotencyKeys.TICK_MILLIS,
+				TimeUnit.MILLISECONDS);
 		this.operators = OperatorsEndpoint.start(settings.operators().listen(), this.readiness, metrics(), this::state);
 		this.end = GracefulEnd.with(settings.shutdown(), this.readiness, clock);
 	}
@@ -158,13 +152,13 @@
 				this.settings.peers().ioThreads());
 	}
 
-	private KeyExchange keyExchange() {
-		InetSocketAddress listen = this.settings.peers().listen();
-		KeyHome home = new KeyHome(this.self.instance(), listen.getAddress().getHostAddress(), listen.getPort());
+	private IdempotencyKeys keys() {
+		KeyHome listening = KeyHome.of(this.self.instance(), this.settings.peers().listen());
 		Map<ServiceName, Integer> counts = new HashMap<>();
 		this.gates.forEach((gate) -> counts.merge(gate.service(), 1, Integer::sum));
-		return KeyExchange.start(home, counts, VouchingTimes.ordinary(), this.fleet, this.clock,
-				InstantSource.system()::millis);
+		SelfDial selfDial = SelfDial.over(this.fleet::probe, this.self.incarnation());
+		return IdempotencyKeys.start(listening, this.self.incarnation(), counts, VouchingTimes.ordinary(), this.fleet,
+				selfDial, this.clock, InstantSource.system()::millis);
 	}
 
 	private WeightsSettings weightsSettings() {
@@ -238,11 +232,12 @@
 	}
 
 	private PrometheusRegistry metrics() {
-		return AgentMetrics.of(this.fleet, this.requests, this.weights, this.keyTable.counts());
+		return AgentMetrics.of(this.fleet, this.requests, this.weights, this.keys.counts());
 	}
 
 	private AgentDump state() {
-		return AgentDump.of(this.readiness.phase(), this.fleet, this.gates, this.requests, this.weights, this.keyTable);
+		return AgentDump.of(this.readiness.phase(), this.fleet, this.gates, this.requests, this.weights,
+				this.keys.counts());
 	}
 
 	@Override
--- a/catkingate-agent/src/main/java/org/catkingate/agent/idempotency/IdempotencyKeys.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/idempotency/IdempotencyKeys.java
@@ -2,11 +2,13 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.LongSupplier;
 
 import org.catkingate.decisions.idempotency.KeyHome;
 import org.catkingate.decisions.idempotency.KeyState;
 import org.catkingate.decisions.idempotency.VouchingTimes;
+import org.catkingate.model.InstanceId;
 import org.catkingate.model.InstanceRecord;
 import org.catkingate.model.ServiceName;
 import org.catkingate.model.published.PublishedConfiguration;
@@ -88,6 +90,14 @@
 		this.exchange.listConfirmed(askedAtMillis);
 	}
 
+	/**
+	 * Finds the agents that this one must be connected to, to vouch for keys.
+	 * @return the instances in order, without this agent's own
+	 */
+	public Set<InstanceId> neededPeers() {
+		return this.exchange.neededPeers();
+	}
+
 	/**
 	 * Asks the other agents. To be called every {@link #TICK_MILLIS}.
 	 */
--- a/catkingate-agent/src/main/java/org/catkingate/agent/idempotency/KeyExchange.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/idempotency/KeyExchange.java
@@ -176,7 +176,9 @@
 		KeyState known = state();
 		Set<InstanceId> needed = new TreeSet<>();
 		for (ServiceKeys service : known.services().values()) {
-			service.members().forEach((member) -> needed.add(member.instance()));
+			if (service.members().size() <= Service.MOST_AGENTS_FOR_KEYS) {
+				service.members().forEach((member) -> needed.add(member.instance()));
+			}
 		}
 		needed.remove(known.own().instance());
 		return needed;
--- a/catkingate-agent/src/main/java/org/catkingate/agent/idempotency/SelfDial.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/idempotency/SelfDial.java
@@ -1,10 +1,10 @@
 package org.catkingate.agent.idempotency;
 
 import java.net.InetSocketAddress;
+import java.util.function.BiConsumer;
 
 import org.catkingate.wire.ConnectionListener;
 import org.catkingate.wire.FrameConnection;
-import org.catkingate.wire.FrameTransport;
 import org.catkingate.wire.Message;
 
 /**
@@ -24,13 +24,14 @@
 	void dial(InetSocketAddress address, Runnable itself);
 
 	/**
-	 * Dials over a transport.
-	 * @param transport makes connections and proves this process's identity
+	 * Dials like this process's other connections.
+	 * @param connect connects to an address, proves this process's identity and tells the
+	 * listener what happens
 	 * @param incarnation the incarnation of this process
 	 * @return the dial, never null
 	 */
-	static SelfDial over(FrameTransport transport, long incarnation) {
-		return (address, itself) -> transport.connect(address, new ConnectionListener() {
+	static SelfDial over(BiConsumer<InetSocketAddress, ConnectionListener> connect, long incarnation) {
+		return (address, itself) -> connect.accept(address, new ConnectionListener() {
 
 			@Override
 			public void opened(FrameConnection connection) {
@@ -48,7 +49,6 @@
 			public void closed(FrameConnection connection, String reason) {
 			}
 
-		}, () -> {
 		});
 	}
 
--- a/catkingate-agent/src/test/java/org/catkingate/agent/idempotency/KeyExchangeTests.java
+++ b/catkingate-agent/src/test/java/org/catkingate/agent/idempotency/KeyExchangeTests.java
@@ -187,8 +187,8 @@
 			KeyExchangeTests.this.addresses.put(name, address);
 			this.exchange = KeyExchange.start(KeyHome.of(new InstanceId(name), address), Map.of(Fleets.SERVICE, 1),
 					TIMES, (instance) -> Optional.ofNullable(this.open.get(instance)),
-					SelfDial.over(this.transport, name.hashCode()),
-					() -> TimeUnit.MILLISECONDS.toNanos(KeyExchangeTests.this.nowMillis.get()),
+					SelfDial.over((probed, listener) -> this.transport.connect(probed, listener, () -> {
+					}), name.hashCode()), () -> TimeUnit.MILLISECONDS.toNanos(KeyExchangeTests.this.nowMillis.get()),
 					KeyExchangeTests.this.nowMillis::get);
 		}
 
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/membership/ContactPlan.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/membership/ContactPlan.java
@@ -107,7 +107,6 @@
 		addNext(region.stream().filter(this::isInDataCentre).toList());
 		addNext(region);
 		farRegions(this.agents).values().forEach((far) -> add(nearest(far, 1)));
-		this.configuration.services().values().forEach(this::addThoseThatAgreeOnKeys);
 		for (WeightsVersion version : this.configuration.versions().values()) {
 			List<Selector> wanted = List.of(groupOf(version.service()), version.selector());
 			if (!version.withdrawn() && matches(wanted, this.self.labels())) {
@@ -116,17 +115,6 @@
 		}
 	}
 
-	private void addThoseThatAgreeOnKeys(Service service) {
-		InstanceGroup group = this.configuration.groups().get(service.group());
-		if (!service.takesCallersKeys() || group == null || !group.selector().matches(this.self.labels())) {
-			return;
-		}
-		List<InstanceRecord> others = matching(List.of(group.selector()));
-		if (others.size() < Service.MOST_AGENTS_FOR_KEYS) {
-			add(others);
-		}
-	}
-
 	private void addNeighbours(List<InstanceRecord> sharers) {
 		Predicate<InstanceRecord> inside = this::isInDataCentre;
 		add(nearest(sharers.stream().filter(inside).toList(), NEIGHBOURS_IN_DATA_CENTRE));
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/fleet/Fleet.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/fleet/Fleet.java
@@ -36,6 +36,7 @@
 import org.catkingate.runtime.peers.PeerListener;
 import org.catkingate.runtime.peers.PeerManager;
 import org.catkingate.runtime.platform.PlatformClient;
+import org.catkingate.wire.ConnectionListener;
 import org.catkingate.wire.Control;
 import org.catkingate.wire.FrameTransport;
 import org.catkingate.wire.Handshake;
@@ -244,6 +245,18 @@
 		return (manager != null) ? manager.to(instance) : Optional.empty();
 	}
 
+	/**
+	 * Connects to an address to learn who answers there, once the fleet has started.
+	 * @param probed the address
+	 * @param listener is told what happens; it closes the connection
+	 */
+	public void probe(InetSocketAddress probed, ConnectionListener listener) {
+		PeerManager manager = this.peers;
+		if (manager != null) {
+			manager.probe(probed, listener);
+		}
+	}
+
 	/**
 	 * Tells how long ago this process sent a heartbeat.
 	 * @param sequence its sequence
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/peers/PeerManager.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/peers/PeerManager.java
@@ -101,6 +101,17 @@
 		this.transport.connect(address, new Events(instance), () -> this.control.dialFailed(instance));
 	}
 
+	/**
+	 * Connects to an address to learn who answers there. The connection is no link: only
+	 * the listener given here is told of it.
+	 * @param address the address
+	 * @param listener is told what happens; it closes the connection
+	 */
+	public void probe(InetSocketAddress address, ConnectionListener listener) {
+		this.transport.connect(address, listener, () -> {
+		});
+	}
+
 	/**
 	 * Gives a link up. The listeners are told, as of any other end.
 	 * @param link the link's number
--- a/catkingate-tests/src/test/java/org/catkingate/tests/requests/KeyedFleet.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/requests/KeyedFleet.java
@@ -237,7 +237,8 @@
 			this.home = KeyHome.of(new InstanceId(name), this.address);
 			this.keys = IdempotencyKeys.start(this.home, this.incarnation, Map.of(LocalFleet.PLAIN, 1), TIMES,
 					(instance) -> Optional.ofNullable(later[0].newest(instance)),
-					SelfDial.over(this.transport, this.incarnation), KeyedFleet.this.clock, System::currentTimeMillis);
+					SelfDial.over((probed, listener) -> this.transport.connect(probed, listener, () -> {
+					}), this.incarnation), KeyedFleet.this.clock, System::currentTimeMillis);
 			this.requests = AgentRequests.start(List.of(new RunnerEndpoint(this.gate, runner)),
 					() -> new FleetSnapshot(KeyedFleet.this.configuration, Map.of()), (sequence) -> 0,
 					this.keys.guard(), MonotonicClock.system(), AgentRequestSettings.defaults());
