--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/purchases/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Non-idempotent calls on whole processes.
+ */
+package org.catkingate.tests.purchases;
