Hold an answer's head back until something is written, and shed by expected wait

Cause: a failure that came together with the head cut the caller off although nothing had been written; and a request whose deadline would pass in a runner's queue waited there. Frames out of order, twice, late or of other requests are now forced by a scripted agent. Ruled out: queue length alone as the bound, which knows no deadlines.

--- a/catkingate-agent/src/main/java/org/catkingate/agent/requests/AgentRequest.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/requests/AgentRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 import io.undertow.client.ClientConnection;
@@ -48,7 +49,7 @@
 
 	private boolean cancelled;
 
-	private boolean slot;
+	private OptionalLong slotSince = OptionalLong.empty();
 
 	private long endedMillis;
 
@@ -79,20 +80,21 @@
 	}
 
 	/**
-	 * Takes note that the request has one of its runner's slots.
+	 * Takes note that the request has one of its runner's places.
+	 * @param nowMillis the time now, in milliseconds
 	 */
-	synchronized void occupySlot() {
-		this.slot = true;
+	synchronized void occupySlot(long nowMillis) {
+		this.slotSince = OptionalLong.of(nowMillis);
 	}
 
 	/**
-	 * Gives the slot back.
-	 * @return whether it had one
+	 * Gives the place back.
+	 * @return since when it had one, or empty if it had none
 	 */
-	synchronized boolean releaseSlot() {
-		boolean had = this.slot;
-		this.slot = false;
-		return had;
+	synchronized OptionalLong releaseSlot() {
+		OptionalLong since = this.slotSince;
+		this.slotSince = OptionalLong.empty();
+		return since;
 	}
 
 	/**
--- a/catkingate-agent/src/main/java/org/catkingate/agent/requests/AgentRequests.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/requests/AgentRequests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -200,13 +201,15 @@
 
 	private void enqueue(AgentRequest request) {
 		RunnerLane lane = this.lanes.get(request.dispatch().runner());
-		RunnerQueue.Admission admission = lane.queue().offer(request, capacity(lane));
-		admission.displaced().ifPresent((displaced) -> refuse(displaced, "displaced by work of higher priority"));
+		RunnerQueue.Admission admission = lane.queue().offer(request, capacity(lane), this.clock.millis());
+		long wait = Math.max(RETRY_SOON_MILLIS, admission.waitMillis());
+		admission.displaced()
+			.ifPresent((displaced) -> refuse(displaced, wait, "displaced by work of higher priority; come back later"));
 		if (admission.outcome() == RunnerQueue.Outcome.START) {
 			begin(request, lane);
 		}
 		else if (admission.outcome() == RunnerQueue.Outcome.REFUSE) {
-			refuse(request, "the runner's queue is full; come back later");
+			refuse(request, wait, "the runner's queue is too long; come back later");
 		}
 	}
 
@@ -223,7 +226,7 @@
 	}
 
 	private void begin(AgentRequest request, RunnerLane lane) {
-		request.occupySlot();
+		request.occupySlot(this.clock.millis());
 		if (request.deadlineMillis() <= this.clock.millis()) {
 			refuse(request, "the deadline passed in the queue; allow more time");
 		}
@@ -248,20 +251,26 @@
 	}
 
 	private void refuse(AgentRequest request, String message) {
-		if (request.refuse(RETRY_SOON_MILLIS, message)) {
+		refuse(request, RETRY_SOON_MILLIS, message);
+	}
+
+	private void refuse(AgentRequest request, long retryAfterMillis, String message) {
+		if (request.refuse(retryAfterMillis, message)) {
 			this.counts.refused().increment();
 		}
 	}
 
 	private void finished(AgentRequest request) {
-		request.endedAt(this.clock.millis());
-		if (request.releaseSlot()) {
-			lane(request).ifPresent(this::startNext);
+		long now = this.clock.millis();
+		request.endedAt(now);
+		OptionalLong began = request.releaseSlot();
+		if (began.isPresent()) {
+			lane(request).ifPresent((lane) -> startNext(lane, now - began.getAsLong()));
 		}
 	}
 
-	private void startNext(RunnerLane lane) {
-		for (AgentRequest next : lane.queue().ended(capacity(lane))) {
+	private void startNext(RunnerLane lane, long tookMillis) {
+		for (AgentRequest next : lane.queue().ended(capacity(lane), tookMillis)) {
 			begin(next, lane);
 		}
 	}
--- a/catkingate-agent/src/main/java/org/catkingate/agent/requests/RunnerQueue.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/requests/RunnerQueue.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 
+import org.catkingate.decisions.limits.PlaceTime;
+
 /**
  * The bounded queue in front of one runner. So many requests run at a time, so many more
  * wait, those of higher priority first and equals in order of arrival. Safe for use by
@@ -19,39 +21,46 @@
 
 	private final PriorityQueue<AgentRequest> waiting = new PriorityQueue<>(ORDER);
 
+	private PlaceTime placeTime = PlaceTime.unknown();
+
 	private int running;
 
 	/**
-	 * Takes a request in.
+	 * Takes a request in, unless the queue is full of requests before it or its deadline
+	 * would pass in the queue.
 	 * @param request the request
 	 * @param capacity how many may run and wait
+	 * @param nowMillis the time now, in milliseconds
 	 * @return what is to be done with it and with others
 	 */
-	synchronized Admission offer(AgentRequest request, Capacity capacity) {
+	synchronized Admission offer(AgentRequest request, Capacity capacity, long nowMillis) {
 		if (this.running < capacity.running()) {
 			this.running++;
-			return new Admission(Outcome.START, Optional.empty());
+			return new Admission(Outcome.START, 0, Optional.empty());
 		}
-		if (this.waiting.size() < capacity.waiting()) {
-			this.waiting.add(request);
-			return new Admission(Outcome.WAIT, Optional.empty());
+		int ahead = (int) this.waiting.stream().filter((other) -> ORDER.compare(other, request) < 0).count();
+		long wait = this.placeTime.waitMillis(ahead, capacity.running());
+		if (ahead >= capacity.waiting() || wait > request.deadlineMillis() - nowMillis) {
+			return new Admission(Outcome.REFUSE, wait, Optional.empty());
 		}
-		Optional<AgentRequest> lowest = this.waiting.stream().max(ORDER);
-		if (lowest.isPresent() && ORDER.compare(request, lowest.get()) < 0) {
-			this.waiting.remove(lowest.get());
-			this.waiting.add(request);
-			return new Admission(Outcome.WAIT, lowest);
+		this.waiting.add(request);
+		if (this.waiting.size() <= capacity.waiting()) {
+			return new Admission(Outcome.WAIT, wait, Optional.empty());
 		}
-		return new Admission(Outcome.REFUSE, Optional.empty());
+		Optional<AgentRequest> last = this.waiting.stream().max(ORDER);
+		last.ifPresent(this.waiting::remove);
+		return new Admission(Outcome.WAIT, wait, last);
 	}
 
 	/**
 	 * Takes note that a request which was started has ended.
 	 * @param capacity how many may run and wait
+	 * @param tookMillis how long it had its place, in milliseconds
 	 * @return the requests that are to be started now
 	 */
-	synchronized List<AgentRequest> ended(Capacity capacity) {
+	synchronized List<AgentRequest> ended(Capacity capacity, long tookMillis) {
 		this.running--;
+		this.placeTime = this.placeTime.after(tookMillis);
 		List<AgentRequest> next = new ArrayList<>();
 		while (this.running < capacity.running() && !this.waiting.isEmpty()) {
 			next.add(this.waiting.poll());
@@ -96,9 +105,10 @@
 	 * The answer to an offer.
 	 *
 	 * @param outcome what becomes of the request
+	 * @param waitMillis the wait to be expected in the queue, in milliseconds
 	 * @param displaced a waiting request of lower priority that must be refused for it
 	 */
-	record Admission(Outcome outcome, Optional<AgentRequest> displaced) {
+	record Admission(Outcome outcome, long waitMillis, Optional<AgentRequest> displaced) {
 
 	}
 
--- a/catkingate-entry/src/main/java/org/catkingate/entry/Call.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/Call.java
@@ -141,7 +141,6 @@
 	private void receivedHead(Traffic.AnswerHead first) {
 		if (this.head == null) {
 			this.head = first;
-			this.answer.begin(first.status(), first.headers());
 		}
 	}
 
@@ -192,7 +191,7 @@
 
 	private Failure failureOf(Traffic.AnswerFailure failure) {
 		return switch (failure.reason()) {
-			case NOT_RUN -> Failure.comeBackSoon(FailureKind.NOT_RUN, failure.message());
+			case NOT_RUN -> Failure.notRun(failure.retryAfterMillis(), failure.message());
 			case FAILED, OUTCOME_UNKNOWN -> new Failure(kindOfLoss(), failure.retryAfterMillis(), failure.message());
 		};
 	}
@@ -204,7 +203,10 @@
 	private void attemptFailed(boolean notRun, Failure failure) {
 		release();
 		RetryPolicy.FailedAttempt failed = new RetryPolicy.FailedAttempt(notRun, this.request.idempotent(),
-				this.head != null, this.attempts, leftMillis());
+				this.answer.isBegun(), this.attempts, leftMillis());
+		if (!this.answer.isBegun()) {
+			forgetAnswer();
+		}
 		Optional<Long> delay = this.support.retryDelay(failed);
 		if (delay.isEmpty()) {
 			refuse(failure);
@@ -213,6 +215,13 @@
 		this.exchange.getIoThread().executeAfter(this::dispatch, delay.get(), TimeUnit.MILLISECONDS);
 	}
 
+	private void forgetAnswer() {
+		this.head = null;
+		this.received = 0;
+		this.attachedFrom = -1;
+		this.answer.clear();
+	}
+
 	private void refuse(Failure failure) {
 		if (this.over) {
 			return;
@@ -222,12 +231,14 @@
 			this.answer.cut();
 			return;
 		}
+		forgetAnswer();
 		this.support.failed(failure.kind());
 		FailureWriter.write(this.exchange, failure);
 	}
 
 	private void breakOff() {
 		settle();
+		this.head = null;
 		this.answer.cut();
 	}
 
@@ -235,9 +246,12 @@
 	 * Writes what has been received and tells the agent how far the answer is.
 	 */
 	void proceed() {
-		if (!this.answer.isBegun()) {
+		if (this.head == null) {
 			return;
 		}
+		if (!this.answer.isBegun()) {
+			this.answer.begin(this.head.status(), this.head.headers());
+		}
 		this.answer.proceed();
 		this.support.generated(this.request.account(), this.tokens.take());
 		reportProgress();
@@ -265,7 +279,7 @@
 			connectionOpened(other.get());
 			return;
 		}
-		if (this.request.idempotent() && this.head == null) {
+		if (this.request.idempotent() && !this.answer.isBegun()) {
 			lost("the connection to the runner's agent broke off");
 			return;
 		}
--- a/catkingate-entry/src/main/java/org/catkingate/entry/CallerAnswer.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/CallerAnswer.java
@@ -92,6 +92,13 @@
 		this.pending.add(bytes);
 	}
 
+	/**
+	 * Drops what has been added, if nothing of the answer has been written.
+	 */
+	void clear() {
+		this.pending.clear();
+	}
+
 	void end() {
 		this.ended = true;
 	}
--- a/catkingate-entry/src/main/java/org/catkingate/entry/Failure.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/Failure.java
@@ -30,6 +30,10 @@
 		return new Failure(kind, SOON_MILLIS, message);
 	}
 
+	static Failure notRun(long retryAfterMillis, String message) {
+		return new Failure(FailureKind.NOT_RUN, Math.max(SOON_MILLIS, retryAfterMillis), message);
+	}
+
 	static Failure of(LimitDecision decision) {
 		FailureKind kind = switch (decision.limit()) {
 			case REQUESTS -> FailureKind.REQUEST_LIMIT;
--- a/catkingate-tests/src/test/java/org/catkingate/tests/requests/LocalAgent.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/requests/LocalAgent.java
@@ -83,10 +83,14 @@
 	}
 
 	AgentView view() {
-		InstanceRecord record = new InstanceRecord(this.instance, Role.AGENT, this.address, DATA_CENTRE, REGION,
-				Labels.of(Map.of("role", "gpu")), false);
 		RunnerStatus status = new RunnerStatus(RUNNER, this.gate.service(), this.version, this.digest, true);
-		return new AgentView(record, 1, true, this.draining, List.of(status), List.of(), 0);
+		return view(this.instance, this.address, status, this.draining);
+	}
+
+	static AgentView view(InstanceId instance, InetSocketAddress address, RunnerStatus status, boolean draining) {
+		InstanceRecord record = new InstanceRecord(instance, Role.AGENT, address, DATA_CENTRE, REGION,
+				Labels.of(Map.of("role", "gpu")), false);
+		return new AgentView(record, 1, true, draining, List.of(status), List.of(), 0);
 	}
 
 	InstanceId instance() {
--- a/catkingate-tests/src/test/java/org/catkingate/tests/requests/LocalFleet.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/requests/LocalFleet.java
@@ -66,6 +66,8 @@
 
 	private final List<LocalAgent> agents = new ArrayList<>();
 
+	private final List<AgentView> scripted = new ArrayList<>();
+
 	private final FrameTransport transport;
 
 	private final EntryRequests entry;
@@ -128,6 +130,16 @@
 		return add(new LocalAgent(name, PLAIN, null, null, runner, () -> this.snapshot));
 	}
 
+	/**
+	 * Adds an agent that a test plays itself.
+	 * @param view what the entry knows of it
+	 */
+	void addScripted(AgentView view) {
+		this.scripted.add(view);
+		connect(view.instance().id(), view.instance().address());
+		refresh();
+	}
+
 	private LocalAgent add(LocalAgent agent) {
 		this.agents.add(agent);
 		connect(agent, agent.address());
@@ -141,11 +153,15 @@
 	 * @param address where, perhaps through a proxy
 	 */
 	void connect(LocalAgent agent, InetSocketAddress address) {
-		Object before = this.bridge.newest(agent.instance());
+		connect(agent.instance(), address);
+	}
+
+	private void connect(InstanceId instance, InetSocketAddress address) {
+		Object before = this.bridge.newest(instance);
 		this.transport.connect(address, this.bridge, () -> {
 		});
 		Awaitility.await().atMost(PATIENCE).until(() -> {
-			Object now = this.bridge.newest(agent.instance());
+			Object now = this.bridge.newest(instance);
 			return now != null && now != before;
 		});
 	}
@@ -153,6 +169,7 @@
 	void refresh() {
 		Map<InstanceId, AgentView> views = new HashMap<>();
 		this.agents.forEach((agent) -> views.put(agent.instance(), agent.view()));
+		this.scripted.forEach((view) -> views.put(view.instance().id(), view));
 		this.snapshot = new FleetSnapshot(this.configuration, views);
 	}
 
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/requests/ScriptedAgent.java
@@ -0,0 +1,99 @@
+package org.catkingate.tests.requests;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import org.catkingate.decisions.membership.AgentView;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.RequestId;
+import org.catkingate.model.Role;
+import org.catkingate.model.RunnerStatus;
+import org.catkingate.wire.ConnectionListener;
+import org.catkingate.wire.FrameConnection;
+import org.catkingate.wire.FrameTransport;
+import org.catkingate.wire.Message;
+import org.catkingate.wire.Traffic;
+
+/**
+ * An agent of the plain service that a test plays itself, message by message. Safe for
+ * use by any thread.
+ */
+final class ScriptedAgent implements ConnectionListener, AutoCloseable {
+
+	private final LinkedBlockingQueue<Traffic> received = new LinkedBlockingQueue<>();
+
+	private final String name;
+
+	private final FrameTransport transport;
+
+	private final InetSocketAddress address;
+
+	private volatile FrameConnection connection;
+
+	ScriptedAgent(String name) throws IOException {
+		this.name = name;
+		this.transport = FrameTransport.create(1, LocalFleet.KEY, LocalAgent.identity(name, Role.AGENT, 7));
+		this.address = this.transport.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), this);
+	}
+
+	AgentView view() {
+		RunnerStatus status = new RunnerStatus(LocalAgent.RUNNER, LocalFleet.PLAIN, null, null, true);
+		return LocalAgent.view(new InstanceId(this.name), this.address, status, false);
+	}
+
+	<T extends Traffic> T expect(Class<T> kind) throws InterruptedException {
+		Traffic next = this.received.poll(20, TimeUnit.SECONDS);
+		while (next != null && !kind.isInstance(next)) {
+			next = this.received.poll(20, TimeUnit.SECONDS);
+		}
+		return kind.cast(next);
+	}
+
+	boolean hasReceivedNothing() {
+		return this.received.isEmpty();
+	}
+
+	void head(RequestId request) {
+		send(new Traffic.AnswerHead(request, 200, List.of()));
+	}
+
+	void data(RequestId request, long offset, String bytes) {
+		send(new Traffic.AnswerData(request, offset, Runs.bytes(bytes)));
+	}
+
+	void end(RequestId request, long totalBytes) {
+		send(new Traffic.AnswerEnd(request, totalBytes));
+	}
+
+	void fail(RequestId request, Traffic.FailureReason reason) {
+		send(new Traffic.AnswerFailure(request, reason, 0, "as the test says"));
+	}
+
+	private void send(Traffic message) {
+		this.connection.send(message);
+	}
+
+	@Override
+	public void opened(FrameConnection opened) {
+		this.connection = opened;
+	}
+
+	@Override
+	public void received(FrameConnection from, Message message) {
+		this.received.add((Traffic) message);
+	}
+
+	@Override
+	public void closed(FrameConnection gone, String reason) {
+	}
+
+	@Override
+	public void close() {
+		this.transport.close();
+	}
+
+}
