Add the benchmark of live requests

Cause: the issue's figures need one documented command: target/catkingate-bench requests [--seconds N] [--seed N] [--only PARTS]. The engine stand-in now notices a caller's leaving at once instead of at its next look 20 ms later, which had cost more tokens than the system itself. Ruled out: real processes for the load, until the mains are there.

--- a/catkingate-bench/src/main/java/org/catkingate/bench/Bench.java
+++ b/catkingate-bench/src/main/java/org/catkingate/bench/Bench.java
@@ -2,6 +2,8 @@
 
 import com.beust.jcommander.JCommander;
 
+import org.catkingate.bench.requests.RequestsBench;
+import org.catkingate.bench.requests.RequestsBenchOptions;
 import org.catkingate.bench.weights.WeightsBench;
 import org.catkingate.bench.weights.WeightsBenchOptions;
 
@@ -20,14 +22,20 @@
 	 */
 	public static void main(String[] args) throws Exception {
 		WeightsBenchOptions weights = new WeightsBenchOptions();
+		RequestsBenchOptions requests = new RequestsBenchOptions();
 		JCommander commands = JCommander.newBuilder()
 			.programName("catkingate-bench")
 			.addCommand("weights", weights)
+			.addCommand("requests", requests)
 			.build();
 		commands.parse(args);
 		if ("weights".equals(commands.getParsedCommand())) {
 			System.exit(WeightsBench.run(weights, System.out) ? 0 : 1);
 		}
+		if ("requests".equals(commands.getParsedCommand())) {
+			RequestsBench.run(requests, System.out);
+			System.exit(0);
+		}
 		commands.usage();
 		System.exit(2);
 	}
--- /dev/null
+++ b/catkingate-bench/src/main/java/org/catkingate/bench/requests/BenchAgent.java
@@ -0,0 +1,90 @@
+package org.catkingate.bench.requests;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
+
+import org.catkingate.agent.idempotency.Admission;
+import org.catkingate.agent.requests.AgentRequestSettings;
+import org.catkingate.agent.requests.AgentRequests;
+import org.catkingate.agent.requests.RunnerEndpoint;
+import org.catkingate.agent.runners.RunnerGate;
+import org.catkingate.decisions.membership.AgentView;
+import org.catkingate.decisions.membership.FleetSnapshot;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.InstanceRecord;
+import org.catkingate.model.Labels;
+import org.catkingate.model.Role;
+import org.catkingate.model.RunnerId;
+import org.catkingate.model.RunnerStatus;
+import org.catkingate.runtime.MonotonicClock;
+import org.catkingate.standins.engine.Engine;
+import org.catkingate.wire.FrameTransport;
+
+/**
+ * An agent with one engine. Safe for use by any thread.
+ */
+final class BenchAgent implements AutoCloseable {
+
+	private static final RunnerId RUNNER = new RunnerId("r1");
+
+	private final InstanceId instance;
+
+	private final Engine engine;
+
+	private final FrameTransport transport;
+
+	private final AgentRequests requests;
+
+	private final InetSocketAddress address;
+
+	BenchAgent(String name, Supplier<FleetSnapshot> fleet, String... engineOptions) throws IOException {
+		this.instance = new InstanceId(name);
+		this.engine = Engine.start(holdingWeights(engineOptions));
+		RunnerGate gate = RunnerGate.closed(RUNNER, BenchFleet.SERVICE);
+		gate.open(BenchFleet.VERSION, BenchFleet.DIGEST);
+		this.transport = FrameTransport.create(1, BenchFleet.KEY, BenchFleet.identity(name, Role.AGENT));
+		this.requests = AgentRequests.start(List.of(new RunnerEndpoint(gate, this.engine.address())), fleet,
+				(sequence) -> 0, (call) -> new Admission.Refuse(0, "the benchmark makes idempotent calls only"),
+				MonotonicClock.system(), new AgentRequestSettings(1, 3000, 5000, 10_000));
+		this.address = this.transport.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+				new BenchLinks(this.requests));
+	}
+
+	private static String[] holdingWeights(String... engineOptions) {
+		List<String> all = new ArrayList<>(List.of(engineOptions));
+		all.addAll(List.of("--initial-model", BenchFleet.VERSION.model().value(), "--initial-version",
+				BenchFleet.VERSION.version(), "--initial-digest", BenchFleet.DIGEST.hex()));
+		return all.toArray(String[]::new);
+	}
+
+	Engine engine() {
+		return this.engine;
+	}
+
+	InstanceId instance() {
+		return this.instance;
+	}
+
+	InetSocketAddress address() {
+		return this.address;
+	}
+
+	AgentView view() {
+		InstanceRecord record = new InstanceRecord(this.instance, Role.AGENT, this.address, BenchFleet.DATA_CENTRE,
+				BenchFleet.REGION, Labels.none(), false);
+		RunnerStatus status = new RunnerStatus(RUNNER, BenchFleet.SERVICE, BenchFleet.VERSION, BenchFleet.DIGEST, true);
+		return new AgentView(record, 1, true, false, List.of(status), List.of(), 0);
+	}
+
+	@Override
+	public void close() {
+		this.transport.close();
+		this.requests.close();
+		this.engine.close();
+	}
+
+}
--- /dev/null
+++ b/catkingate-bench/src/main/java/org/catkingate/bench/requests/BenchLinks.java
@@ -0,0 +1,63 @@
+package org.catkingate.bench.requests;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.catkingate.model.InstanceId;
+import org.catkingate.runtime.peers.PeerConnection;
+import org.catkingate.runtime.peers.PeerConnections;
+import org.catkingate.runtime.peers.PeerListener;
+import org.catkingate.wire.ConnectionListener;
+import org.catkingate.wire.FrameConnection;
+import org.catkingate.wire.Message;
+
+/**
+ * Connections without heartbeats, so that a run measures requests alone. Safe for use by
+ * any thread.
+ */
+final class BenchLinks implements ConnectionListener, PeerConnections {
+
+	private final Map<FrameConnection, PeerConnection> open = new ConcurrentHashMap<>();
+
+	private final Map<InstanceId, PeerConnection> byInstance = new ConcurrentHashMap<>();
+
+	private final PeerListener listener;
+
+	BenchLinks(PeerListener listener) {
+		this.listener = listener;
+	}
+
+	@Override
+	public Optional<PeerConnection> to(InstanceId instance) {
+		return Optional.ofNullable(this.byInstance.get(instance));
+	}
+
+	int count() {
+		return this.byInstance.size();
+	}
+
+	@Override
+	public void opened(FrameConnection connection) {
+		PeerConnection peer = PeerConnection.of(connection);
+		peer.newestHeartbeat().set(1);
+		this.open.put(connection, peer);
+		this.byInstance.put(connection.peer().instance(), peer);
+		this.listener.opened(peer);
+	}
+
+	@Override
+	public void received(FrameConnection connection, Message message) {
+		this.listener.received(this.open.get(connection), message);
+	}
+
+	@Override
+	public void closed(FrameConnection connection, String reason) {
+		PeerConnection peer = this.open.remove(connection);
+		if (peer != null) {
+			this.byInstance.remove(connection.peer().instance(), peer);
+			this.listener.lost(peer);
+		}
+	}
+
+}
--- /dev/null
+++ b/catkingate-bench/src/main/java/org/catkingate/bench/requests/LoadCaller.java
@@ -0,0 +1,226 @@
+package org.catkingate.bench.requests;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.UndertowClient;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.XnioWorker;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * Calls one address over kept connections, each call on its own. Safe for use by any
+ * thread.
+ */
+final class LoadCaller {
+
+	private static final int BUFFER_BYTES = 16 * 1024;
+
+	private static final int LINE_ENDS_PER_EVENT = 2;
+
+	private static final ThreadLocal<ByteBuffer> READ_BUFFER = ThreadLocal
+		.withInitial(() -> ByteBuffer.allocateDirect(BUFFER_BYTES));
+
+	private final ConcurrentLinkedDeque<ClientConnection> idle = new ConcurrentLinkedDeque<>();
+
+	private final DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+
+	private final XnioWorker worker;
+
+	private final URI uri;
+
+	LoadCaller(XnioWorker worker, InetSocketAddress target) {
+		this.worker = worker;
+		this.uri = URI.create("http://127.0.0.1:" + target.getPort());
+	}
+
+	/**
+	 * Calls once.
+	 * @param body the body of the request
+	 * @param timeoutMillis the deadline that the request names, in milliseconds
+	 * @param leaveAfterMillis when the caller leaves, in milliseconds, 0 for never
+	 * @param done is told what became of it, once
+	 */
+	void call(String body, long timeoutMillis, long leaveAfterMillis, Consumer<CallResult> done) {
+		new OneCall(body, timeoutMillis, leaveAfterMillis, done).start();
+	}
+
+	/**
+	 * One call. Used on its connection's I/O thread.
+	 */
+	private final class OneCall {
+
+		private final long startNanos = System.nanoTime();
+
+		private final byte[] body;
+
+		private final long timeoutMillis;
+
+		private final long leaveAfterMillis;
+
+		private final Consumer<CallResult> done;
+
+		private ClientConnection connection;
+
+		private int status;
+
+		private long firstByteNanos;
+
+		private long lineEnds;
+
+		private boolean over;
+
+		OneCall(String body, long timeoutMillis, long leaveAfterMillis, Consumer<CallResult> done) {
+			this.body = body.getBytes(StandardCharsets.UTF_8);
+			this.timeoutMillis = timeoutMillis;
+			this.leaveAfterMillis = leaveAfterMillis;
+			this.done = done;
+		}
+
+		void start() {
+			ClientConnection reused = LoadCaller.this.idle.pollFirst();
+			if (reused != null && reused.isOpen()) {
+				reused.getIoThread().execute(() -> send(reused));
+				return;
+			}
+			UndertowClient.getInstance()
+				.connect(callback(this::send), LoadCaller.this.uri, LoadCaller.this.worker, LoadCaller.this.buffers,
+						OptionMap.create(Options.TCP_NODELAY, true));
+		}
+
+		private <T> ClientCallback<T> callback(Consumer<T> next) {
+			return new ClientCallback<>() {
+
+				@Override
+				public void completed(T result) {
+					next.accept(result);
+				}
+
+				@Override
+				public void failed(IOException ex) {
+					end(false, false);
+				}
+
+			};
+		}
+
+		private void send(ClientConnection to) {
+			this.connection = to;
+			if (this.leaveAfterMillis > 0) {
+				to.getIoThread().executeAfter(this::leave, this.leaveAfterMillis, TimeUnit.MILLISECONDS);
+			}
+			ClientRequest request = new ClientRequest().setMethod(Methods.POST).setPath("/v1/completions");
+			request.getRequestHeaders()
+				.put(Headers.HOST, "bench")
+				.put(Headers.AUTHORIZATION, "Bearer " + BenchFleet.CALLERS_KEY)
+				.put(Headers.CONTENT_LENGTH, this.body.length)
+				.put(new HttpString("X-Request-Timeout-Ms"), this.timeoutMillis);
+			to.sendRequest(request, callback(this::sent));
+		}
+
+		private void sent(ClientExchange exchange) {
+			exchange.setResponseListener(callback(this::answered));
+			StreamSinkChannel sink = exchange.getRequestChannel();
+			try {
+				ByteBuffer buffer = ByteBuffer.wrap(this.body);
+				while (buffer.hasRemaining()) {
+					sink.write(buffer);
+				}
+				sink.shutdownWrites();
+				sink.flush();
+			}
+			catch (IOException ex) {
+				end(false, false);
+			}
+		}
+
+		private void answered(ClientExchange exchange) {
+			this.status = exchange.getResponse().getResponseCode();
+			StreamSourceChannel source = exchange.getResponseChannel();
+			source.getReadSetter().set(this::read);
+			read(source);
+		}
+
+		private void read(StreamSourceChannel source) {
+			ByteBuffer buffer = READ_BUFFER.get();
+			try {
+				int count = 1;
+				while (count > 0 && !this.over) {
+					buffer.clear();
+					count = source.read(buffer);
+					received(buffer.flip());
+				}
+				if (count < 0) {
+					end(true, false);
+				}
+				else {
+					source.resumeReads();
+				}
+			}
+			catch (IOException ex) {
+				end(false, false);
+			}
+		}
+
+		private void received(ByteBuffer buffer) {
+			if (this.firstByteNanos == 0 && buffer.hasRemaining()) {
+				this.firstByteNanos = System.nanoTime() - this.startNanos;
+			}
+			while (buffer.hasRemaining()) {
+				if (buffer.get() == '\n') {
+					this.lineEnds++;
+				}
+			}
+		}
+
+		private void leave() {
+			end(false, true);
+		}
+
+		private void end(boolean whole, boolean left) {
+			if (this.over) {
+				return;
+			}
+			this.over = true;
+			giveBack(whole);
+			long tokens = Math.max(0, this.lineEnds / LINE_ENDS_PER_EVENT - ((whole) ? 1 : 0));
+			this.done.accept(new CallResult(this.status, this.firstByteNanos, System.nanoTime() - this.startNanos,
+					tokens, whole, left));
+		}
+
+		private void giveBack(boolean whole) {
+			if (this.connection == null) {
+				return;
+			}
+			if (whole && this.connection.isOpen()) {
+				LoadCaller.this.idle.addFirst(this.connection);
+				return;
+			}
+			try {
+				this.connection.performUpgrade().close();
+			}
+			catch (IOException ex) {
+				IoUtils.safeClose(this.connection);
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-bench/src/main/java/org/catkingate/bench/requests/RequestsBench.java
@@ -0,0 +1,245 @@
+package org.catkingate.bench.requests;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+import org.catkingate.decisions.retries.RetryPolicy;
+import org.catkingate.decisions.routing.RoutingPolicies;
+import org.catkingate.entry.EntryCounts;
+import org.catkingate.entry.EntryPolicies;
+import org.catkingate.standins.engine.EngineRun;
+
+/**
+ * Measures live requests through one entry and some agents. Everything runs in one
+ * process, engines and callers included, so figures of latency hold for a machine that is
+ * busy with them as well. For use by one thread.
+ */
+public final class RequestsBench {
+
+	private static final int CALLER_THREADS = 3;
+
+	private static final double REQUESTS_PER_SECOND = 1100;
+
+	private static final long LONG_TIMEOUT_MILLIS = 30_000;
+
+	private final RequestsBenchOptions options;
+
+	private final PrintStream out;
+
+	private final XnioWorker callers;
+
+	private RequestsBench(RequestsBenchOptions options, PrintStream out) throws IOException {
+		this.options = options;
+		this.out = out;
+		this.callers = Xnio.getInstance()
+			.createWorker(OptionMap.builder()
+				.set(Options.WORKER_IO_THREADS, CALLER_THREADS)
+				.set(Options.THREAD_DAEMON, true)
+				.getMap());
+	}
+
+	/**
+	 * Runs the chosen parts.
+	 * @param options the options
+	 * @param out where the figures go, a line each
+	 * @throws Exception if a part cannot run
+	 */
+	public static void run(RequestsBenchOptions options, PrintStream out) throws Exception {
+		RequestsBench bench = new RequestsBench(options, out);
+		for (String part : options.only) {
+			bench.run(part);
+		}
+		bench.callers.shutdownNow();
+	}
+
+	private void run(String part) throws Exception {
+		switch (part) {
+			case "latency" -> latency();
+			case "tokens" -> tokens();
+			case "overload" -> overload();
+			case "abandonment" -> abandonment();
+			case "retries" -> retries();
+			case "faults" -> faults();
+			default -> throw new IllegalArgumentException("there is no part '" + part + "'; see --only in the usage");
+		}
+	}
+
+	private void print(String format, Object... values) {
+		this.out.println(String.format(Locale.ROOT, format, values));
+	}
+
+	private EntryPolicies standard() {
+		RetryPolicy retries = new RetryPolicy(this.options.attempts, RetryPolicy.defaults().baseDelayMillis());
+		return new EntryPolicies(RoutingPolicies.localThenLeastLoaded(), retries, true, this.options.seed);
+	}
+
+	private LoadPlan steady(double callsPerSecond, int tokens, long timeoutMillis) {
+		return LoadPlan.steady(this.options.seed, callsPerSecond, this.options.seconds, tokens, timeoutMillis);
+	}
+
+	private Load load(LoadCaller caller, LoadPlan plan) throws InterruptedException {
+		return new Load(caller, plan).run();
+	}
+
+	private LoadCaller entryOf(BenchFleet fleet) {
+		return new LoadCaller(this.callers, fleet.entry().address());
+	}
+
+	private void warmUp(LoadCaller caller) throws InterruptedException {
+		load(caller, LoadPlan.steady(0, REQUESTS_PER_SECOND, 3, 2, LONG_TIMEOUT_MILLIS));
+	}
+
+	private void latency() throws Exception {
+		try (BenchFleet fleet = BenchFleet.start(standard(), 1, 256, 64, "--token-micros", "1000", "--concurrency",
+				"1000")) {
+			LoadCaller direct = new LoadCaller(this.callers, fleet.agents().get(0).engine().address());
+			LoadCaller through = entryOf(fleet);
+			warmUp(direct);
+			warmUp(through);
+			LoadPlan plan = steady(REQUESTS_PER_SECOND, 4, LONG_TIMEOUT_MILLIS);
+			Load directly = load(direct, plan);
+			long before = fleet.entryCpuNanos();
+			Load throughSystem = load(through, plan);
+			long cpu = fleet.entryCpuNanos() - before;
+			printLatency("direct", directly);
+			printLatency("through", throughSystem);
+			print("latency added_first_token_ms p50=%.2f p95=%.2f p99=%.2f entry_cpu_micros_per_request=%.0f",
+					throughSystem.firstByteMillis(50) - directly.firstByteMillis(50),
+					throughSystem.firstByteMillis(95) - directly.firstByteMillis(95),
+					throughSystem.firstByteMillis(99) - directly.firstByteMillis(99),
+					cpu / 1000.0 / Math.max(1, throughSystem.good()));
+		}
+	}
+
+	private void printLatency(String name, Load load) {
+		print("latency %s good=%d refused=%d broken=%d first_token_ms p50=%.2f p95=%.2f p99=%.2f", name, load.good(),
+				load.refused(), load.broken(), load.firstByteMillis(50), load.firstByteMillis(95),
+				load.firstByteMillis(99));
+	}
+
+	private void tokens() throws Exception {
+		int runners = 8;
+		int streams = 1000;
+		int perStream = (int) (250 * this.options.seconds);
+		try (BenchFleet fleet = BenchFleet.start(standard(), runners, streams, 100, "--token-micros", "4000",
+				"--concurrency", "1000")) {
+			LoadCaller caller = entryOf(fleet);
+			warmUp(caller);
+			long before = fleet.entryCpuNanos();
+			long start = System.nanoTime();
+			Load load = load(caller, LoadPlan.steady(this.options.seed, streams, 1, perStream, 60_000));
+			double seconds = (System.nanoTime() - start) / 1e9;
+			double cpu = (fleet.entryCpuNanos() - before) / 1e9;
+			long tokens = load.good() * (long) perStream;
+			print("tokens streams=%d good=%d broken=%d tokens_per_s=%.0f entry_cores=%.2f "
+					+ "entry_cpu_micros_per_token=%.2f", streams, load.good(), load.broken(), tokens / seconds,
+					cpu / seconds, cpu * 1e6 / Math.max(1, tokens));
+		}
+	}
+
+	private void overload() throws Exception {
+		int runners = 4;
+		int places = 16;
+		double capacity = runners * places / 0.05;
+		try (BenchFleet fleet = BenchFleet.start(standard(), runners, places, places, "--token-micros", "5000")) {
+			LoadCaller caller = entryOf(fleet);
+			warmUp(caller);
+			Load at = load(caller, steady(capacity, 10, 500));
+			Load twice = load(caller, steady(2 * capacity, 10, 500));
+			printOverload("at_capacity", at);
+			printOverload("at_twice", twice);
+			print("overload goodput_at_twice_percent=%.1f", 100 * twice.goodPerSecond() / at.goodPerSecond());
+		}
+	}
+
+	private void printOverload(String name, Load load) {
+		print("overload %s good_per_s=%.0f refused=%d broken=%d refusal_ms p50=%.2f p99=%.2f total_ms p99=%.1f", name,
+				load.goodPerSecond(), load.refused(), load.broken(), load.refusalMillis(50), load.refusalMillis(99),
+				load.totalMillis(99));
+	}
+
+	private void abandonment() throws Exception {
+		int tokens = 100;
+		try (BenchFleet fleet = BenchFleet.start(standard(), 4, 200, 64, "--token-micros", "20000", "--concurrency",
+				"200")) {
+			LoadCaller caller = entryOf(fleet);
+			warmUp(caller);
+			long warmed = runs(fleet).size();
+			Load load = load(caller, steady(200, tokens, LONG_TIMEOUT_MILLIS).leaving(60, 2000));
+			List<EngineRun> runs = runs(fleet).subList((int) warmed, runs(fleet).size());
+			long generated = runs.stream().mapToLong(EngineRun::tokens).sum();
+			long received = load.tokens();
+			print("abandonment calls_left=%d tokens_generated=%d tokens_received=%d "
+					+ "tokens_after_leaving_percent=%.2f", fleet.entry().counts().callersLeft().sum(), generated,
+					received, 100.0 * Math.max(0, generated - received) / Math.max(1, generated));
+		}
+	}
+
+	private static List<EngineRun> runs(BenchFleet fleet) {
+		return fleet.agents()
+			.stream()
+			.flatMap((agent) -> agent.engine().runs().stream())
+			.sorted(Comparator.comparingLong(EngineRun::endedMillis))
+			.toList();
+	}
+
+	private Map<String, EntryPolicies> policies() {
+		long seed = this.options.seed;
+		Map<String, EntryPolicies> policies = new LinkedHashMap<>();
+		policies.put("own", EntryPolicies.standard(seed));
+		policies.put("random", new EntryPolicies(RoutingPolicies.randomChoice(), RetryPolicy.defaults(), true, seed));
+		policies.put("round-robin",
+				new EntryPolicies(RoutingPolicies.roundRobin(), RetryPolicy.defaults(), true, seed));
+		policies.put("no-retry-budget",
+				new EntryPolicies(RoutingPolicies.localThenLeastLoaded(), RetryPolicy.defaults(), false, seed));
+		return policies;
+	}
+
+	private void retries() throws Exception {
+		for (Map.Entry<String, EntryPolicies> policy : policies().entrySet()) {
+			try (BenchFleet fleet = BenchFleet.start(policy.getValue(), 12, 32, 32, "--token-micros", "5000")) {
+				LoadCaller caller = entryOf(fleet);
+				warmUp(caller);
+				for (int i = 0; i < 4; i++) {
+					fleet.agents().get(i).engine().configure("--down", "true");
+				}
+				EntryCounts counts = fleet.entry().counts();
+				long started = counts.started().sum();
+				long retried = counts.retries().sum();
+				Load load = load(caller, steady(REQUESTS_PER_SECOND, 10, 5000));
+				double tries = counts.started().sum() - started;
+				print("retries %s good=%d refused=%d broken=%d amplification=%.3f", policy.getKey(), load.good(),
+						load.refused(), load.broken(), (tries + counts.retries().sum() - retried) / tries);
+			}
+		}
+	}
+
+	private void faults() throws Exception {
+		for (Map.Entry<String, EntryPolicies> policy : policies().entrySet()) {
+			try (BenchFleet fleet = BenchFleet.start(policy.getValue(), 12, 32, 32, "--token-micros", "5000")) {
+				LoadCaller caller = entryOf(fleet);
+				warmUp(caller);
+				Load healthy = load(caller, steady(REQUESTS_PER_SECOND, 10, 5000));
+				fleet.agents().get(0).engine().configure("--token-micros", "1000000000");
+				fleet.agents().get(1).engine().configure("--token-micros", "50000");
+				fleet.agents().get(2).engine().configure("--down", "true");
+				Load faulty = load(caller, steady(REQUESTS_PER_SECOND, 10, 5000));
+				print("faults %s healthy_p99_ms=%.1f faulty_p50_ms=%.1f faulty_p99_ms=%.1f good_percent=%.2f "
+						+ "refused=%d broken=%d", policy.getKey(), healthy.totalMillis(99), faulty.totalMillis(50),
+						faulty.totalMillis(99), 100.0 * faulty.good() / (REQUESTS_PER_SECOND * this.options.seconds),
+						faulty.refused(), faulty.broken());
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/catkingate-bench/src/main/java/org/catkingate/bench/requests/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Benchmark of live requests through one entry and some agents.
+ */
+package org.catkingate.bench.requests;
--- a/catkingate-standins/src/main/java/org/catkingate/standins/HttpService.java
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/HttpService.java
@@ -18,6 +18,7 @@
 import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
 import org.xnio.IoUtils;
+import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /**
  * The HTTP server below a stand-in: its routes, and {@code PUT /control/options}, whose
@@ -137,6 +138,27 @@
 		}
 	}
 
+	/**
+	 * Tells when the caller closes its connection while an answer is awaited. Must be
+	 * called on the connection's I/O thread, after the whole request was read, and only
+	 * for callers that send nothing before they have the answer.
+	 * @param exchange the call
+	 * @param abandoned is run on the I/O thread
+	 */
+	public static void whenAbandoned(HttpServerExchange exchange, Runnable abandoned) {
+		if (exchange.getConnection() instanceof HttpServerConnection connection) {
+			ConduitStreamSourceChannel source = connection.getChannel().getSourceChannel();
+			source.setConduit(connection.getOriginalSourceConduit());
+			source.setReadListener((channel) -> {
+				channel.suspendReads();
+				if (isAbandoned(exchange)) {
+					abandoned.run();
+				}
+			});
+			source.resumeReads();
+		}
+	}
+
 	/**
 	 * Reads one query parameter.
 	 * @param exchange the call
--- a/catkingate-standins/src/main/java/org/catkingate/standins/engine/Generation.java
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/engine/Generation.java
@@ -23,8 +23,6 @@
 
 	private static final HttpString DIGEST = new HttpString("X-Weights-Digest");
 
-	private static final long LOOK_MILLIS = 20;
-
 	private static final int TOKENS_PER_WRITE = 64;
 
 	private final HttpServerExchange exchange;
@@ -84,18 +82,10 @@
 	}
 
 	/**
-	 * Looks for a caller who has left, now and until the end.
+	 * Ends the generation when its caller leaves.
 	 */
 	void watch() {
-		if (this.ended) {
-			return;
-		}
-		if (HttpService.isAbandoned(this.exchange)) {
-			abandon();
-		}
-		else {
-			this.exchange.getIoThread().executeAfter(this::watch, LOOK_MILLIS, TimeUnit.MILLISECONDS);
-		}
+		HttpService.whenAbandoned(this.exchange, this::abandon);
 	}
 
 	private void begin(boolean needsReading) {
