Weigh runners by how long they take to begin an answer

Cause: a slow runner that is not busy was chosen as often as the others (faulty p99 617 ms). Cost is now load times the time until an answer began, which fades.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/routing/RouteQuery.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/routing/RouteQuery.java
@@ -23,6 +23,9 @@
 	/** The age at which a reported load counts half, in milliseconds. */
 	private static final double REPORT_HALF_LIFE_MILLIS = 1000;
 
+	/** Differences below this count as none, in milliseconds. */
+	private static final double LEAST_HEAD_MILLIS = 20;
+
 	public RouteQuery {
 		Objects.requireNonNull(candidates, "candidates must not be null");
 		excluded = Set.copyOf(excluded);
@@ -42,6 +45,18 @@
 		return own.inFlight() + weight * others + own.penalty();
 	}
 
+	/**
+	 * Estimates what one more request costs at a runner: its load with the request, times
+	 * how long it has taken lately. A runner that is slow but not busy is thus left to
+	 * rest, and tried again as its record fades.
+	 * @param candidate the runner
+	 * @return the cost, for comparison only
+	 */
+	public double cost(Candidate candidate) {
+		double headMillis = this.ownLoads.apply(candidate.key()).headMillis();
+		return (load(candidate) + 1) * Math.max(LEAST_HEAD_MILLIS, headMillis);
+	}
+
 	/**
 	 * Tells whether the request may go to a runner.
 	 * @param candidate the runner
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/routing/RoutingPolicies.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/routing/RoutingPolicies.java
@@ -120,7 +120,7 @@
 	}
 
 	private static Candidate lessLoaded(Candidate first, Candidate second, RouteQuery query) {
-		return (query.load(first) <= query.load(second)) ? first : second;
+		return (query.cost(first) <= query.cost(second)) ? first : second;
 	}
 
 }
--- a/catkingate-entry/src/main/java/org/catkingate/entry/Attempt.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/Attempt.java
@@ -19,13 +19,16 @@
 
 	private final long incarnation;
 
+	private final long sentMillis;
+
 	private volatile PeerConnection connection;
 
 	private volatile boolean attached = true;
 
-	Attempt(RequestId wireId, RunnerKey runner, PeerConnection connection) {
+	Attempt(RequestId wireId, RunnerKey runner, PeerConnection connection, long sentMillis) {
 		this.wireId = wireId;
 		this.runner = runner;
+		this.sentMillis = sentMillis;
 		this.connection = connection;
 		this.incarnation = connection.frames().peer().incarnation();
 	}
@@ -38,6 +41,10 @@
 		return this.runner;
 	}
 
+	long sentMillis() {
+		return this.sentMillis;
+	}
+
 	boolean isAttached() {
 		return this.attached;
 	}
--- a/catkingate-entry/src/main/java/org/catkingate/entry/Call.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/Call.java
@@ -141,6 +141,7 @@
 	private void receivedHead(Traffic.AnswerHead first) {
 		if (this.head == null) {
 			this.head = first;
+			this.support.answerBegun(this.attempt);
 		}
 	}
 
--- a/catkingate-entry/src/main/java/org/catkingate/entry/CallSupport.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/CallSupport.java
@@ -119,8 +119,8 @@
 			}
 			Optional<Attempt> attempt = this.connections.to(runner.get().instance())
 				.filter(CallSupport::hasHeartbeat)
-				.flatMap((connection) -> send(call, new Attempt(wireId, runner.get(), connection), connection,
-						leftMillis));
+				.flatMap((connection) -> send(call, new Attempt(wireId, runner.get(), connection, nowMillis()),
+						connection, leftMillis));
 			if (attempt.isPresent()) {
 				return attempt;
 			}
@@ -188,6 +188,10 @@
 		return before.allowsRetry();
 	}
 
+	void answerBegun(Attempt attempt) {
+		this.loads.answeredAfter(attempt.runner(), nowMillis() - attempt.sentMillis());
+	}
+
 	void attemptFailed(RunnerKey runner, boolean notRun) {
 		this.loads.failed(runner);
 		if (notRun) {
