--- a/catkingate-agent/src/main/java/org/catkingate/agent/AgentPeers.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/AgentPeers.java
@@ -1,11 +1,9 @@
 package org.catkingate.agent;
 
-import org.catkingate.agent.idempotency.KeyExchange;
 import org.catkingate.agent.requests.AgentRequests;
 import org.catkingate.agent.weights.WeightsDistribution;
 import org.catkingate.runtime.peers.PeerConnection;
 import org.catkingate.runtime.peers.PeerListener;
-import org.catkingate.wire.Keys;
 import org.catkingate.wire.Message;
 import org.catkingate.wire.Weights;
 
@@ -19,16 +17,13 @@
 
 	private final WeightsDistribution weights;
 
-	private final KeyExchange keys;
-
-	private AgentPeers(AgentRequests requests, WeightsDistribution weights, KeyExchange keys) {
+	private AgentPeers(AgentRequests requests, WeightsDistribution weights) {
 		this.requests = requests;
 		this.weights = weights;
-		this.keys = keys;
 	}
 
-	static AgentPeers sharing(AgentRequests requests, WeightsDistribution weights, KeyExchange keys) {
-		return new AgentPeers(requests, weights, keys);
+	static AgentPeers sharing(AgentRequests requests, WeightsDistribution weights) {
+		return new AgentPeers(requests, weights);
 	}
 
 	@Override
@@ -42,9 +37,6 @@
 		if (message instanceof Weights weightsMessage) {
 			this.weights.received(connection, weightsMessage);
 		}
-		else if (message instanceof Keys keysMessage) {
-			this.keys.received(connection, keysMessage);
-		}
 		else {
 			this.requests.received(connection, message);
 		}
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/fleet/Fleet.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/fleet/Fleet.java
@@ -244,6 +244,18 @@
 		return (manager != null) ? manager.to(instance) : Optional.empty();
 	}
 
+	/**
+	 * Makes a connection only to learn who answers. Before the start nothing happens.
+	 * @param address the address
+	 * @param answering is told who has proved the shared key there, by an I/O thread
+	 */
+	public void identify(InetSocketAddress address, Consumer<Handshake.PeerIdentity> answering) {
+		PeerManager manager = this.peers;
+		if (manager != null) {
+			manager.identify(address, answering);
+		}
+	}
+
 	/**
 	 * Tells how long ago this process sent a heartbeat.
 	 * @param sequence its sequence
