--- a/catkingate-agent/src/main/java/org/catkingate/agent/AgentProcess.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/AgentProcess.java
@@ -21,7 +21,6 @@
 import org.xnio.XnioWorker;
 
 import org.catkingate.agent.idempotency.IdempotencyKeys;
-import org.catkingate.agent.idempotency.SelfDial;
 import org.catkingate.agent.requests.AgentRequestSettings;
 import org.catkingate.agent.requests.AgentRequests;
 import org.catkingate.agent.requests.RunnerEndpoint;
@@ -98,7 +97,7 @@
 		this.worker = Xnio.getInstance().createWorker(workerOptions());
 		this.fleet = Fleet.create(fleetSettings(), clock);
 		this.contacts = ContactDemand.of(this.fleet);
-		this.keys = keys();
+		this.keys = idempotencyKeys();
 		this.weights = WeightsDistribution.start(weightsSettings(), this.worker, this.fleet, this.contacts, this.gates,
 				this::runnersChanged, clock);
 		this.requests = AgentRequests.start(endpoints(), this.fleet::snapshot, this.fleet::heartbeatAgeMillis,
@@ -106,7 +105,7 @@
 		this.fleet.setLoads(this::loads);
 		this.fleet.onSnapshotChange(this::fleetChanged);
 		this.fleet.onList(this);
-		this.fleet.start(AgentPeers.sharing(this.requests, this.weights, this.keys));
+		this.fleet.start(this.keys.before(AgentPeers.sharing(this.requests, this.weights)));
 		this.timer.scheduleAtFixedRate(this.keys::tick, IdempotencyKeys.TICK_MILLIS, IdempotencyKeys.TICK_MILLIS,
 				TimeUnit.MILLISECONDS);
 		this.operators = OperatorsEndpoint.start(settings.operators().listen(), this.readiness, metrics(), this::state);
@@ -152,13 +151,21 @@
 				this.settings.peers().ioThreads());
 	}
 
-	private IdempotencyKeys keys() {
-		KeyHome listening = KeyHome.of(this.self.instance(), this.settings.peers().listen());
+	private IdempotencyKeys idempotencyKeys() {
+		InetSocketAddress listen = this.settings.peers().listen();
+		KeyHome home = new KeyHome(this.self.instance(), listen.getAddress().getHostAddress(), listen.getPort());
 		Map<ServiceName, Integer> counts = new HashMap<>();
 		this.gates.forEach((gate) -> counts.merge(gate.service(), 1, Integer::sum));
-		SelfDial selfDial = SelfDial.over(this.fleet::probe, this.self.incarnation());
-		return IdempotencyKeys.start(listening, this.self.incarnation(), counts, VouchingTimes.ordinary(), this.fleet,
-				selfDial, this.clock, InstantSource.system()::millis);
+		return IdempotencyKeys.start(home, this.self.incarnation(), counts, VouchingTimes.ordinary(), this.fleet,
+				this::dialSelf, this.clock, InstantSource.system()::millis);
+	}
+
+	private void dialSelf(InetSocketAddress address, Runnable itself) {
+		this.fleet.identify(address, (answering) -> {
+			if (answering.incarnation() == this.self.incarnation()) {
+				itself.run();
+			}
+		});
 	}
 
 	private WeightsSettings weightsSettings() {
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/fleet/Fleet.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/fleet/Fleet.java
@@ -36,7 +36,6 @@
 import org.catkingate.runtime.peers.PeerListener;
 import org.catkingate.runtime.peers.PeerManager;
 import org.catkingate.runtime.platform.PlatformClient;
-import org.catkingate.wire.ConnectionListener;
 import org.catkingate.wire.Control;
 import org.catkingate.wire.FrameTransport;
 import org.catkingate.wire.Handshake;
@@ -246,14 +245,14 @@
 	}
 
 	/**
-	 * Connects to an address to learn who answers there, once the fleet has started.
-	 * @param probed the address
-	 * @param listener is told what happens; it closes the connection
+	 * Makes a connection only to learn who answers. Before the start nothing happens.
+	 * @param address the address
+	 * @param answering is told who has proved the shared key there, by an I/O thread
 	 */
-	public void probe(InetSocketAddress probed, ConnectionListener listener) {
+	public void identify(InetSocketAddress address, Consumer<Handshake.PeerIdentity> answering) {
 		PeerManager manager = this.peers;
 		if (manager != null) {
-			manager.probe(probed, listener);
+			manager.identify(address, answering);
 		}
 	}
 
