Test the decisions of the distribution, and take no wait for granted

Cause: a peer's bitfield that came before the manifest left the time since when a chunk is available unknown, so that the wait between data centres never ended; and a busy peer of the own data centre held up a whole transfer (8 agents: one of them took 8.4 s where the others took 4.8 s). Change: count from the manifest where nothing else is known; other data centres of the region after a silence; defer for 50 ms only.

--- a/catkingate-agent/src/main/java/org/catkingate/agent/weights/Uploads.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/weights/Uploads.java
@@ -26,7 +26,7 @@
 
 	private static final long LONGEST_QUEUE_MILLIS = 300;
 
-	private static final long DEFERRED_MILLIS = 300;
+	private static final long DEFERRED_MILLIS = 50;
 
 	private static final double FAIR_COPIES = 1.1;
 
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/Download.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/Download.java
@@ -37,6 +37,10 @@
 				new Question(0, 0, null), null, 0, false);
 	}
 
+	long arrivedAtMillis() {
+		return this.content.arrivedAtMillis();
+	}
+
 	boolean isActive() {
 		return this.content != null && !this.refused;
 	}
@@ -56,7 +60,8 @@
 	}
 
 	Download withMembers(Member own, List<Member> changed, Set<InstanceId> changedNeighbours) {
-		Content renewed = (this.content != null) ? Content.of(own, changed, this.content.manifest()) : null;
+		Content renewed = (this.content != null)
+				? Content.of(own, changed, this.content.manifest(), this.content.arrivedAtMillis()) : null;
 		Map<InstanceId, ChunkSet> kept = new TreeMap<>(this.peers);
 		kept.keySet().removeIf((peer) -> changed.stream().noneMatch((member) -> member.instance().equals(peer)));
 		return new Download(this.version, changed, changedNeighbours, renewed, this.held, kept, this.retryAt,
@@ -133,15 +138,16 @@
 	 * @param manifest the manifest
 	 * @param indexes the indexes of each chunk
 	 * @param readers who is to read each chunk
+	 * @param arrivedAtMillis when the manifest arrived
 	 */
-	record Content(Manifest manifest, Map<Digest, List<Integer>> indexes, Readers readers) {
+	record Content(Manifest manifest, Map<Digest, List<Integer>> indexes, Readers readers, long arrivedAtMillis) {
 
-		static Content of(Member own, List<Member> members, Manifest manifest) {
+		static Content of(Member own, List<Member> members, Manifest manifest, long arrivedAt) {
 			Map<Digest, List<Integer>> indexes = new TreeMap<>();
 			for (int i = 0; i < manifest.chunks().size(); i++) {
 				indexes.computeIfAbsent(manifest.chunks().get(i), (chunk) -> new ArrayList<>()).add(i);
 			}
-			return new Content(manifest, indexes, Readers.of(own, members, manifest));
+			return new Content(manifest, indexes, Readers.of(own, members, manifest), arrivedAt);
 		}
 
 	}
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/SourceChoice.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/SourceChoice.java
@@ -36,12 +36,16 @@
 
 	Optional<Choice> choose(int chunk) {
 		Holders holders = holders(chunk);
-		if (holders.dataCentreAlive) {
+		boolean wait = holders.dataCentreAlive && isNew(chunk);
+		if (holders.dataCentre != null || wait) {
 			return Optional.ofNullable(holders.dataCentre);
 		}
 		if (holders.regionAlive) {
 			return Optional.ofNullable(mayCrossDataCentres(chunk) ? holders.region : null);
 		}
+		if (holders.dataCentreAlive) {
+			return Optional.empty();
+		}
 		int rank = this.readers.rankInRegion(chunk, (member) -> !this.work.isSetAside(member.instance()));
 		if (rank > 0) {
 			return askReader(chunk, rank);
@@ -62,10 +66,17 @@
 		return holders;
 	}
 
+	private long availableSince(int chunk) {
+		return this.download.availableAt().getOrDefault(chunk, this.download.arrivedAtMillis());
+	}
+
+	private boolean isNew(int chunk) {
+		return this.work.now - availableSince(chunk) < Limits.DATA_CENTRE_SILENCE_MILLIS;
+	}
+
 	private boolean mayCrossDataCentres(int chunk) {
 		int rank = this.readers.rankInDataCentre(chunk, (member) -> !this.work.isSetAside(member.instance()));
-		long since = this.download.availableAt().getOrDefault(chunk, this.work.now);
-		return this.work.now - since >= rank * Limits.DATA_CENTRE_SILENCE_MILLIS;
+		return this.work.now - availableSince(chunk) >= rank * Limits.DATA_CENTRE_SILENCE_MILLIS;
 	}
 
 	private Optional<Choice> askReader(int chunk, int rank) {
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/VersionSteps.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/VersionSteps.java
@@ -103,7 +103,7 @@
 				present = present.with(i);
 			}
 		}
-		Download.Content content = Download.Content.of(work.settings.own(), download.members(), manifest);
+		Download.Content content = Download.Content.of(work.settings.own(), download.members(), manifest, work.now);
 		work.downloads.put(digest, download.withContent(content, present, work.now));
 		work.add(new DistributionEffect.VersionKnown(download.version(), manifest));
 		releaseUnneeded(work);
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/distribution/AgentProbe.java
@@ -0,0 +1,85 @@
+package org.catkingate.decisions.distribution;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.catkingate.decisions.Effect;
+import org.catkingate.decisions.Step;
+import org.catkingate.model.Digest;
+
+/**
+ * One agent's state and the effects of its last event. Not safe for use by several
+ * threads.
+ */
+final class AgentProbe {
+
+	private static final long TICK_MILLIS = 20;
+
+	DistributionState state;
+
+	long now = 1000;
+
+	final List<Effect> effects = new ArrayList<>();
+
+	AgentProbe(DistributionSettings settings) {
+		this.state = DistributionState.initial(settings);
+	}
+
+	List<Effect> on(DistributionEvent event) {
+		Step<DistributionState> step = DistributionReducer.create().reduce(this.state, this.now, event);
+		this.state = step.state();
+		this.effects.addAll(step.effects());
+		return step.effects();
+	}
+
+	List<Effect> waitFor(long millis) {
+		int from = this.effects.size();
+		long end = this.now + millis;
+		while (this.now < end) {
+			this.now = Math.min(end, this.now + TICK_MILLIS);
+			on(new DistributionEvent.Ticked());
+		}
+		return this.effects.subList(from, this.effects.size());
+	}
+
+	/**
+	 * Lets a source answer all that is asked of it, until nothing more is.
+	 * @param source the source
+	 */
+	void serve(Source source) {
+		List<DistributionEffect.RequestSlice> open = requests(this.effects, source);
+		this.effects.clear();
+		while (!open.isEmpty()) {
+			for (DistributionEffect.RequestSlice request : open) {
+				arrive(request);
+			}
+			open = requests(this.effects, source);
+			this.effects.clear();
+		}
+	}
+
+	void arrive(DistributionEffect.RequestSlice request) {
+		List<Effect> after = on(new DistributionEvent.SliceArrived(request.source(), request.chunk(), request.offset(),
+				request.length(), 1));
+		for (Effect effect : List.copyOf(after)) {
+			if (effect instanceof DistributionEffect.VerifyChunk verify) {
+				on(new DistributionEvent.ChunkVerified(verify.chunk()));
+			}
+		}
+	}
+
+	static List<DistributionEffect.RequestSlice> requests(List<? extends Effect> effects, Source source) {
+		List<DistributionEffect.RequestSlice> found = new ArrayList<>();
+		for (Effect effect : effects) {
+			if (effect instanceof DistributionEffect.RequestSlice request && request.source().equals(source)) {
+				found.add(request);
+			}
+		}
+		return found;
+	}
+
+	int held(Digest manifest) {
+		return this.state.chunksHeld(manifest).map(ChunkSet::count).orElse(0);
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/distribution/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the decisions about the distribution of weights.
+ */
+package org.catkingate.decisions.distribution;
