Test the decisions about runners, and keep the grace to engines that need it

Cause: the tests showed a grace before the first order also for engines that check fencing numbers, since at the start no configuration is known. Change: the grace counts from the start or the last pause and is looked up when an order is due.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/runners/RunnerSteps.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/runners/RunnerSteps.java
@@ -22,6 +22,12 @@
 	/** How often a settled engine is asked for its state. */
 	static final long POLL_MILLIS = 2000;
 
+	/**
+	 * How long a new or newly woken agent gives no orders to engines that ignore fencing
+	 * numbers: an order of the agent that it replaces must have ended by then.
+	 */
+	static final long GRACE_MILLIS = 3000;
+
 	private final RunnersState state;
 
 	private final long now;
@@ -108,7 +114,7 @@
 		if (runner.holds(target.digest())) {
 			return serve(runner, target);
 		}
-		if (!target.isWhole() || this.now < runner.notBeforeMillis() || isOutranked(runner)) {
+		if (!target.isWhole() || this.now < runner.notBeforeMillis() || isInGrace(runner) || isOutranked(runner)) {
 			return ask(runner, POLL_MILLIS);
 		}
 		if (runner.phase() == RunnerState.Phase.DRAINING || !runner.isOpen()) {
@@ -129,6 +135,11 @@
 		return open(runner.in(RunnerState.Phase.SETTLED), serving);
 	}
 
+	private boolean isInGrace(RunnerState runner) {
+		boolean checks = this.state.fleet().configuration().services().get(runner.service()).checksFencing();
+		return !checks && this.now - this.state.wokenAtMillis() < GRACE_MILLIS;
+	}
+
 	private boolean isOutranked(RunnerState runner) {
 		return runner.report().fence() > fence();
 	}
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/runners/RunnersReducer.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/runners/RunnersReducer.java
@@ -28,12 +28,6 @@
 	/** The time between two ticks from which on this process counts as paused. */
 	static final long PAUSE_MILLIS = 1000;
 
-	/**
-	 * How long a new or newly woken agent gives no orders to engines that ignore fencing
-	 * numbers: an order of a paused agent must have ended by then.
-	 */
-	static final long GRACE_MILLIS = 3000;
-
 	private static final long FIRST_BACKOFF_MILLIS = 1000;
 
 	private static final long LONGEST_BACKOFF_MILLIS = 30_000;
@@ -71,7 +65,7 @@
 
 	private static RunnersState with(RunnersState state, Map<RunnerId, RunnerState> runners) {
 		return new RunnersState(state.settings(), state.fleet(), new TreeMap<>(runners), state.targets(),
-				state.tickedAtMillis());
+				state.tickedAtMillis(), state.wokenAtMillis());
 	}
 
 	/**
@@ -87,11 +81,11 @@
 		Map<RunnerId, RunnerState> runners = new TreeMap<>(state.runners());
 		if (paused) {
 			RunnerSteps steps = new RunnerSteps(state, now);
-			runners.replaceAll((id, runner) -> isPlain(state, runner) ? runner
-					: steps.close(runner).invalidated(now).notBefore(now + graceOf(state, runner), runner.failures()));
+			runners.replaceAll((id, runner) -> isPlain(state, runner) ? runner : steps.close(runner).invalidated(now));
 			effects.addAll(steps.effects());
 		}
-		return new RunnersState(state.settings(), state.fleet(), runners, state.targets(), now);
+		return new RunnersState(state.settings(), state.fleet(), runners, state.targets(), now,
+				paused ? now : state.wokenAtMillis());
 	}
 
 	private static boolean isPlain(RunnersState state, RunnerState runner) {
@@ -99,11 +93,6 @@
 		return service != null && service.kind() == Service.Kind.PLAIN;
 	}
 
-	private static long graceOf(RunnersState state, RunnerState runner) {
-		Service service = state.fleet().configuration().services().get(runner.service());
-		return (service != null && service.checksFencing()) ? 0 : GRACE_MILLIS;
-	}
-
 	private static RunnersState apply(RunnersState state, long now, RunnersEvent event, List<Effect> effects) {
 		if (event instanceof RunnersEvent.Ticked ticked) {
 			return changeAll(state, (runner) -> runner
@@ -183,19 +172,22 @@
 	}
 
 	private static RunnersState fleetChanged(RunnersState state, FleetSnapshot fleet) {
-		return new RunnersState(state.settings(), fleet, state.runners(), state.targets(), state.tickedAtMillis());
+		return new RunnersState(state.settings(), fleet, state.runners(), state.targets(), state.tickedAtMillis(),
+				state.wokenAtMillis());
 	}
 
 	private static RunnersState withTarget(RunnersState state, Target target) {
 		Map<VersionId, Target> targets = new TreeMap<>(state.targets());
 		targets.put(target.id(), target);
-		return new RunnersState(state.settings(), state.fleet(), state.runners(), targets, state.tickedAtMillis());
+		return new RunnersState(state.settings(), state.fleet(), state.runners(), targets, state.tickedAtMillis(),
+				state.wokenAtMillis());
 	}
 
 	private static RunnersState withoutTarget(RunnersState state, VersionId version) {
 		Map<VersionId, Target> targets = new TreeMap<>(state.targets());
 		targets.remove(version);
-		return new RunnersState(state.settings(), state.fleet(), state.runners(), targets, state.tickedAtMillis());
+		return new RunnersState(state.settings(), state.fleet(), state.runners(), targets, state.tickedAtMillis(),
+				state.wokenAtMillis());
 	}
 
 	private static RunnersState changeAll(RunnersState state, UnaryOperator<RunnerState> change) {
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/runners/RunnersState.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/runners/RunnersState.java
@@ -28,13 +28,16 @@
 
 	private final long tickedAtMillis;
 
+	private final long wokenAtMillis;
+
 	RunnersState(RunnersSettings settings, FleetSnapshot fleet, Map<RunnerId, RunnerState> runners,
-			Map<VersionId, Target> targets, long tickedAtMillis) {
+			Map<VersionId, Target> targets, long tickedAtMillis, long wokenAtMillis) {
 		this.settings = Objects.requireNonNull(settings, "settings must not be null");
 		this.fleet = Objects.requireNonNull(fleet, "fleet must not be null");
 		this.runners = Collections.unmodifiableMap(runners);
 		this.targets = Collections.unmodifiableMap(targets);
 		this.tickedAtMillis = tickedAtMillis;
+		this.wokenAtMillis = wokenAtMillis;
 	}
 
 	/**
@@ -45,7 +48,7 @@
 	public static RunnersState initial(RunnersSettings settings) {
 		Map<RunnerId, RunnerState> runners = new TreeMap<>();
 		settings.services().forEach((runner, service) -> runners.put(runner, RunnerState.initial(runner, service)));
-		return new RunnersState(settings, FleetSnapshot.empty(), runners, Map.of(), -1);
+		return new RunnersState(settings, FleetSnapshot.empty(), runners, Map.of(), -1, -1);
 	}
 
 	RunnersSettings settings() {
@@ -68,6 +71,10 @@
 		return this.tickedAtMillis;
 	}
 
+	long wokenAtMillis() {
+		return this.wokenAtMillis;
+	}
+
 	/**
 	 * Tells the state of each runner, for the other processes.
 	 * @return the statuses in the order of the runners' names
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/runners/RunnersReducerTests.java
@@ -0,0 +1,333 @@
+package org.catkingate.decisions.runners;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.catkingate.decisions.Effect;
+import org.catkingate.decisions.Step;
+import org.catkingate.decisions.membership.AgentView;
+import org.catkingate.decisions.membership.FleetSnapshot;
+import org.catkingate.model.ConfigurationVersion;
+import org.catkingate.model.DataCentreName;
+import org.catkingate.model.Digest;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.InstanceRecord;
+import org.catkingate.model.Labels;
+import org.catkingate.model.Manifest;
+import org.catkingate.model.RegionName;
+import org.catkingate.model.Role;
+import org.catkingate.model.RunnerId;
+import org.catkingate.model.RunnerStatus;
+import org.catkingate.model.Selector;
+import org.catkingate.model.ServiceName;
+import org.catkingate.model.VersionId;
+import org.catkingate.model.published.PublishedConfiguration;
+import org.catkingate.model.published.Service;
+import org.catkingate.model.published.WeightsVersion;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link RunnersReducer}.
+ */
+class RunnersReducerTests {
+
+	private static final RunnerId RUNNER = new RunnerId("r1");
+
+	private static final ServiceName SERVICE = new ServiceName("llm");
+
+	private static final long START = 1_700_000_000;
+
+	private final Manifest one = manifest("1");
+
+	private final Manifest two = manifest("2");
+
+	private boolean checksFencing = true;
+
+	private RunnersState state = initial(START);
+
+	private long now = 5000;
+
+	private final List<Effect> effects = new ArrayList<>();
+
+	private static RunnersState initial(long startedAt) {
+		return RunnersState
+			.initial(new RunnersSettings(new InstanceId("own"), Labels.none(), startedAt, Map.of(RUNNER, SERVICE)));
+	}
+
+	private static Manifest manifest(String version) {
+		return new Manifest(VersionId.of("model", version), 10, 10, Digest.of(("whole " + version).getBytes()),
+				List.of(Digest.of(("chunk " + version).getBytes())));
+	}
+
+	private static WeightsVersion version(Manifest manifest, boolean withdrawn) {
+		return new WeightsVersion(manifest.version(), SERVICE, Digest.of(manifest.toString().getBytes()),
+				Selector.everything(), withdrawn);
+	}
+
+	private FleetSnapshot fleet(long revision, List<AgentView> agents, WeightsVersion... versions) {
+		Service service = new Service(SERVICE, Service.Kind.ENGINE, this.checksFencing, "none", List.of(), List.of(), 0,
+				0, 25, 1, 1);
+		Map<VersionId, WeightsVersion> byId = new HashMap<>();
+		for (WeightsVersion version : versions) {
+			byId.put(version.id(), version);
+		}
+		Map<InstanceId, AgentView> byInstance = new HashMap<>();
+		agents.forEach((agent) -> byInstance.put(agent.instance().id(), agent));
+		return new FleetSnapshot(new PublishedConfiguration(
+				new ConfigurationVersion(revision, Digest.of(new byte[] { (byte) revision })), Map.of(),
+				Map.of(SERVICE, service), Map.of(), byId, Map.of(), List.of()), byInstance);
+	}
+
+	private static AgentView agent(String name, Manifest serving) {
+		InstanceRecord record = new InstanceRecord(new InstanceId(name), Role.AGENT,
+				InetSocketAddress.createUnresolved("none", 1), new DataCentreName("dc"), new RegionName("region"),
+				Labels.none(), false);
+		RunnerStatus status = new RunnerStatus(RUNNER, SERVICE, serving.version(), serving.digest(), true);
+		return new AgentView(record, 1, true, false, List.of(status), List.of(), 0);
+	}
+
+	private List<Effect> on(RunnersEvent event) {
+		Step<RunnersState> step = RunnersReducer.create().reduce(this.state, this.now, event);
+		this.state = step.state();
+		this.effects.addAll(step.effects());
+		return step.effects();
+	}
+
+	private List<Effect> tick(long millis, int inProgress) {
+		int from = this.effects.size();
+		long end = this.now + millis;
+		while (this.now < end) {
+			this.now += 20;
+			on(new RunnersEvent.Ticked(Map.of(RUNNER, inProgress)));
+		}
+		return List.copyOf(this.effects.subList(from, this.effects.size()));
+	}
+
+	private List<Effect> report(Manifest held, long fence) {
+		return on(new RunnersEvent.EngineReported(RUNNER, this.now, (held != null) ? held.digest() : null, fence));
+	}
+
+	private void want(long revision, Manifest manifest) {
+		on(new RunnersEvent.FleetChanged(fleet(revision, List.of(), version(manifest, false))));
+		on(new RunnersEvent.VersionWhole(version(manifest, false), manifest));
+	}
+
+	private void serveOne() {
+		want(1, this.one);
+		tick(20, 0);
+		report(this.one, 0);
+		assertThat(this.effects).contains(new RunnersEffect.OpenGate(RUNNER, this.one.version(), this.one.digest()));
+		this.effects.clear();
+	}
+
+	private static List<RunnersEffect.OrderLoad> orders(List<Effect> effects) {
+		return effects.stream()
+			.filter((effect) -> effect instanceof RunnersEffect.OrderLoad)
+			.map((effect) -> (RunnersEffect.OrderLoad) effect)
+			.toList();
+	}
+
+	private void switchToTwo() {
+		this.on(new RunnersEvent.VersionDropped(this.one.version()));
+		want(2, this.two);
+	}
+
+	@Nested
+	class ANewAgent {
+
+		@Test
+		void opensTheGateAtOnceIfTheEngineHoldsTheWeights() {
+			serveOne();
+		}
+
+		@Test
+		void ordersAndReadsBackBeforeItOpensTheGate() {
+			want(1, RunnersReducerTests.this.one);
+			tick(20, 0);
+			assertThat(orders(report(null, 0))).hasSize(1);
+			on(new RunnersEvent.OrderEnded(RUNNER, RunnersEvent.Outcome.DONE));
+			assertThat(RunnersReducerTests.this.effects)
+				.noneMatch((effect) -> effect instanceof RunnersEffect.OpenGate);
+			tick(20, 0);
+			report(RunnersReducerTests.this.one, 1);
+			assertThat(RunnersReducerTests.this.effects).contains(new RunnersEffect.OpenGate(RUNNER,
+					RunnersReducerTests.this.one.version(), RunnersReducerTests.this.one.digest()));
+		}
+
+		@Test
+		void neverOpensTheGateOnAnotherDigest() {
+			want(1, RunnersReducerTests.this.one);
+			tick(20, 0);
+			report(RunnersReducerTests.this.two, 0);
+			on(new RunnersEvent.OrderEnded(RUNNER, RunnersEvent.Outcome.DONE));
+			tick(20, 0);
+			report(RunnersReducerTests.this.two, 0);
+			assertThat(RunnersReducerTests.this.effects)
+				.noneMatch((effect) -> effect instanceof RunnersEffect.OpenGate);
+		}
+
+		@Test
+		void givesNoOrderDuringTheGraceToAnEngineThatIgnoresFencing() {
+			RunnersReducerTests.this.checksFencing = false;
+			want(1, RunnersReducerTests.this.one);
+			long end = RunnersReducerTests.this.now + RunnerSteps.GRACE_MILLIS - 100;
+			while (RunnersReducerTests.this.now < end) {
+				tick(20, 0);
+				report(null, 0);
+			}
+			assertThat(orders(RunnersReducerTests.this.effects)).isEmpty();
+			tick(200, 0);
+			report(null, 0);
+			assertThat(orders(RunnersReducerTests.this.effects)).hasSize(1);
+		}
+
+	}
+
+	@Nested
+	class ASwitch {
+
+		@Test
+		void drainsBeforeItOrders() {
+			serveOne();
+			switchToTwo();
+			assertThat(RunnersReducerTests.this.effects).contains(new RunnersEffect.CloseGate(RUNNER));
+			for (int i = 0; i < 50; i++) {
+				tick(100, 1);
+				report(RunnersReducerTests.this.one, 0);
+			}
+			assertThat(orders(RunnersReducerTests.this.effects)).isEmpty();
+			tick(100, 0);
+			report(RunnersReducerTests.this.one, 0);
+			assertThat(orders(RunnersReducerTests.this.effects)).hasSize(1);
+		}
+
+		@Test
+		void waitsForTheVersionToBeWholeAndServesTheOldOneMeanwhile() {
+			serveOne();
+			on(new RunnersEvent.VersionDropped(RunnersReducerTests.this.one.version()));
+			WeightsVersion next = version(RunnersReducerTests.this.two, false);
+			on(new RunnersEvent.FleetChanged(fleet(2, List.of(), next)));
+			on(new RunnersEvent.VersionKnown(next, RunnersReducerTests.this.two));
+			for (int i = 0; i < 20; i++) {
+				tick(500, 0);
+				report(RunnersReducerTests.this.one, 0);
+			}
+			assertThat(RunnersReducerTests.this.effects)
+				.noneMatch((effect) -> effect instanceof RunnersEffect.CloseGate);
+		}
+
+		@Test
+		void waitsWhileAsManyAsMaySwitchAreAtIt() {
+			serveOne();
+			List<AgentView> others = new ArrayList<>();
+			for (int i = 0; i < 7; i++) {
+				AgentView serving = agent("other-" + i, RunnersReducerTests.this.one);
+				RunnerStatus closed = new RunnerStatus(RUNNER, SERVICE, null, null, false);
+				others.add((i < 2) ? new AgentView(serving.instance(), 1, true, false, List.of(closed), List.of(), 0)
+						: agent("other-" + i, RunnersReducerTests.this.two));
+			}
+			WeightsVersion next = version(RunnersReducerTests.this.two, false);
+			on(new RunnersEvent.VersionDropped(RunnersReducerTests.this.one.version()));
+			on(new RunnersEvent.FleetChanged(fleet(2, others, next)));
+			on(new RunnersEvent.VersionWhole(next, RunnersReducerTests.this.two));
+			tick(1000, 0);
+			assertThat(RunnersReducerTests.this.effects)
+				.noneMatch((effect) -> effect instanceof RunnersEffect.CloseGate);
+			List<AgentView> done = new ArrayList<>(others.subList(2, 7));
+			done.add(agent("other-0", RunnersReducerTests.this.two));
+			done.add(others.get(1));
+			on(new RunnersEvent.FleetChanged(fleet(2, done, next)));
+			assertThat(RunnersReducerTests.this.effects).contains(new RunnersEffect.CloseGate(RUNNER));
+		}
+
+		@Test
+		void isNotWaitedForWhenTheVersionIsWithdrawn() {
+			serveOne();
+			on(new RunnersEvent.FleetChanged(fleet(2, List.of(), version(RunnersReducerTests.this.one, true))));
+			assertThat(RunnersReducerTests.this.effects).contains(new RunnersEffect.CloseGate(RUNNER));
+		}
+
+	}
+
+	@Nested
+	class AfterAPause {
+
+		@Test
+		void theGateIsClosedUntilTheEngineHasBeenAskedAgain() {
+			serveOne();
+			RunnersReducerTests.this.now += 60_000;
+			List<Effect> woken = on(new RunnersEvent.Ticked(Map.of()));
+			assertThat(woken).contains(new RunnersEffect.CloseGate(RUNNER), new RunnersEffect.AskState(RUNNER));
+			assertThat(report(RunnersReducerTests.this.one, 0)).contains(new RunnersEffect.OpenGate(RUNNER,
+					RunnersReducerTests.this.one.version(), RunnersReducerTests.this.one.digest()));
+		}
+
+		@Test
+		void aReportAskedForBeforeItCountsForNothing() {
+			want(1, RunnersReducerTests.this.one);
+			tick(20, 0);
+			long asked = RunnersReducerTests.this.now;
+			RunnersReducerTests.this.now += 60_000;
+			List<Effect> late = on(
+					new RunnersEvent.EngineReported(RUNNER, asked, RunnersReducerTests.this.one.digest(), 0));
+			assertThat(late).noneMatch((effect) -> effect instanceof RunnersEffect.OpenGate);
+		}
+
+		@Test
+		void anOrderCarriesATimeAfterWhichItMustNotBeSent() {
+			want(1, RunnersReducerTests.this.one);
+			tick(20, 0);
+			RunnersEffect.OrderLoad order = orders(report(null, 0)).get(0);
+			assertThat(order.notAfterMillis())
+				.isLessThanOrEqualTo(RunnersReducerTests.this.now + RunnerSteps.FRESH_MILLIS);
+		}
+
+		@Test
+		void theReplacedAgentDoesNotUndoTheOrderOfItsReplacement() {
+			serveOne();
+			switchToTwo();
+			RunnersReducerTests.this.now += 60_000;
+			on(new RunnersEvent.Ticked(Map.of()));
+			long newer = Fencing.number(2, START + 30);
+			for (int i = 0; i < 50; i++) {
+				report(RunnersReducerTests.this.one, newer);
+				tick(200, 0);
+			}
+			assertThat(orders(RunnersReducerTests.this.effects)).isEmpty();
+		}
+
+	}
+
+	@Nested
+	class AnAnswerWithAnotherDigest {
+
+		@Test
+		void closesTheGateUntilTheEngineHasBeenAskedAgain() {
+			serveOne();
+			List<Effect> mismatched = on(new RunnersEvent.AnswerMismatched(RUNNER));
+			assertThat(mismatched).contains(new RunnersEffect.CloseGate(RUNNER), new RunnersEffect.AskState(RUNNER));
+			assertThat(report(RunnersReducerTests.this.one, 0))
+				.anyMatch((effect) -> effect instanceof RunnersEffect.OpenGate);
+		}
+
+	}
+
+	@Nested
+	class FencingNumbers {
+
+		@Test
+		void riseWithTheRevisionAndThenWithTheStartOfTheAgent() {
+			assertThat(Fencing.number(2, START)).isGreaterThan(Fencing.number(1, START + 1000));
+			assertThat(Fencing.number(2, START + 1)).isGreaterThan(Fencing.number(2, START));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/runners/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the decisions about runners.
+ */
+package org.catkingate.decisions.runners;
