Read the origin rather than wait only when there is little else to do

Change: another region is waited for while three or more chunks are in transfer; also gates that traffic closed are noticed at the next tick.

--- a/catkingate-agent/src/main/java/org/catkingate/agent/weights/WeightsDistribution.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/weights/WeightsDistribution.java
@@ -2,9 +2,11 @@
 
 import java.net.URI;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -24,7 +26,6 @@
 import org.catkingate.decisions.distribution.Source;
 import org.catkingate.decisions.membership.FleetSnapshot;
 import org.catkingate.decisions.runners.RunnersEffect;
-import org.catkingate.decisions.runners.RunnersEvent;
 import org.catkingate.decisions.runners.RunnersSettings;
 import org.catkingate.decisions.runners.RunnersState;
 import org.catkingate.decisions.weights.WeightsEvent;
@@ -157,8 +158,14 @@
 			tellStatuses(started.state().runners().statuses());
 		}
 		Map<RunnerId, Integer> inProgress = new HashMap<>();
-		this.gates.forEach((runner, gate) -> inProgress.put(runner, gate.inProgress()));
-		return new WeightsEvent.Ticked(inProgress);
+		Set<RunnerId> closed = new HashSet<>();
+		this.gates.forEach((runner, gate) -> {
+			inProgress.put(runner, gate.inProgress());
+			if (gate.serving().isEmpty()) {
+				closed.add(runner);
+			}
+		});
+		return new WeightsEvent.Ticked(inProgress, closed);
 	}
 
 	private void tellStatuses(List<RunnerStatus> current) {
@@ -240,23 +247,6 @@
 		connection.frames().send(new Weights.ChunkRefusal(request.chunk(), manifest.isPresent() ? REFUSED_MILLIS : 0));
 	}
 
-	/**
-	 * Compares the digest that an answer carries with what the runner was let serve. On a
-	 * mismatch the gate is closed, and the engine is asked before it opens again.
-	 * @param runner the runner
-	 * @param serving what the request was let in with
-	 * @param answered the digest on the answer; null if it carries none
-	 * @return whether the answer may be relayed
-	 */
-	public boolean isAnsweredBy(RunnerId runner, RunnerGate.Serving serving, Digest answered) {
-		if (serving.digest() == null || serving.digest().equals(answered)) {
-			return true;
-		}
-		this.gates.get(runner).closeIfServing(serving.digest());
-		submit(new RunnersEvent.AnswerMismatched(runner));
-		return false;
-	}
-
 	/**
 	 * Tells how far the versions have come.
 	 * @return the progress, never null
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/Limits.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/Limits.java
@@ -8,6 +8,12 @@
 	/** Chunks in transfer at a time. */
 	static final int TRANSFERS = 8;
 
+	/**
+	 * With fewer chunks in transfer the origin is read rather than another region waited
+	 * for, where time matters more.
+	 */
+	static final int TRANSFERS_WHEN_IMPATIENT = 3;
+
 	/** Chunks in transfer at a time from one peer. */
 	static final int TRANSFERS_PER_PEER = 2;
 
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/Preference.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/Preference.java
@@ -8,7 +8,7 @@
  */
 public enum Preference {
 
-	/** Reads the origin whenever the other region does not have the chunk yet. */
+	/** Reads the origin when it would otherwise have little to do. */
 	TIME,
 
 	/** Waits for the other region as long as its readers answer. */
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/SourceChoice.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/SourceChoice.java
@@ -24,14 +24,24 @@
 
 	private final Readers readers;
 
-	private SourceChoice(Work work, Download download) {
+	private final boolean impatient;
+
+	private SourceChoice(Work work, Download download, boolean impatient) {
 		this.work = work;
+		this.impatient = impatient;
 		this.download = download;
 		this.readers = download.content().readers();
 	}
 
-	static SourceChoice of(Work work, Download download) {
-		return new SourceChoice(work, download);
+	/**
+	 * Prepares a choice.
+	 * @param work the state
+	 * @param download the version
+	 * @param impatient whether to read the origin rather than wait for another region
+	 * @return the choice, never null
+	 */
+	static SourceChoice of(Work work, Download download, boolean impatient) {
+		return new SourceChoice(work, download, impatient);
 	}
 
 	Optional<Choice> choose(int chunk) {
@@ -97,8 +107,7 @@
 		if (elsewhere.isPresent()) {
 			return elsewhere;
 		}
-		boolean wait = this.work.settings.preference() == Preference.ORIGIN_BYTES
-				&& (farHolderAlive || isHomeAlive(chunk)) && !isFarPatienceOver();
+		boolean wait = !this.impatient && (farHolderAlive || isHomeAlive(chunk)) && !isFarPatienceOver();
 		return wait ? Optional.empty() : upstream();
 	}
 
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/TransferPlanner.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/TransferPlanner.java
@@ -37,11 +37,18 @@
 			}
 		});
 		candidates.sort(ORDER);
+		start(work, candidates, Limits.TRANSFERS, false);
+		if (work.settings.preference() == Preference.TIME) {
+			start(work, candidates, Limits.TRANSFERS_WHEN_IMPATIENT, true);
+		}
+	}
+
+	private static void start(Work work, List<Candidate> candidates, int transfers, boolean impatient) {
 		for (Candidate candidate : candidates) {
-			if (work.transfers.size() >= Limits.TRANSFERS) {
+			if (work.transfers.size() >= transfers) {
 				return;
 			}
-			start(work, candidate);
+			start(work, candidate, impatient);
 		}
 	}
 
@@ -69,12 +76,12 @@
 		return count;
 	}
 
-	private static void start(Work work, Candidate candidate) {
+	private static void start(Work work, Candidate candidate, boolean impatient) {
 		if (work.transfers.containsKey(candidate.chunk())) {
 			return;
 		}
 		Download download = work.downloads.get(candidate.manifest());
-		SourceChoice.of(work, download).choose(candidate.index()).ifPresent((choice) -> {
+		SourceChoice.of(work, download, impatient).choose(candidate.index()).ifPresent((choice) -> {
 			int size = download.content().manifest().sizeOf(candidate.index());
 			work.transfers.put(candidate.chunk(), Transfer.start(candidate.manifest(), candidate.index(), size,
 					choice.source(), choice.distance(), work.now));
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/runners/RunnersEvent.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/runners/RunnersEvent.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 
 import org.catkingate.decisions.Event;
 import org.catkingate.decisions.membership.FleetSnapshot;
@@ -22,11 +23,13 @@
 	 * Time has passed.
 	 *
 	 * @param inProgress the requests in progress on each runner
+	 * @param closed the runners whose gates are closed
 	 */
-	record Ticked(Map<RunnerId, Integer> inProgress) implements RunnersEvent {
+	record Ticked(Map<RunnerId, Integer> inProgress, Set<RunnerId> closed) implements RunnersEvent {
 
 		public Ticked {
 			inProgress = Map.copyOf(inProgress);
+			closed = Set.copyOf(closed);
 		}
 
 	}
@@ -104,15 +107,6 @@
 
 	}
 
-	/**
-	 * An answer showed other weights than the gate was opened with.
-	 *
-	 * @param runner the runner
-	 */
-	record AnswerMismatched(RunnerId runner) implements RunnersEvent {
-
-	}
-
 	/**
 	 * How an order ended.
 	 */
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/runners/RunnersReducer.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/runners/RunnersReducer.java
@@ -95,8 +95,7 @@
 
 	private static RunnersState apply(RunnersState state, long now, RunnersEvent event, List<Effect> effects) {
 		if (event instanceof RunnersEvent.Ticked ticked) {
-			return changeAll(state, (runner) -> runner
-				.withInProgress(ticked.inProgress().getOrDefault(runner.runner(), runner.inProgress())));
+			return changeAll(state, (runner) -> ticked(runner, now, ticked));
 		}
 		if (event instanceof RunnersEvent.FleetChanged changed) {
 			return fleetChanged(state, changed.fleet());
@@ -119,6 +118,21 @@
 		return applyToRunner(state, now, event, effects);
 	}
 
+	/**
+	 * Takes over what was seen at the gate. Traffic closes a gate by itself if an answer
+	 * showed other weights than it was opened with.
+	 * @param runner the runner
+	 * @param now the monotonic time, in milliseconds
+	 * @param event what was seen
+	 * @return the changed runner, never null
+	 */
+	private static RunnerState ticked(RunnerState runner, long now, RunnersEvent.Ticked event) {
+		RunnerState counted = runner
+			.withInProgress(event.inProgress().getOrDefault(runner.runner(), runner.inProgress()));
+		boolean mismatched = runner.isOpen() && event.closed().contains(runner.runner());
+		return mismatched ? counted.openedWith(null).invalidated(now) : counted;
+	}
+
 	private static RunnersState applyToRunner(RunnersState state, long now, RunnersEvent event, List<Effect> effects) {
 		if (event instanceof RunnersEvent.EngineReported reported) {
 			return change(state, reported.runner(), (runner) -> reported(state, now, runner, reported, effects));
@@ -126,9 +140,6 @@
 		if (event instanceof RunnersEvent.EngineSilent silent) {
 			return change(state, silent.runner(), (runner) -> close(state, now, runner, effects));
 		}
-		if (event instanceof RunnersEvent.AnswerMismatched mismatched) {
-			return change(state, mismatched.runner(), (runner) -> close(state, now, runner, effects));
-		}
 		if (event instanceof RunnersEvent.OrderEnded ended) {
 			return change(state, ended.runner(), (runner) -> orderEnded(now, runner, ended.outcome()));
 		}
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/weights/WeightsEvent.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/weights/WeightsEvent.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 
 import org.catkingate.decisions.Event;
 import org.catkingate.decisions.membership.FleetSnapshot;
@@ -18,11 +19,13 @@
 	 * Time has passed.
 	 *
 	 * @param inProgress the requests in progress on each runner
+	 * @param closed the runners whose gates are closed
 	 */
-	record Ticked(Map<RunnerId, Integer> inProgress) implements WeightsEvent {
+	record Ticked(Map<RunnerId, Integer> inProgress, Set<RunnerId> closed) implements WeightsEvent {
 
 		public Ticked {
 			inProgress = Map.copyOf(inProgress);
+			closed = Set.copyOf(closed);
 		}
 
 	}
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/weights/WeightsReducer.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/weights/WeightsReducer.java
@@ -42,7 +42,7 @@
 	public Step<WeightsState> reduce(WeightsState state, long nowMillis, Event event) {
 		if (event instanceof WeightsEvent.Ticked ticked) {
 			return reduceBoth(state, nowMillis, new DistributionEvent.Ticked(),
-					new RunnersEvent.Ticked(ticked.inProgress()));
+					new RunnersEvent.Ticked(ticked.inProgress(), ticked.closed()));
 		}
 		if (event instanceof WeightsEvent.FleetChanged changed) {
 			return reduceBoth(state, nowMillis, new DistributionEvent.FleetChanged(changed.fleet()),
