Test the distribution over loopback, and mend what the tests showed

Cause, each seen as a failing test first: a reader that refuses a version for want of memory, or does not want it, held up its region for good (two tests timed out after 60 s); an instance that joined late read 0.19 copies from the origin that its peers held. Change: such a reader is set aside and the next in rank reads; neighbours are given 500 ms to say what they hold before the origin is read; the distribution makes the connections that it lacks. Result: 15 loopback tests with stand-ins of origin, store and engines of both kinds (corrupt, refusing, down, resetting and slow sources, changes in mid-transfer, late joiner, memory full, two agents for one engine).

--- a/catkingate-agent/src/main/java/org/catkingate/agent/weights/DistributionIo.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/weights/DistributionIo.java
@@ -45,7 +45,7 @@
 
 	private final PeerConnections peers;
 
-	private final PeerDemand demand;
+	private final Dialler dialler;
 
 	private final OutstandingSlices outstanding;
 
@@ -71,7 +71,7 @@
 		this.memory = memory;
 		this.published = parts.published();
 		this.peers = parts.peers();
-		this.demand = parts.demand();
+		this.dialler = parts.dialler();
 		this.outstanding = new OutstandingSlices(parts.download());
 		this.timer = parts.timer();
 		this.digests = parts.digests();
@@ -101,7 +101,7 @@
 			send(announce.peer(), new Weights.ChunksHeld(announce.manifest(), announce.chunks().toBitfield()));
 		}
 		else if (effect instanceof DistributionEffect.ConnectNeighbours neighbours) {
-			this.demand.neighbours(neighbours.peers());
+			this.dialler.wantNeighbours(neighbours.peers());
 		}
 		else {
 			tell(effect);
@@ -190,7 +190,7 @@
 	private void notConnected(Source.Peer peer, Digest chunk) {
 		long now = this.clock.millis();
 		long since = this.connectingSince.computeIfAbsent(peer.instance(), (instance) -> now);
-		this.demand.connect(peer.instance());
+		this.dialler.connect(peer.instance());
 		boolean patient = now - since < CONNECT_PATIENCE_MILLIS;
 		this.events.accept(patient ? new DistributionEvent.SliceRefused(peer, chunk, CONNECTING_MILLIS)
 				: new DistributionEvent.SliceFailed(peer, chunk));
@@ -220,7 +220,7 @@
 		this.wanted.put(fetch.digest(), fetch.version());
 		if (fetch.source() instanceof Source.Peer peer) {
 			if (!send(peer.instance(), new Weights.ManifestRequest(fetch.digest()))) {
-				this.demand.connect(peer.instance());
+				this.dialler.connect(peer.instance());
 				this.events
 					.accept(new DistributionEvent.ManifestFailed(fetch.digest(), peer, false, CONNECTING_MILLIS));
 			}
--- a/catkingate-agent/src/main/java/org/catkingate/agent/weights/WeightsDistribution.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/weights/WeightsDistribution.java
@@ -1,5 +1,6 @@
 package org.catkingate.agent.weights;
 
+import java.net.InetSocketAddress;
 import java.net.URI;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -11,6 +12,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadFactory;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 import org.xnio.XnioWorker;
@@ -32,6 +34,7 @@
 import org.catkingate.decisions.weights.WeightsReducer;
 import org.catkingate.decisions.weights.WeightsState;
 import org.catkingate.model.Digest;
+import org.catkingate.model.InstanceId;
 import org.catkingate.model.RunnerId;
 import org.catkingate.model.RunnerStatus;
 import org.catkingate.model.ServiceName;
@@ -57,6 +60,8 @@
 
 	private static final double BURST_SECONDS = 0.05;
 
+	private static final long REDIAL_MILLIS = 1000;
+
 	private static final long REFUSED_MILLIS = 100;
 
 	private final ChunkMemory memory;
@@ -75,6 +80,8 @@
 
 	private volatile ControlLoop<WeightsState> loop;
 
+	private long redialledAtMillis;
+
 	private List<RunnerStatus> told = List.of();
 
 	private WeightsDistribution(WeightsSettings settings, WeightsParts parts, List<RunnerGate> gates,
@@ -97,7 +104,8 @@
 	 * @param settings the settings
 	 * @param worker the I/O threads for HTTP
 	 * @param peers the connections to other agents
-	 * @param demand is told which connections are wanted
+	 * @param dial makes a connection to a peer, without waiting for it; the control
+	 * thread or an I/O thread calls it
 	 * @param gates the gate of each runner in the settings
 	 * @param statuses is told the state of the runners whenever it changes, by the
 	 * control thread
@@ -105,7 +113,8 @@
 	 * @return the running distribution, never null
 	 */
 	public static WeightsDistribution start(WeightsSettings settings, XnioWorker worker, PeerConnections peers,
-			PeerDemand demand, List<RunnerGate> gates, Consumer<List<RunnerStatus>> statuses, MonotonicClock clock) {
+			BiConsumer<InstanceId, InetSocketAddress> dial, List<RunnerGate> gates,
+			Consumer<List<RunnerStatus>> statuses, MonotonicClock clock) {
 		WeightsSettings.Rates rates = settings.rates();
 		Map<Source, WeightSource> published = new HashMap<>();
 		addSource(published, new Source.Origin(), settings.origin(), rates.origin(), worker, clock);
@@ -121,7 +130,8 @@
 		};
 		ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(threads);
 		ExecutorService digests = Executors.newSingleThreadExecutor(threads);
-		WeightsParts parts = new WeightsParts(published, engines, peers, demand, bucket(rates.upload(), clock),
+		WeightsParts parts = new WeightsParts(published, engines, peers,
+				new Dialler(settings.own().instance(), peers, dial, clock), bucket(rates.upload(), clock),
 				bucket(rates.download(), clock), timer, digests, clock);
 		return new WeightsDistribution(settings, parts, gates, statuses);
 	}
@@ -156,6 +166,7 @@
 		ControlLoop<WeightsState> started = this.loop;
 		if (started != null) {
 			tellStatuses(started.state().runners().statuses());
+			redial(started.state().distribution());
 		}
 		Map<RunnerId, Integer> inProgress = new HashMap<>();
 		Set<RunnerId> closed = new HashSet<>();
@@ -168,6 +179,13 @@
 		return new WeightsEvent.Ticked(inProgress, closed);
 	}
 
+	private void redial(DistributionState state) {
+		if (state.isIncomplete() && this.parts.clock().millis() - this.redialledAtMillis >= REDIAL_MILLIS) {
+			this.redialledAtMillis = this.parts.clock().millis();
+			this.parts.dialler().connectNeighbours();
+		}
+	}
+
 	private void tellStatuses(List<RunnerStatus> current) {
 		if (!current.equals(this.told)) {
 			this.told = current;
@@ -189,6 +207,7 @@
 	 * @param fleet what is known now
 	 */
 	public void fleetChanged(FleetSnapshot fleet) {
+		this.parts.dialler().fleetChanged(fleet);
 		submit(new WeightsEvent.FleetChanged(fleet));
 	}
 
--- a/catkingate-agent/src/main/java/org/catkingate/agent/weights/WeightsParts.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/weights/WeightsParts.java
@@ -16,7 +16,7 @@
  * @param published the origin and the weight store
  * @param engines the engine behind each runner; none for runners of plain services
  * @param peers the connections that are open
- * @param demand is told which connections are wanted
+ * @param dialler makes the connections that are wanted
  * @param upload paces what is sent to peers
  * @param download paces what is asked for
  * @param timer runs short tasks later
@@ -24,14 +24,14 @@
  * @param clock the clock
  */
 record WeightsParts(Map<Source, WeightSource> published, Map<RunnerId, EngineClient> engines, PeerConnections peers,
-		PeerDemand demand, TokenBucket upload, TokenBucket download, ScheduledExecutorService timer,
+		Dialler dialler, TokenBucket upload, TokenBucket download, ScheduledExecutorService timer,
 		ExecutorService digests, MonotonicClock clock) {
 
 	WeightsParts {
 		published = Map.copyOf(published);
 		engines = Map.copyOf(engines);
 		Objects.requireNonNull(peers, "peers must not be null");
-		Objects.requireNonNull(demand, "demand must not be null");
+		Objects.requireNonNull(dialler, "dialler must not be null");
 		Objects.requireNonNull(clock, "clock must not be null");
 	}
 
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/DistributionState.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/DistributionState.java
@@ -99,6 +99,14 @@
 				download.refused());
 	}
 
+	/**
+	 * Tells whether anything is still on its way.
+	 * @return whether some wanted version is neither whole nor refused
+	 */
+	public boolean isIncomplete() {
+		return this.downloads.values().stream().anyMatch((download) -> !download.isWhole() && !download.refused());
+	}
+
 	/**
 	 * Sums up the sizes of the wanted versions whose manifests are known.
 	 * @return the sum, in bytes
@@ -122,13 +130,13 @@
 	}
 
 	/**
-	 * Finds a wanted manifest that lists a chunk.
+	 * Finds a wanted manifest that fits and lists a chunk.
 	 * @param chunk the chunk
 	 * @return the digest of the manifest's bytes, or empty
 	 */
 	public Optional<Digest> manifestWith(Digest chunk) {
 		for (Map.Entry<Digest, Download> entry : this.downloads.entrySet()) {
-			if (!entry.getValue().indexesOf(chunk).isEmpty()) {
+			if (!entry.getValue().refused() && !entry.getValue().indexesOf(chunk).isEmpty()) {
 				return Optional.of(entry.getKey());
 			}
 		}
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/Limits.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/Limits.java
@@ -47,6 +47,9 @@
 	/** How long a data centre waits for its own first in rank, in milliseconds. */
 	static final long DATA_CENTRE_SILENCE_MILLIS = 1000;
 
+	/** How long neighbours are given to say what they hold, in milliseconds. */
+	static final long LISTEN_MILLIS = 500;
+
 	/** The shortest time between two announcements to a peer, in milliseconds. */
 	static final long ANNOUNCE_MILLIS = 100;
 
@@ -70,6 +73,12 @@
 	 */
 	static final long LIE_BACKOFF_MILLIS = 5000;
 
+	/**
+	 * How long a reader that does not want the version is set aside, in milliseconds: it
+	 * may have an older configuration, or no room.
+	 */
+	static final long UNWANTED_BACKOFF_MILLIS = 5000;
+
 	/** The wait between two questions for a manifest, in milliseconds. */
 	static final long MANIFEST_RETRY_MILLIS = 200;
 
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/SourceChoice.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/SourceChoice.java
@@ -99,6 +99,9 @@
 	}
 
 	private Optional<Choice> readForRegion(int chunk, boolean farHolderAlive) {
+		if (!hasListened()) {
+			return Optional.empty();
+		}
 		if (this.readers.isHome(chunk)) {
 			Optional<Choice> upstream = upstream();
 			return (upstream.isPresent() || isUpstreamWorking()) ? upstream : askElsewhere(chunk);
@@ -111,6 +114,16 @@
 		return wait ? Optional.empty() : upstream();
 	}
 
+	/**
+	 * Tells whether the neighbours have had the time to say what they hold, so that an
+	 * instance that joins late does not read what is there already.
+	 * @return whether all have, or it is too long ago
+	 */
+	private boolean hasListened() {
+		return this.work.now - this.download.arrivedAtMillis() >= Limits.LISTEN_MILLIS
+				|| this.download.peers().keySet().containsAll(this.download.neighbours());
+	}
+
 	private boolean isFarPatienceOver() {
 		return this.work.now - this.download.progressAtMillis() > Limits.FAR_PATIENCE_MILLIS;
 	}
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/TransferSteps.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/TransferSteps.java
@@ -62,9 +62,14 @@
 			work.changeSource(peer, (state) -> state.failed(work.now, Limits.LIE_BACKOFF_MILLIS));
 			return;
 		}
+		boolean far = transfer.distance() == Distance.OTHER_REGION;
+		if (!claims && named == 0 && !far) {
+			work.abandonFrom(peer);
+			work.changeSource(peer, (state) -> state.failed(work.now, Limits.UNWANTED_BACKOFF_MILLIS));
+			return;
+		}
 		work.changeSource(peer, (state) -> state.busyUntil(work.now + retry));
 		if (!claims) {
-			boolean far = transfer.distance() == Distance.OTHER_REGION;
 			long again = work.now + ((far && named > 0) ? retry : Limits.SILENCE_MILLIS);
 			work.changeDownload(transfer.manifest(), (download) -> download.withRetryAt(transfer.index(), again));
 		}
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/distribution/DistributionReducerTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/distribution/DistributionReducerTests.java
@@ -44,6 +44,9 @@
 		for (Fixtures.Published one : wanted) {
 			this.agent.on(new DistributionEvent.ManifestArrived(one.digest(), one.manifest()));
 		}
+		if (members.size() > 1) {
+			this.agent.waitFor(Limits.LISTEN_MILLIS);
+		}
 	}
 
 	private void announce(Member peer, int... chunks) {
@@ -141,6 +144,22 @@
 	@Nested
 	class WithPeers {
 
+		@Test
+		void theOriginIsNotReadBeforeTheyCouldSayWhatTheyHold() {
+			List<Member> members = List.of(DistributionReducerTests.this.own, DistributionReducerTests.this.near);
+			Fixtures.Published published = DistributionReducerTests.this.published;
+			DistributionReducerTests.this.agent
+				.on(new DistributionEvent.FleetChanged(Fixtures.fleet(members, published.version())));
+			DistributionReducerTests.this.agent
+				.on(new DistributionEvent.ManifestArrived(published.digest(), published.manifest()));
+			DistributionReducerTests.this.agent.waitFor(Limits.LISTEN_MILLIS - 100);
+			assertThat(begun(ORIGIN)).isEmpty();
+			announce(DistributionReducerTests.this.near, 0, 1, 2, 3, 4, 5, 6, 7);
+			DistributionReducerTests.this.agent.serve(DistributionReducerTests.this.nearSource);
+			assertThat(DistributionReducerTests.this.agent.held(published.digest())).isEqualTo(8);
+			assertThat(begun(ORIGIN)).isEmpty();
+		}
+
 		@Test
 		void onlyTheFirstInRankReadsAChunkFromTheOrigin() {
 			List<Member> members = List.of(DistributionReducerTests.this.own, DistributionReducerTests.this.near,
@@ -171,6 +190,20 @@
 				.isEqualTo(8);
 		}
 
+		@Test
+		void theNextInRankTakesOverFromAReaderThatDoesNotWantTheVersion() {
+			want(List.of(DistributionReducerTests.this.own, DistributionReducerTests.this.near),
+					DistributionReducerTests.this.published);
+			DistributionReducerTests.this.agent.serve(ORIGIN);
+			DistributionReducerTests.this.agent.waitFor(Limits.SILENCE_MILLIS + 100);
+			Digest asked = begun(DistributionReducerTests.this.nearSource).get(0);
+			DistributionReducerTests.this.agent
+				.on(new DistributionEvent.SliceRefused(DistributionReducerTests.this.nearSource, asked, 0));
+			DistributionReducerTests.this.agent.serve(ORIGIN);
+			assertThat(DistributionReducerTests.this.agent.held(DistributionReducerTests.this.published.digest()))
+				.isEqualTo(8);
+		}
+
 		@Test
 		void aReaderThatAnswersIsNotOvertaken() {
 			want(List.of(DistributionReducerTests.this.own, DistributionReducerTests.this.near),
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/weights/LoopbackAgent.java
@@ -0,0 +1,152 @@
+package org.catkingate.tests.weights;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+import org.catkingate.agent.runners.RunnerGate;
+import org.catkingate.agent.weights.WeightsDistribution;
+import org.catkingate.agent.weights.WeightsSettings;
+import org.catkingate.decisions.distribution.Member;
+import org.catkingate.decisions.distribution.Preference;
+import org.catkingate.model.Digest;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.InstanceRecord;
+import org.catkingate.model.Labels;
+import org.catkingate.model.Role;
+import org.catkingate.model.RunnerId;
+import org.catkingate.model.ServiceName;
+import org.catkingate.runtime.MonotonicClock;
+import org.catkingate.runtime.peers.PeerConnection;
+import org.catkingate.wire.ConnectionListener;
+import org.catkingate.wire.FrameConnection;
+import org.catkingate.wire.FrameTransport;
+import org.catkingate.wire.Handshake;
+import org.catkingate.wire.Message;
+import org.catkingate.wire.SharedKey;
+import org.catkingate.wire.Weights;
+
+/**
+ * The distribution of one agent, with one runner and connections of its own. Safe for use
+ * by any thread.
+ */
+final class LoopbackAgent implements ConnectionListener, AutoCloseable {
+
+	static final ServiceName SERVICE = new ServiceName("llm");
+
+	private static final RunnerId RUNNER = new RunnerId("r1");
+
+	private final Map<InstanceId, PeerConnection> connections = new ConcurrentHashMap<>();
+
+	private final RunnerGate gate = RunnerGate.closed(RUNNER, SERVICE);
+
+	private final Member member;
+
+	private final FrameTransport transport;
+
+	private final InetSocketAddress address;
+
+	private final XnioWorker worker;
+
+	private final WeightsDistribution distribution;
+
+	private LoopbackAgent(Member member, AgentOptions options) throws IOException {
+		this.member = member;
+		this.worker = Xnio.getInstance()
+			.createWorker(
+					OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).set(Options.THREAD_DAEMON, true).getMap());
+		Handshake.PeerIdentity identity = new Handshake.PeerIdentity(member.instance(), Role.AGENT, 1,
+				member.dataCentre(), member.region());
+		this.transport = FrameTransport.create(1, SharedKey.of("a key for these tests"), identity);
+		WeightsSettings settings = new WeightsSettings(member, Labels.none(), options.memoryBytes, options.origin,
+				options.store, options.preference, WeightsSettings.Rates.unlimited(), options.startedAt,
+				List.of(new WeightsSettings.Runner(RUNNER, SERVICE, options.engine)));
+		this.distribution = WeightsDistribution.start(settings, this.worker,
+				(peer) -> Optional.ofNullable(this.connections.get(peer)),
+				(peer, target) -> this.transport.connect(target, this, () -> {
+				}), List.of(this.gate), (statuses) -> {
+				}, MonotonicClock.system());
+		this.address = this.transport.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), this);
+	}
+
+	static LoopbackAgent start(Member member, AgentOptions options) throws IOException {
+		return new LoopbackAgent(member, options);
+	}
+
+	InstanceRecord instance() {
+		return new InstanceRecord(this.member.instance(), Role.AGENT, this.address, this.member.dataCentre(),
+				this.member.region(), Labels.none(), false);
+	}
+
+	WeightsDistribution distribution() {
+		return this.distribution;
+	}
+
+	boolean serves(String digest) {
+		return this.gate.serving().filter((serving) -> serving.digest().equals(new Digest(digest))).isPresent();
+	}
+
+	@Override
+	public void opened(FrameConnection connection) {
+		PeerConnection peer = PeerConnection.of(connection);
+		this.connections.put(connection.peer().instance(), peer);
+		this.distribution.opened(peer);
+	}
+
+	@Override
+	public void received(FrameConnection connection, Message message) {
+		PeerConnection peer = this.connections.get(connection.peer().instance());
+		if (peer != null && message instanceof Weights weights) {
+			this.distribution.received(peer, weights);
+		}
+	}
+
+	@Override
+	public void closed(FrameConnection connection, String reason) {
+		if (connection.peer() == null) {
+			return;
+		}
+		PeerConnection peer = this.connections.get(connection.peer().instance());
+		if (peer != null && peer.frames() == connection) {
+			this.connections.remove(connection.peer().instance());
+			this.distribution.lost(peer);
+		}
+	}
+
+	@Override
+	public void close() {
+		this.distribution.close();
+		this.transport.close();
+		this.worker.shutdownNow();
+	}
+
+	/**
+	 * What differs between agents. Not safe for use by several threads.
+	 */
+	static final class AgentOptions {
+
+		long memoryBytes = 64L << 20;
+
+		URI origin;
+
+		URI store;
+
+		URI engine;
+
+		Preference preference = Preference.TIME;
+
+		long startedAt = 1;
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/weights/WeightsDistributionTests.java
@@ -0,0 +1,291 @@
+package org.catkingate.tests.weights;
+
+import java.io.IOException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.catkingate.agent.weights.WeightsDistribution;
+import org.catkingate.decisions.distribution.Distance;
+import org.catkingate.decisions.distribution.Member;
+import org.catkingate.decisions.distribution.Preference;
+import org.catkingate.decisions.membership.AgentView;
+import org.catkingate.decisions.membership.FleetSnapshot;
+import org.catkingate.model.ConfigurationVersion;
+import org.catkingate.model.DataCentreName;
+import org.catkingate.model.Digest;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.RegionName;
+import org.catkingate.model.Selector;
+import org.catkingate.model.VersionId;
+import org.catkingate.model.published.PublishedConfiguration;
+import org.catkingate.model.published.Service;
+import org.catkingate.model.published.WeightsVersion;
+import org.catkingate.standins.StandIn;
+import org.catkingate.standins.engine.Engine;
+import org.catkingate.standins.weights.GeneratedWeights;
+import org.catkingate.standins.weights.WeightsServer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link WeightsDistribution} with stand-ins of the origin, the weight store
+ * and the engines.
+ */
+class WeightsDistributionTests {
+
+	private static final Duration PATIENCE = Duration.ofSeconds(60);
+
+	private static final int CHUNK_BYTES = 256 * 1024;
+
+	private static final long SIZE_BYTES = 4L << 20;
+
+	private static final long SEED = 4711;
+
+	private final GeneratedWeights one = weights("1", SEED, 1);
+
+	private final GeneratedWeights two = weights("2", SEED + 1, 2);
+
+	private final GeneratedWeights three = weights("3", SEED + 2, 2);
+
+	private final List<LoopbackAgent> agents = new ArrayList<>();
+
+	private final List<AutoCloseable> others = new ArrayList<>();
+
+	private WeightsServer origin;
+
+	private WeightsServer store;
+
+	private boolean checksFencing = true;
+
+	private long revision;
+
+	private static GeneratedWeights weights(String version, long seed, int ownEvery) {
+		return GeneratedWeights
+			.of(new GeneratedWeights.Shape("model", version, seed, SEED, ownEvery, SIZE_BYTES, CHUNK_BYTES));
+	}
+
+	@BeforeEach
+	void startSources() {
+		this.origin = source();
+		this.store = source();
+	}
+
+	private WeightsServer source(String... arguments) {
+		WeightsServer server = WeightsServer.start(arguments);
+		List.of(this.one, this.two, this.three).forEach(server::add);
+		this.others.add(server);
+		return server;
+	}
+
+	@AfterEach
+	void stop() throws Exception {
+		this.agents.forEach(LoopbackAgent::close);
+		for (AutoCloseable other : this.others) {
+			other.close();
+		}
+	}
+
+	private static URI uri(StandIn standIn) {
+		return URI.create("http://127.0.0.1:" + standIn.address().getPort());
+	}
+
+	private LoopbackAgent.AgentOptions options() {
+		LoopbackAgent.AgentOptions options = new LoopbackAgent.AgentOptions();
+		options.origin = uri(this.origin);
+		Engine engine = Engine.start("--checks-fencing", Boolean.toString(this.checksFencing));
+		this.others.add(engine);
+		options.engine = uri(engine);
+		return options;
+	}
+
+	private LoopbackAgent start(String region, LoopbackAgent.AgentOptions options) throws IOException {
+		String name = "agent-" + this.agents.size();
+		Member member = new Member(new InstanceId(name), new DataCentreName("dc-" + region), new RegionName(region));
+		LoopbackAgent agent = LoopbackAgent.start(member, options);
+		this.agents.add(agent);
+		return agent;
+	}
+
+	private void startFleet(String... regions) throws IOException {
+		for (String region : regions) {
+			start(region, options());
+		}
+	}
+
+	private void publish(GeneratedWeights... versions) {
+		this.revision++;
+		tellAll(versions);
+	}
+
+	private void tellAll(GeneratedWeights... versions) {
+		FleetSnapshot fleet = fleet(versions);
+		this.agents.forEach((agent) -> agent.distribution().fleetChanged(fleet));
+	}
+
+	private FleetSnapshot fleet(GeneratedWeights... versions) {
+		Service service = new Service(LoopbackAgent.SERVICE, Service.Kind.ENGINE, this.checksFencing, "all", List.of(),
+				List.of(), 0, 0, 50, 1, 1);
+		Map<VersionId, WeightsVersion> wanted = new HashMap<>();
+		for (GeneratedWeights version : versions) {
+			VersionId id = VersionId.of(version.shape().model(), version.shape().version());
+			wanted.put(id, new WeightsVersion(id, LoopbackAgent.SERVICE, new Digest(version.manifestDigest()),
+					Selector.everything(), false));
+		}
+		Map<InstanceId, AgentView> views = new HashMap<>();
+		this.agents.forEach((agent) -> views.put(agent.instance().id(),
+				new AgentView(agent.instance(), 1, true, false, List.of(), List.of(), 0)));
+		return new FleetSnapshot(
+				new PublishedConfiguration(
+						new ConfigurationVersion(this.revision, Digest.of(new byte[] { (byte) this.revision })),
+						Map.of(), Map.of(LoopbackAgent.SERVICE, service), Map.of(), wanted, Map.of(), List.of()),
+				views);
+	}
+
+	private void awaitServing(GeneratedWeights weights) {
+		Awaitility.await()
+			.atMost(PATIENCE)
+			.until(() -> this.agents.stream().allMatch((agent) -> agent.serves(weights.digest())));
+	}
+
+	private static double copies(WeightsServer server) {
+		return server.served().get("dataBytes").asDouble() / SIZE_BYTES;
+	}
+
+	@Nested
+	class ANewVersion {
+
+		@Test
+		void isServedEverywhereAtAboutOneOriginCopyInEachRegion() throws IOException {
+			startFleet("a", "a", "b", "b", "c");
+			publish(WeightsDistributionTests.this.one);
+			awaitServing(WeightsDistributionTests.this.one);
+			assertThat(copies(WeightsDistributionTests.this.origin)).isLessThanOrEqualTo(4);
+		}
+
+		@Test
+		void keepsTheChunksThatItSharesWithTheLast() throws IOException {
+			startFleet("a");
+			publish(WeightsDistributionTests.this.two);
+			awaitServing(WeightsDistributionTests.this.two);
+			publish(WeightsDistributionTests.this.three);
+			awaitServing(WeightsDistributionTests.this.three);
+			assertThat(copies(WeightsDistributionTests.this.origin)).isEqualTo(1.5);
+		}
+
+		@Test
+		void comesThoughItChangesTwiceInMidTransfer() throws Exception {
+			WeightsDistributionTests.this.origin.configure("--bytes-per-s", Long.toString(SIZE_BYTES));
+			startFleet("a", "a", "b");
+			publish(WeightsDistributionTests.this.one);
+			Thread.sleep(300);
+			publish(WeightsDistributionTests.this.two);
+			Thread.sleep(300);
+			publish(WeightsDistributionTests.this.three);
+			awaitServing(WeightsDistributionTests.this.three);
+		}
+
+		@Test
+		void reachesAnInstanceThatJoinsLateFromItsPeers() throws IOException {
+			startFleet("a", "a");
+			publish(WeightsDistributionTests.this.one);
+			awaitServing(WeightsDistributionTests.this.one);
+			double before = copies(WeightsDistributionTests.this.origin);
+			LoopbackAgent late = start("a", options());
+			tellAll(WeightsDistributionTests.this.one);
+			awaitServing(WeightsDistributionTests.this.one);
+			assertThat(copies(WeightsDistributionTests.this.origin)).isEqualTo(before);
+			assertThat(late.distribution().progress().receivedBytes()).containsOnlyKeys(Distance.DATA_CENTRE);
+		}
+
+		@Test
+		void isRefusedWhereItCannotFitAndTheOthersServeIt() throws IOException {
+			startFleet("a");
+			LoopbackAgent.AgentOptions small = options();
+			small.memoryBytes = SIZE_BYTES / 2;
+			LoopbackAgent refusing = start("a", small);
+			publish(WeightsDistributionTests.this.one);
+			Awaitility.await()
+				.atMost(PATIENCE)
+				.until(() -> WeightsDistributionTests.this.agents.get(0)
+					.serves(WeightsDistributionTests.this.one.digest()));
+			assertThat(refusing.distribution().progress().versions().values())
+				.allMatch((progress) -> progress.refused());
+			assertThat(refusing.distribution().progress().usedBytes()).isZero();
+		}
+
+	}
+
+	@Nested
+	class AFaultySource {
+
+		@ParameterizedTest
+		@ValueSource(strings = { "--corrupt-chunk 3 --corrupt-times 2", "--refuse true", "--down true",
+				"--reset-after-bytes 1000", "--delay-ms 400" })
+		void doesNotKeepTheVersionAway(String faults) throws Exception {
+			WeightsDistributionTests.this.origin.configure(faults.split(" "));
+			startFleet("a", "a", "b");
+			publish(WeightsDistributionTests.this.one);
+			Thread.sleep(2000);
+			WeightsDistributionTests.this.origin.configure("--refuse", "false", "--down", "false",
+					"--reset-after-bytes", "-1", "--delay-ms", "0");
+			awaitServing(WeightsDistributionTests.this.one);
+			assertThat(copies(WeightsDistributionTests.this.origin)).isLessThanOrEqualTo(5);
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "--refuse true", "--corrupt-chunk 3", "--requests-per-s 20" })
+		void isReplacedByTheOriginIfItIsTheStore(String faults) throws IOException {
+			WeightsDistributionTests.this.store.configure(faults.split(" "));
+			LoopbackAgent.AgentOptions options = options();
+			options.store = uri(WeightsDistributionTests.this.store);
+			options.preference = Preference.ORIGIN_BYTES;
+			start("a", options);
+			publish(WeightsDistributionTests.this.one);
+			awaitServing(WeightsDistributionTests.this.one);
+		}
+
+	}
+
+	@Nested
+	class TwoAgentsForOneEngine {
+
+		@ParameterizedTest
+		@ValueSource(booleans = { true, false })
+		void doNotUndoEachOther(boolean checks) throws Exception {
+			WeightsDistributionTests.this.checksFencing = checks;
+			LoopbackAgent.AgentOptions options = options();
+			LoopbackAgent old = start("a", options);
+			publish(WeightsDistributionTests.this.one);
+			awaitServing(WeightsDistributionTests.this.one);
+			options.startedAt = 2;
+			start("a", options).distribution();
+			WeightsDistributionTests.this.revision++;
+			FleetSnapshot behind = fleet(WeightsDistributionTests.this.one);
+			WeightsDistributionTests.this.revision++;
+			FleetSnapshot newest = fleet(WeightsDistributionTests.this.two);
+			LoopbackAgent replacement = WeightsDistributionTests.this.agents.get(1);
+			replacement.distribution().fleetChanged(newest);
+			Awaitility.await()
+				.atMost(PATIENCE)
+				.until(() -> replacement.serves(WeightsDistributionTests.this.two.digest()));
+			old.distribution().fleetChanged(behind);
+			Thread.sleep(5000);
+			assertThat(replacement.serves(WeightsDistributionTests.this.two.digest())).isTrue();
+			assertThat(old.serves(WeightsDistributionTests.this.one.digest())).isFalse();
+		}
+
+	}
+
+}
