--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/Limits.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/Limits.java
@@ -8,6 +8,12 @@
 	/** Chunks in transfer at a time. */
 	static final int TRANSFERS = 8;
 
+	/**
+	 * With fewer chunks in transfer the origin is read rather than another region waited
+	 * for, where time matters more.
+	 */
+	static final int TRANSFERS_WHEN_IMPATIENT = 3;
+
 	/** Chunks in transfer at a time from one peer. */
 	static final int TRANSFERS_PER_PEER = 2;
 
@@ -41,6 +47,9 @@
 	/** How long a data centre waits for its own first in rank, in milliseconds. */
 	static final long DATA_CENTRE_SILENCE_MILLIS = 1000;
 
+	/** How long neighbours are given to say what they hold, in milliseconds. */
+	static final long LISTEN_MILLIS = 500;
+
 	/** The shortest time between two announcements to a peer, in milliseconds. */
 	static final long ANNOUNCE_MILLIS = 100;
 
@@ -64,6 +73,12 @@
 	 */
 	static final long LIE_BACKOFF_MILLIS = 5000;
 
+	/**
+	 * How long a reader that does not want the version is set aside, in milliseconds: it
+	 * may have an older configuration, or no room.
+	 */
+	static final long UNWANTED_BACKOFF_MILLIS = 5000;
+
 	/** The wait between two questions for a manifest, in milliseconds. */
 	static final long MANIFEST_RETRY_MILLIS = 200;
 
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/SourceChoice.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/SourceChoice.java
@@ -24,24 +24,38 @@
 
 	private final Readers readers;
 
-	private SourceChoice(Work work, Download download) {
+	private final boolean impatient;
+
+	private SourceChoice(Work work, Download download, boolean impatient) {
 		this.work = work;
+		this.impatient = impatient;
 		this.download = download;
 		this.readers = download.content().readers();
 	}
 
-	static SourceChoice of(Work work, Download download) {
-		return new SourceChoice(work, download);
+	/**
+	 * Prepares a choice.
+	 * @param work the state
+	 * @param download the version
+	 * @param impatient whether to read the origin rather than wait for another region
+	 * @return the choice, never null
+	 */
+	static SourceChoice of(Work work, Download download, boolean impatient) {
+		return new SourceChoice(work, download, impatient);
 	}
 
 	Optional<Choice> choose(int chunk) {
 		Holders holders = holders(chunk);
-		if (holders.dataCentreAlive) {
+		boolean wait = holders.dataCentreAlive && isNew(chunk);
+		if (holders.dataCentre != null || wait) {
 			return Optional.ofNullable(holders.dataCentre);
 		}
 		if (holders.regionAlive) {
 			return Optional.ofNullable(mayCrossDataCentres(chunk) ? holders.region : null);
 		}
+		if (holders.dataCentreAlive) {
+			return Optional.empty();
+		}
 		int rank = this.readers.rankInRegion(chunk, (member) -> !this.work.isSetAside(member.instance()));
 		if (rank > 0) {
 			return askReader(chunk, rank);
@@ -62,10 +76,17 @@
 		return holders;
 	}
 
+	private long availableSince(int chunk) {
+		return this.download.availableAt().getOrDefault(chunk, this.download.arrivedAtMillis());
+	}
+
+	private boolean isNew(int chunk) {
+		return this.work.now - availableSince(chunk) < Limits.DATA_CENTRE_SILENCE_MILLIS;
+	}
+
 	private boolean mayCrossDataCentres(int chunk) {
 		int rank = this.readers.rankInDataCentre(chunk, (member) -> !this.work.isSetAside(member.instance()));
-		long since = this.download.availableAt().getOrDefault(chunk, this.work.now);
-		return this.work.now - since >= rank * Limits.DATA_CENTRE_SILENCE_MILLIS;
+		return this.work.now - availableSince(chunk) >= rank * Limits.DATA_CENTRE_SILENCE_MILLIS;
 	}
 
 	private Optional<Choice> askReader(int chunk, int rank) {
@@ -78,6 +99,9 @@
 	}
 
 	private Optional<Choice> readForRegion(int chunk, boolean farHolderAlive) {
+		if (!hasListened()) {
+			return Optional.empty();
+		}
 		if (this.readers.isHome(chunk)) {
 			Optional<Choice> upstream = upstream();
 			return (upstream.isPresent() || isUpstreamWorking()) ? upstream : askElsewhere(chunk);
@@ -86,11 +110,20 @@
 		if (elsewhere.isPresent()) {
 			return elsewhere;
 		}
-		boolean wait = this.work.settings.preference() == Preference.ORIGIN_BYTES
-				&& (farHolderAlive || isHomeAlive(chunk)) && !isFarPatienceOver();
+		boolean wait = !this.impatient && (farHolderAlive || isHomeAlive(chunk)) && !isFarPatienceOver();
 		return wait ? Optional.empty() : upstream();
 	}
 
+	/**
+	 * Tells whether the neighbours have had the time to say what they hold, so that an
+	 * instance that joins late does not read what is there already.
+	 * @return whether all have, or it is too long ago
+	 */
+	private boolean hasListened() {
+		return this.work.now - this.download.arrivedAtMillis() >= Limits.LISTEN_MILLIS
+				|| this.download.peers().keySet().containsAll(this.download.neighbours());
+	}
+
 	private boolean isFarPatienceOver() {
 		return this.work.now - this.download.progressAtMillis() > Limits.FAR_PATIENCE_MILLIS;
 	}
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/runners/RunnersReducer.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/runners/RunnersReducer.java
@@ -28,12 +28,6 @@
 	/** The time between two ticks from which on this process counts as paused. */
 	static final long PAUSE_MILLIS = 1000;
 
-	/**
-	 * How long a new or newly woken agent gives no orders to engines that ignore fencing
-	 * numbers: an order of a paused agent must have ended by then.
-	 */
-	static final long GRACE_MILLIS = 3000;
-
 	private static final long FIRST_BACKOFF_MILLIS = 1000;
 
 	private static final long LONGEST_BACKOFF_MILLIS = 30_000;
@@ -71,7 +65,7 @@
 
 	private static RunnersState with(RunnersState state, Map<RunnerId, RunnerState> runners) {
 		return new RunnersState(state.settings(), state.fleet(), new TreeMap<>(runners), state.targets(),
-				state.tickedAtMillis());
+				state.tickedAtMillis(), state.wokenAtMillis());
 	}
 
 	/**
@@ -87,11 +81,11 @@
 		Map<RunnerId, RunnerState> runners = new TreeMap<>(state.runners());
 		if (paused) {
 			RunnerSteps steps = new RunnerSteps(state, now);
-			runners.replaceAll((id, runner) -> isPlain(state, runner) ? runner
-					: steps.close(runner).invalidated(now).notBefore(now + graceOf(state, runner), runner.failures()));
+			runners.replaceAll((id, runner) -> isPlain(state, runner) ? runner : steps.close(runner).invalidated(now));
 			effects.addAll(steps.effects());
 		}
-		return new RunnersState(state.settings(), state.fleet(), runners, state.targets(), now);
+		return new RunnersState(state.settings(), state.fleet(), runners, state.targets(), now,
+				paused ? now : state.wokenAtMillis());
 	}
 
 	private static boolean isPlain(RunnersState state, RunnerState runner) {
@@ -99,15 +93,9 @@
 		return service != null && service.kind() == Service.Kind.PLAIN;
 	}
 
-	private static long graceOf(RunnersState state, RunnerState runner) {
-		Service service = state.fleet().configuration().services().get(runner.service());
-		return (service != null && service.checksFencing()) ? 0 : GRACE_MILLIS;
-	}
-
 	private static RunnersState apply(RunnersState state, long now, RunnersEvent event, List<Effect> effects) {
 		if (event instanceof RunnersEvent.Ticked ticked) {
-			return changeAll(state, (runner) -> runner
-				.withInProgress(ticked.inProgress().getOrDefault(runner.runner(), runner.inProgress())));
+			return changeAll(state, (runner) -> ticked(runner, now, ticked));
 		}
 		if (event instanceof RunnersEvent.FleetChanged changed) {
 			return fleetChanged(state, changed.fleet());
@@ -130,6 +118,21 @@
 		return applyToRunner(state, now, event, effects);
 	}
 
+	/**
+	 * Takes over what was seen at the gate. Traffic closes a gate by itself if an answer
+	 * showed other weights than it was opened with.
+	 * @param runner the runner
+	 * @param now the monotonic time, in milliseconds
+	 * @param event what was seen
+	 * @return the changed runner, never null
+	 */
+	private static RunnerState ticked(RunnerState runner, long now, RunnersEvent.Ticked event) {
+		RunnerState counted = runner
+			.withInProgress(event.inProgress().getOrDefault(runner.runner(), runner.inProgress()));
+		boolean mismatched = runner.isOpen() && event.closed().contains(runner.runner());
+		return mismatched ? counted.openedWith(null).invalidated(now) : counted;
+	}
+
 	private static RunnersState applyToRunner(RunnersState state, long now, RunnersEvent event, List<Effect> effects) {
 		if (event instanceof RunnersEvent.EngineReported reported) {
 			return change(state, reported.runner(), (runner) -> reported(state, now, runner, reported, effects));
@@ -137,9 +140,6 @@
 		if (event instanceof RunnersEvent.EngineSilent silent) {
 			return change(state, silent.runner(), (runner) -> close(state, now, runner, effects));
 		}
-		if (event instanceof RunnersEvent.AnswerMismatched mismatched) {
-			return change(state, mismatched.runner(), (runner) -> close(state, now, runner, effects));
-		}
 		if (event instanceof RunnersEvent.OrderEnded ended) {
 			return change(state, ended.runner(), (runner) -> orderEnded(now, runner, ended.outcome()));
 		}
@@ -183,19 +183,22 @@
 	}
 
 	private static RunnersState fleetChanged(RunnersState state, FleetSnapshot fleet) {
-		return new RunnersState(state.settings(), fleet, state.runners(), state.targets(), state.tickedAtMillis());
+		return new RunnersState(state.settings(), fleet, state.runners(), state.targets(), state.tickedAtMillis(),
+				state.wokenAtMillis());
 	}
 
 	private static RunnersState withTarget(RunnersState state, Target target) {
 		Map<VersionId, Target> targets = new TreeMap<>(state.targets());
 		targets.put(target.id(), target);
-		return new RunnersState(state.settings(), state.fleet(), state.runners(), targets, state.tickedAtMillis());
+		return new RunnersState(state.settings(), state.fleet(), state.runners(), targets, state.tickedAtMillis(),
+				state.wokenAtMillis());
 	}
 
 	private static RunnersState withoutTarget(RunnersState state, VersionId version) {
 		Map<VersionId, Target> targets = new TreeMap<>(state.targets());
 		targets.remove(version);
-		return new RunnersState(state.settings(), state.fleet(), state.runners(), targets, state.tickedAtMillis());
+		return new RunnersState(state.settings(), state.fleet(), state.runners(), targets, state.tickedAtMillis(),
+				state.wokenAtMillis());
 	}
 
 	private static RunnersState changeAll(RunnersState state, UnaryOperator<RunnerState> change) {
