--- a/catkingate-agent/src/main/java/org/catkingate/agent/AgentProcess.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/AgentProcess.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -33,6 +34,7 @@
 import org.catkingate.decisions.idempotency.VouchingTimes;
 import org.catkingate.decisions.membership.FleetSnapshot;
 import org.catkingate.decisions.membership.Self;
+import org.catkingate.model.InstanceId;
 import org.catkingate.model.InstanceRecord;
 import org.catkingate.model.RunnerId;
 import org.catkingate.model.RunnerStatus;
@@ -74,8 +76,6 @@
 
 	private final Fleet fleet;
 
-	private final ContactDemand contacts;
-
 	private final IdempotencyKeys keys;
 
 	private final AgentRequests requests;
@@ -89,6 +89,9 @@
 	// used by the control thread only
 	private List<InstanceRecord> listed = List.of();
 
+	// used by the control thread only
+	private Set<InstanceId> demanded = Set.of();
+
 	private AgentProcess(ProcessSettings settings, MonotonicClock clock) throws IOException {
 		this.settings = settings;
 		this.clock = clock;
@@ -96,10 +99,9 @@
 		settings.runners().forEach((runner) -> this.gates.add(RunnerGate.closed(runner.id(), runner.service())));
 		this.worker = Xnio.getInstance().createWorker(workerOptions());
 		this.fleet = Fleet.create(fleetSettings(), clock);
-		this.contacts = ContactDemand.of(this.fleet);
 		this.keys = idempotencyKeys();
-		this.weights = WeightsDistribution.start(weightsSettings(), this.worker, this.fleet, this.contacts, this.gates,
-				this::runnersChanged, clock);
+		this.weights = WeightsDistribution.start(weightsSettings(), this.worker, this.fleet, this.fleet::dial,
+				this.gates, this::runnersChanged, clock);
 		this.requests = AgentRequests.start(endpoints(), this.fleet::snapshot, this.fleet::heartbeatAgeMillis,
 				this.keys.guard(), clock, AgentRequestSettings.defaults());
 		this.fleet.setLoads(this::loads);
@@ -223,7 +225,11 @@
 
 	private void tellKeys(PublishedConfiguration configuration) {
 		this.keys.fleet(configuration, this.listed);
-		this.contacts.ofKeys(this.keys.neededPeers());
+		Set<InstanceId> needed = this.keys.neededPeers();
+		if (!needed.equals(this.demanded)) {
+			this.demanded = needed;
+			this.fleet.keepContact(needed);
+		}
 	}
 
 	@Override
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/fleet/Fleet.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/fleet/Fleet.java
@@ -244,6 +244,19 @@
 		return (manager != null) ? manager.to(instance) : Optional.empty();
 	}
 
+	/**
+	 * Makes a connection that membership need not want; it is closed again when it has
+	 * not been wanted for a while. Before the start nothing happens.
+	 * @param instance the instance to meet
+	 * @param listening where it listens
+	 */
+	public void dial(InstanceId instance, InetSocketAddress listening) {
+		PeerManager manager = this.peers;
+		if (manager != null) {
+			manager.open(instance, listening);
+		}
+	}
+
 	/**
 	 * Makes a connection only to learn who answers. Before the start nothing happens.
 	 * @param address the address
