Leave runners alone whose answers have stopped beginning

Cause: a silent runner went on being chosen while the others were busy: 32 of 4400 requests stuck there. The time since its last answer began now counts as its slowness.

--- a/catkingate-entry/src/main/java/org/catkingate/entry/Attempt.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/Attempt.java
@@ -9,7 +9,8 @@
 /**
  * One sending of a request to one runner. Each has an identity of its own, so that a late
  * answer to an earlier one cannot be taken for this one's. Immutable, but for the
- * connection that it is attached to, which only the call's I/O thread changes.
+ * connection that it is attached to and whether its answer has begun, which only the
+ * call's I/O thread changes.
  */
 final class Attempt {
 
@@ -25,6 +26,8 @@
 
 	private volatile boolean attached = true;
 
+	private volatile boolean begun;
+
 	Attempt(RequestId wireId, RunnerKey runner, PeerConnection connection, long sentMillis) {
 		this.wireId = wireId;
 		this.runner = runner;
@@ -45,6 +48,20 @@
 		return this.sentMillis;
 	}
 
+	/**
+	 * Takes note that its answer has begun.
+	 * @return whether that is news
+	 */
+	boolean begin() {
+		boolean news = !this.begun;
+		this.begun = true;
+		return news;
+	}
+
+	boolean hasBegun() {
+		return this.begun;
+	}
+
 	boolean isAttached() {
 		return this.attached;
 	}
--- a/catkingate-entry/src/main/java/org/catkingate/entry/CallSupport.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/CallSupport.java
@@ -189,7 +189,9 @@
 	}
 
 	void answerBegun(Attempt attempt) {
-		this.loads.answeredAfter(attempt.runner(), nowMillis() - attempt.sentMillis());
+		if (attempt.begin()) {
+			this.loads.answerBegun(attempt.runner(), nowMillis() - attempt.sentMillis());
+		}
 	}
 
 	void attemptFailed(RunnerKey runner, boolean notRun) {
@@ -205,7 +207,7 @@
 
 	void release(Attempt attempt) {
 		this.byWireId.remove(attempt.wireId());
-		this.loads.ended(attempt.runner());
+		this.loads.ended(attempt.runner(), attempt.hasBegun());
 	}
 
 	void failed(FailureKind kind) {
--- a/catkingate-entry/src/main/java/org/catkingate/entry/Router.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/Router.java
@@ -11,6 +11,7 @@
 import org.catkingate.decisions.retries.RetryPolicy;
 import org.catkingate.decisions.routing.Candidate;
 import org.catkingate.decisions.routing.Candidates;
+import org.catkingate.decisions.routing.Hashes;
 import org.catkingate.decisions.routing.Location;
 import org.catkingate.decisions.routing.RouteQuery;
 import org.catkingate.decisions.routing.RoutingPolicy;
@@ -62,7 +63,7 @@
 	}
 
 	private SplittableRandom random() {
-		return new SplittableRandom(this.seed + this.draws.incrementAndGet() * 0x9e3779b97f4a7c15L);
+		return new SplittableRandom(Hashes.combine(this.seed, this.draws.incrementAndGet()));
 	}
 
 	private Candidates candidates(FleetSnapshot fleet, RoutingRule rule) {
