--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/limits/AccountUseTests.java
@@ -0,0 +1,73 @@
+package org.catkingate.decisions.limits;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIllegalStateException;
+
+/**
+ * Tests for {@link AccountUse}, {@link AccountShare} and {@link PlaceTime}.
+ */
+class AccountUseTests {
+
+	private static final AccountShare SHARE = new AccountShare(10, 3, 100);
+
+	@Test
+	void refusesRequestsInProgressBeyondTheLimitOnly() {
+		AccountUse use = AccountUse.none(SHARE, 0).started().started().started();
+		assertThat(use.decide(SHARE).limit()).isEqualTo(LimitDecision.Limit.CONCURRENCY);
+		assertThat(use.ended().decide(SHARE).isAllowed()).isTrue();
+	}
+
+	@Test
+	void namesTheWaitForTheNextRequest() {
+		AccountUse use = AccountUse.none(SHARE, 0);
+		for (int i = 0; i < 10; i++) {
+			use = use.started().ended();
+		}
+		assertThat(use.decide(SHARE)).isEqualTo(LimitDecision.refused(LimitDecision.Limit.REQUESTS, 100));
+		assertThat(use.refilled(SHARE, 100).decide(SHARE).isAllowed()).isTrue();
+	}
+
+	@Test
+	void letsTokensBeOverdrawnAndThenWaits() {
+		AccountUse use = AccountUse.none(SHARE, 0).generated(300);
+		assertThat(use.decide(SHARE)).isEqualTo(LimitDecision.refused(LimitDecision.Limit.TOKENS, 2000));
+		assertThat(use.refilled(SHARE, 2000).decide(SHARE).isAllowed()).isTrue();
+	}
+
+	@Test
+	void cannotEndMoreThanWasStarted() {
+		assertThatIllegalStateException().isThrownBy(() -> AccountUse.none(SHARE, 0).ended())
+			.withMessage("the account has no request in progress");
+	}
+
+	@Test
+	void estimatesTheWaitInAQueueFromThePlacesThatBecomeFree() {
+		PlaceTime time = PlaceTime.unknown().after(100);
+		assertThat(time.waitMillis(0, 4)).isEqualTo(25);
+		assertThat(time.waitMillis(7, 4)).isEqualTo(200);
+		assertThat(PlaceTime.unknown().waitMillis(100, 4)).isZero();
+	}
+
+	@Property
+	boolean neverAllowsMoreThanBurstAndRate(@ForAll @IntRange(min = 1, max = 50) int rate,
+			@ForAll @IntRange(min = 1, max = 40) int stepMillis) {
+		AccountShare share = new AccountShare(rate, Integer.MAX_VALUE, 1);
+		AccountUse use = AccountUse.none(share, 0);
+		long allowed = 0;
+		int steps = 500;
+		for (int i = 0; i < steps; i++) {
+			use = use.refilled(share, (long) i * stepMillis);
+			if (use.decide(share).isAllowed()) {
+				use = use.started().ended();
+				allowed++;
+			}
+		}
+		return allowed <= rate + rate * (double) steps * stepMillis / 1000 + 1;
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/limits/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of limits.
+ */
+package org.catkingate.decisions.limits;
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/retries/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of retries.
+ */
+package org.catkingate.decisions.retries;
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/routing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of routing.
+ */
+package org.catkingate.decisions.routing;
