--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/DistributionState.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/DistributionState.java
@@ -92,11 +92,11 @@
 
 	private static Progress progressOf(Download download) {
 		if (download.content() == null) {
-			return new Progress(0, 0, 0, false);
+			return new Progress(0, 0, 0, false, 0);
 		}
 		int chunks = download.content().manifest().chunks().size();
 		return new Progress(download.held().count(), chunks, download.content().manifest().totalBytes(),
-				download.refused());
+				download.refused(), download.arrivedAtMillis());
 	}
 
 	/**
@@ -150,8 +150,24 @@
 	 * @param chunks how many there are, 0 while the manifest is unknown
 	 * @param totalBytes the size of the whole, 0 while the manifest is unknown
 	 * @param refused whether it does not fit into the memory
+	 * @param sinceMillis when the manifest arrived, by the monotonic clock, in
+	 * milliseconds
 	 */
-	public record Progress(int chunksHeld, int chunks, long totalBytes, boolean refused) {
+	public record Progress(int chunksHeld, int chunks, long totalBytes, boolean refused, long sinceMillis) {
+
+		/**
+		 * Estimates the time left, from how long the chunks held have taken.
+		 * @param nowMillis the monotonic time, in milliseconds
+		 * @return the time in milliseconds, 0 once all are held, -1 if there is nothing
+		 * to go by
+		 */
+		public long estimatedLeftMillis(long nowMillis) {
+			int missing = this.chunks - this.chunksHeld;
+			if (this.refused || this.chunksHeld == 0) {
+				return -1;
+			}
+			return (nowMillis - this.sinceMillis) * missing / this.chunksHeld;
+		}
 
 	}
 
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/distribution/LossyExchange.java
@@ -0,0 +1,170 @@
+package org.catkingate.decisions.distribution;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.catkingate.decisions.Effect;
+import org.catkingate.decisions.Step;
+import org.catkingate.model.Digest;
+import org.catkingate.model.InstanceId;
+
+/**
+ * A few agents whose messages are late, lost, doubled or corrupt, by a seeded generator.
+ * Not safe for use by several threads.
+ */
+final class LossyExchange {
+
+	private static final long TICK_MILLIS = 50;
+
+	private static final int LONGEST_DELAY_MILLIS = 200;
+
+	private static final long SOURCE_TIMEOUT_MILLIS = 3000;
+
+	private final Random random;
+
+	private final double lossShare;
+
+	private final Fixtures.Published published;
+
+	private final TreeMap<InstanceId, DistributionState> states = new TreeMap<>();
+
+	private final PriorityQueue<Delivery> queue = new PriorityQueue<>();
+
+	private final Set<String> verified = new HashSet<>();
+
+	private long now = 1000;
+
+	private long count;
+
+	LossyExchange(long seed, double lossShare, List<Member> members, Fixtures.Published published) {
+		this.random = new Random(seed);
+		this.lossShare = lossShare;
+		this.published = published;
+		for (Member member : members) {
+			DistributionSettings settings = Fixtures.settings(member, Preference.ORIGIN_BYTES, Fixtures.AMPLE_BYTES,
+					false);
+			this.states.put(member.instance(), DistributionState.initial(settings));
+		}
+		for (Member member : members) {
+			reduce(member.instance(), new DistributionEvent.FleetChanged(Fixtures.fleet(members, published.version())));
+		}
+	}
+
+	boolean runUntilWhole(long millis) {
+		long end = this.now + millis;
+		while (this.now < end && !isWhole()) {
+			this.now += TICK_MILLIS;
+			while (!this.queue.isEmpty() && this.queue.peek().atMillis() <= this.now) {
+				Delivery delivery = this.queue.poll();
+				reduce(delivery.to(), delivery.event());
+			}
+			List.copyOf(this.states.keySet()).forEach((id) -> reduce(id, new DistributionEvent.Ticked()));
+		}
+		return isWhole();
+	}
+
+	private boolean isWhole() {
+		return this.states.values().stream().allMatch((state) -> !state.isIncomplete());
+	}
+
+	/**
+	 * Tells whether agents count only such chunks as held as were verified there.
+	 * @return whether they do
+	 */
+	boolean holdsOnlyVerifiedChunks() {
+		boolean only = true;
+		for (InstanceId id : this.states.keySet()) {
+			for (Digest chunk : this.states.get(id).held().keySet()) {
+				only &= this.verified.contains(id + " " + chunk);
+			}
+		}
+		return only;
+	}
+
+	private void reduce(InstanceId id, DistributionEvent event) {
+		Step<DistributionState> step = DistributionReducer.create().reduce(this.states.get(id), this.now, event);
+		this.states.put(id, step.state());
+		List<Effect> effects = new ArrayList<>(step.effects());
+		effects.forEach((effect) -> carryOut(id, effect));
+	}
+
+	private void carryOut(InstanceId id, Effect effect) {
+		if (effect instanceof DistributionEffect.FetchManifest fetch) {
+			DistributionEvent arrived = new DistributionEvent.ManifestArrived(fetch.digest(),
+					this.published.manifest());
+			deliver(id, arrived, new DistributionEvent.ManifestFailed(fetch.digest(), fetch.source(), false, 0));
+		}
+		else if (effect instanceof DistributionEffect.Announce announce) {
+			deliver(announce.peer(), new DistributionEvent.PeerAnnounced(id, announce.manifest(), announce.chunks()),
+					null);
+		}
+		else if (effect instanceof DistributionEffect.RequestSlice request) {
+			deliver(id, answer(request), new DistributionEvent.SliceFailed(request.source(), request.chunk()));
+		}
+		else if (effect instanceof DistributionEffect.VerifyChunk verify) {
+			verify(id, verify.chunk());
+		}
+	}
+
+	private DistributionEvent answer(DistributionEffect.RequestSlice request) {
+		DistributionEvent slice = new DistributionEvent.SliceArrived(request.source(), request.chunk(),
+				request.offset(), request.length(), LONGEST_DELAY_MILLIS);
+		if (!(request.source() instanceof Source.Peer peer)) {
+			return slice;
+		}
+		DistributionState state = this.states.get(peer.instance());
+		boolean wanted = state.manifestWith(request.chunk()).isPresent();
+		return state.held().containsKey(request.chunk()) ? slice
+				: new DistributionEvent.SliceRefused(request.source(), request.chunk(), wanted ? 100 : 0);
+	}
+
+	private void verify(InstanceId id, Digest chunk) {
+		if (this.random.nextDouble() < this.lossShare) {
+			add(id, new DistributionEvent.ChunkCorrupt(chunk), 1);
+			return;
+		}
+		this.verified.add(id + " " + chunk);
+		add(id, new DistributionEvent.ChunkVerified(chunk), 1);
+	}
+
+	/**
+	 * Delivers an event late, or twice, or loses it.
+	 * @param to the agent
+	 * @param event the event
+	 * @param lost what the agent notices instead after a while; null for nothing
+	 */
+	private void deliver(InstanceId to, DistributionEvent event, DistributionEvent lost) {
+		double chance = this.random.nextDouble();
+		if (chance < this.lossShare) {
+			if (lost != null && this.random.nextBoolean()) {
+				add(to, lost, SOURCE_TIMEOUT_MILLIS);
+			}
+			return;
+		}
+		add(to, event, 1 + this.random.nextInt(LONGEST_DELAY_MILLIS));
+		if (chance > 1 - this.lossShare) {
+			add(to, event, 1 + this.random.nextInt(LONGEST_DELAY_MILLIS));
+		}
+	}
+
+	private void add(InstanceId to, DistributionEvent event, long delay) {
+		this.queue.add(new Delivery(this.now + delay, this.count++, to, event));
+	}
+
+	private record Delivery(long atMillis, long number, InstanceId to,
+			DistributionEvent event) implements Comparable<Delivery> {
+
+		@Override
+		public int compareTo(Delivery other) {
+			int byTime = Long.compare(this.atMillis, other.atMillis);
+			return (byTime != 0) ? byTime : Long.compare(this.number, other.number);
+		}
+
+	}
+
+}
