--- a/catkingate-bench/src/main/java/org/catkingate/bench/weights/Burst.java
+++ b/catkingate-bench/src/main/java/org/catkingate/bench/weights/Burst.java
@@ -48,6 +48,8 @@
 
 	private static final long POLL_MILLIS = 10;
 
+	private static final long LOST_AFTER_MILLIS = 1000;
+
 	private static final int MEMORY_FACTOR = 2;
 
 	private static final double MILLIS_PER_SECOND = 1000.0;
@@ -117,16 +119,26 @@
 		for (BenchAgent agent : agents) {
 			agent.fleetChanged(fleet(shared ? agents : List.of(agent)));
 		}
+		List<BenchAgent> staying = loseSome(agents);
 		long deadline = start + TimeUnit.SECONDS.toNanos(this.options.timeoutSeconds);
-		long whole = agents.stream().filter(BenchAgent::isWhole).count();
-		while (whole < agents.size() && System.nanoTime() < deadline) {
+		long whole = staying.stream().filter(BenchAgent::isWhole).count();
+		while (whole < staying.size() && System.nanoTime() < deadline) {
 			Thread.sleep(POLL_MILLIS);
-			whole = agents.stream().filter(BenchAgent::isWhole).count();
+			whole = staying.stream().filter(BenchAgent::isWhole).count();
 		}
 		double seconds = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start) / MILLIS_PER_SECOND;
 		double processor = TimeUnit.NANOSECONDS.toMillis(system.getProcessCpuTime() - processorNanos)
 				/ MILLIS_PER_SECOND;
-		return result(agents, origin, (int) whole, seconds, processor);
+		return result(staying, origin, (int) whole, seconds, processor);
+	}
+
+	private List<BenchAgent> loseSome(List<BenchAgent> agents) throws InterruptedException {
+		if (this.options.lostAgents == 0) {
+			return agents;
+		}
+		Thread.sleep(LOST_AFTER_MILLIS);
+		agents.subList(0, this.options.lostAgents).forEach(BenchAgent::close);
+		return agents.subList(this.options.lostAgents, agents.size());
 	}
 
 	private Result result(List<BenchAgent> agents, WeightsServer origin, int whole, double seconds, double processor) {
--- a/catkingate-bench/src/main/java/org/catkingate/bench/weights/WeightsBench.java
+++ b/catkingate-bench/src/main/java/org/catkingate/bench/weights/WeightsBench.java
@@ -62,7 +62,7 @@
 		this.out.printf(Locale.ROOT, "%-13s %6d %5d %7.1f %10.2f %13.2f %19.2f %17.2f %16.1f%n", mode, agents,
 				result.whole(), result.seconds(), result.overIdeal(), result.originCopies(), result.busiestLinkCopies(),
 				result.processorSecondsPerAgent(), result.controlBytesPerAgent() / 1024);
-		return result.whole() == agents;
+		return result.whole() == agents - this.options.lostAgents;
 	}
 
 }
--- a/catkingate-bench/src/main/java/org/catkingate/bench/weights/WeightsBenchOptions.java
+++ b/catkingate-bench/src/main/java/org/catkingate/bench/weights/WeightsBenchOptions.java
@@ -32,6 +32,9 @@
 	@Parameter(names = "--baseline", arity = 1, description = "whether to measure everyone reading the origin too")
 	boolean baseline = true;
 
+	@Parameter(names = "--lost-agents", description = "how many agents end a second after the start, unannounced")
+	int lostAgents;
+
 	@Parameter(names = "--timeout-s", description = "longest time of one run")
 	int timeoutSeconds = 300;
 
