Switch only a share of the runners that are there; keep the demo as a golden file

Cause: the bound on runners that switch at once counted expected-runners, so in bin/demo (2 engines of 10 expected) both closed their gates within 3 ms. RunnersReducerTests.countsTheShareOfRunnersThatAreThereAndNotOfThoseExpected was seen failing first, then passing with the bound over the runners that the list shows.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/runners/SwitchOrder.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/runners/SwitchOrder.java
@@ -45,8 +45,7 @@
 			before += pendingBefore(agent, statuses, target, ownScore);
 		}
 		before += ownBefore(state, runner, target, ownScore);
-		int total = Math.max(runners, service.expectedRunners());
-		int bound = Math.max(1, total * service.switchingSharePercent() / PERCENT);
+		int bound = Math.max(1, runners * service.switchingSharePercent() / PERCENT);
 		return before < bound || now - target.wholeAtMillis() >= before / bound * GROUP_MILLIS;
 	}
 
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/runners/RunnersReducerTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/runners/RunnersReducerTests.java
@@ -51,6 +51,8 @@
 
 	private boolean checksFencing = true;
 
+	private int expectedRunners;
+
 	private RunnersState state = initial(START);
 
 	private long now = 5000;
@@ -74,7 +76,7 @@
 
 	private FleetSnapshot fleet(long revision, List<AgentView> agents, WeightsVersion... versions) {
 		Service service = new Service(SERVICE, Service.Kind.ENGINE, this.checksFencing, "none", List.of(), List.of(), 0,
-				0, 25, 1, 1);
+				this.expectedRunners, 25, 1, 1);
 		Map<VersionId, WeightsVersion> byId = new HashMap<>();
 		for (WeightsVersion version : versions) {
 			byId.put(version.id(), version);
@@ -248,6 +250,22 @@
 			assertThat(RunnersReducerTests.this.effects).contains(new RunnersEffect.CloseGate(RUNNER));
 		}
 
+		@Test
+		void countsTheShareOfRunnersThatAreThereAndNotOfThoseExpected() {
+			RunnersReducerTests.this.expectedRunners = 10;
+			serveOne();
+			AgentView serving = agent("other", RunnersReducerTests.this.one);
+			RunnerStatus closed = new RunnerStatus(RUNNER, SERVICE, null, null, false);
+			AgentView switching = new AgentView(serving.instance(), 1, true, false, List.of(closed), List.of(), 0);
+			WeightsVersion next = version(RunnersReducerTests.this.two, false);
+			on(new RunnersEvent.VersionDropped(RunnersReducerTests.this.one.version()));
+			on(new RunnersEvent.FleetChanged(fleet(2, List.of(switching), next)));
+			on(new RunnersEvent.VersionWhole(next, RunnersReducerTests.this.two));
+			tick(1000, 0);
+			assertThat(RunnersReducerTests.this.effects)
+				.noneMatch((effect) -> effect instanceof RunnersEffect.CloseGate);
+		}
+
 		@Test
 		void isNotWaitedForWhenTheVersionIsWithdrawn() {
 			serveOne();
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/demo/DemoTests.java
@@ -0,0 +1,74 @@
+package org.catkingate.tests.demo;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+
+import org.approvaltests.Approvals;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Runs {@code bin/demo} as a newcomer does.
+ */
+class DemoTests {
+
+	private static final int PORTS = 40;
+
+	private static final int LOWEST_PORT = 20_000;
+
+	private static final int HIGHEST_PORT = 32_000;
+
+	private static final int MINUTES = 8;
+
+	@TempDir
+	private Path directory;
+
+	private static int freePorts() {
+		for (int first = LOWEST_PORT; first < HIGHEST_PORT; first += PORTS) {
+			if (areFree(first)) {
+				return first;
+			}
+		}
+		throw new IllegalStateException("no " + PORTS + " free ports in a row");
+	}
+
+	private static boolean areFree(int first) {
+		for (int port = first; port < first + PORTS; port++) {
+			try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+				assertThat(socket.isBound()).isTrue();
+			}
+			catch (IOException ex) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	@Test
+	void showsTheWholePathAndLeavesNothingRunning() throws Exception {
+		Path root = Path.of(System.getProperty("catkingate.root"));
+		Path output = this.directory.resolve("output");
+		ProcessBuilder builder = new ProcessBuilder("bash", root.resolve("bin/demo").toString())
+			.redirectErrorStream(true)
+			.redirectOutput(output.toFile());
+		builder.environment().put("CATKINGATE_DEMO_PORT", Integer.toString(freePorts()));
+		Process demo = builder.start();
+		try {
+			assertThat(demo.waitFor(MINUTES, TimeUnit.MINUTES)).isTrue();
+			assertThat(demo.descendants()).isEmpty();
+			Approvals.verify(Files.readString(output, StandardCharsets.UTF_8));
+			assertThat(demo.exitValue()).isZero();
+		}
+		finally {
+			demo.destroy();
+		}
+	}
+
+}
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/demo/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The demo as a golden file of its whole session.
+ */
+package org.catkingate.tests.demo;
