--- a/catkingate-bench/src/main/java/org/catkingate/bench/Bench.java
+++ b/catkingate-bench/src/main/java/org/catkingate/bench/Bench.java
@@ -2,6 +2,8 @@
 
 import com.beust.jcommander.JCommander;
 
+import org.catkingate.bench.keys.KeysBench;
+import org.catkingate.bench.keys.KeysBenchOptions;
 import org.catkingate.bench.requests.RequestsBench;
 import org.catkingate.bench.requests.RequestsBenchOptions;
 import org.catkingate.bench.weights.WeightsBench;
@@ -23,10 +25,12 @@
 	public static void main(String[] args) throws Exception {
 		WeightsBenchOptions weights = new WeightsBenchOptions();
 		RequestsBenchOptions requests = new RequestsBenchOptions();
+		KeysBenchOptions keys = new KeysBenchOptions();
 		JCommander commands = JCommander.newBuilder()
 			.programName("catkingate-bench")
 			.addCommand("weights", weights)
 			.addCommand("requests", requests)
+			.addCommand("keys", keys)
 			.build();
 		commands.parse(args);
 		if ("weights".equals(commands.getParsedCommand())) {
@@ -36,6 +40,10 @@
 			RequestsBench.run(requests, System.out);
 			System.exit(0);
 		}
+		if ("keys".equals(commands.getParsedCommand())) {
+			KeysBench.run(keys, System.out);
+			System.exit(0);
+		}
 		commands.usage();
 		System.exit(2);
 	}
--- /dev/null
+++ b/catkingate-bench/src/main/java/org/catkingate/bench/keys/KeysBench.java
@@ -0,0 +1,231 @@
+package org.catkingate.bench.keys;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+
+import org.catkingate.decisions.Effect;
+import org.catkingate.decisions.Step;
+import org.catkingate.decisions.idempotency.HomeView;
+import org.catkingate.decisions.idempotency.KeyEffect;
+import org.catkingate.decisions.idempotency.KeyEvent;
+import org.catkingate.decisions.idempotency.KeyHome;
+import org.catkingate.decisions.idempotency.KeyReducer;
+import org.catkingate.decisions.idempotency.KeyScope;
+import org.catkingate.decisions.idempotency.KeyState;
+import org.catkingate.decisions.idempotency.ServiceView;
+import org.catkingate.decisions.idempotency.Vouching;
+import org.catkingate.decisions.idempotency.VouchingTimes;
+import org.catkingate.model.AccountName;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.ServiceName;
+
+/**
+ * Runs the decisions of the agents of one service over a seeded schedule of restarts,
+ * half of them replacements under another name, and judges the first attempts of
+ * purchases with opaque keys, with version 7 UUIDs and with issued keys. Time is counted,
+ * not waited for. For use by one thread.
+ *
+ * @since 0.1
+ */
+public final class KeysBench {
+
+	private static final VouchingTimes TIMES = VouchingTimes.ordinary();
+
+	private static final ServiceName SERVICE = new ServiceName("catalogue-api");
+
+	private static final long STEP_MILLIS = 2_000;
+
+	private static final long DAY_MILLIS = 86_400_000;
+
+	private static final long DOWN_MILLIS = 20_000;
+
+	private static final long LIST_LAG_MILLIS = 10_000;
+
+	private static final double PERCENT = 100.0;
+
+	private final KeyReducer reducer = KeyReducer.with(TIMES);
+
+	private final Vouching vouching = Vouching.with(TIMES);
+
+	private final Map<Kind, Integer> refused = new EnumMap<>(Kind.class);
+
+	private final List<Agent> agents = new ArrayList<>();
+
+	private final KeysBenchOptions options;
+
+	private final Random random;
+
+	private List<KeyHome> list = List.of();
+
+	private long listChangesAt = Long.MAX_VALUE;
+
+	private int names;
+
+	private int restarts;
+
+	private int purchases;
+
+	private KeysBench(KeysBenchOptions options) {
+		this.options = options;
+		this.random = new Random(options.seed);
+	}
+
+	/**
+	 * Counts and prints.
+	 * @param options what to count
+	 * @param out where to print
+	 */
+	public static void run(KeysBenchOptions options, PrintStream out) {
+		KeysBench bench = new KeysBench(options);
+		bench.play();
+		out.printf("seed %d, %d agents, %d days, %d restarts of these agents, %d purchases%n", options.seed,
+				options.agents, options.days, bench.restarts, bench.purchases);
+		for (Kind kind : Kind.values()) {
+			int count = bench.refused.getOrDefault(kind, 0);
+			out.printf("%-24s refused %6d  (%.4f in 100)%n", kind.text, count, PERCENT * count / bench.purchases);
+		}
+	}
+
+	private void play() {
+		for (int i = 0; i < this.options.agents; i++) {
+			this.agents.add(new Agent(newHome(), 0));
+		}
+		this.list = homes();
+		long start = 2 * TIMES.retentionMillis(this.options.windowSeconds * 1000L);
+		double restartsPerStep = (double) this.options.restarts / this.options.nodes * this.options.agents * STEP_MILLIS
+				/ DAY_MILLIS;
+		for (long now = 0; now < start + this.options.days * DAY_MILLIS; now += STEP_MILLIS) {
+			if (now > start && this.random.nextDouble() < restartsPerStep) {
+				restart(now);
+			}
+			seeList(now);
+			exchange(now);
+			if (now > start) {
+				purchase(now);
+			}
+		}
+	}
+
+	private KeyHome newHome() {
+		this.names++;
+		return new KeyHome(new InstanceId("shop-" + this.names), "10.0.0.1", this.names);
+	}
+
+	private List<KeyHome> homes() {
+		return this.agents.stream().map((agent) -> agent.home).toList();
+	}
+
+	private void restart(long now) {
+		this.restarts++;
+		int index = this.random.nextInt(this.agents.size());
+		boolean inPlace = this.random.nextBoolean();
+		KeyHome home = inPlace ? this.agents.get(index).home : newHome();
+		this.agents.set(index, new Agent(home, now + DOWN_MILLIS));
+		this.listChangesAt = now + LIST_LAG_MILLIS;
+	}
+
+	private void seeList(long now) {
+		if (now >= this.listChangesAt) {
+			this.list = homes();
+			this.listChangesAt = Long.MAX_VALUE;
+		}
+		HomeView view = HomeView.of(this.options.agents, this.list);
+		ServiceView seen = new ServiceView(SERVICE, this.options.windowSeconds * 1000L, 1, view);
+		for (Agent agent : this.agents) {
+			agent.reduce(now, new KeyEvent.ServicesSeen(List.of(seen)));
+			agent.reduce(now, new KeyEvent.ListConfirmed(now));
+		}
+	}
+
+	private void exchange(long now) {
+		Map<InstanceId, Agent> byName = new HashMap<>();
+		this.agents.forEach((agent) -> byName.put(agent.home.instance(), agent));
+		for (Agent agent : this.agents) {
+			for (Effect effect : agent.reduce(now, new KeyEvent.AskTime())) {
+				KeyEffect.Ask ask = (KeyEffect.Ask) effect;
+				Optional.ofNullable(byName.get(ask.agent())).ifPresent((other) -> answer(agent, other, ask, now));
+			}
+		}
+	}
+
+	private void answer(Agent asker, Agent asked, KeyEffect.Ask ask, long now) {
+		KeyEvent question = new KeyEvent.Asked(asker.home.instance(), SERVICE, ask.askedAtMillis());
+		for (Effect effect : asked.reduce(now, question)) {
+			KeyEffect.Answer answer = (KeyEffect.Answer) effect;
+			asker.reduce(now,
+					new KeyEvent.Stated(asked.home.instance(), SERVICE, answer.askedAtMillis(), answer.statement()));
+		}
+	}
+
+	private void purchase(long now) {
+		this.purchases++;
+		judge(Kind.OPAQUE, "purchase-" + this.purchases, now);
+		judge(Kind.TIMED, String.format("%08x-%04x-7000-8000-%012x", now >> Short.SIZE, now & 0xffff, this.purchases),
+				now);
+		if (this.agents.stream().noneMatch((agent) -> agent.isUp(now))) {
+			this.refused.merge(Kind.ISSUED, 1, Integer::sum);
+		}
+	}
+
+	private void judge(Kind kind, String key, long now) {
+		KeyScope scope = new KeyScope(new AccountName("bar"), SERVICE, key);
+		KeyHome home = HomeView.of(this.options.agents, this.list).home(scope).orElseThrow();
+		boolean vouched = this.agents.stream()
+			.anyMatch((agent) -> agent.home.equals(home) && agent.isUp(now)
+					&& this.vouching.judge(agent.state, scope, 0, now, now).vouched());
+		if (!vouched) {
+			this.refused.merge(kind, 1, Integer::sum);
+		}
+	}
+
+	private enum Kind {
+
+		OPAQUE("opaque keys"), TIMED("version 7 UUIDs"), ISSUED("issued keys");
+
+		private final String text;
+
+		Kind(String text) {
+			this.text = text;
+		}
+
+	}
+
+	/**
+	 * One incarnation of an agent, which is down until it has started.
+	 */
+	private final class Agent {
+
+		private final KeyHome home;
+
+		private final long upAt;
+
+		private KeyState state;
+
+		private Agent(KeyHome home, long upAt) {
+			this.home = home;
+			this.upAt = upAt;
+			this.state = KeyState.starting(home);
+		}
+
+		private boolean isUp(long now) {
+			return now >= this.upAt;
+		}
+
+		private List<Effect> reduce(long now, KeyEvent event) {
+			if (!isUp(now)) {
+				return List.of();
+			}
+			Step<KeyState> step = KeysBench.this.reducer.reduce(this.state, now, event);
+			this.state = step.state();
+			return step.effects();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-bench/src/main/java/org/catkingate/bench/keys/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * How many calls are refused since nobody can vouch for their keys.
+ */
+package org.catkingate.bench.keys;
