--- a/catkingate-bench/src/main/java/org/catkingate/bench/weights/WeightsBench.java
+++ b/catkingate-bench/src/main/java/org/catkingate/bench/weights/WeightsBench.java
@@ -14,6 +14,9 @@
  */
 public final class WeightsBench {
 
+	/** The agents of a first burst, not reported, that lets the code be compiled. */
+	private static final int WARM_UP_AGENTS = 8;
+
 	private static final long SEED = 20261203;
 
 	private final WeightsBenchOptions options;
@@ -45,6 +48,7 @@
 				this.options.linkMegabytesPerSecond * this.options.originLinks);
 		this.out.println("mode          agents whole seconds over-ideal origin-copies busiest-link-copies "
 				+ "processor-s/agent control-KB/agent");
+		new Burst(this.options, weights).run(WARM_UP_AGENTS, Preference.TIME, true);
 		boolean all = true;
 		for (int agents : this.options.agents) {
 			all &= report(weights, "time", agents, Preference.TIME, true);
