--- a/catkingate-tests/src/test/java/org/catkingate/tests/harness/Caller.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/harness/Caller.java
@@ -74,7 +74,11 @@
 	}
 
 	public CompletableFuture<Answer> lookUp(String name) {
-		return send(request("/lookups/" + name).build());
+		return get("/lookups/" + name);
+	}
+
+	public CompletableFuture<Answer> get(String path) {
+		return send(request(path).build());
 	}
 
 	/**
