Prove that leaving takes no new work and cuts nothing; end with 0 on SIGTERM

Cause: LeavingTests (SIGTERM to agent and entry, leaving by the list, by silence) failed in two of four: processes that had ended gracefully on SIGTERM exited with 143, the runtime's own code, where 0 is documented; main's return of SUCCESS cannot pass the exit that is under way.

Change: the shutdown hook ends the process with 0 once it has stopped. If stopping fails, the runtime's code remains.

--- a/catkingate-cli/src/main/java/org/catkingate/cli/ProcessCommand.java
+++ b/catkingate-cli/src/main/java/org/catkingate/cli/ProcessCommand.java
@@ -48,6 +48,7 @@
 			Runtime.getRuntime().addShutdownHook(new Thread(() -> {
 				process.stop();
 				stopped.countDown();
+				Runtime.getRuntime().halt(ExitCodes.SUCCESS);
 			}, "shutdown"));
 			stopped.await();
 			return ExitCodes.SUCCESS;
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/LeavingTests.java
@@ -0,0 +1,112 @@
+package org.catkingate.tests;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import org.catkingate.standins.engine.EngineRun;
+import org.catkingate.tests.faults.EngineProcess;
+import org.catkingate.tests.faults.TestFleet;
+import org.catkingate.tests.faults.Workload;
+import org.catkingate.tests.harness.Answer;
+import org.catkingate.tests.harness.ChildProcess;
+import org.catkingate.tests.harness.Fleet;
+import org.catkingate.tests.harness.Member;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * A leaving agent gets no new work after a few seconds, and a graceful shutdown cuts off
+ * no request in progress.
+ */
+class LeavingTests {
+
+	/** The stated target: no new work after 3 s. */
+	private static final long NO_NEW_WORK_MILLIS = 3000;
+
+	private static final int LONG_ANSWER_TOKENS = 600;
+
+	@TempDir
+	private Path directory;
+
+	private TestFleet fleet;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.fleet = TestFleet.serving(this.directory, "--token-micros", "10000");
+	}
+
+	@AfterEach
+	void close() {
+		if (this.fleet != null) {
+			this.fleet.close();
+		}
+	}
+
+	private static boolean isRunning(EngineProcess engine) throws Exception {
+		return engine.standIn().get("/engine/state").get("running").asInt() > 0;
+	}
+
+	private CompletableFuture<Answer> longAnswer() {
+		CompletableFuture<Answer> answer = this.fleet.callers().get(0).complete("long", LONG_ANSWER_TOKENS);
+		Awaitility.await("long answer")
+			.atMost(ChildProcess.PATIENCE)
+			.until(() -> isRunning(engine(0)) || isRunning(engine(1)));
+		return answer;
+	}
+
+	private EngineProcess engine(int index) {
+		return this.fleet.engines().get(index);
+	}
+
+	private void assertNoRunStartsAfter(EngineProcess engine, long millis) throws Exception {
+		Workload workload = new Workload(this.fleet.callers(), millis);
+		workload.send(300, 20);
+		List<EngineRun> late = engine.runs().stream().filter((run) -> run.startedMillis() > millis).toList();
+		assertThat(late).isEmpty();
+	}
+
+	@Test
+	void anAgentThatIsAskedToEndFinishesWhatItHoldsAndGetsNoNewWork() throws Exception {
+		CompletableFuture<Answer> answer = longAnswer();
+		int holder = isRunning(engine(0)) ? 0 : 1;
+		Member agent = this.fleet.gpus().get(holder);
+		agent.process().terminate();
+		assertNoRunStartsAfter(engine(holder), System.currentTimeMillis() + NO_NEW_WORK_MILLIS);
+		assertThat(answer.join().isWholeStream()).isTrue();
+		assertThat(agent.process().awaitExit(ChildProcess.PATIENCE)).isZero();
+	}
+
+	@Test
+	void anEntryThatIsAskedToEndFinishesWhatItHolds() throws Exception {
+		CompletableFuture<Answer> answer = longAnswer();
+		Member entry = this.fleet.entries().get(0);
+		entry.process().terminate();
+		Awaitility.await("not ready").atMost(ChildProcess.PATIENCE).until(() -> !entry.isReady());
+		assertThat(answer.join().isWholeStream()).isTrue();
+		assertThat(entry.process().awaitExit(ChildProcess.PATIENCE)).isZero();
+	}
+
+	@Test
+	void anAgentThatTheListCallsLeavingGetsNoNewWork() throws Exception {
+		Member agent = this.fleet.gpus().get(0);
+		this.fleet.fleet()
+			.platform()
+			.instance(Fleet.listed(agent.instance(), "gpu", agent.proxy().address()).put("leaving", true));
+		assertNoRunStartsAfter(engine(0), System.currentTimeMillis() + NO_NEW_WORK_MILLIS);
+	}
+
+	@Test
+	void anAgentThatFallsSilentGetsNoNewWork() throws Exception {
+		this.fleet.gpus().get(0).process().freeze();
+		assertNoRunStartsAfter(engine(0), System.currentTimeMillis() + NO_NEW_WORK_MILLIS);
+		this.fleet.gpus().get(0).process().thaw();
+	}
+
+}
