Let a rule name versions that may answer while a new one spreads

Ruled out: the switching share, which holds; falling back to any other version unasked, since operators select what answers. Change: also-versions in a rule; the dispatch names the version that the chosen runner was seen with, which the agent checks at its gate.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/routing/Candidates.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/routing/Candidates.java
@@ -78,8 +78,7 @@
 	}
 
 	private static boolean serves(RunnerStatus runner, RoutingRule rule) {
-		return runner.admitting() && runner.service().equals(rule.service())
-				&& rule.wantedVersion().map((wanted) -> wanted.equals(runner.version())).orElse(true);
+		return runner.admitting() && runner.service().equals(rule.service()) && rule.mayBeAnsweredBy(runner.version());
 	}
 
 	/**
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/routing/CandidatesTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/routing/CandidatesTests.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 
@@ -39,6 +40,8 @@
 
 	private static final VersionId VERSION = VersionId.of("m", "1");
 
+	private static final VersionId FORMER = VersionId.of("m", "former");
+
 	private static final Location OWN = new Location(new DataCentreName("a-1"), new RegionName("a"));
 
 	private static AgentView agent(String name, String dataCentre, String region, boolean reachable, boolean draining,
@@ -60,7 +63,7 @@
 	private static Candidates select(String group, String instances, AgentView... agents) throws SelectorException {
 		CallPattern call = new CallPattern("*", "/");
 		Service service = new Service(SERVICE, Service.Kind.ENGINE, true, "g", List.of(), List.of(), 1, 0, 25, 1, 1);
-		RoutingRule rule = new RoutingRule("rule", Selector.everything(), call, SERVICE, VERSION,
+		RoutingRule rule = new RoutingRule("rule", Selector.everything(), call, SERVICE, VERSION, Set.of(FORMER),
 				Selector.parse(instances));
 		PublishedConfiguration configuration = new PublishedConfiguration(ConfigurationVersion.none(), Map.of(),
 				Map.of(SERVICE, service), Map.of("g", new InstanceGroup("g", Selector.parse(group))), Map.of(),
@@ -102,6 +105,13 @@
 		assertThat(found.isEmpty()).isTrue();
 	}
 
+	@Test
+	void includeThoseWithAVersionThatTheRuleNamesBesides() throws SelectorException {
+		Candidates found = select("*", "*", good("new", "a-1", "a"),
+				agent("former", "a-1", "a", true, false, false, runner(FORMER, true)));
+		assertThat(names(found.at(Distance.DATA_CENTRE))).containsExactly("former", "new");
+	}
+
 	@Test
 	void mustBeSelectedByGroupAndRule() throws SelectorException {
 		Candidates found = select("name=x|y", "name=y|z", good("x", "a-1", "a"), good("y", "a-1", "a"),
--- a/catkingate-entry/src/main/java/org/catkingate/entry/CallSupport.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/CallSupport.java
@@ -8,6 +8,7 @@
 
 import org.catkingate.decisions.idempotency.PauseWatch;
 import org.catkingate.decisions.limits.LimitDecision;
+import org.catkingate.decisions.membership.AgentView;
 import org.catkingate.decisions.membership.FleetSnapshot;
 import org.catkingate.decisions.retries.RetryBudget;
 import org.catkingate.decisions.retries.RetryPolicy;
@@ -15,7 +16,10 @@
 import org.catkingate.decisions.routing.RunnerKey;
 import org.catkingate.model.InstanceId;
 import org.catkingate.model.RequestId;
+import org.catkingate.model.RunnerStatus;
+import org.catkingate.model.VersionId;
 import org.catkingate.model.published.ClientAccount;
+import org.catkingate.model.published.RoutingRule;
 import org.catkingate.runtime.MonotonicClock;
 import org.catkingate.runtime.peers.PeerConnection;
 import org.catkingate.runtime.peers.PeerConnections;
@@ -173,12 +177,27 @@
 		return Optional.empty();
 	}
 
-	private static Traffic.Dispatch dispatch(CallRequest request, Attempt attempt, PeerConnection connection,
+	private Traffic.Dispatch dispatch(CallRequest request, Attempt attempt, PeerConnection connection,
 			long leftMillis) {
 		return new Traffic.Dispatch(attempt.wireId(), connection.newestHeartbeat().get(), leftMillis,
-				request.account().name(), request.service().name(), attempt.runner().runner(), request.rule().version(),
-				request.account().priority(), request.idempotent(), request.idempotencyKey(), request.method(),
-				request.target(), request.headers(), request.body());
+				request.account().name(), request.service().name(), attempt.runner().runner(),
+				version(request.rule(), attempt.runner()), request.account().priority(), request.idempotent(),
+				request.idempotencyKey(), request.method(), request.target(), request.headers(), request.body());
+	}
+
+	// the version that the runner was chosen for; the agent refuses if it has switched
+	// since
+	private VersionId version(RoutingRule rule, RunnerKey runner) {
+		AgentView agent = fleet().agents().get(runner.instance());
+		if (rule.alsoVersions().isEmpty() || agent == null) {
+			return rule.version();
+		}
+		return agent.runners()
+			.stream()
+			.filter((status) -> status.runner().equals(runner.runner()) && rule.mayBeAnsweredBy(status.version()))
+			.map(RunnerStatus::version)
+			.findFirst()
+			.orElse(rule.version());
 	}
 
 	Failure noRunner(Call call) {
--- a/catkingate-entry/src/main/java/org/catkingate/entry/KeyedCalls.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/KeyedCalls.java
@@ -2,7 +2,6 @@
 
 import java.util.Comparator;
 import java.util.List;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 
@@ -64,7 +63,7 @@
 
 	private static boolean isSuitable(RunnerStatus runner, CallRequest request) {
 		return runner.service().equals(request.service().name())
-				&& (!runner.admitting() || Objects.equals(runner.version(), request.rule().version()));
+				&& (!runner.admitting() || request.rule().mayBeAnsweredBy(runner.version()));
 	}
 
 	/**
--- a/catkingate-model/src/main/java/org/catkingate/model/ini/SectionReader.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/ini/SectionReader.java
@@ -317,7 +317,16 @@
 	 * @param kind the kind of section that it names
 	 */
 	public void checkReference(String key, String kind) {
-		String name = this.section.values().getOrDefault(key, "").replaceAll("\\s+", " ");
+		checkDefined(key, kind, this.section.values().getOrDefault(key, "").replaceAll("\\s+", " "));
+	}
+
+	/**
+	 * Checks that a section is there; one with faults of its own is.
+	 * @param key the key that names it
+	 * @param kind the kind of section
+	 * @param name its name; empty names none
+	 */
+	public void checkDefined(String key, String kind, String name) {
 		String prefix = kind + " ";
 		if (!name.isEmpty() && !this.titles.contains(prefix + name)) {
 			List<String> names = this.titles.stream()
--- a/catkingate-model/src/main/java/org/catkingate/model/published/SectionForms.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/published/SectionForms.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import org.catkingate.model.AccountName;
@@ -116,11 +117,13 @@
 			version = reader.parsed("version", null, SectionForms::versionId);
 			reader.checkReference("version", "version");
 		}
+		List<VersionId> also = reader.list("also-versions", SectionForms::versionId);
+		also.forEach((id) -> reader.checkDefined("also-versions", "version", id.model() + " " + id.version()));
 		Selector instances = reader.selector("instances", "*");
 		if (!reader.valid()) {
 			return null;
 		}
-		return new RoutingRule(name.value(), accounts, call, service, version, instances);
+		return new RoutingRule(name.value(), accounts, call, service, version, Set.copyOf(also), instances);
 	}
 
 }
--- a/catkingate-model/src/test/java/org/catkingate/model/published/ConfigurationParserTests.java
+++ b/catkingate-model/src/test/java/org/catkingate/model/published/ConfigurationParserTests.java
@@ -220,6 +220,14 @@
 			assertThat(problemsOf(ENGINE, rule + line)).extracting(ConfigurationProblem::kind).contains(kind);
 		}
 
+		@Test
+		void betweenARuleAndItsOtherVersionsAreFound() {
+			String rule = "[rule r]\norder = 1\ncall = * /*\nservice = e\nversion = m 1\nalso-versions = m 1, m 0\n";
+			assertThat(problemsOf(ENGINE, rule)).singleElement()
+				.asString()
+				.isEqualTo("[rule r] also-versions = m 1, m 0 - no section [version m 0]; did you mean 'm 1'?");
+		}
+
 		@Test
 		void betweenRulesOfOneOrderAreFound() {
 			String rules = "[rule a]\norder = 1\ncall = * /*\nservice = s\n"
--- a/catkingate-tests/src/test/java/org/catkingate/tests/faults/TestFleet.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/faults/TestFleet.java
@@ -91,13 +91,27 @@
 	 * Publishes a new version of the model; it shares half of its chunks with the last.
 	 */
 	public GeneratedWeights changeVersion() {
+		addVersion();
+		publish();
+		return this.weights;
+	}
+
+	/**
+	 * Publishes a new version of the model, which the former one may answer beside.
+	 */
+	public GeneratedWeights rollOutVersion() {
+		GeneratedWeights former = this.weights;
+		addVersion();
+		this.fleet.publish(Published.rollout(PAIR, former, this.weights));
+		return this.weights;
+	}
+
+	private void addVersion() {
 		int number = this.digests.size() + 1;
 		this.weights = GeneratedWeights.of(new GeneratedWeights.Shape("lyrics", Integer.toString(number), number, 0, 2,
 				WEIGHTS_BYTES, CHUNK_BYTES));
 		this.digests.add(this.weights.digest());
 		this.fleet.origin().add(this.weights);
-		publish();
-		return this.weights;
 	}
 
 	public long publish() {
--- a/catkingate-tests/src/test/java/org/catkingate/tests/harness/Published.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/harness/Published.java
@@ -67,6 +67,14 @@
 			version = %1$s %2$s
 			""";
 
+	private static final String FORMER_VERSION = """
+			also-versions = %1$s %2$s
+			[version %1$s %2$s]
+			service = llm
+			manifest-sha256 = %3$s
+			selector = role=none
+			""";
+
 	private Published() {
 	}
 
@@ -74,6 +82,15 @@
 		return new String[] { FLEET.formatted(shops, sha256(KEY)) + SHOP_RULES, version(weights) };
 	}
 
+	/**
+	 * The parts while a version spreads and the former one may answer too.
+	 */
+	public static String[] rollout(int shops, GeneratedWeights former, GeneratedWeights next) {
+		String also = FORMER_VERSION.formatted(former.shape().model(), former.shape().version(),
+				former.manifestDigest());
+		return new String[] { FLEET.formatted(shops, sha256(KEY)) + SHOP_RULES, version(next) + also };
+	}
+
 	public static String version(GeneratedWeights weights) {
 		return VERSION.formatted(weights.shape().model(), weights.shape().version(), weights.manifestDigest());
 	}
