Write failures with their fields in one order, and keep the agent's reason for a refused key

Cause: bin/test failed SessionTests: bodies came from Map.of, whose order differs from one Java process to the next. And a used key with another body was told to repeat with the same key, since the entry's own reason took the place of the agent's. Change: records for the bodies; the refusal of a key's home is what the caller is told. SessionTests: failed before (order; reason), passed after.

--- a/catkingate-entry/src/main/java/org/catkingate/entry/Call.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/Call.java
@@ -49,6 +49,8 @@
 
 	private long attachedFrom = -1;
 
+	private Failure refusalByHome;
+
 	private boolean mayHaveRun;
 
 	private boolean over;
@@ -100,7 +102,7 @@
 		}
 		Optional<Attempt> sent = this.support.send(this, wireId(), leftMillis());
 		if (sent.isEmpty()) {
-			refuse(this.support.noRunner(this));
+			refuse((this.refusalByHome != null) ? this.refusalByHome : this.support.noRunner(this));
 			return;
 		}
 		this.attempt = sent.get();
@@ -189,7 +191,11 @@
 	private void receivedFailure(Traffic.AnswerFailure failure) {
 		boolean notRun = failure.reason() == Traffic.FailureReason.NOT_RUN;
 		this.support.attemptFailed(this.attempt.runner(), notRun);
-		attemptFailed(notRun, failureOf(failure));
+		Failure told = failureOf(failure);
+		if (notRun && this.request.isKeyed()) {
+			this.refusalByHome = told;
+		}
+		attemptFailed(notRun, told);
 	}
 
 	private Failure failureOf(Traffic.AnswerFailure failure) {
--- a/catkingate-entry/src/main/java/org/catkingate/entry/FailureWriter.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/FailureWriter.java
@@ -1,7 +1,5 @@
 package org.catkingate.entry;
 
-import java.util.Map;
-
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.undertow.server.HttpServerExchange;
@@ -38,12 +36,30 @@
 
 	static String body(Failure failure) {
 		try {
-			return MAPPER.writeValueAsString(
-					Map.of("error", Map.of("kind", failure.kind().code(), "message", failure.message())));
+			return MAPPER.writeValueAsString(new Body(new Problem(failure.kind().code(), failure.message())));
 		}
 		catch (JsonProcessingException ex) {
 			throw new IllegalStateException("two texts could not be written as JSON", ex);
 		}
 	}
 
+	/**
+	 * The body of a failure.
+	 *
+	 * @param error what went wrong
+	 */
+	private record Body(Problem error) {
+
+	}
+
+	/**
+	 * What went wrong.
+	 *
+	 * @param kind the stable name
+	 * @param message what happened, and the remedy
+	 */
+	private record Problem(String kind, String message) {
+
+	}
+
 }
--- a/catkingate-entry/src/main/java/org/catkingate/entry/KeyDesk.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/KeyDesk.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
+import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.undertow.server.HttpServerExchange;
@@ -144,8 +145,7 @@
 
 	private static String body(Keys.IssuedKey issued) {
 		try {
-			return MAPPER.writeValueAsString(
-					Map.of("key", issued.key(), "valid-for-s", issued.validMillis() / MILLIS_PER_SECOND));
+			return MAPPER.writeValueAsString(new Body(issued.key(), issued.validMillis() / MILLIS_PER_SECOND));
 		}
 		catch (JsonProcessingException ex) {
 			throw new IllegalStateException("a text and a number could not be written as JSON", ex);
@@ -162,4 +162,14 @@
 
 	}
 
+	/**
+	 * The body of an answer.
+	 *
+	 * @param key the key
+	 * @param validSeconds for how long it may be used, in seconds
+	 */
+	private record Body(String key, @JsonProperty("valid-for-s") long validSeconds) {
+
+	}
+
 }
