Give every workload of the fault tests names of its own

Cause: FaultTests#promisesHoldUnderARandomSchedule failed in bin/test: requests refused within 1 ms with 'no runner serves this now' were reported as run. Their names, w20261203-4 and so on, are those of the first single fault, whose seed is the same (SEED + ordinal 0) and which shares the stand-ins' records. So the test mistook runs of another workload for these; alone, with that seed, it had passed. Change: the name counts the workloads too; what is checked is as it was. The next bin/test shows whether it holds.

--- a/catkingate-tests/src/test/java/org/catkingate/tests/faults/Workload.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/faults/Workload.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.catkingate.tests.harness.Answer;
 import org.catkingate.tests.harness.Caller;
@@ -20,6 +21,8 @@
  */
 public final class Workload {
 
+	private static final AtomicInteger WORKLOADS = new AtomicInteger();
+
 	private static final int CONCURRENCY = 24;
 
 	private static final int HIGHEST_TOKENS = 40;
@@ -38,14 +41,14 @@
 
 	private final SplittableRandom random;
 
-	private final long seed;
+	private final String prefix;
 
 	private int next;
 
 	public Workload(List<Caller> callers, long seed) {
 		this.callers = List.copyOf(callers);
 		this.random = new SplittableRandom(seed);
-		this.seed = seed;
+		this.prefix = "w" + seed + "-" + WORKLOADS.incrementAndGet() + "-";
 	}
 
 	/**
@@ -66,7 +69,7 @@
 	private void sendOne(Caller caller) {
 		int tokens = 1 + this.random.nextInt(HIGHEST_TOKENS);
 		int kind = this.random.nextInt(10);
-		String name = "w" + this.seed + "-" + this.next;
+		String name = this.prefix + this.next;
 		this.next++;
 		if (kind < 4) {
 			record(Attempt.Kind.COMPLETION, name, tokens, caller.complete(name, tokens));
@@ -106,7 +109,7 @@
 	}
 
 	private String recentKey() {
-		return "w" + this.seed + "-recent-" + (this.next / 40) + "-" + this.random.nextInt(RECENT_KEYS);
+		return this.prefix + "recent-" + (this.next / 40) + "-" + this.random.nextInt(RECENT_KEYS);
 	}
 
 	private void record(Attempt.Kind kind, String name, int tokens, CompletableFuture<Answer> answer) {
