Rank by one rendezvous hash instead of three

Cause: the distribution had a copy of decisions.Rendezvous with the same formulas, and the order of switches a hash of its own. One class ranks instances and what stands on them now.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/Rendezvous.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/Rendezvous.java
@@ -3,7 +3,9 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.Function;
 
+import org.catkingate.model.Digest;
 import org.catkingate.model.InstanceId;
 
 /**
@@ -18,6 +20,10 @@
 
 	private static final long FNV_PRIME = 0x100000001b3L;
 
+	private static final int HEX_RADIX = 16;
+
+	private static final int LEADING_DIGITS = 16;
+
 	private static final double STEP_OF_UNIT = 0x1.0p-53;
 
 	private static final int UNUSED_BITS = 11;
@@ -38,6 +44,15 @@
 		return mix(hash);
 	}
 
+	/**
+	 * Takes the hash of a digest, which is scattered already.
+	 * @param digest the digest
+	 * @return its first 64 bits
+	 */
+	public static long hash(Digest digest) {
+		return Long.parseUnsignedLong(digest.hex(), 0, LEADING_DIGITS, HEX_RADIX);
+	}
+
 	/**
 	 * Scatters a value.
 	 * @param value the value
@@ -49,6 +64,16 @@
 		return mixed ^ (mixed >>> 31);
 	}
 
+	/**
+	 * Scores a candidate for a key; the lowest score is the first in rank.
+	 * @param key the hash of the key
+	 * @param candidate the hash of the candidate
+	 * @return the score
+	 */
+	public static long score(long key, long candidate) {
+		return mix(key + mix(candidate));
+	}
+
 	/**
 	 * Scores a pair of instances, in the same way for both.
 	 * @param one an instance
@@ -67,8 +92,22 @@
 	 * @return the first in rank, in order
 	 */
 	public static List<InstanceId> rank(long key, Collection<InstanceId> instances, int count) {
-		Comparator<InstanceId> order = Comparator.comparingLong((id) -> mix(key + mix(hash(id.value()))));
-		return instances.stream().sorted(order.thenComparing((id) -> id)).limit(count).toList();
+		return rank(key, instances, (id) -> id, count);
+	}
+
+	/**
+	 * Ranks what stands on instances for a key.
+	 * @param <T> what is ranked
+	 * @param key the hash of the key
+	 * @param candidates the candidates
+	 * @param instance gives the instance of a candidate
+	 * @param count how many ranks are wanted
+	 * @return the first in rank, in order
+	 */
+	public static <T> List<T> rank(long key, Collection<T> candidates, Function<T, InstanceId> instance, int count) {
+		Comparator<T> order = Comparator
+			.comparingLong((candidate) -> score(key, hash(instance.apply(candidate).value())));
+		return candidates.stream().sorted(order.thenComparing(instance)).limit(count).toList();
 	}
 
 	/**
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/ManifestSearch.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/ManifestSearch.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.catkingate.decisions.Rendezvous;
 import org.catkingate.model.Digest;
 import org.catkingate.model.InstanceId;
 
@@ -61,7 +62,7 @@
 			.filter((member) -> member.region().equals(own.region()))
 			.toList();
 		List<InstanceId> peers = new ArrayList<>();
-		for (Member member : Rendezvous.rank(Rendezvous.hash(digest), region, Limits.RANKS)) {
+		for (Member member : Rendezvous.rank(Rendezvous.hash(digest), region, Member::instance, Limits.RANKS)) {
 			if (work.isSetAside(member.instance())) {
 				continue;
 			}
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/Neighbours.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/Neighbours.java
@@ -7,6 +7,7 @@
 import java.util.TreeSet;
 import java.util.function.Predicate;
 
+import org.catkingate.decisions.Rendezvous;
 import org.catkingate.model.InstanceId;
 
 /**
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/Readers.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/Readers.java
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 import java.util.function.Predicate;
 
+import org.catkingate.decisions.Rendezvous;
 import org.catkingate.model.Digest;
 import org.catkingate.model.Manifest;
 import org.catkingate.model.RegionName;
@@ -47,15 +48,15 @@
 		List<Member> elsewhere = new ArrayList<>();
 		for (RegionName region : order) {
 			if (!region.equals(own.region())) {
-				elsewhere.addAll(Rendezvous.rank(key, regions.get(region), Limits.RANKS));
+				elsewhere.addAll(Rendezvous.rank(key, regions.get(region), Member::instance, Limits.RANKS));
 			}
 		}
 		List<Member> inRegion = regions.get(own.region());
 		List<Member> inDataCentre = inRegion.stream()
 			.filter((member) -> member.dataCentre().equals(own.dataCentre()))
 			.toList();
-		return new Ranking(Rendezvous.rank(key, inDataCentre, Limits.RANKS),
-				Rendezvous.rank(key, inRegion, Limits.RANKS), List.copyOf(elsewhere), order.get(0));
+		return new Ranking(Rendezvous.rank(key, inDataCentre, Member::instance, Limits.RANKS),
+				Rendezvous.rank(key, inRegion, Member::instance, Limits.RANKS), List.copyOf(elsewhere), order.get(0));
 	}
 
 	int rankInDataCentre(int chunk, Predicate<Member> usable) {
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/SourceChoice.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/SourceChoice.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.catkingate.decisions.Rendezvous;
 import org.catkingate.model.InstanceId;
 
 /**
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/TransferPlanner.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/distribution/TransferPlanner.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 
+import org.catkingate.decisions.Rendezvous;
 import org.catkingate.model.Digest;
 import org.catkingate.model.Manifest;
 
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/runners/SwitchOrder.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/runners/SwitchOrder.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.List;
 
+import org.catkingate.decisions.Rendezvous;
 import org.catkingate.decisions.distribution.Selection;
 import org.catkingate.decisions.membership.AgentView;
 import org.catkingate.decisions.membership.FleetSnapshot;
@@ -25,8 +26,6 @@
 
 	private static final int PERCENT = 100;
 
-	private static final long FNV_PRIME = 0x100000001b3L;
-
 	private SwitchOrder() {
 	}
 
@@ -91,12 +90,7 @@
 	}
 
 	private static long score(Target target, InstanceId instance, RunnerId runner) {
-		long hash = 0;
-		String text = target.id() + " " + instance + " " + runner;
-		for (int i = 0; i < text.length(); i++) {
-			hash = (hash ^ text.charAt(i)) * FNV_PRIME;
-		}
-		return (hash ^ (hash >>> 32)) * FNV_PRIME;
+		return Rendezvous.hash(target.id() + " " + instance + " " + runner);
 	}
 
 }
