Name a time to come back in every refusal of a keyed call again

Cause: a refusal by a key's home without a time was passed on without Retry-After, and the promise is one in each refusal.

--- a/catkingate-entry/src/main/java/org/catkingate/entry/Call.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/Call.java
@@ -200,18 +200,11 @@
 
 	private Failure failureOf(Traffic.AnswerFailure failure) {
 		return switch (failure.reason()) {
-			case NOT_RUN -> notRun(failure);
+			case NOT_RUN -> Failure.notRun(failure.retryAfterMillis(), failure.message());
 			case FAILED, OUTCOME_UNKNOWN -> new Failure(kindOfLoss(), failure.retryAfterMillis(), failure.message());
 		};
 	}
 
-	private Failure notRun(Traffic.AnswerFailure failure) {
-		if (this.request.isKeyed()) {
-			return new Failure(FailureKind.NOT_RUN, failure.retryAfterMillis(), failure.message());
-		}
-		return Failure.notRun(failure.retryAfterMillis(), failure.message());
-	}
-
 	private FailureKind kindOfLoss() {
 		return (this.request.idempotent()) ? FailureKind.RUNNER_FAILED : FailureKind.OUTCOME_UNKNOWN;
 	}
