--- a/catkingate-bench/src/main/java/org/catkingate/bench/Bench.java
+++ b/catkingate-bench/src/main/java/org/catkingate/bench/Bench.java
@@ -2,6 +2,8 @@
 
 import com.beust.jcommander.JCommander;
 
+import org.catkingate.bench.fleet.FleetBench;
+import org.catkingate.bench.fleet.FleetBenchOptions;
 import org.catkingate.bench.weights.WeightsBench;
 import org.catkingate.bench.weights.WeightsBenchOptions;
 
@@ -20,14 +22,20 @@
 	 */
 	public static void main(String[] args) throws Exception {
 		WeightsBenchOptions weights = new WeightsBenchOptions();
+		FleetBenchOptions fleet = new FleetBenchOptions();
 		JCommander commands = JCommander.newBuilder()
 			.programName("catkingate-bench")
 			.addCommand("weights", weights)
+			.addCommand("fleet", fleet)
 			.build();
 		commands.parse(args);
 		if ("weights".equals(commands.getParsedCommand())) {
 			System.exit(WeightsBench.run(weights, System.out) ? 0 : 1);
 		}
+		if ("fleet".equals(commands.getParsedCommand())) {
+			FleetBench.run(fleet, System.out);
+			System.exit(0);
+		}
 		commands.usage();
 		System.exit(2);
 	}
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/fleet/Duties.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/fleet/Duties.java
@@ -30,7 +30,7 @@
 
 	static ConfigurationEvent.DutyChanged duty(MembershipState state) {
 		boolean close = !state.listKnown() || isWatcher(state.self(), state.instances().values());
-		return new ConfigurationEvent.DutyChanged(close ? ReadPace.CLOSE : ReadPace.SLOW, state.fleetSize());
+		return new ConfigurationEvent.DutyChanged(close ? ReadPace.CLOSE : ReadPace.STEADY, state.fleetSize());
 	}
 
 	private static boolean isWatcher(Self self, Collection<KnownInstance> instances) {
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/reading/ReadPace.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/reading/ReadPace.java
@@ -1,66 +1,67 @@
 package org.catkingate.decisions.reading;
 
 /**
- * How often a process reads one value. The slow pace depends on the size of the fleet, so
- * that all slow readers together make a fixed number of calls a second.
+ * How often a process reads one value. The paces of single reads depend on the size of
+ * the fleet, so that beyond a size all readers together make a fixed number of calls a
+ * second.
  *
  * @since 0.1
  */
 public enum ReadPace {
 
 	/** One waiting watch after the other. */
-	CLOSE,
+	CLOSE(20_000, 100, 0, 2000),
 
-	/** Single reads, far apart. */
-	SLOW;
+	/** Single reads, so close that a change is seen in time also by one reader alone. */
+	STEADY(0, 2000, 8, 2000),
 
-	/** How long a waiting watch may wait, in milliseconds. */
-	public static final long WATCH_MILLIS = 20_000;
+	/** Single reads, far apart. */
+	SLOW(0, 7500, 150, 60_000);
 
 	/** How long an answer may take beyond the wait asked for, in milliseconds. */
-	public static final long ANSWER_MILLIS = 4000;
-
-	private static final long CLOSE_GAP_MILLIS = 100;
+	static final long ANSWER_MILLIS = 4000;
 
-	private static final long SHORTEST_SLOW_MILLIS = 5000;
+	private static final long FIRST_BACKOFF_MILLIS = 500;
 
-	private static final long SLOW_READS_PER_SECOND_OF_FLEET = 10;
+	private static final int HIGHEST_SHIFT = 10;
 
-	private static final long MILLIS_PER_SECOND = 1000;
+	private static final double LOWEST_JITTER = 0.5;
 
-	private static final long FIRST_BACKOFF_MILLIS = 500;
+	private final long waitMillis;
 
-	private static final long LONGEST_CLOSE_BACKOFF_MILLIS = 4000;
+	private final long shortestMillis;
 
-	private static final long LONGEST_SLOW_BACKOFF_MILLIS = 60_000;
+	private final long millisPerProcess;
 
-	private static final int HIGHEST_SHIFT = 10;
+	private final long longestBackoffMillis;
 
-	private static final double LOWEST_JITTER = 0.5;
+	ReadPace(long waitMillis, long shortestMillis, long millisPerProcess, long longestBackoffMillis) {
+		this.waitMillis = waitMillis;
+		this.shortestMillis = shortestMillis;
+		this.millisPerProcess = millisPerProcess;
+		this.longestBackoffMillis = longestBackoffMillis;
+	}
 
 	long waitMillis() {
-		return (this == CLOSE) ? WATCH_MILLIS : 0;
+		return this.waitMillis;
 	}
 
 	long delayAfterAnswer(int fleetSize, double random) {
-		if (this == CLOSE) {
-			return CLOSE_GAP_MILLIS;
-		}
-		long share = fleetSize * MILLIS_PER_SECOND / SLOW_READS_PER_SECOND_OF_FLEET;
-		return jittered(Math.max(SHORTEST_SLOW_MILLIS, share), random);
+		return jittered(longestDelay(fleetSize), random);
+	}
+
+	private long longestDelay(int fleetSize) {
+		return Math.max(this.shortestMillis, fleetSize * this.millisPerProcess);
 	}
 
 	long delayAfterFailure(int failures, int fleetSize, double random) {
-		long longest = (this == CLOSE) ? LONGEST_CLOSE_BACKOFF_MILLIS : LONGEST_SLOW_BACKOFF_MILLIS;
 		long backoff = FIRST_BACKOFF_MILLIS << Math.min(failures, HIGHEST_SHIFT);
-		if (this == SLOW) {
-			backoff = Math.max(backoff, delayAfterAnswer(fleetSize, 0));
-		}
-		return jittered(Math.min(longest, backoff), random);
+		long bounded = Math.min(this.longestBackoffMillis, backoff);
+		return jittered(Math.max(bounded, longestDelay(fleetSize)), random);
 	}
 
-	private static long jittered(long millis, double random) {
-		return Math.round(millis * (LOWEST_JITTER + random));
+	private static long jittered(long longestMillis, double random) {
+		return Math.round(longestMillis * (LOWEST_JITTER + random * (1 - LOWEST_JITTER)));
 	}
 
 }
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/fleet/Fleet.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/fleet/Fleet.java
@@ -210,18 +210,34 @@
 		return (manager != null) ? manager.heartbeatAgeMillis(sequence) : Long.MAX_VALUE;
 	}
 
+	/**
+	 * Counts what has been sent to other processes, requests and weights included.
+	 * @return the bytes of all frames so far
+	 */
+	public long sentBytes() {
+		PeerManager manager = this.peers;
+		return (manager != null) ? manager.sentBytes() : 0;
+	}
+
 	/**
 	 * Announces what an agent serves.
 	 * @param runners its runners
 	 */
 	public synchronized void setRunners(List<RunnerStatus> runners) {
+		if (this.status == null) {
+			throw new IllegalStateException("an entry has no runners to announce");
+		}
 		announce(new Control.AgentStatus(this.status.draining(), this.status.labels(), runners));
 	}
 
 	/**
-	 * Announces that an agent takes no more work, for good.
+	 * Announces that an agent takes no more work, for good. An entry, which nobody sends
+	 * work to, announces nothing.
 	 */
 	public synchronized void drain() {
+		if (this.status == null) {
+			return;
+		}
 		announce(new Control.AgentStatus(true, this.status.labels(), this.status.runners()));
 	}
 
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/peers/PeerManager.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/peers/PeerManager.java
@@ -193,6 +193,14 @@
 		return rest.isEmpty() ? null : rest;
 	}
 
+	/**
+	 * Counts what has been sent.
+	 * @return the bytes of all frames sent over all links so far
+	 */
+	public long sentBytes() {
+		return this.transport.sentBytes();
+	}
+
 	/**
 	 * Closes all links and ends their threads.
 	 */
--- a/catkingate-wire/src/main/java/org/catkingate/wire/FrameConnection.java
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/FrameConnection.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.zip.CRC32C;
 
 import org.xnio.IoUtils;
@@ -51,6 +52,8 @@
 
 	private final ConnectionListener listener;
 
+	private final LongAdder sentBytes;
+
 	private final Handshake.Hello ownHello;
 
 	private final Queue<ByteBuffer> submitted = new ConcurrentLinkedQueue<>();
@@ -76,8 +79,9 @@
 	private boolean congested;
 
 	private FrameConnection(StreamConnection stream, SharedKey key, Handshake.PeerIdentity own,
-			ConnectionListener listener) {
+			ConnectionListener listener, LongAdder sentBytes) {
 		this.stream = stream;
+		this.sentBytes = sentBytes;
 		this.key = key;
 		this.listener = listener;
 		byte[] challenge = new byte[CHALLENGE_BYTES];
@@ -86,8 +90,8 @@
 	}
 
 	static FrameConnection start(StreamConnection stream, SharedKey key, Handshake.PeerIdentity own,
-			ConnectionListener listener) {
-		FrameConnection connection = new FrameConnection(stream, key, own, listener);
+			ConnectionListener listener, LongAdder sentBytes) {
+		FrameConnection connection = new FrameConnection(stream, key, own, listener, sentBytes);
 		stream.getSourceChannel().setReadListener((channel) -> connection.readable(channel));
 		stream.getSinkChannel().setWriteListener((channel) -> connection.flush());
 		stream.setCloseListener((channel) -> connection.closeWith("closed"));
@@ -199,6 +203,7 @@
 				return false;
 			}
 			this.queuedBytes.addAndGet(-written);
+			this.sentBytes.add(written);
 			while (!this.writing.isEmpty() && !this.writing.peek().hasRemaining()) {
 				this.writing.poll();
 			}
--- a/catkingate-wire/src/main/java/org/catkingate/wire/FrameTransport.java
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/FrameTransport.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Objects;
+import java.util.concurrent.atomic.LongAdder;
 
 import org.xnio.IoFuture;
 import org.xnio.OptionMap;
@@ -28,6 +29,8 @@
 
 	private final Handshake.PeerIdentity own;
 
+	private final LongAdder sentBytes = new LongAdder();
+
 	private FrameTransport(XnioWorker worker, SharedKey key, Handshake.PeerIdentity own) {
 		this.worker = worker;
 		this.key = key;
@@ -84,7 +87,7 @@
 	}
 
 	private void start(StreamConnection stream, ConnectionListener listener) {
-		stream.getIoThread().execute(() -> FrameConnection.start(stream, this.key, this.own, listener));
+		stream.getIoThread().execute(() -> FrameConnection.start(stream, this.key, this.own, listener, this.sentBytes));
 	}
 
 	/**
@@ -96,7 +99,7 @@
 	 */
 	public void connect(InetSocketAddress address, ConnectionListener listener, Runnable failed) {
 		IoFuture<StreamConnection> future = this.worker.openStreamConnection(address,
-				(stream) -> FrameConnection.start(stream, this.key, this.own, listener), options());
+				(stream) -> FrameConnection.start(stream, this.key, this.own, listener, this.sentBytes), options());
 		future.addNotifier((result, ignored) -> {
 			if (result.getStatus() != IoFuture.Status.DONE) {
 				failed.run();
@@ -104,6 +107,14 @@
 		}, null);
 	}
 
+	/**
+	 * Counts what has been sent.
+	 * @return the bytes of all frames sent over all connections so far
+	 */
+	public long sentBytes() {
+		return this.sentBytes.sum();
+	}
+
 	private static OptionMap options() {
 		return OptionMap.builder()
 			.set(Options.TCP_NODELAY, true)
