--- a/catkingate-agent/src/main/java/org/catkingate/agent/requests/AgentRequest.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/requests/AgentRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 import io.undertow.client.ClientConnection;
@@ -12,6 +13,7 @@
 import org.catkingate.agent.idempotency.RunPermit;
 import org.catkingate.agent.runners.RunnerGate;
 import org.catkingate.decisions.idempotency.KeptAnswer;
+import org.catkingate.decisions.idempotency.Vouching;
 import org.catkingate.runtime.peers.PeerConnection;
 import org.catkingate.wire.Traffic;
 
@@ -48,7 +50,7 @@
 
 	private boolean cancelled;
 
-	private boolean slot;
+	private OptionalLong slotSince = OptionalLong.empty();
 
 	private long endedMillis;
 
@@ -79,20 +81,21 @@
 	}
 
 	/**
-	 * Takes note that the request has one of its runner's slots.
+	 * Takes note that the request has one of its runner's places.
+	 * @param nowMillis the time now, in milliseconds
 	 */
-	synchronized void occupySlot() {
-		this.slot = true;
+	synchronized void occupySlot(long nowMillis) {
+		this.slotSince = OptionalLong.of(nowMillis);
 	}
 
 	/**
-	 * Gives the slot back.
-	 * @return whether it had one
+	 * Gives the place back.
+	 * @return since when it had one, or empty if it had none
 	 */
-	synchronized boolean releaseSlot() {
-		boolean had = this.slot;
-		this.slot = false;
-		return had;
+	synchronized OptionalLong releaseSlot() {
+		OptionalLong since = this.slotSince;
+		this.slotSince = OptionalLong.empty();
+		return since;
 	}
 
 	/**
@@ -216,7 +219,7 @@
 			this.permit.notStarted();
 		}
 		if (marked && this.permit != null && !this.permit.start()) {
-			finish(false, () -> this.answer.fail(Traffic.FailureReason.NOT_RUN, 0,
+			finish(false, () -> this.answer.fail(Traffic.FailureReason.NOT_RUN, Vouching.RETRY_MILLIS,
 					"the call may not start any more; repeat it with the same Idempotency-Key"));
 			return false;
 		}
--- a/catkingate-bench/src/main/java/org/catkingate/bench/Bench.java
+++ b/catkingate-bench/src/main/java/org/catkingate/bench/Bench.java
@@ -4,6 +4,8 @@
 
 import org.catkingate.bench.fleet.FleetBench;
 import org.catkingate.bench.fleet.FleetBenchOptions;
+import org.catkingate.bench.requests.RequestsBench;
+import org.catkingate.bench.requests.RequestsBenchOptions;
 import org.catkingate.bench.weights.WeightsBench;
 import org.catkingate.bench.weights.WeightsBenchOptions;
 
@@ -22,16 +24,22 @@
 	 */
 	public static void main(String[] args) throws Exception {
 		WeightsBenchOptions weights = new WeightsBenchOptions();
+		RequestsBenchOptions requests = new RequestsBenchOptions();
 		FleetBenchOptions fleet = new FleetBenchOptions();
 		JCommander commands = JCommander.newBuilder()
 			.programName("catkingate-bench")
 			.addCommand("weights", weights)
+			.addCommand("requests", requests)
 			.addCommand("fleet", fleet)
 			.build();
 		commands.parse(args);
 		if ("weights".equals(commands.getParsedCommand())) {
 			System.exit(WeightsBench.run(weights, System.out) ? 0 : 1);
 		}
+		if ("requests".equals(commands.getParsedCommand())) {
+			RequestsBench.run(requests, System.out);
+			System.exit(0);
+		}
 		if ("fleet".equals(commands.getParsedCommand())) {
 			FleetBench.run(fleet, System.out);
 			System.exit(0);
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/fleet/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of membership and configuration together.
+ */
+package org.catkingate.decisions.fleet;
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/peers/PeerManager.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/peers/PeerManager.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import org.slf4j.Logger;
@@ -101,6 +102,16 @@
 		this.transport.connect(address, new Events(instance), () -> this.control.dialFailed(instance));
 	}
 
+	/**
+	 * Makes a connection only to learn who answers, outside of the links.
+	 * @param address the address
+	 * @param answering is told who has proved the shared key there, by an I/O thread
+	 */
+	public void identify(InetSocketAddress address, Consumer<Handshake.PeerIdentity> answering) {
+		this.transport.connect(address, new Identification(answering), () -> {
+		});
+	}
+
 	/**
 	 * Gives a link up. The listeners are told, as of any other end.
 	 * @param link the link's number
@@ -209,6 +220,29 @@
 		this.transport.close();
 	}
 
+	/**
+	 * A connection that only tells who answers.
+	 *
+	 * @param answering is told
+	 */
+	private record Identification(Consumer<Handshake.PeerIdentity> answering) implements ConnectionListener {
+
+		@Override
+		public void opened(FrameConnection connection) {
+			this.answering.accept(connection.peer());
+			connection.close("it was made to learn who answers");
+		}
+
+		@Override
+		public void received(FrameConnection connection, Message message) {
+		}
+
+		@Override
+		public void closed(FrameConnection connection, String reason) {
+		}
+
+	}
+
 	/**
 	 * What happens on one dialled connection, or on all accepted ones.
 	 */
