--- a/catkingate-bench/src/main/java/org/catkingate/bench/fleet/FleetBench.java
+++ b/catkingate-bench/src/main/java/org/catkingate/bench/fleet/FleetBench.java
@@ -143,6 +143,12 @@
 				usage.calls() / seconds, usage.sentBytes() / seconds / processes,
 				usage.platformBytes() / seconds / processes,
 				usage.processorNanos() * 100.0 / usage.nanos() / processes));
+		if (times != null) {
+			double each = (double) this.options.publications * processes;
+			line.append(String.format(Locale.ROOT,
+					"; for each publication and process %.0f B to peers, %.0f B of the platform",
+					usage.sentBytes() / each, usage.platformBytes() / each));
+		}
 		this.output.println(line);
 	}
 
