--- a/catkingate-bench/src/main/java/org/catkingate/bench/Bench.java
+++ b/catkingate-bench/src/main/java/org/catkingate/bench/Bench.java
@@ -1,51 +1,71 @@
 package org.catkingate.bench;
 
 import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
 
 import org.catkingate.bench.fleet.FleetBench;
 import org.catkingate.bench.fleet.FleetBenchOptions;
+import org.catkingate.bench.keys.KeysBench;
+import org.catkingate.bench.keys.KeysBenchOptions;
 import org.catkingate.bench.requests.RequestsBench;
 import org.catkingate.bench.requests.RequestsBenchOptions;
 import org.catkingate.bench.weights.WeightsBench;
 import org.catkingate.bench.weights.WeightsBenchOptions;
 
 /**
- * Entry point.
+ * Entry point of the benchmarks.
+ *
+ * @since 0.1
  */
 public final class Bench {
 
+	private static final int FAILURE = 1;
+
+	private static final int USAGE = 2;
+
 	private Bench() {
 	}
 
 	/**
-	 * Runs the program.
-	 * @param args the arguments
-	 * @throws Exception if a benchmark cannot run
+	 * Runs one benchmark and ends the process.
+	 * @param args its name and options
+	 * @throws Exception if the benchmark cannot run
 	 */
 	public static void main(String[] args) throws Exception {
 		WeightsBenchOptions weights = new WeightsBenchOptions();
 		RequestsBenchOptions requests = new RequestsBenchOptions();
 		FleetBenchOptions fleet = new FleetBenchOptions();
+		KeysBenchOptions keys = new KeysBenchOptions();
 		JCommander commands = JCommander.newBuilder()
 			.programName("catkingate-bench")
 			.addCommand("weights", weights)
 			.addCommand("requests", requests)
 			.addCommand("fleet", fleet)
+			.addCommand("keys", keys)
 			.build();
-		commands.parse(args);
-		if ("weights".equals(commands.getParsedCommand())) {
-			System.exit(WeightsBench.run(weights, System.out) ? 0 : 1);
+		String name = parse(commands, args);
+		switch (name) {
+			case "weights" -> System.exit(WeightsBench.run(weights, System.out) ? 0 : FAILURE);
+			case "requests" -> RequestsBench.run(requests, System.out);
+			case "fleet" -> FleetBench.run(fleet, System.out);
+			default -> KeysBench.run(keys, System.out);
+		}
+		System.exit(0);
+	}
+
+	private static String parse(JCommander commands, String... args) {
+		try {
+			commands.parse(args);
 		}
-		if ("requests".equals(commands.getParsedCommand())) {
-			RequestsBench.run(requests, System.out);
-			System.exit(0);
+		catch (ParameterException ex) {
+			System.err.println("catkingate-bench: " + ex.getMessage());
+			System.exit(USAGE);
 		}
-		if ("fleet".equals(commands.getParsedCommand())) {
-			FleetBench.run(fleet, System.out);
-			System.exit(0);
+		if (commands.getParsedCommand() == null) {
+			commands.usage();
+			System.exit(USAGE);
 		}
-		commands.usage();
-		System.exit(2);
+		return commands.getParsedCommand();
 	}
 
 }
