--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/admission/RunnerChoicesTests.java
@@ -0,0 +1,121 @@
+package org.catkingate.decisions.admission;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.catkingate.decisions.routing.Distance;
+import org.catkingate.model.ModelName;
+import org.catkingate.model.RunnerId;
+import org.catkingate.model.registry.Engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link RunnerChoices}.
+ */
+class RunnerChoicesTests {
+
+	private static final Optional<Engine> ENGINE = Optional
+		.of(new Engine(16, 5, 9.27, 0.0232, 20.7, 2048, 979, 92, 64, List.of(new ModelName("m"))));
+
+	private static final Demand DEMAND = new Demand(1000, 400, 6000);
+
+	private final RunnerChoice choice = RunnerChoices.earliestFirstEvent();
+
+	private static RunnerOption runner(String id, Distance distance, int answering, int starting) {
+		return new RunnerOption(new RunnerId(id), distance, 16, answering, starting, starting * 1000, 80, false);
+	}
+
+	private RunnerId chosen(RunnerOption... options) {
+		return ((Choice.Send) this.choice.choose(List.of(options), DEMAND, ENGINE, 0.5)).runner();
+	}
+
+	@Test
+	void aServiceWithoutRunnersRefuses() {
+		assertThat(this.choice.choose(List.of(), DEMAND, ENGINE, 0.5)).isInstanceOf(Choice.Refuse.class);
+	}
+
+	@Test
+	void aPlainServiceGetsACallAsLongAsItsTimeAllows() {
+		RunnerOption busy = new RunnerOption(new RunnerId("a"), Distance.DATA_CENTRE, 6, 6, 6, 0, 80, false);
+		assertThat(this.choice.choose(List.of(busy), DEMAND, Optional.empty(), 0.5)).isInstanceOf(Choice.Send.class);
+		assertThat(this.choice.choose(List.of(busy), new Demand(0, 50, 100), Optional.empty(), 0.5))
+			.isInstanceOf(Choice.Refuse.class);
+	}
+
+	@Nested
+	class ACall {
+
+		@Test
+		void goesWhereTheFewestPromptsAreAhead() {
+			assertThat(chosen(runner("busy", Distance.DATA_CENTRE, 10, 3), runner("calm", Distance.DATA_CENTRE, 10, 0)))
+				.isEqualTo(new RunnerId("calm"));
+		}
+
+		@Test
+		void staysInItsRegionWhileThatIsHardlyLater() {
+			assertThat(chosen(runner("near", Distance.REGION, 8, 0), runner("far", Distance.ELSEWHERE, 2, 0)))
+				.isEqualTo(new RunnerId("near"));
+			assertThat(chosen(runner("near", Distance.REGION, 16, 2), runner("far", Distance.ELSEWHERE, 2, 0)))
+				.isEqualTo(new RunnerId("far"));
+		}
+
+		@Test
+		void goesToASuspectRunnerOnlyIfThereIsNoOther() {
+			RunnerOption suspect = new RunnerOption(new RunnerId("suspect"), Distance.DATA_CENTRE, 16, 0, 0, 0, 80,
+					true);
+			assertThat(chosen(suspect, runner("other", Distance.ELSEWHERE, 12, 1))).isEqualTo(new RunnerId("other"));
+			assertThat(chosen(suspect)).isEqualTo(new RunnerId("suspect"));
+		}
+
+		@Test
+		void isSpreadOverEqualRunners() {
+			List<RunnerOption> equal = List.of(runner("a", Distance.DATA_CENTRE, 4, 0),
+					runner("b", Distance.DATA_CENTRE, 4, 0), runner("c", Distance.DATA_CENTRE, 4, 0));
+			Set<RunnerId> seen = new HashSet<>();
+			for (double draw = 0; draw < 1; draw += 0.1) {
+				seen.add(((Choice.Send) RunnerChoicesTests.this.choice.choose(equal, DEMAND, ENGINE, draw)).runner());
+			}
+			assertThat(seen).hasSize(3);
+		}
+
+	}
+
+	@Nested
+	class AnOverloadedService {
+
+		@Test
+		void refusesAtOnceWhatCouldNotBeginWithinItsGoalAndNamesWhenToComeBack() {
+			List<RunnerOption> full = List.of(runner("a", Distance.DATA_CENTRE, 16, 6));
+			Choice.Refuse refuse = (Choice.Refuse) RunnerChoicesTests.this.choice.choose(full, DEMAND, ENGINE, 0.5);
+			assertThat(refuse.predictedMillis()).isGreaterThan(400);
+			assertThat(refuse.retryAfterMillis()).isBetween(150L, 3000L);
+		}
+
+		@Test
+		void spreadsTheReturnOfThoseThatItRefuses() {
+			List<RunnerOption> full = List.of(runner("a", Distance.DATA_CENTRE, 16, 6));
+			List<Long> returns = new ArrayList<>();
+			for (double draw = 0; draw < 1; draw += 0.25) {
+				returns.add(((Choice.Refuse) RunnerChoicesTests.this.choice.choose(full, DEMAND, ENGINE, draw))
+					.retryAfterMillis());
+			}
+			assertThat(returns).doesNotHaveDuplicates();
+		}
+
+		@Test
+		void keepsAcceptingWhatStillMeetsItsGoal() {
+			assertThat(RunnerChoicesTests.this.choice.choose(List.of(runner("a", Distance.DATA_CENTRE, 14, 1)), DEMAND,
+					ENGINE, 0.5))
+				.isInstanceOf(Choice.Send.class);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/admission/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the decisions about admission.
+ */
+package org.catkingate.decisions.admission;
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/loading/LoadReducerTests.java
@@ -0,0 +1,233 @@
+package org.catkingate.decisions.loading;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.catkingate.decisions.Effect;
+import org.catkingate.decisions.Event;
+import org.catkingate.decisions.Step;
+import org.catkingate.model.Digest;
+import org.catkingate.model.ModelName;
+import org.catkingate.model.registry.PieceDigests;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link LoadReducer}.
+ */
+class LoadReducerTests {
+
+	private static final ModelName MODEL = new ModelName("m");
+
+	private static final int PIECES = 20;
+
+	private final LoadReducer reducer = LoadReducer.create();
+
+	private final List<Effect> effects = new ArrayList<>();
+
+	private LoadState state = LoadState.initial(LoadSettings.within(8000, 5));
+
+	private long now = 1000;
+
+	private void happens(Event event) {
+		Step<LoadState> step = this.reducer.reduce(this.state, this.now, event);
+		this.state = step.state();
+		this.effects.addAll(step.effects());
+	}
+
+	private void after(long millis) {
+		this.now += millis;
+		happens(new LoadEvent.Ticked());
+	}
+
+	private void reports(boolean loading, Map<ModelName, Long> models) {
+		happens(new LoadEvent.Reported(1, loading, models));
+	}
+
+	private <T extends Effect> List<T> taken(Class<T> type) {
+		List<T> found = this.effects.stream().filter(type::isInstance).map(type::cast).toList();
+		this.effects.removeAll(found);
+		return found;
+	}
+
+	private static PieceDigests digests(long version) {
+		List<Digest> digests = new ArrayList<>();
+		for (int i = 0; i < PIECES; i++) {
+			digests.add(Digest.of((version + "/" + i).getBytes(StandardCharsets.UTF_8)));
+		}
+		return new PieceDigests(MODEL, version, 100, digests);
+	}
+
+	private static Set<Integer> all() {
+		Set<Integer> all = new HashSet<>();
+		for (int i = 0; i < PIECES; i++) {
+			all.add(i);
+		}
+		return all;
+	}
+
+	private void fetchAll(long version) {
+		List<LoadEffect.FetchPiece> fetches = taken(LoadEffect.FetchPiece.class);
+		while (!fetches.isEmpty()) {
+			fetches.forEach((fetch) -> happens(new LoadEvent.PieceEnded(MODEL, version, fetch.index(), true)));
+			fetches = taken(LoadEffect.FetchPiece.class);
+		}
+	}
+
+	private void bringToCheck(long version) {
+		happens(new LoadEvent.Declared(Map.of(MODEL, version)));
+		assertThat(taken(LoadEffect.AskDigests.class)).hasSize(1);
+		happens(new LoadEvent.DigestsArrived(digests(version)));
+		assertThat(taken(LoadEffect.CheckStaged.class)).hasSize(1);
+		happens(new LoadEvent.Checked(MODEL, version, Set.of()));
+		fetchAll(version);
+		assertThat(taken(LoadEffect.CheckStaged.class)).hasSize(1);
+	}
+
+	@Test
+	void digestsThatCannotBeHadAreAskedForAgain() {
+		reports(false, Map.of());
+		happens(new LoadEvent.Declared(Map.of(MODEL, 1L)));
+		taken(LoadEffect.AskDigests.class);
+		happens(new LoadEvent.DigestsFailed(MODEL, 1));
+		assertThat(taken(LoadEffect.AskDigests.class)).isEmpty();
+		after(200);
+		assertThat(taken(LoadEffect.AskDigests.class)).hasSize(1);
+	}
+
+	@Nested
+	class AnEmptyRunner {
+
+		@Test
+		void isLoadedAtOnceAfterEveryPieceWasReadBack() {
+			reports(false, Map.of());
+			bringToCheck(1);
+			assertThat(taken(LoadEffect.OrderLoad.class)).isEmpty();
+			happens(new LoadEvent.Checked(MODEL, 1, all()));
+			assertThat(taken(LoadEffect.OrderLoad.class)).containsExactly(new LoadEffect.OrderLoad(MODEL, 1));
+		}
+
+		@Test
+		void getsSpoiltPiecesAnewBeforeItIsLoaded() {
+			reports(false, Map.of());
+			bringToCheck(1);
+			Set<Integer> good = all();
+			good.remove(7);
+			happens(new LoadEvent.Checked(MODEL, 1, good));
+			assertThat(taken(LoadEffect.OrderLoad.class)).isEmpty();
+			assertThat(taken(LoadEffect.FetchPiece.class)).extracting(LoadEffect.FetchPiece::index).containsExactly(7);
+		}
+
+		@Test
+		void hasAFewPiecesUnderWayAtATime() {
+			reports(false, Map.of());
+			happens(new LoadEvent.Declared(Map.of(MODEL, 1L)));
+			happens(new LoadEvent.DigestsArrived(digests(1)));
+			happens(new LoadEvent.Checked(MODEL, 1, Set.of()));
+			assertThat(taken(LoadEffect.FetchPiece.class)).hasSize(6);
+		}
+
+	}
+
+	@Nested
+	class ARunnerThatServes {
+
+		@Test
+		void isLeftAloneWhileItsVersionIsTheDeclaredOne() {
+			reports(false, Map.of(MODEL, 1L));
+			happens(new LoadEvent.Declared(Map.of(MODEL, 1L)));
+			after(5000);
+			assertThat(taken(LoadEffect.AskDigests.class)).isEmpty();
+		}
+
+		@Test
+		void isSwitchedAtAMomentOfItsOwnWithinTheTimeAllowed() {
+			Set<Long> moments = new HashSet<>();
+			for (long seed = 0; seed < 10; seed++) {
+				LoadReducerTests.this.state = LoadState.initial(LoadSettings.within(8000, seed));
+				LoadReducerTests.this.now = 1000;
+				reports(false, Map.of(MODEL, 1L));
+				bringToCheck(2);
+				happens(new LoadEvent.Checked(MODEL, 2, all()));
+				while (taken(LoadEffect.OrderLoad.class).isEmpty()) {
+					after(50);
+					taken(LoadEffect.CheckStaged.class)
+						.forEach((check) -> happens(new LoadEvent.Checked(MODEL, 2, all())));
+				}
+				moments.add(LoadReducerTests.this.now);
+			}
+			assertThat(moments).allMatch((moment) -> moment <= 1000 + 8000 - 1000);
+			assertThat(moments).hasSizeGreaterThan(5);
+		}
+
+		@Test
+		void isReadBackAgainIfItsTurnCameLate() {
+			LoadReducerTests.this.state = LoadState.initial(LoadSettings.within(60_000, 3));
+			reports(false, Map.of(MODEL, 1L));
+			bringToCheck(2);
+			happens(new LoadEvent.Checked(MODEL, 2, all()));
+			after(59_000);
+			assertThat(taken(LoadEffect.OrderLoad.class)).isEmpty();
+			assertThat(taken(LoadEffect.CheckStaged.class)).hasSize(1);
+		}
+
+		@Test
+		void turnsToANewerVersionBeforeTheOlderIsLoaded() {
+			reports(false, Map.of(MODEL, 1L));
+			bringToCheck(2);
+			happens(new LoadEvent.Declared(Map.of(MODEL, 3L)));
+			assertThat(taken(LoadEffect.AskDigests.class)).containsExactly(new LoadEffect.AskDigests(MODEL, 3));
+			happens(new LoadEvent.Checked(MODEL, 2, all()));
+			assertThat(taken(LoadEffect.OrderLoad.class)).isEmpty();
+		}
+
+	}
+
+	@Nested
+	class AnOrder {
+
+		private void order() {
+			reports(false, Map.of());
+			bringToCheck(1);
+			happens(new LoadEvent.Checked(MODEL, 1, all()));
+			assertThat(taken(LoadEffect.OrderLoad.class)).hasSize(1);
+		}
+
+		@Test
+		void isNotRepeatedWhileTheRunnerLoads() {
+			order();
+			happens(new LoadEvent.Ordered(MODEL, 1, true));
+			reports(true, Map.of());
+			after(5000);
+			assertThat(taken(LoadEffect.OrderLoad.class)).isEmpty();
+			reports(false, Map.of(MODEL, 1L));
+			assertThat(LoadReducerTests.this.state.models().get(MODEL).step()).isEqualTo(LoadStep.SETTLED);
+		}
+
+		@Test
+		void thatIsRefusedIsPreparedAnew() {
+			order();
+			happens(new LoadEvent.Ordered(MODEL, 1, false));
+			after(200);
+			assertThat(taken(LoadEffect.CheckStaged.class)).hasSize(1);
+		}
+
+		@Test
+		void isPreparedAnewForARunnerThatStartedAgain() {
+			order();
+			happens(new LoadEvent.Ordered(MODEL, 1, true));
+			reports(false, Map.of(MODEL, 1L));
+			reports(false, Map.of());
+			assertThat(taken(LoadEffect.CheckStaged.class)).hasSize(1);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/loading/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the decisions about loading weights.
+ */
+package org.catkingate.decisions.loading;
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/registry/FollowReducerTests.java
@@ -0,0 +1,271 @@
+package org.catkingate.decisions.registry;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.catkingate.decisions.Effect;
+import org.catkingate.decisions.Event;
+import org.catkingate.decisions.Step;
+import org.catkingate.model.DataCentreName;
+import org.catkingate.model.ModelName;
+import org.catkingate.model.RunnerId;
+import org.catkingate.model.ServiceName;
+import org.catkingate.model.registry.CallerLimits;
+import org.catkingate.model.registry.RegisteredRunner;
+import org.catkingate.model.registry.RegistryEntry;
+import org.catkingate.model.registry.RegistryItem;
+import org.catkingate.model.registry.RegistryItems;
+import org.catkingate.model.registry.RouteTable;
+import org.catkingate.model.registry.ServingConfiguration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link FollowReducer}.
+ */
+class FollowReducerTests {
+
+	private final FollowReducer reducer = FollowReducer.create();
+
+	private final List<Effect> effects = new ArrayList<>();
+
+	private FollowState state = FollowState.initial(FollowTimes.watchingFor(1500), 7);
+
+	private long now = 1000;
+
+	private void happens(Event event) {
+		Step<FollowState> step = this.reducer.reduce(this.state, this.now, event);
+		this.state = step.state();
+		this.effects.clear();
+		this.effects.addAll(step.effects());
+	}
+
+	private void after(long millis) {
+		this.now += millis;
+		happens(new FollowEvent.Ticked());
+	}
+
+	private long call() {
+		return this.state.contact().lastCall();
+	}
+
+	private Moment moment() {
+		return new Moment(this.now, this.now);
+	}
+
+	private void page(boolean more, long revision, RegistryItem... items) {
+		happens(new FollowEvent.PageArrived(call(), moment(), new RegistryItems(List.of(items), more, revision)));
+	}
+
+	private void changes(long revision, RegistryItem... items) {
+		happens(new FollowEvent.ChangesArrived(call(), moment(), new RegistryItems(List.of(items), false, revision)));
+	}
+
+	private void fails(boolean historyGone) {
+		happens(new FollowEvent.CallFailed(call(), historyGone, "no answer"));
+	}
+
+	private static RegistryItem runner(String id, long revision, boolean draining) {
+		return new RegistryItem("runners/" + id, revision,
+				new RegistryEntry.Runner(new RegisteredRunner(new RunnerId(id), 1, new ServiceName("songs"),
+						new InetSocketAddress("127.0.0.1", 1), new DataCentreName("a"), 4, draining, Map.of())));
+	}
+
+	private static RegistryItem removed(String id, long revision) {
+		return new RegistryItem("runners/" + id, revision, null);
+	}
+
+	private static RegistryItem configuration(long version, long revision) {
+		return new RegistryItem("configuration", revision,
+				new RegistryEntry.Configuration(new ServingConfiguration(version, RouteTable.of(List.of()), Map.of(),
+						Map.of(), new CallerLimits(1, 1, 1, 1))));
+	}
+
+	private RegistryView published() {
+		return this.effects.stream()
+			.filter(FollowEffect.Publish.class::isInstance)
+			.map(FollowEffect.Publish.class::cast)
+			.reduce((first, second) -> second)
+			.orElseThrow()
+			.view();
+	}
+
+	private <T extends Effect> T only(Class<T> type) {
+		List<T> found = this.effects.stream().filter(type::isInstance).map(type::cast).toList();
+		assertThat(found).as("effects of type %s among %s", type.getSimpleName(), this.effects).hasSize(1);
+		return found.get(0);
+	}
+
+	private void readWhole(RegistryItem... items) {
+		after(0);
+		page(false, 10, items);
+	}
+
+	@Nested
+	class ReadingTheWhole {
+
+		@Test
+		void asksForPageAfterPageAndThenWatchesFromTheLowestRevision() {
+			after(0);
+			assertThat(only(FollowEffect.ReadPage.class).afterKey()).isEmpty();
+			page(true, 10, runner("a", 3, false));
+			assertThat(only(FollowEffect.ReadPage.class).afterKey()).isEqualTo("runners/a");
+			page(false, 12, runner("b", 11, false));
+			assertThat(published().runners()).hasSize(2);
+			assertThat(only(FollowEffect.Watch.class).afterRevision()).isEqualTo(10);
+		}
+
+		@Test
+		void beginsAnewWhenTheHistoryIsGone() {
+			readWhole(runner("a", 3, false));
+			fails(true);
+			assertThat(only(FollowEffect.ReadPage.class).afterKey()).isEmpty();
+			page(false, 90, runner("b", 80, false));
+			assertThat(published().runners()).containsOnlyKeys(new RunnerId("b"));
+		}
+
+	}
+
+	@Nested
+	class Changes {
+
+		@Test
+		void thatAreOlderThanWhatIsKnownAreDropped() {
+			readWhole(runner("a", 9, true));
+			changes(11, runner("a", 4, false));
+			assertThat(published().runners().get(new RunnerId("a")).draining()).isTrue();
+		}
+
+		@Test
+		void gatherForAMomentBeforeTheNextWatch() {
+			readWhole(runner("a", 3, false));
+			changes(11, runner("b", 11, false));
+			assertThat(this.watches()).isZero();
+			after(50);
+			assertThat(only(FollowEffect.Watch.class).afterRevision()).isEqualTo(11);
+		}
+
+		private long watches() {
+			return FollowReducerTests.this.effects.stream().filter(FollowEffect.Watch.class::isInstance).count();
+		}
+
+		@Test
+		void neverBringAConfigurationBackToALowerVersion() {
+			readWhole(configuration(8, 5));
+			changes(11, configuration(6, 11));
+			assertThat(published().configuration().orElseThrow().version()).isEqualTo(8);
+			assertThat(only(FollowEffect.ReportUnreadable.class).reason()).contains("lower");
+		}
+
+		@Test
+		void thatCannotBeReadAreReportedOnceAndLeaveTheConfigurationInForce() {
+			readWhole(configuration(8, 5));
+			RegistryItem torn = new RegistryItem("configuration", 11, new RegistryEntry.Unreadable("torn"));
+			changes(11, torn);
+			assertThat(published().configuration()).isPresent();
+			assertThat(only(FollowEffect.ReportUnreadable.class).key()).isEqualTo("configuration");
+		}
+
+		@Test
+		void ofADeclaredVersionNeverLowerIt() {
+			ModelName model = new ModelName("m");
+			readWhole(new RegistryItem("v", 4, new RegistryEntry.DeclaredVersion(model, 2)));
+			assertThat(RegistryView.of(1, this.items()).version(model)).isEqualTo(2);
+		}
+
+		private List<RegistryItem> items() {
+			return List.copyOf(FollowReducerTests.this.state.items().values());
+		}
+
+	}
+
+	@Nested
+	class Failures {
+
+		@Test
+		void areRepeatedAtGrowingIntervals() {
+			after(0);
+			List<Long> waits = new ArrayList<>();
+			for (int i = 0; i < 6; i++) {
+				fails(false);
+				long before = FollowReducerTests.this.now;
+				while (FollowReducerTests.this.effects.stream().noneMatch(FollowEffect.ReadPage.class::isInstance)) {
+					after(10);
+				}
+				waits.add(FollowReducerTests.this.now - before);
+			}
+			assertThat(waits.get(0)).isBetween(50L, 110L);
+			assertThat(waits.get(5)).isBetween(400L, 810L);
+		}
+
+		@Test
+		void areReportedOnceAndSoIsTheirEnd() {
+			readWhole(runner("a", 3, false));
+			fails(false);
+			only(FollowEffect.ContactLost.class);
+			after(900);
+			fails(false);
+			assertThat(FollowReducerTests.this.effects).noneMatch(FollowEffect.ContactLost.class::isInstance);
+			after(900);
+			changes(10);
+			assertThat(only(FollowEffect.ContactRegained.class).failures()).isEqualTo(2);
+		}
+
+		@Test
+		void leaveRunnersThatLapsedMeanwhileInUseForTheGraceOnly() {
+			readWhole(runner("a", 3, false));
+			fails(false);
+			after(900);
+			changes(20, removed("a", 15));
+			assertThat(published().runners()).hasSize(1);
+			after(1900);
+			assertThat(FollowReducerTests.this.state.items()).isNotEmpty();
+			after(200);
+			assertThat(published().runners()).isEmpty();
+		}
+
+		@Test
+		void doNotKeepARunnerThatWasLeavingAnyway() {
+			readWhole(runner("a", 3, true));
+			fails(false);
+			after(900);
+			changes(20, removed("a", 15));
+			assertThat(published().runners()).isEmpty();
+		}
+
+		@Test
+		void ofACallThatWasGivenUpChangeNothing() {
+			readWhole(runner("a", 3, false));
+			FollowState before = FollowReducerTests.this.state;
+			happens(new FollowEvent.CallFailed(call() - 1, false, "late"));
+			assertThat(FollowReducerTests.this.state).isSameAs(before);
+		}
+
+	}
+
+	@Nested
+	class Certainty {
+
+		@Test
+		void datesFromWhenTheAnswerWasAskedFor() {
+			after(0);
+			Moment asked = moment();
+			FollowReducerTests.this.now += 400;
+			happens(new FollowEvent.PageArrived(call(), asked, new RegistryItems(List.of(), false, 3)));
+			assertThat(only(FollowEffect.Confirm.class).at()).isEqualTo(asked);
+		}
+
+		@Test
+		void endsWithASleepThatOnlyTheTimeOfDayShows() {
+			assertThat(new Moment(1000, 50_000).ageMillis(new Moment(1100, 59_000))).isEqualTo(9000);
+			assertThat(new Moment(1000, 50_000).ageMillis(new Moment(4000, 20_000))).isEqualTo(3000);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/registry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the decisions about following a registry.
+ */
+package org.catkingate.decisions.registry;
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/retries/WindowCountTests.java
@@ -0,0 +1,44 @@
+package org.catkingate.decisions.retries;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link WindowCount} and {@link RetryAllowance}.
+ */
+class WindowCountTests {
+
+	@Test
+	void countsWhatHappenedInTheWindowAndForgetsTheRest() {
+		WindowCount count = WindowCount.over(10_000);
+		count.add(500);
+		count.add(9_000);
+		assertThat(count.count(10_000)).isEqualTo(2);
+		assertThat(count.count(12_000)).isEqualTo(1);
+		assertThat(count.count(40_000)).isZero();
+	}
+
+	@Test
+	void neverForgetsTooEarly() {
+		WindowCount count = WindowCount.over(10_000);
+		count.add(999);
+		assertThat(count.count(10_998)).isEqualTo(1);
+	}
+
+	@Test
+	void allGatewaysTogetherStayWithinTheAllowance() {
+		RetryAllowance allowance = new RetryAllowance(0.2, 100, 10_000);
+		int gateways = 6;
+		long repeats = 0;
+		for (int gateway = 0; gateway < gateways; gateway++) {
+			long own = 0;
+			while (allowance.allows(300, own, gateways)) {
+				own++;
+			}
+			repeats += own;
+		}
+		assertThat(repeats).isLessThanOrEqualTo((long) (0.2 * 300 * gateways) + 100);
+	}
+
+}
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/registry/RegistryFollower.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/registry/RegistryFollower.java
@@ -84,10 +84,12 @@
 
 	/**
 	 * Tells how old the view may be.
-	 * @return the milliseconds since it was last known to be the newest
+	 * @return the milliseconds since it was last known to be the newest;
+	 * {@link Long#MAX_VALUE} if it never was
 	 */
 	public long ageMillis() {
-		return this.confirmed.ageMillis(this.moments.now());
+		Moment at = this.confirmed;
+		return at.equals(Moment.NEVER) ? Long.MAX_VALUE : at.ageMillis(this.moments.now());
 	}
 
 	private void carryOut(Effect effect) {
