--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/LoadReducer.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/LoadReducer.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.catkingate.decisions.Effect;
@@ -109,15 +110,21 @@
 
 	private static LoadState declared(LoadState state, long nowMillis, LoadEvent.Declared event) {
 		LoadState next = state;
-		for (var declared : event.versions().entrySet()) {
+		for (Map.Entry<ModelName, Long> declared : event.versions().entrySet()) {
 			ModelLoad known = state.models().get(declared.getKey());
 			if (known == null || known.version() < declared.getValue()) {
-				next = next.with(ModelLoad.declared(declared.getKey(), declared.getValue(), nowMillis));
+				next = next.with(ModelLoad.declared(declared.getKey(), declared.getValue(), since(known, nowMillis)));
 			}
 		}
 		return next;
 	}
 
+	// the time of a version that has not come yet goes on when a newer one takes its
+	// place
+	private static long since(ModelLoad known, long nowMillis) {
+		return (known != null && known.step() != LoadStep.SETTLED) ? known.declaredAtMillis() : nowMillis;
+	}
+
 	private static ModelLoad current(LoadState state, ModelName model, long version) {
 		ModelLoad load = state.models().get(model);
 		return (load != null && load.version() == version) ? load : null;
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/loading/LoadReducerTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/loading/LoadReducerTests.java
@@ -178,6 +178,21 @@
 			assertThat(taken(LoadEffect.CheckStaged.class)).hasSize(1);
 		}
 
+		@Test
+		void keepsTheTimeOfTheOlderVersionWhenANewerTakesItsPlace() {
+			reports(false, Map.of(MODEL, 1L));
+			bringToCheck(2);
+			after(4000);
+			happens(new LoadEvent.Declared(Map.of(MODEL, 3L)));
+			happens(new LoadEvent.DigestsArrived(digests(3)));
+			happens(new LoadEvent.Checked(MODEL, 3, all()));
+			while (taken(LoadEffect.OrderLoad.class).isEmpty()) {
+				after(50);
+				taken(LoadEffect.CheckStaged.class).forEach((check) -> happens(new LoadEvent.Checked(MODEL, 3, all())));
+			}
+			assertThat(LoadReducerTests.this.now).isLessThanOrEqualTo(1000 + 8000 - 1000);
+		}
+
 		@Test
 		void turnsToANewerVersionBeforeTheOlderIsLoaded() {
 			reports(false, Map.of(MODEL, 1L));
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
 import java.util.function.Function;
 
 import org.catkingate.decisions.admission.Choice;
@@ -29,7 +31,10 @@
 
 	private final Map<RunnerId, RunnerState> runners = new HashMap<>();
 
-	private final Map<ModelName, Declared> declared = new HashMap<>();
+	private static final SortedMap<Long, Long> NOTHING_DECLARED = new TreeMap<>();
+
+	/** When each version of a model was heard of, in monotonic milliseconds. */
+	private final Map<ModelName, SortedMap<Long, Long>> declared = new HashMap<>();
 
 	private final Function<RegisteredRunner, RunnerState> states;
 
@@ -47,12 +52,9 @@
 
 	void refresh(RegistryView next, long nowMillis) {
 		this.view = next;
-		next.versions().forEach((model, version) -> {
-			Declared known = this.declared.get(model);
-			if (known == null || known.version() < version) {
-				this.declared.put(model, new Declared(version, nowMillis));
-			}
-		});
+		next.versions()
+			.forEach((model, version) -> this.declared.computeIfAbsent(model, (key) -> new TreeMap<>())
+				.putIfAbsent(version, nowMillis));
 		this.runners.entrySet().removeIf((entry) -> {
 			RegisteredRunner now = next.runners().get(entry.getKey());
 			boolean gone = now == null || !isSameLife(now, entry.getValue().runner());
@@ -100,9 +102,13 @@
 	 * for so long that it must be everywhere.
 	 */
 	private long lowestVersion(ModelName model, long nowMillis) {
-		Declared declared = this.declared.get(model);
-		boolean due = declared != null && nowMillis >= declared.atMillis() + this.changeMillis;
-		return due ? declared.version() : RegistryView.FIRST_VERSION;
+		long lowest = RegistryView.FIRST_VERSION;
+		for (Map.Entry<Long, Long> version : this.declared.getOrDefault(model, NOTHING_DECLARED).entrySet()) {
+			if (nowMillis >= version.getValue() + this.changeMillis) {
+				lowest = Math.max(lowest, version.getKey());
+			}
+		}
+		return lowest;
 	}
 
 	/**
@@ -123,14 +129,4 @@
 		return this.runners.get(runner);
 	}
 
-	/**
-	 * A version that operators have declared.
-	 *
-	 * @param version the version
-	 * @param atMillis when this process heard of it, in monotonic milliseconds
-	 */
-	private record Declared(long version, long atMillis) {
-
-	}
-
 }
--- /dev/null
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
@@ -0,0 +1,109 @@
+package org.catkingate.gateway;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import org.catkingate.decisions.admission.Choice;
+import org.catkingate.decisions.admission.Demand;
+import org.catkingate.decisions.admission.RunnerChoices;
+import org.catkingate.decisions.registry.RegistryView;
+import org.catkingate.decisions.routing.Distance;
+import org.catkingate.model.DataCentreName;
+import org.catkingate.model.ModelName;
+import org.catkingate.model.RunnerId;
+import org.catkingate.model.ServiceName;
+import org.catkingate.model.registry.CallerLimits;
+import org.catkingate.model.registry.Engine;
+import org.catkingate.model.registry.RegisteredRunner;
+import org.catkingate.model.registry.RegisteredService;
+import org.catkingate.model.registry.RouteTable;
+import org.catkingate.model.registry.ServingConfiguration;
+import org.catkingate.wire.Runners;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link RunnerTable}.
+ */
+class RunnerTableTests {
+
+	private static final ModelName MODEL = new ModelName("m");
+
+	private static final ServiceName SERVICE = new ServiceName("songs");
+
+	private static final Engine ENGINE = new Engine(16, 5, 9.27, 0.0232, 20.7, 2048, 979, 92, 64, List.of(MODEL));
+
+	private static final InetSocketAddress ADDRESS = new InetSocketAddress("127.0.0.1", 8080);
+
+	private final RunnerTable table = new RunnerTable((runner) -> new RunnerState(runner, Distance.DATA_CENTRE, null),
+			RunnerChoices.earliestFirstEvent(), 7000);
+
+	private static RegistryView view(Map<ModelName, Long> versions, RegisteredRunner... runners) {
+		ServingConfiguration configuration = new ServingConfiguration(1, RouteTable.of(List.of()),
+				Map.of(SERVICE, new RegisteredService(SERVICE, 100, Optional.of(ENGINE), Optional.empty())), Map.of(),
+				new CallerLimits(1, 1, 1, 1));
+		Map<RunnerId, RegisteredRunner> byId = new HashMap<>();
+		for (RegisteredRunner runner : runners) {
+			byId.put(runner.id(), runner);
+		}
+		return new RegistryView(1, Optional.of(configuration), byId, versions);
+	}
+
+	private static RegisteredRunner runner(String id, boolean draining, Map<ModelName, Long> models) {
+		return new RegisteredRunner(new RunnerId(id), 1, SERVICE, ADDRESS, new DataCentreName("a"), 16, draining,
+				models);
+	}
+
+	private static Runners.RunnerTold told(boolean loading, Map<String, Long> models) {
+		return new Runners.RunnerTold("127.0.0.1:8080", 1, loading, 0, 0, models);
+	}
+
+	private boolean serves(long nowMillis) {
+		return this.table.choose(SERVICE, new Demand(100, 400, 6000), Set.of(), 0.5, nowMillis) instanceof Choice.Send;
+	}
+
+	@Test
+	void aRunnerOfAnOlderVersionGetsNothingOnceTheTimeForTheChangeIsOver() {
+		this.table.refresh(view(Map.of(MODEL, 2L), runner("a", false, Map.of(MODEL, 1L))), 1000);
+		assertThat(serves(7900)).isTrue();
+		assertThat(serves(8000)).isFalse();
+	}
+
+	@Test
+	void aNewerVersionDoesNotLengthenTheTimeOfTheOneBefore() {
+		this.table.refresh(view(Map.of(MODEL, 2L), runner("a", false, Map.of(MODEL, 1L))), 1000);
+		this.table.refresh(view(Map.of(MODEL, 3L), runner("a", false, Map.of(MODEL, 1L))), 3000);
+		assertThat(serves(8000)).isFalse();
+		this.table.refresh(view(Map.of(MODEL, 3L), runner("a", false, Map.of(MODEL, 2L))), 8100);
+		assertThat(serves(8200)).isTrue();
+		assertThat(serves(10_000)).isFalse();
+	}
+
+	@Test
+	void aRunnerWithoutWeightsGetsNothingUntilItsLoaderTellsThatItServes() {
+		this.table.refresh(view(Map.of(), runner("a", false, Map.of())), 1000);
+		assertThat(serves(1100)).isFalse();
+		this.table.told(told(false, Map.of("m", 1L)), 1200);
+		assertThat(serves(1300)).isTrue();
+	}
+
+	@Test
+	void aRunnerThatLoadsGetsNothing() {
+		this.table.refresh(view(Map.of(), runner("a", false, Map.of(MODEL, 1L))), 1000);
+		this.table.told(told(true, Map.of("m", 1L)), 1200);
+		assertThat(serves(1300)).isFalse();
+	}
+
+	@Test
+	void aRunnerThatIsLeavingGetsNothing() {
+		this.table.refresh(view(Map.of(), runner("a", true, Map.of(MODEL, 1L))), 1000);
+		assertThat(serves(1100)).isFalse();
+	}
+
+}
--- /dev/null
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the parts of a gateway.
+ */
+package org.catkingate.gateway;
