--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/FaultPairTests.java
@@ -0,0 +1,36 @@
+package org.catkingate.tests;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import org.catkingate.tests.faults.Fault;
+
+/**
+ * All promises on answers hold under pairs of faults. {@code -Dcatkingate.pairs=} draws
+ * more of them.
+ */
+class FaultPairTests extends FaultRuns {
+
+	private static final int PAIRS = Integer.getInteger("catkingate.pairs", 6);
+
+	@ParameterizedTest
+	@MethodSource("pairs")
+	void promisesHoldUnderPairsOfFaults(List<Fault> pair, long seed) throws Exception {
+		promisesHoldUnder(pair, seed);
+	}
+
+	static Stream<Arguments> pairs() {
+		SplittableRandom random = new SplittableRandom(SEED);
+		Fault[] all = Fault.values();
+		return Stream
+			.generate(() -> Arguments.of(List.of(all[random.nextInt(all.length)], all[random.nextInt(all.length)]),
+					random.nextLong(1 << 30)))
+			.limit(PAIRS);
+	}
+
+}
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/FaultRuns.java
@@ -0,0 +1,72 @@
+package org.catkingate.tests;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.io.TempDir;
+
+import org.catkingate.tests.faults.Fault;
+import org.catkingate.tests.faults.Judge;
+import org.catkingate.tests.faults.TestFleet;
+import org.catkingate.tests.faults.Workload;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * A fleet of real processes under load and faults, and the judgement of its answers.
+ * {@code -Dcatkingate.seed=} repeats a run.
+ */
+abstract class FaultRuns {
+
+	static final long SEED = Long.getLong("catkingate.seed", 20261203);
+
+	private static final int REQUESTS_PER_FAULT = 100;
+
+	static final long PAUSE_MILLIS = 5;
+
+	@TempDir
+	private static Path directory;
+
+	static TestFleet fleet;
+
+	@BeforeAll
+	static void start() throws Exception {
+		System.out.println("catkingate.seed=" + SEED);
+		fleet = TestFleet.serving(directory, "--token-micros", "2000");
+	}
+
+	@AfterAll
+	static void close() {
+		if (fleet != null) {
+			fleet.close();
+		}
+	}
+
+	final void promisesHoldUnder(List<Fault> faults, long seed) throws Exception {
+		SplittableRandom random = new SplittableRandom(seed);
+		Workload workload = new Workload(fleet.callers(), seed);
+		workload.send(REQUESTS_PER_FAULT, PAUSE_MILLIS);
+		List<Fault.Heal> heals = new ArrayList<>();
+		for (Fault fault : faults) {
+			heals.add(fault.inject(fleet, random));
+		}
+		workload.send(REQUESTS_PER_FAULT, PAUSE_MILLIS);
+		for (Fault.Heal heal : heals) {
+			heal.heal();
+		}
+		fleet.awaitServing();
+		workload.send(REQUESTS_PER_FAULT, PAUSE_MILLIS);
+		assertPromisesHeld(workload, faults + " seed " + seed);
+	}
+
+	final void assertPromisesHeld(Workload workload, String what) throws Exception {
+		List<String> breaches = Judge.breaches(fleet, workload);
+		System.out.println(what + ": " + Judge.summary(workload));
+		assertThat(breaches).as(what).isEmpty();
+	}
+
+}
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/FaultScheduleTests.java
@@ -0,0 +1,39 @@
+package org.catkingate.tests;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+
+import org.catkingate.tests.faults.Fault;
+import org.catkingate.tests.faults.Workload;
+
+/**
+ * All promises on answers hold under a random schedule of faults.
+ * {@code -Dcatkingate.requests=} makes it longer.
+ */
+class FaultScheduleTests extends FaultRuns {
+
+	private static final int REQUESTS = Integer.getInteger("catkingate.requests", 1500);
+
+	private static final int REQUESTS_BETWEEN_FAULTS = 100;
+
+	@Test
+	void promisesHoldUnderARandomSchedule() throws Exception {
+		SplittableRandom random = new SplittableRandom(SEED);
+		Workload workload = new Workload(fleet.callers(), SEED);
+		List<Fault> schedule = new ArrayList<>();
+		for (int sent = 0; sent < REQUESTS; sent += 2 * REQUESTS_BETWEEN_FAULTS) {
+			Fault fault = Fault.values()[random.nextInt(Fault.values().length)];
+			schedule.add(fault);
+			Fault.Heal heal = fault.inject(fleet, random);
+			workload.send(REQUESTS_BETWEEN_FAULTS, PAUSE_MILLIS);
+			heal.heal();
+			workload.send(REQUESTS_BETWEEN_FAULTS, PAUSE_MILLIS);
+		}
+		fleet.awaitServing();
+		assertPromisesHeld(workload, schedule + " seed " + SEED);
+	}
+
+}
--- a/catkingate-tests/src/test/java/org/catkingate/tests/demo/DemoTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/demo/DemoTests.java
@@ -21,7 +21,7 @@
 
 	private static final int PORTS = 40;
 
-	private static final int LOWEST_PORT = 20_000;
+	private static final int LOWEST_PORT = 29_000;
 
 	private static final int HIGHEST_PORT = 32_000;
 
--- a/catkingate-tests/src/test/java/org/catkingate/tests/harness/FreePorts.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/harness/FreePorts.java
@@ -14,9 +14,12 @@
  */
 public final class FreePorts {
 
-	private static final int FIRST = 15_000;
+	/** The processes that run tests at a time each have a range of their own. */
+	private static final int FORK = Integer.getInteger("catkingate.test-fork", 1);
 
-	private static final int COUNT = 15_000;
+	private static final int COUNT = 3000;
+
+	private static final int FIRST = 13_000 + FORK * COUNT;
 
 	private static final AtomicInteger NEXT = new AtomicInteger(ThreadLocalRandom.current().nextInt(COUNT));
 
