Test the way of weights through a gateway, and keep running at a hang-up

Cause: the runtime ends a process at SIGHUP, which the platform sends when settings change; log lines were written by the traffic thread and could block it. Change: a hang-up reads the settings again and logs whether they are valid (taken over at the next start); log lines go through a bounded queue that drops rather than blocks.

--- a/catkingate-cli/src/main/java/org/catkingate/cli/ProcessCommand.java
+++ b/catkingate-cli/src/main/java/org/catkingate/cli/ProcessCommand.java
@@ -5,11 +5,14 @@
 import java.util.concurrent.CountDownLatch;
 
 import com.beust.jcommander.Parameter;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
 
 import org.catkingate.model.ini.ConfigurationProblem;
 import org.catkingate.model.ini.InvalidConfigurationException;
 import org.catkingate.runtime.logging.Logging;
+import org.catkingate.runtime.process.HangUp;
 import org.catkingate.runtime.process.RunningProcess;
 
 /**
@@ -22,6 +25,8 @@
 	/** Names the settings file where no argument does. */
 	static final String SETTINGS_VARIABLE = "CATKINGATE_SETTINGS";
 
+	private static final Logger logger = LoggerFactory.getLogger(ProcessCommand.class);
+
 	private final String name;
 
 	@Parameter(description = "FILE, the settings of the process; without it, the file that " + SETTINGS_VARIABLE
@@ -48,10 +53,12 @@
 		Logging.toStandardOutput(logLevel(settings));
 		try {
 			RunningProcess process = start(settings);
+			HangUp.onSignal(() -> checkAgain(path));
 			CountDownLatch stopped = new CountDownLatch(1);
 			Runtime.getRuntime().addShutdownHook(new Thread(() -> {
 				process.stop();
 				stopped.countDown();
+				Logging.flush();
 				Runtime.getRuntime().halt(ExitCodes.SUCCESS);
 			}, "shutdown"));
 			stopped.await();
@@ -67,6 +74,21 @@
 		}
 	}
 
+	private void checkAgain(String path) {
+		try {
+			read(Path.of(path));
+			logger.atInfo()
+				.addKeyValue("event", "settings-read-again")
+				.log("the settings file is valid; what it changes is taken over at the next start");
+		}
+		catch (InvalidConfigurationException ex) {
+			logger.atError()
+				.addKeyValue("event", "settings-refused")
+				.addKeyValue("problems", ex.problems())
+				.log("the changed settings file is wrong and not taken over; correct it");
+		}
+	}
+
 	private S settings(String path) throws CommandException {
 		try {
 			return read(Path.of(path));
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/logging/Logging.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/logging/Logging.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 
+import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
@@ -18,6 +19,9 @@
  */
 public final class Logging {
 
+	/** How many lines wait to be written: a few seconds' worth of a busy gateway. */
+	private static final int QUEUED_LINES = 2048;
+
 	private static final String LIBRARY_XNIO = "org.xnio";
 
 	private static final String LIBRARY_UNDERTOW = "io.undertow";
@@ -39,11 +43,32 @@
 		appender.start();
 		Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
 		root.setLevel(Level.convertAnSLF4JLevel(level));
-		root.addAppender(appender);
+		root.addAppender(withoutBlocking(context, appender));
 		context.getLogger(LIBRARY_XNIO).setLevel(Level.WARN);
 		context.getLogger(LIBRARY_UNDERTOW).setLevel(Level.WARN);
 	}
 
+	/*
+	 * Lines are dropped rather than waited for when whoever reads them falls behind.
+	 */
+	private static AsyncAppender withoutBlocking(LoggerContext context, ConsoleAppender<ILoggingEvent> appender) {
+		AsyncAppender queue = new AsyncAppender();
+		queue.setContext(context);
+		queue.setQueueSize(QUEUED_LINES);
+		queue.setDiscardingThreshold(0);
+		queue.setNeverBlock(true);
+		queue.addAppender(appender);
+		queue.start();
+		return queue;
+	}
+
+	/**
+	 * Writes what is queued and ends the logs of the process.
+	 */
+	public static void flush() {
+		((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
+	}
+
 	private static JsonEncoder encoder(LoggerContext context) {
 		JsonEncoder encoder = new JsonEncoder();
 		encoder.setContext(context);
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/MemoryRunner.java
@@ -0,0 +1,83 @@
+package org.catkingate.tests.gateway;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.catkingate.model.Digest;
+import org.catkingate.model.ModelName;
+import org.catkingate.model.registry.PieceDigests;
+import org.catkingate.runtime.staging.LocalRunner;
+import org.catkingate.runtime.staging.OrderAnswer;
+import org.catkingate.runtime.staging.RunnerReport;
+
+/**
+ * A runner in memory, which loads whatever is staged when it is ordered to. Safe for use
+ * by any thread.
+ */
+final class MemoryRunner implements LocalRunner {
+
+	private final Map<Integer, byte[]> staged = new ConcurrentHashMap<>();
+
+	private final Set<Integer> toSpoil = ConcurrentHashMap.newKeySet();
+
+	private volatile Map<ModelName, Long> serving = Map.of();
+
+	private volatile Map<Integer, byte[]> loaded = Map.of();
+
+	/**
+	 * Spoils a piece the next time it is staged.
+	 * @param index the number of the piece
+	 */
+	void spoilOnce(int index) {
+		this.toSpoil.add(index);
+	}
+
+	Map<ModelName, Long> serving() {
+		return this.serving;
+	}
+
+	boolean holdsWhole(PieceDigests version) {
+		for (int i = 0; i < version.digests().size(); i++) {
+			byte[] piece = this.loaded.get(i);
+			if (piece == null || !Digest.of(piece).equals(version.digests().get(i))) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	@Override
+	public CompletableFuture<RunnerReport> report() {
+		return CompletableFuture.completedFuture(new RunnerReport(1, false, 0, 0, this.serving));
+	}
+
+	@Override
+	public CompletableFuture<Set<Integer>> staged(ModelName model) {
+		return CompletableFuture.completedFuture(Set.copyOf(this.staged.keySet()));
+	}
+
+	@Override
+	public CompletableFuture<byte[]> readStaged(ModelName model, int index) {
+		return CompletableFuture.completedFuture(this.staged.getOrDefault(index, new byte[0]));
+	}
+
+	@Override
+	public CompletableFuture<Void> stage(ModelName model, int index, byte[] piece) {
+		byte[] kept = piece.clone();
+		if (this.toSpoil.remove(index)) {
+			kept[0]++;
+		}
+		this.staged.put(index, kept);
+		return CompletableFuture.completedFuture(null);
+	}
+
+	@Override
+	public CompletableFuture<OrderAnswer> load(ModelName model, long version) {
+		this.loaded = Map.copyOf(this.staged);
+		this.serving = Map.of(model, version);
+		return CompletableFuture.completedFuture(OrderAnswer.BEGUN);
+	}
+
+}
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
@@ -27,6 +27,7 @@
 import org.catkingate.platform.PlatformCallFormat;
 import org.catkingate.runtime.registry.Registry;
 import org.catkingate.runtime.settings.GatewaySettings;
+import org.catkingate.runtime.staging.OriginAccess;
 import org.catkingate.tests.harness.FreePorts;
 
 /**
@@ -56,6 +57,24 @@
 	 * @return the gateway, which knows its configuration
 	 */
 	static TestGateway with(CallKind kind, InetSocketAddress... runners) throws Exception {
+		List<RegistryItem> items = new ArrayList<>();
+		items.add(new RegistryItem("configuration", 1, new RegistryEntry.Configuration(configuration(kind))));
+		for (int i = 0; i < runners.length; i++) {
+			RegisteredRunner runner = new RegisteredRunner(new RunnerId("runner-" + i), 1, SERVICE, runners[i],
+					new DataCentreName("a"), 4, false, Map.of());
+			items.add(new RegistryItem("runners/" + i, 2 + i, new RegistryEntry.Runner(runner)));
+		}
+		return with(items, FreePorts.next(), (calls, address) -> null);
+	}
+
+	/**
+	 * Starts a gateway.
+	 * @param items what lies in the registry
+	 * @param peers where it listens for other processes
+	 * @param origins opens the origin of weights
+	 * @return the gateway, which knows its configuration
+	 */
+	static TestGateway with(List<RegistryItem> items, InetSocketAddress peers, OriginAccess origins) throws Exception {
 		InetSocketAddress callers = FreePorts.next();
 		InetSocketAddress operators = FreePorts.next();
 		GatewaySettings settings = GatewaySettings.parse("""
@@ -72,7 +91,7 @@
 				[operators]
 				listen = 127.0.0.1:%d
 				[peers]
-				listen = 127.0.0.1:0
+				listen = 127.0.0.1:%d
 				seeds =
 				shared-key = only-for-these-tests
 				[shutdown]
@@ -86,16 +105,9 @@
 				window-ms = 10000
 				[weights]
 				change-ms = 8000
-				""".formatted(callers.getPort(), operators.getPort()));
-		List<RegistryItem> items = new ArrayList<>();
-		items.add(new RegistryItem("configuration", 1, new RegistryEntry.Configuration(configuration(kind))));
-		for (int i = 0; i < runners.length; i++) {
-			RegisteredRunner runner = new RegisteredRunner(new RunnerId("runner-" + i), 1, SERVICE, runners[i],
-					new DataCentreName("a"), 4, false, Map.of());
-			items.add(new RegistryItem("runners/" + i, 2 + i, new RegistryEntry.Runner(runner)));
-		}
-		GatewayProcess process = GatewayProcess.start(settings, (calls, url) -> new InMemory(items),
-				(calls, address) -> null, new PlatformCallFormat());
+				""".formatted(callers.getPort(), operators.getPort(), peers.getPort()));
+		GatewayProcess process = GatewayProcess.start(settings, (calls, url) -> new InMemory(items), origins,
+				new PlatformCallFormat());
 		Thread.sleep(200);
 		return new TestGateway(process, callers);
 	}
@@ -122,7 +134,7 @@
 	 *
 	 * @param items what lies in it
 	 */
-	private record InMemory(List<RegistryItem> items) implements Registry {
+	record InMemory(List<RegistryItem> items) implements Registry {
 
 		@Override
 		public CompletableFuture<RegistryItems> read(String afterKey) {
