Change runners in an even order, and tell loaders of declared versions

A turn that came due was also computed anew from the moment of its second check, later each time (LoadReducerTests.changesAtTheTurnThatItWasTold failed on it). Change: a gateway tells each loader its runner's place in an order that scatters regions; the turns are spread over the time behind fetching.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/LoadEvent.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/LoadEvent.java
@@ -28,6 +28,17 @@
 
 	}
 
+	/**
+	 * The runner's turn among those that change their version.
+	 *
+	 * @param model the model
+	 * @param place its place, from 0
+	 * @param places how many runners change
+	 */
+	record TurnTold(ModelName model, int place, int places) implements LoadEvent {
+
+	}
+
 	/**
 	 * The runner has told what it does.
 	 *
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/LoadReducer.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/LoadReducer.java
@@ -26,6 +26,12 @@
 	/** The wait after digests or pieces could not be had, in milliseconds. */
 	private static final long RETRY_MILLIS = 150;
 
+	/**
+	 * The part of the time for a change in which pieces are fetched: over the thinnest
+	 * link that is known, a copy takes two fifths of it. Turns are spread over the rest.
+	 */
+	private static final double FETCHING_PART = 0.45;
+
 	/** How old a check may be when the load is ordered, in milliseconds. */
 	private static final long CHECK_VALID_MILLIS = 1000;
 
@@ -76,6 +82,9 @@
 		if (event instanceof LoadEvent.Declared declared) {
 			return declared(state, nowMillis, declared);
 		}
+		if (event instanceof LoadEvent.TurnTold turn) {
+			return state.withTurn(turn.model(), (double) turn.place() / turn.places());
+		}
 		if (event instanceof LoadEvent.Reported reported) {
 			return state.with(Optional.of(reported));
 		}
@@ -152,8 +161,10 @@
 		}
 		LoadSettings settings = state.settings();
 		long latest = load.declaredAtMillis() + settings.changeMillis() - settings.finishMillis();
-		double draw = Rendezvous.unit(Rendezvous.mix(settings.seed() + load.version()));
-		return nowMillis + (long) (draw * Math.max(0, latest - nowMillis));
+		Double told = state.turns().get(load.model());
+		double part = (told != null) ? told : Rendezvous.unit(Rendezvous.mix(settings.seed() + load.version()));
+		long earliest = load.declaredAtMillis() + (long) (FETCHING_PART * settings.changeMillis());
+		return Math.max(nowMillis, earliest + (long) (part * Math.max(0, latest - earliest)));
 	}
 
 	private static ModelLoad advance(LoadState state, ModelLoad load, long nowMillis, List<Effect> effects) {
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/LoadState.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/LoadState.java
@@ -12,12 +12,16 @@
  * @param settings the times and bounds
  * @param runner what the runner told last, empty while it gives no report
  * @param models how far each model has come
+ * @param turns when in the time for a change each model's turn comes, as a part of it;
+ * without an entry, a turn is drawn
  * @since 0.1
  */
-public record LoadState(LoadSettings settings, Optional<LoadEvent.Reported> runner, Map<ModelName, ModelLoad> models) {
+public record LoadState(LoadSettings settings, Optional<LoadEvent.Reported> runner, Map<ModelName, ModelLoad> models,
+		Map<ModelName, Double> turns) {
 
 	public LoadState {
 		models = Map.copyOf(models);
+		turns = Map.copyOf(turns);
 	}
 
 	/**
@@ -26,17 +30,23 @@
 	 * @return the state, never null
 	 */
 	public static LoadState initial(LoadSettings settings) {
-		return new LoadState(settings, Optional.empty(), Map.of());
+		return new LoadState(settings, Optional.empty(), Map.of(), Map.of());
 	}
 
 	LoadState with(Optional<LoadEvent.Reported> told) {
-		return new LoadState(this.settings, told, this.models);
+		return new LoadState(this.settings, told, this.models, this.turns);
 	}
 
 	LoadState with(ModelLoad load) {
 		Map<ModelName, ModelLoad> next = new HashMap<>(this.models);
 		next.put(load.model(), load);
-		return new LoadState(this.settings, this.runner, next);
+		return new LoadState(this.settings, this.runner, next, this.turns);
+	}
+
+	LoadState withTurn(ModelName model, double part) {
+		Map<ModelName, Double> next = new HashMap<>(this.turns);
+		next.put(model, part);
+		return new LoadState(this.settings, this.runner, this.models, next);
 	}
 
 }
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/loading/LoadReducerTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/loading/LoadReducerTests.java
@@ -167,6 +167,27 @@
 			assertThat(moments).hasSizeGreaterThan(5);
 		}
 
+		@Test
+		void changesAtTheTurnThatItWasTold() {
+			List<Long> moments = new ArrayList<>();
+			for (int place = 0; place < 4; place++) {
+				LoadReducerTests.this.state = LoadState.initial(LoadSettings.within(8000, 1));
+				LoadReducerTests.this.now = 1000;
+				happens(new LoadEvent.TurnTold(MODEL, place, 4));
+				reports(false, Map.of(MODEL, 1L));
+				bringToCheck(2);
+				happens(new LoadEvent.Checked(MODEL, 2, all()));
+				while (taken(LoadEffect.OrderLoad.class).isEmpty()) {
+					after(50);
+					taken(LoadEffect.CheckStaged.class)
+						.forEach((check) -> happens(new LoadEvent.Checked(MODEL, 2, all())));
+				}
+				moments.add(LoadReducerTests.this.now);
+			}
+			assertThat(moments).isSorted().doesNotHaveDuplicates();
+			assertThat(moments.get(3) - moments.get(2)).isBetween(700L, 900L);
+		}
+
 		@Test
 		void isReadBackAgainIfItsTurnCameLate() {
 			LoadReducerTests.this.state = LoadState.initial(LoadSettings.within(60_000, 3));
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
@@ -2,8 +2,11 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -11,9 +14,13 @@
 
 import org.xnio.XnioWorker;
 
+import org.catkingate.decisions.Rendezvous;
+import org.catkingate.decisions.registry.RegistryView;
 import org.catkingate.decisions.routing.Location;
 import org.catkingate.model.InstanceId;
+import org.catkingate.model.ModelName;
 import org.catkingate.model.Role;
+import org.catkingate.model.registry.RegisteredRunner;
 import org.catkingate.model.registry.WeightsOrigin;
 import org.catkingate.runtime.peers.SeedLinks;
 import org.catkingate.runtime.staging.PieceExchange;
@@ -52,6 +59,10 @@
 
 	private final Consumer<Runners.RunnerTold> runnerTold;
 
+	private final Map<FrameConnection, String> runners = new HashMap<>();
+
+	private RegistryView view = RegistryView.empty();
+
 	private GatewayPeers(Handshake.PeerIdentity own, SharedKey key, List<InetSocketAddress> seeds, XnioWorker worker,
 			Supplier<Optional<WeightsOrigin>> published, Supplier<Optional<PieceOrigin>> origin,
 			Consumer<Runners.RunnerTold> runnerTold) {
@@ -116,14 +127,36 @@
 			.findFirst();
 	}
 
+	/**
+	 * Tells loaders what is declared, so that they hear of it also over a connection to
+	 * the registry that has gone silent.
+	 * @param next what is believed now
+	 */
+	void refresh(RegistryView next) {
+		next.versions().forEach((model, version) -> {
+			if (!version.equals(this.view.versions().get(model))) {
+				this.accepted.forEach((link) -> tellVersion(link, model, version));
+			}
+		});
+		this.view = next;
+	}
+
+	private static void tellVersion(FrameConnection link, ModelName model, long version) {
+		if (link.peer().role() == Role.AGENT) {
+			link.send(new Runners.VersionDeclared(model, version));
+		}
+	}
+
 	@Override
 	public void opened(FrameConnection connection) {
 		this.accepted.add(connection);
+		this.view.versions().forEach((model, version) -> tellVersion(connection, model, version));
 	}
 
 	@Override
 	public void closed(FrameConnection connection, String reason) {
 		this.accepted.remove(connection);
+		this.runners.remove(connection);
 	}
 
 	@Override
@@ -137,6 +170,7 @@
 		else if (message instanceof Runners.RunnerTold told) {
 			this.runnerTold.accept(told);
 			if (connection.peer().role() == Role.AGENT) {
+				this.runners.put(connection, told.address());
 				this.accepted.stream()
 					.filter((link) -> link.peer().role() == Role.ENTRY)
 					.forEach((link) -> link.send(told));
@@ -144,7 +178,26 @@
 		}
 	}
 
+	/*
+	 * Runners change one after the other, in an order that scatters those of a region.
+	 */
+	private void tellTurn(FrameConnection connection, ModelName model) {
+		String address = this.runners.get(connection);
+		List<String> changing = this.view.runners()
+			.values()
+			.stream()
+			.filter((runner) -> runner.models().containsKey(model))
+			.sorted(Comparator.comparingLong((runner) -> Rendezvous.hash(runner.id().value())))
+			.map(RegisteredRunner::writtenAddress)
+			.toList();
+		int place = changing.indexOf(address);
+		if (place >= 0) {
+			connection.send(new Runners.Turn(model, place, changing.size()));
+		}
+	}
+
 	private void answer(FrameConnection connection, Weights.VersionQuestion question) {
+		tellTurn(connection, question.model());
 		this.cache.digests(question.model(), question.version()).whenComplete((digests, failure) -> {
 			if (failure != null) {
 				connection.send(new Weights.VersionDigests(question.model(), question.version(), NO_PIECES, List.of()));
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -205,6 +205,9 @@
 	private void changed(RegistryView view) {
 		this.worker.getIoThread().execute(() -> {
 			this.runners.refresh(view, this.clock.millis());
+			if (this.peers != null) {
+				this.peers.refresh(view);
+			}
 			if (this.callers != null) {
 				this.callers.limit(view.configuration().map(ServingConfiguration::limits));
 			}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -1,6 +1,5 @@
 package org.catkingate.gateway;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -118,8 +117,7 @@
 	 */
 	void told(Runners.RunnerTold told, long nowMillis) {
 		for (RunnerState state : this.runners.values()) {
-			InetSocketAddress address = state.runner().address();
-			if (told.address().equals(address.getAddress().getHostAddress() + ":" + address.getPort())) {
+			if (told.address().equals(state.runner().writtenAddress())) {
 				state.told(told, nowMillis);
 			}
 		}
--- a/catkingate-loader/src/main/java/org/catkingate/loader/LoaderProcess.java
+++ b/catkingate-loader/src/main/java/org/catkingate/loader/LoaderProcess.java
@@ -191,6 +191,17 @@
 		}
 	}
 
+	private void declared(Runners.VersionDeclared told) {
+		boolean served = this.follower.view()
+			.configuration()
+			.flatMap((published) -> published.engine(this.settings.service()))
+			.map((engine) -> engine.models().contains(told.model()))
+			.orElse(false);
+		if (served) {
+			submit(new LoadEvent.Declared(Map.of(told.model(), told.version())));
+		}
+	}
+
 	private void askRunner() {
 		this.io.report().whenComplete((report, failure) -> {
 			if (failure != null) {
@@ -270,6 +281,12 @@
 			if (message instanceof Weights answer) {
 				LoaderProcess.this.exchange.received(connection, answer);
 			}
+			else if (message instanceof Runners.VersionDeclared declared) {
+				declared(declared);
+			}
+			else if (message instanceof Runners.Turn turn) {
+				submit(new LoadEvent.TurnTold(turn.model(), turn.place(), turn.places()));
+			}
 		}
 
 		@Override
--- a/catkingate-model/src/main/java/org/catkingate/model/registry/RegisteredRunner.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/registry/RegisteredRunner.java
@@ -38,4 +38,12 @@
 		models = Map.copyOf(models);
 	}
 
+	/**
+	 * Writes the address.
+	 * @return the address as IP:PORT
+	 */
+	public String writtenAddress() {
+		return this.address.getAddress().getHostAddress() + ":" + this.address.getPort();
+	}
+
 }
--- a/catkingate-wire/src/main/java/org/catkingate/wire/MessageCodec.java
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/MessageCodec.java
@@ -37,7 +37,7 @@
 			Weights.ManifestRequest.class, Weights.ManifestContent.class, Weights.ChunkRequest.class,
 			Weights.ChunkSlice.class, Weights.ChunkRefusal.class, Keys.ViewQuestion.class, Keys.ViewStatement.class,
 			Keys.IssueKey.class, Keys.IssuedKey.class, Weights.VersionQuestion.class, Weights.VersionDigests.class,
-			Runners.RunnerTold.class);
+			Runners.RunnerTold.class, Runners.VersionDeclared.class, Runners.Turn.class);
 
 	private static final int ANSWER_DATA = KINDS.indexOf(Traffic.AnswerData.class);
 
--- a/catkingate-wire/src/main/java/org/catkingate/wire/Runners.java
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/Runners.java
@@ -41,4 +41,36 @@
 
 	}
 
+	/**
+	 * The version of a model that runners are to serve, as the sender believes.
+	 *
+	 * @param model the model
+	 * @param version the version
+	 */
+	record VersionDeclared(ModelName model, long version) implements Runners {
+
+		public VersionDeclared {
+			Objects.requireNonNull(model, "model must not be null");
+		}
+
+	}
+
+	/**
+	 * The turn of the receiver's runner among those that change to a version.
+	 *
+	 * @param model the model
+	 * @param place its place, from 0
+	 * @param places how many runners change
+	 */
+	record Turn(ModelName model, int place, int places) implements Runners {
+
+		public Turn {
+			Objects.requireNonNull(model, "model must not be null");
+			if (place < 0 || place >= places) {
+				throw new IllegalArgumentException("a place must be one of the places");
+			}
+		}
+
+	}
+
 }
