Know the age of declared versions after a start, and leave stalled runners

Change: a version that is there at the start counts as due, until another gateway tells its age; a version that has largely come is finished first; fewer pieces at a time over a slow link; a runner that has not begun an answer for 900 ms gets nothing new, and a call that may run again is sent elsewhere after twice its goal; idle connections are a share of the cap.

--- a/catkingate-agent/src/main/java/org/catkingate/agent/requests/AgentRequests.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/requests/AgentRequests.java
@@ -117,7 +117,8 @@
 		DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
 		Map<RunnerId, RunnerLane> lanes = new HashMap<>();
 		for (RunnerEndpoint runner : runners) {
-			KeptConnections connections = KeptConnections.to(runner.address(), worker, buffers, clock);
+			KeptConnections connections = KeptConnections.to(runner.address(), worker, buffers,
+					KeptConnections.USUAL_IDLE, clock);
 			lanes.put(runner.gate().runner(), new RunnerLane(runner.gate(), new RunnerQueue(), connections));
 		}
 		return Map.copyOf(lanes);
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/LoadEvent.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/LoadEvent.java
@@ -106,8 +106,9 @@
 	 * @param version the version
 	 * @param index the number of the piece
 	 * @param staged whether it is staged now
+	 * @param tookMillis how long that took, in milliseconds
 	 */
-	record PieceEnded(ModelName model, long version, int index, boolean staged) implements LoadEvent {
+	record PieceEnded(ModelName model, long version, int index, boolean staged, long tookMillis) implements LoadEvent {
 
 	}
 
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/LoadReducer.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/LoadReducer.java
@@ -46,6 +46,17 @@
 	 */
 	private static final long STEP_MILLIS = 5000;
 
+	/** By how much the wait after a failure grows at most. */
+	private static final int LONGEST_RETRIES = 6;
+
+	/** A piece that takes longer came over a link that is full, in milliseconds. */
+	private static final long SLOW_PIECE_MILLIS = 350;
+
+	/**
+	 * Within how long after a newer version's declaration turns come, in milliseconds.
+	 */
+	private static final long HURRIED_MILLIS = 2500;
+
 	/** Failures in a row after which the digests are doubted and asked for again. */
 	private static final int DOUBTFUL_FAILURES = 20;
 
@@ -63,7 +74,7 @@
 	@Override
 	public Step<LoadState> reduce(LoadState state, long nowMillis, Event event) {
 		List<Effect> effects = new ArrayList<>();
-		LoadState next = take(state, nowMillis, event);
+		LoadState next = takeUpWaiting(take(state, nowMillis, event));
 		for (ModelName model : next.models().keySet()) {
 			ModelLoad before = next.models().get(model);
 			next = next.with(advance(next, before, nowMillis, effects));
@@ -107,7 +118,8 @@
 		if (event instanceof LoadEvent.PieceEnded ended) {
 			ModelLoad load = current(state, ended.model(), ended.version());
 			return (load == null || load.step() != LoadStep.FETCHING) ? state
-					: state.with(load.fetched(ended.index(), ended.staged(), nowMillis + RETRY_MILLIS));
+					: state.with(load.fetched(ended.index(), ended.staged(), window(state, load, ended),
+							nowMillis + RETRY_MILLIS * Math.min(LONGEST_RETRIES, load.failures() + 1)));
 		}
 		if (event instanceof LoadEvent.Ordered ordered && !ordered.accepted()) {
 			ModelLoad load = current(state, ordered.model(), ordered.version());
@@ -117,21 +129,68 @@
 		return state;
 	}
 
+	/*
+	 * Fewer pieces at a time where they come slowly, so that a thin link keeps room for
+	 * the requests of the runner beside.
+	 */
+	private static int window(LoadState state, ModelLoad load, LoadEvent.PieceEnded ended) {
+		if (!ended.staged()) {
+			return load.window();
+		}
+		return (ended.tookMillis() > SLOW_PIECE_MILLIS) ? Math.max(1, load.window() - 1)
+				: Math.min(state.settings().piecesAtOnce(), load.window() + 1);
+	}
+
 	private static LoadState declared(LoadState state, long nowMillis, LoadEvent.Declared event) {
 		LoadState next = state;
 		for (Map.Entry<ModelName, Long> declared : event.versions().entrySet()) {
-			ModelLoad known = state.models().get(declared.getKey());
-			if (known == null || known.version() < declared.getValue()) {
-				next = next.with(ModelLoad.declared(declared.getKey(), declared.getValue(), since(known, nowMillis)));
-			}
+			next = declared(next, nowMillis, declared.getKey(), declared.getValue());
 		}
 		return next;
 	}
 
-	// the time of a version that has not come yet goes on when a newer one takes its
-	// place
-	private static long since(ModelLoad known, long nowMillis) {
-		return (known != null && known.step() != LoadStep.SETTLED) ? known.declaredAtMillis() : nowMillis;
+	/*
+	 * A version that has largely come is finished before a newer one is begun: the newer
+	 * may be held up, and the time of each counts by itself. One that has not is left for
+	 * the newer, whose time is then that of the older. Nobody knows how long ago a
+	 * version was declared that is there at the start.
+	 */
+	private static LoadState declared(LoadState state, long nowMillis, ModelName model, long version) {
+		ModelLoad known = state.models().get(model);
+		if (known == null) {
+			return state.with(ModelLoad.declared(model, version, nowMillis - state.settings().changeMillis()));
+		}
+		if (known.version() >= version) {
+			return state;
+		}
+		if (known.step() == LoadStep.SETTLED) {
+			return state.with(ModelLoad.declared(model, version, nowMillis));
+		}
+		if (hasLargelyCome(known)) {
+			ModelLoad waiting = state.waiting().get(model);
+			return (waiting != null && waiting.version() >= version) ? state
+					: state.withWaiting(model, ModelLoad.declared(model, version, nowMillis));
+		}
+		return state.with(ModelLoad.declared(model, version, known.declaredAtMillis())).withWaiting(model, null);
+	}
+
+	private static boolean hasLargelyCome(ModelLoad load) {
+		return load.digests() != null && load.step() != LoadStep.ASKING && 2 * load.missing() <= load.pieces();
+	}
+
+	private static LoadState takeUpWaiting(LoadState state) {
+		LoadState next = state;
+		for (ModelLoad newer : state.waiting().values()) {
+			ModelLoad load = state.models().get(newer.model());
+			boolean stuck = load.step() == LoadStep.FETCHING && load.failures() >= DOUBTFUL_FAILURES;
+			// the runner has taken what was staged when it accepted the order
+			boolean taken = load.step() == LoadStep.ORDERED
+					&& state.runner().map(LoadEvent.Reported::loading).orElse(false);
+			if (load.step() == LoadStep.SETTLED || load.step() == LoadStep.ASKING || stuck || taken) {
+				next = next.with(newer).withWaiting(newer.model(), null);
+			}
+		}
+		return next;
 	}
 
 	private static ModelLoad current(LoadState state, ModelName model, long version) {
@@ -163,6 +222,10 @@
 		long latest = load.declaredAtMillis() + settings.changeMillis() - settings.finishMillis();
 		Double told = state.turns().get(load.model());
 		double part = (told != null) ? told : Rendezvous.unit(Rendezvous.mix(settings.seed() + load.version()));
+		ModelLoad newer = state.waiting().get(load.model());
+		if (newer != null) {
+			return Math.max(nowMillis, newer.declaredAtMillis() + (long) (part * HURRIED_MILLIS));
+		}
 		long earliest = load.declaredAtMillis() + (long) (FETCHING_PART * settings.changeMillis());
 		return Math.max(nowMillis, earliest + (long) (part * Math.max(0, latest - earliest)));
 	}
@@ -213,7 +276,7 @@
 		}
 		ModelLoad next = load;
 		int first = (int) Math.floorMod(state.settings().seed(), (long) load.pieces());
-		for (int i = 0; i < load.pieces() && next.fetching().size() < state.settings().piecesAtOnce(); i++) {
+		for (int i = 0; i < load.pieces() && next.fetching().size() < load.window(); i++) {
 			int index = (first + i) % load.pieces();
 			boolean wanted = !next.good().contains(index) && !next.fetching().contains(index);
 			if (wanted && nowMillis >= load.dueMillis()) {
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/LoadState.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/LoadState.java
@@ -14,14 +14,16 @@
  * @param models how far each model has come
  * @param turns when in the time for a change each model's turn comes, as a part of it;
  * without an entry, a turn is drawn
+ * @param waiting a newer version of each model that waits until the one before has come
  * @since 0.1
  */
 public record LoadState(LoadSettings settings, Optional<LoadEvent.Reported> runner, Map<ModelName, ModelLoad> models,
-		Map<ModelName, Double> turns) {
+		Map<ModelName, Double> turns, Map<ModelName, ModelLoad> waiting) {
 
 	public LoadState {
 		models = Map.copyOf(models);
 		turns = Map.copyOf(turns);
+		waiting = Map.copyOf(waiting);
 	}
 
 	/**
@@ -30,23 +32,34 @@
 	 * @return the state, never null
 	 */
 	public static LoadState initial(LoadSettings settings) {
-		return new LoadState(settings, Optional.empty(), Map.of(), Map.of());
+		return new LoadState(settings, Optional.empty(), Map.of(), Map.of(), Map.of());
 	}
 
 	LoadState with(Optional<LoadEvent.Reported> told) {
-		return new LoadState(this.settings, told, this.models, this.turns);
+		return new LoadState(this.settings, told, this.models, this.turns, this.waiting);
 	}
 
 	LoadState with(ModelLoad load) {
 		Map<ModelName, ModelLoad> next = new HashMap<>(this.models);
 		next.put(load.model(), load);
-		return new LoadState(this.settings, this.runner, next, this.turns);
+		return new LoadState(this.settings, this.runner, next, this.turns, this.waiting);
+	}
+
+	LoadState withWaiting(ModelName model, ModelLoad newer) {
+		Map<ModelName, ModelLoad> next = new HashMap<>(this.waiting);
+		if (newer != null) {
+			next.put(model, newer);
+		}
+		else {
+			next.remove(model);
+		}
+		return new LoadState(this.settings, this.runner, this.models, this.turns, next);
 	}
 
 	LoadState withTurn(ModelName model, double part) {
 		Map<ModelName, Double> next = new HashMap<>(this.turns);
 		next.put(model, part);
-		return new LoadState(this.settings, this.runner, this.models, next);
+		return new LoadState(this.settings, this.runner, this.models, next, this.waiting);
 	}
 
 }
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/ModelLoad.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/ModelLoad.java
@@ -17,12 +17,15 @@
  * @param good the pieces that are staged and right
  * @param fetching the pieces that are being fetched
  * @param failures how many fetches in a row have failed
+ * @param window how many pieces may be fetched at a time
  * @param sinceMillis when the step began, in monotonic milliseconds
  * @param dueMillis when the next action of the step is due, in monotonic milliseconds
  * @since 0.1
  */
 public record ModelLoad(ModelName model, long version, long declaredAtMillis, LoadStep step, PieceDigests digests,
-		Set<Integer> good, Set<Integer> fetching, int failures, long sinceMillis, long dueMillis) {
+		Set<Integer> good, Set<Integer> fetching, int failures, int window, long sinceMillis, long dueMillis) {
+
+	private static final int FIRST_WINDOW = 4;
 
 	public ModelLoad {
 		good = Set.copyOf(good);
@@ -30,33 +33,33 @@
 	}
 
 	static ModelLoad declared(ModelName model, long version, long nowMillis) {
-		return new ModelLoad(model, version, nowMillis, LoadStep.SETTLED, null, Set.of(), Set.of(), 0, nowMillis,
-				nowMillis);
+		return new ModelLoad(model, version, nowMillis, LoadStep.SETTLED, null, Set.of(), Set.of(), 0, FIRST_WINDOW,
+				nowMillis, nowMillis);
 	}
 
 	ModelLoad at(LoadStep next, long nowMillis, long dueAtMillis) {
 		return new ModelLoad(this.model, this.version, this.declaredAtMillis, next, this.digests, this.good,
-				this.fetching, 0, nowMillis, dueAtMillis);
+				this.fetching, 0, this.window, nowMillis, dueAtMillis);
 	}
 
 	ModelLoad with(PieceDigests known) {
 		return new ModelLoad(this.model, this.version, this.declaredAtMillis, this.step, known, Set.of(), Set.of(), 0,
-				this.sinceMillis, this.dueMillis);
+				this.window, this.sinceMillis, this.dueMillis);
 	}
 
 	ModelLoad with(Set<Integer> nowGood) {
 		return new ModelLoad(this.model, this.version, this.declaredAtMillis, this.step, this.digests, nowGood,
-				this.fetching, this.failures, this.sinceMillis, this.dueMillis);
+				this.fetching, this.failures, this.window, this.sinceMillis, this.dueMillis);
 	}
 
 	ModelLoad fetching(int index) {
 		Set<Integer> next = new HashSet<>(this.fetching);
 		next.add(index);
 		return new ModelLoad(this.model, this.version, this.declaredAtMillis, this.step, this.digests, this.good, next,
-				this.failures, this.sinceMillis, this.dueMillis);
+				this.failures, this.window, this.sinceMillis, this.dueMillis);
 	}
 
-	ModelLoad fetched(int index, boolean staged, long retryAtMillis) {
+	ModelLoad fetched(int index, boolean staged, int nextWindow, long retryAtMillis) {
 		Set<Integer> nextFetching = new HashSet<>(this.fetching);
 		nextFetching.remove(index);
 		Set<Integer> nextGood = new HashSet<>(this.good);
@@ -64,7 +67,7 @@
 			nextGood.add(index);
 		}
 		return new ModelLoad(this.model, this.version, this.declaredAtMillis, this.step, this.digests, nextGood,
-				nextFetching, staged ? 0 : this.failures + 1, this.sinceMillis,
+				nextFetching, staged ? 0 : this.failures + 1, nextWindow, this.sinceMillis,
 				staged ? this.dueMillis : retryAtMillis);
 	}
 
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -46,6 +46,12 @@
 	 */
 	private static final long LAST_WORD_MILLIS = 80;
 
+	/**
+	 * The shortest wait for a runner to begin its answer before another is asked, in
+	 * milliseconds: longer than a queue that was let in, shorter than callers' patience.
+	 */
+	private static final long MUTE_MILLIS = 800;
+
 	/** How many runners are tried that cannot be reached at all. */
 	private static final int UNREACHED_RUNNERS = 3;
 
@@ -135,6 +141,18 @@
 				this.admitted.head().promptTokens(), onNewConnection);
 		this.attempt = RunnerAttempt.start(runner, sending, this.support.format(), this.exchange.getIoThread(),
 				this.support.clock(), this);
+		RunnerAttempt started = this.attempt;
+		if (this.route.mayRunAgain() && this.sends + 1 < this.route.maximumRunners()) {
+			this.exchange.getIoThread()
+				.executeAfter(() -> leaveIfMute(started), Math.max(MUTE_MILLIS, 2 * this.route.goalMillis()),
+						TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void leaveIfMute(RunnerAttempt started) {
+		if (!isOld(started) && !started.isBegun()) {
+			failed(started, "mute", "no answer has begun");
+		}
 	}
 
 	private ClientRequest request(RunnerState runner) {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
@@ -22,6 +22,7 @@
 import org.catkingate.model.Role;
 import org.catkingate.model.registry.RegisteredRunner;
 import org.catkingate.model.registry.WeightsOrigin;
+import org.catkingate.runtime.MonotonicClock;
 import org.catkingate.runtime.peers.SeedLinks;
 import org.catkingate.runtime.staging.PieceExchange;
 import org.catkingate.runtime.staging.PieceOrigin;
@@ -59,16 +60,22 @@
 
 	private final Consumer<Runners.RunnerTold> runnerTold;
 
+	private final Consumer<Runners.VersionDeclared> versionTold;
+
+	private final Supplier<List<Runners.VersionDeclared>> declarations;
+
 	private final Map<FrameConnection, String> runners = new HashMap<>();
 
 	private RegistryView view = RegistryView.empty();
 
 	private GatewayPeers(Handshake.PeerIdentity own, SharedKey key, List<InetSocketAddress> seeds, XnioWorker worker,
-			Supplier<Optional<WeightsOrigin>> published, Supplier<Optional<PieceOrigin>> origin,
-			Consumer<Runners.RunnerTold> runnerTold) {
+			Supplier<Optional<WeightsOrigin>> published, Supplier<Optional<PieceOrigin>> origin, RunnerTable table,
+			MonotonicClock clock) {
 		this.own = own;
 		this.published = published;
-		this.runnerTold = runnerTold;
+		this.runnerTold = (told) -> table.told(told, clock.millis());
+		this.versionTold = (told) -> table.told(told, clock.millis());
+		this.declarations = () -> table.declarations(clock.millis());
 		this.exchange = PieceExchange.on(worker.getIoThread());
 		this.cache = new PieceCache(this.exchange, this::upstream, origin, worker.getIoThread());
 		this.transport = FrameTransport.on(worker, key, own);
@@ -85,15 +92,16 @@
 	 * @param worker the I/O threads
 	 * @param published the origin that the configuration names
 	 * @param origin opens that origin
-	 * @param runnerTold is given what loaders say
+	 * @param table is given what others say of runners and versions
+	 * @param clock the clock
 	 * @return the connections, never null
 	 * @throws IOException if the address cannot be used
 	 */
 	static GatewayPeers start(Handshake.PeerIdentity own, SharedKey key, InetSocketAddress listen,
 			List<InetSocketAddress> seeds, XnioWorker worker, Supplier<Optional<WeightsOrigin>> published,
-			Supplier<Optional<PieceOrigin>> origin, Consumer<Runners.RunnerTold> runnerTold) throws IOException {
+			Supplier<Optional<PieceOrigin>> origin, RunnerTable table, MonotonicClock clock) throws IOException {
 		List<InetSocketAddress> others = seeds.stream().filter((seed) -> !seed.equals(listen)).toList();
-		GatewayPeers peers = new GatewayPeers(own, key, others, worker, published, origin, runnerTold);
+		GatewayPeers peers = new GatewayPeers(own, key, others, worker, published, origin, table, clock);
 		peers.transport.listen(listen, peers);
 		return peers;
 	}
@@ -128,29 +136,27 @@
 	}
 
 	/**
-	 * Tells loaders what is declared, so that they hear of it also over a connection to
-	 * the registry that has gone silent.
+	 * Tells other processes what is declared, so that loaders hear of it also over a
+	 * connection to the registry that has gone silent, and gateways that have started
+	 * since know how long ago it was.
 	 * @param next what is believed now
 	 */
 	void refresh(RegistryView next) {
-		next.versions().forEach((model, version) -> {
-			if (!version.equals(this.view.versions().get(model))) {
-				this.accepted.forEach((link) -> tellVersion(link, model, version));
-			}
-		});
+		boolean declared = !next.versions().equals(this.view.versions());
 		this.view = next;
+		if (declared) {
+			this.accepted.forEach(this::tellDeclarations);
+		}
 	}
 
-	private static void tellVersion(FrameConnection link, ModelName model, long version) {
-		if (link.peer().role() == Role.AGENT) {
-			link.send(new Runners.VersionDeclared(model, version));
-		}
+	private void tellDeclarations(FrameConnection link) {
+		this.declarations.get().forEach(link::send);
 	}
 
 	@Override
 	public void opened(FrameConnection connection) {
 		this.accepted.add(connection);
-		this.view.versions().forEach((model, version) -> tellVersion(connection, model, version));
+		tellDeclarations(connection);
 	}
 
 	@Override
@@ -236,6 +242,9 @@
 			if (message instanceof Runners.RunnerTold told) {
 				GatewayPeers.this.runnerTold.accept(told);
 			}
+			else if (message instanceof Runners.VersionDeclared told) {
+				GatewayPeers.this.versionTold.accept(told);
+			}
 			else if (message instanceof Weights answer) {
 				GatewayPeers.this.exchange.received(connection, answer);
 			}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -62,6 +62,9 @@
 	 */
 	private static final int ASSUMED_GATEWAYS = 6;
 
+	/** How many idle connections to one runner are kept at most: two for each slot. */
+	private static final int MOST_IDLE = 32;
+
 	/** Gateways that this one may not know of. */
 	private static final int SPARE_GATEWAYS = 2;
 
@@ -128,8 +131,7 @@
 		GatewaySupport support = new GatewaySupport(this.runners, format, settings.retries(), this::gateways, clock,
 				this.counts);
 		this.peers = GatewayPeers.start(identity(settings), settings.peers().sharedKey(), settings.peers().listen(),
-				settings.peers().seeds(), this.worker, this::publishedOrigin, this::origin,
-				(told) -> this.runners.told(told, clock.millis()));
+				settings.peers().seeds(), this.worker, this::publishedOrigin, this::origin, this.runners, clock);
 		this.callers = CallerServer.start(settings.callers(), this.worker, this.buffers,
 				new RequestHandler(support, this.beliefs, () -> this.leaving));
 		registerMetrics();
@@ -190,8 +192,13 @@
 	}
 
 	private RunnerState stateOf(RegisteredRunner runner) {
-		return new RunnerState(runner, distance(runner.dataCentre()),
-				KeptConnections.to(runner.address(), this.worker, this.buffers, this.clock));
+		int idle = this.beliefs.view()
+			.configuration()
+			.map((published) -> published.services().get(runner.service()))
+			.map((service) -> service.maximumConnections() / (2 * ASSUMED_GATEWAYS))
+			.orElse(1);
+		return new RunnerState(runner, distance(runner.dataCentre()), KeptConnections.to(runner.address(), this.worker,
+				this.buffers, Math.max(1, Math.min(MOST_IDLE, idle)), this.clock));
 	}
 
 	private Distance distance(DataCentreName dataCentre) {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
@@ -81,7 +81,7 @@
 				clock, listener);
 		attempt.request = sending.request();
 		attempt.body = sending.body();
-		runner.started(sending.promptTokens());
+		runner.started(sending.promptTokens(), clock.millis());
 		attempt.connecting = thread.executeAfter(() -> attempt.notSent("the connection did not open in time"),
 				CONNECT_MILLIS, TimeUnit.MILLISECONDS);
 		runner.connections()
@@ -136,6 +136,14 @@
 		}
 	}
 
+	/**
+	 * Tells whether the body of the answer has begun.
+	 * @return whether a first byte has come
+	 */
+	boolean isBegun() {
+		return this.begun;
+	}
+
 	/**
 	 * Drops the answer, which is read to its end so that the connection can be kept. The
 	 * listener is told nothing more.
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
@@ -1,5 +1,8 @@
 package org.catkingate.gateway;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+
 import org.catkingate.decisions.admission.RunnerOption;
 import org.catkingate.decisions.routing.Distance;
 import org.catkingate.model.ModelName;
@@ -38,6 +41,12 @@
 	 */
 	private static final int SUSPECT_FAILURES = 2;
 
+	/**
+	 * A runner that has not begun to answer for so long is slow, mute or behind a full
+	 * link, in milliseconds: twice the usual goals.
+	 */
+	private static final long STALLED_MILLIS = 900;
+
 	/** The weight of the newest observation of a plain service's time. */
 	private static final double NEWEST = 0.1;
 
@@ -60,6 +69,8 @@
 
 	private long startingPromptTokens;
 
+	private final Deque<Long> startedAtMillis = new ArrayDeque<>();
+
 	private int othersAnswering;
 
 	private int othersStarting;
@@ -96,7 +107,8 @@
 		return nowMillis < this.fullUntilMillis;
 	}
 
-	void started(long promptTokens) {
+	void started(long promptTokens, long nowMillis) {
+		this.startedAtMillis.addLast(nowMillis);
 		this.starting++;
 		this.startingPromptTokens += promptTokens;
 	}
@@ -109,6 +121,8 @@
 	}
 
 	void notStarting(long promptTokens) {
+		// requests begin in about the order in which they were sent
+		this.startedAtMillis.pollFirst();
 		this.starting--;
 		this.startingPromptTokens -= promptTokens;
 	}
@@ -166,7 +180,11 @@
 		int othersWaiting = young ? this.othersStarting : 0;
 		return new RunnerOption(this.runner.id(), this.distance, this.runner.slots(), this.answering + others,
 				this.starting + othersWaiting, this.startingPromptTokens + othersWaiting * usualPromptTokens,
-				this.workMillis, nowMillis < this.suspectUntilMillis);
+				this.workMillis, nowMillis < this.suspectUntilMillis || isStalled(nowMillis));
+	}
+
+	private boolean isStalled(long nowMillis) {
+		return !this.startedAtMillis.isEmpty() && nowMillis - this.startedAtMillis.peekFirst() > STALLED_MILLIS;
 	}
 
 	void close() {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -35,6 +36,9 @@
 	/** When each version of a model was heard of, in monotonic milliseconds. */
 	private final Map<ModelName, SortedMap<Long, Long>> declared = new HashMap<>();
 
+	/** Models with versions that were there when this process started. */
+	private final Set<ModelName> ofUnknownAge = new HashSet<>();
+
 	private final Function<RegisteredRunner, RunnerState> states;
 
 	private final long changeMillis;
@@ -50,10 +54,14 @@
 	}
 
 	void refresh(RegistryView next, long nowMillis) {
+		boolean atStart = this.view.configuration().isEmpty();
 		this.view = next;
-		next.versions()
-			.forEach((model, version) -> this.declared.computeIfAbsent(model, (key) -> new TreeMap<>())
-				.putIfAbsent(version, nowMillis));
+		next.versions().forEach((model, version) -> {
+			boolean isNew = declared(model).putIfAbsent(version, nowMillis - (atStart ? this.changeMillis : 0)) == null;
+			if (isNew && atStart) {
+				this.ofUnknownAge.add(model);
+			}
+		});
 		this.runners.entrySet().removeIf((entry) -> {
 			RegisteredRunner now = next.runners().get(entry.getKey());
 			boolean gone = now == null || !isSameLife(now, entry.getValue().runner());
@@ -96,6 +104,35 @@
 			.allMatch((model) -> state.version(model, nowMillis) >= lowestVersion(model, nowMillis));
 	}
 
+	private SortedMap<Long, Long> declared(ModelName model) {
+		return this.declared.computeIfAbsent(model, (key) -> new TreeMap<>());
+	}
+
+	/**
+	 * Takes another process's word on how long ago a version was declared. It counts
+	 * where this process found the version there when it started, and cannot know by
+	 * itself.
+	 * @param told what the other says
+	 * @param nowMillis the time now, in monotonic milliseconds
+	 */
+	void told(Runners.VersionDeclared told, long nowMillis) {
+		if (this.ofUnknownAge.contains(told.model()) && declared(told.model()).containsKey(told.version())) {
+			declared(told.model()).put(told.version(), nowMillis - told.ageMillis());
+		}
+	}
+
+	/**
+	 * Lists what is declared, with the time since then.
+	 * @param nowMillis the time now, in monotonic milliseconds
+	 * @return a message for each version
+	 */
+	List<Runners.VersionDeclared> declarations(long nowMillis) {
+		List<Runners.VersionDeclared> messages = new ArrayList<>();
+		this.declared.forEach((model, versions) -> versions.forEach(
+				(version, heardAt) -> messages.add(new Runners.VersionDeclared(model, version, nowMillis - heardAt))));
+		return messages;
+	}
+
 	/*
 	 * The version that a request may begin on: any until a newer one has been declared
 	 * for so long that it must be everywhere.
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
@@ -68,8 +68,15 @@
 		return this.table.choose(SERVICE, new Demand(100, 400, 6000), Set.of(), 0.5, nowMillis) instanceof Choice.Send;
 	}
 
+	@Test
+	void aVersionThatWasDeclaredBeforeTheStartIsDueAtOnce() {
+		this.table.refresh(view(Map.of(MODEL, 2L), runner("a", false, Map.of(MODEL, 1L))), 1000);
+		assertThat(serves(1001)).isFalse();
+	}
+
 	@Test
 	void aRunnerOfAnOlderVersionGetsNothingOnceTheTimeForTheChangeIsOver() {
+		this.table.refresh(view(Map.of(), runner("a", false, Map.of(MODEL, 1L))), 500);
 		this.table.refresh(view(Map.of(MODEL, 2L), runner("a", false, Map.of(MODEL, 1L))), 1000);
 		assertThat(serves(7900)).isTrue();
 		assertThat(serves(8000)).isFalse();
@@ -77,6 +84,7 @@
 
 	@Test
 	void aNewerVersionDoesNotLengthenTheTimeOfTheOneBefore() {
+		this.table.refresh(view(Map.of(), runner("a", false, Map.of(MODEL, 1L))), 500);
 		this.table.refresh(view(Map.of(MODEL, 2L), runner("a", false, Map.of(MODEL, 1L))), 1000);
 		this.table.refresh(view(Map.of(MODEL, 3L), runner("a", false, Map.of(MODEL, 1L))), 3000);
 		assertThat(serves(8000)).isFalse();
--- a/catkingate-loader/src/main/java/org/catkingate/loader/LoaderProcess.java
+++ b/catkingate-loader/src/main/java/org/catkingate/loader/LoaderProcess.java
@@ -120,7 +120,7 @@
 				new LinkListener());
 		PieceFetcher pieces = new PieceFetcher(this.exchange, () -> this.links, this::origin);
 		this.io = new LoadingIo(runners.open(this.calls, URI.create("http://" + written(settings.runner()))), pieces,
-				this.worker.getIoThread(), this::submit);
+				this.worker.getIoThread(), clock, this::submit);
 		long seed = Rendezvous.hash(settings.process().instance().value());
 		this.loop = ControlLoop.start(LoadState.initial(LoadSettings.within(settings.weightsChangeMillis(), seed)),
 				LoadReducer.create(), this.io::carryOut, clock, LoadEvent.Ticked::new, TICK_MILLIS);
--- a/catkingate-loader/src/main/java/org/catkingate/loader/LoadingIo.java
+++ b/catkingate-loader/src/main/java/org/catkingate/loader/LoadingIo.java
@@ -16,6 +16,7 @@
 import org.catkingate.decisions.loading.LoadEvent;
 import org.catkingate.model.Digest;
 import org.catkingate.model.registry.PieceDigests;
+import org.catkingate.runtime.MonotonicClock;
 import org.catkingate.runtime.staging.LocalRunner;
 import org.catkingate.runtime.staging.OrderAnswer;
 import org.catkingate.runtime.staging.RunnerReport;
@@ -34,12 +35,16 @@
 
 	private final XnioIoThread thread;
 
+	private final MonotonicClock clock;
+
 	private final Consumer<LoadEvent> events;
 
-	LoadingIo(LocalRunner runner, PieceFetcher pieces, XnioIoThread thread, Consumer<LoadEvent> events) {
+	LoadingIo(LocalRunner runner, PieceFetcher pieces, XnioIoThread thread, MonotonicClock clock,
+			Consumer<LoadEvent> events) {
 		this.runner = runner;
 		this.pieces = pieces;
 		this.thread = thread;
+		this.clock = clock;
 		this.events = events;
 	}
 
@@ -111,6 +116,7 @@
 
 	private void fetchPiece(LoadEffect.FetchPiece fetch) {
 		PieceDigests version = fetch.digests();
+		long startedAt = this.clock.millis();
 		this.pieces.piece(version, fetch.index())
 			.thenCompose((bytes) -> this.runner.stage(version.model(), fetch.index(), bytes))
 			.whenComplete((staged, failure) -> {
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/KeptConnections.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/KeptConnections.java
@@ -26,7 +26,8 @@
  */
 public final class KeptConnections implements AutoCloseable {
 
-	private static final int MAXIMUM_IDLE = 64;
+	/** How many idle connections are usually kept. */
+	public static final int USUAL_IDLE = 64;
 
 	private static final OptionMap OPTIONS = OptionMap.builder()
 		.set(Options.TCP_NODELAY, true)
@@ -41,11 +42,14 @@
 
 	private final ByteBufferPool buffers;
 
+	private final int maximumIdle;
+
 	private final MonotonicClock clock;
 
 	private volatile boolean closed;
 
-	private KeptConnections(URI uri, XnioWorker worker, ByteBufferPool buffers, MonotonicClock clock) {
+	private KeptConnections(URI uri, XnioWorker worker, ByteBufferPool buffers, int maximumIdle, MonotonicClock clock) {
+		this.maximumIdle = maximumIdle;
 		this.uri = uri;
 		this.worker = worker;
 		this.buffers = buffers;
@@ -57,13 +61,14 @@
 	 * @param address the runner's address
 	 * @param worker the I/O threads
 	 * @param buffers the buffers
+	 * @param maximumIdle how many idle connections are kept
 	 * @param clock the clock by which idle connections age
 	 * @return the connections, never null
 	 */
 	public static KeptConnections to(InetSocketAddress address, XnioWorker worker, ByteBufferPool buffers,
-			MonotonicClock clock) {
+			int maximumIdle, MonotonicClock clock) {
 		URI uri = URI.create("http://" + address.getAddress().getHostAddress() + ":" + address.getPort());
-		return new KeptConnections(uri, worker, buffers, clock);
+		return new KeptConnections(uri, worker, buffers, maximumIdle, clock);
 	}
 
 	/**
@@ -131,7 +136,7 @@
 		if (!connection.isOpen()) {
 			return;
 		}
-		if (this.closed || this.idle.size() >= MAXIMUM_IDLE) {
+		if (this.closed || this.idle.size() >= this.maximumIdle) {
 			IoUtils.safeClose(connection);
 			return;
 		}
--- a/catkingate-wire/src/main/java/org/catkingate/wire/Runners.java
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/Runners.java
@@ -46,8 +46,9 @@
 	 *
 	 * @param model the model
 	 * @param version the version
+	 * @param ageMillis how long ago the sender heard of it, in milliseconds
 	 */
-	record VersionDeclared(ModelName model, long version) implements Runners {
+	record VersionDeclared(ModelName model, long version, long ageMillis) implements Runners {
 
 		public VersionDeclared {
 			Objects.requireNonNull(model, "model must not be null");
