--- a/catkingate-loader/src/main/java/org/catkingate/loader/LoadingIo.java
+++ b/catkingate-loader/src/main/java/org/catkingate/loader/LoadingIo.java
@@ -123,8 +123,8 @@
 				if (failure != null) {
 					warn("piece-missing", "piece " + fetch.index(), failure);
 				}
-				this.events.accept(
-						new LoadEvent.PieceEnded(version.model(), version.version(), fetch.index(), failure == null));
+				this.events.accept(new LoadEvent.PieceEnded(version.model(), version.version(), fetch.index(),
+						failure == null, this.clock.millis() - startedAt));
 			});
 	}
 
