--- a/catkingate-agent/src/main/java/org/catkingate/agent/AgentProcess.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/AgentProcess.java
@@ -110,7 +110,8 @@
 		this.fleet.start(this.keys.before(AgentPeers.sharing(this.requests, this.weights)));
 		this.timer.scheduleAtFixedRate(this.keys::tick, IdempotencyKeys.TICK_MILLIS, IdempotencyKeys.TICK_MILLIS,
 				TimeUnit.MILLISECONDS);
-		this.operators = OperatorsEndpoint.start(settings.operators().listen(), this.readiness, metrics(), this::state);
+		this.operators = OperatorsEndpoint.start(settings.operators().addresses(), this.readiness, metrics(),
+				this::state);
 		this.end = GracefulEnd.with(settings.shutdown(), this.readiness, clock);
 	}
 
--- a/catkingate-entry/src/main/java/org/catkingate/entry/EntryProcess.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/EntryProcess.java
@@ -56,7 +56,7 @@
 		this.fleet.onSnapshotChange((snapshot) -> turnReady());
 		this.fleet.start(this.requests);
 		registerMetrics();
-		this.operators = OperatorsEndpoint.start(settings.operators().listen(), this.readiness, this.metrics,
+		this.operators = OperatorsEndpoint.start(settings.operators().addresses(), this.readiness, this.metrics,
 				this::state);
 		this.end = GracefulEnd.with(settings.shutdown(), this.readiness, clock);
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -135,7 +135,7 @@
 		this.callers = CallerServer.start(settings.callers(), this.worker, this.buffers,
 				new RequestHandler(support, this.beliefs, () -> this.leaving));
 		registerMetrics();
-		this.operators = OperatorsEndpoint.start(settings.operators().listen(), this.readiness, this.metrics,
+		this.operators = OperatorsEndpoint.start(settings.operators().addresses(), this.readiness, this.metrics,
 				this::state);
 		this.end = GracefulEnd.with(settings.shutdown(), this.readiness, clock);
 		changed(this.follower.view());
--- a/catkingate-loader/src/main/java/org/catkingate/loader/LoaderProcess.java
+++ b/catkingate-loader/src/main/java/org/catkingate/loader/LoaderProcess.java
@@ -128,7 +128,7 @@
 				FollowTimes.watchingFor(settings.registry().watchMillis()), new SecureRandom().nextLong(), clock,
 				MomentSource.system(), this::changed);
 		registerMetrics();
-		this.operators = OperatorsEndpoint.start(settings.operators().listen(), this.readiness, this.metrics,
+		this.operators = OperatorsEndpoint.start(settings.operators().addresses(), this.readiness, this.metrics,
 				this::state);
 		this.worker.getIoThread().executeAtInterval(this::askRunner, REPORT_MILLIS, TimeUnit.MILLISECONDS);
 	}
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/operators/OperatorsEndpoint.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/operators/OperatorsEndpoint.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Locale;
 import java.util.Objects;
 import java.util.function.Supplier;
@@ -44,38 +45,38 @@
 		.enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
 		.disable(SerializationFeature.FAIL_ON_EMPTY_BEANS);
 
-	private OperatorsEndpoint(InetSocketAddress address, Readiness readiness, PrometheusRegistry metrics,
+	private OperatorsEndpoint(List<InetSocketAddress> addresses, Readiness readiness, PrometheusRegistry metrics,
 			Supplier<?> state) {
 		this.readiness = readiness;
 		this.metrics = metrics;
 		this.state = state;
-		this.server = Undertow.builder()
+		Undertow.Builder builder = Undertow.builder()
 			.setIoThreads(1)
-			.setWorkerThreads(2)
-			.addHttpListener(address.getPort(), address.getHostString())
-			.setHandler(new BlockingHandler(this::handle))
-			.build();
+			.setWorkerThreads(1)
+			.setHandler(new BlockingHandler(this::handle));
+		addresses.forEach((address) -> builder.addHttpListener(address.getPort(), address.getHostString()));
+		this.server = builder.build();
 	}
 
 	/**
 	 * Starts the endpoint.
-	 * @param address where to listen; port 0 for any free one
+	 * @param addresses where to listen, at least one; port 0 for any free one
 	 * @param readiness what {@code /readyz} tells
 	 * @param metrics what {@code /metrics} tells
 	 * @param state makes what {@code /state} prints: records, collections and plain
 	 * values
 	 * @return the running endpoint, never null
 	 */
-	public static OperatorsEndpoint start(InetSocketAddress address, Readiness readiness, PrometheusRegistry metrics,
-			Supplier<?> state) {
-		Objects.requireNonNull(address, "address must not be null");
-		OperatorsEndpoint endpoint = new OperatorsEndpoint(address, readiness, metrics, state);
+	public static OperatorsEndpoint start(List<InetSocketAddress> addresses, Readiness readiness,
+			PrometheusRegistry metrics, Supplier<?> state) {
+		Objects.requireNonNull(addresses, "addresses must not be null");
+		OperatorsEndpoint endpoint = new OperatorsEndpoint(addresses, readiness, metrics, state);
 		endpoint.server.start();
 		return endpoint;
 	}
 
 	/**
-	 * Returns the address that is listened on.
+	 * Returns the first address that is listened on.
 	 * @return the address, never null
 	 */
 	public InetSocketAddress address() {
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/ProcessSettings.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/ProcessSettings.java
@@ -82,8 +82,18 @@
 	 * Where operators are answered.
 	 *
 	 * @param listen the address
+	 * @param alsoListen a second address with the same answers, for metrics that are
+	 * collected at another port than readiness
 	 */
-	public record Operators(InetSocketAddress listen) {
+	public record Operators(InetSocketAddress listen, Optional<InetSocketAddress> alsoListen) {
+
+		/**
+		 * Lists the addresses.
+		 * @return one or two, that of readiness first
+		 */
+		public List<InetSocketAddress> addresses() {
+			return this.alsoListen.map((also) -> List.of(this.listen, also)).orElseGet(() -> List.of(this.listen));
+		}
 
 	}
 
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/SettingsForms.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/SettingsForms.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.regex.Matcher;
@@ -96,7 +97,10 @@
 	}
 
 	static ProcessSettings.Operators operators(SectionReader reader) {
-		return new ProcessSettings.Operators(listen(reader));
+		InetSocketAddress listen = reader.parsed("listen", null, SettingsForms::address);
+		InetSocketAddress also = parsed(reader, "also-listen", "", null, SettingsForms::address);
+		reader.checkUnknownKeys();
+		return new ProcessSettings.Operators(listen, Optional.ofNullable(also));
 	}
 
 	static InetSocketAddress listen(SectionReader reader) {
--- a/catkingate-runtime/src/test/java/org/catkingate/runtime/operators/OperatorsEndpointTests.java
+++ b/catkingate-runtime/src/test/java/org/catkingate/runtime/operators/OperatorsEndpointTests.java
@@ -7,6 +7,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.util.List;
 import java.util.Map;
 
 import io.prometheus.metrics.core.metrics.Counter;
@@ -32,7 +33,8 @@
 	@BeforeEach
 	void start() {
 		InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-		this.endpoint = OperatorsEndpoint.start(anyPort, this.readiness, this.metrics, () -> new State(Map.of("b", 1)));
+		this.endpoint = OperatorsEndpoint.start(List.of(anyPort), this.readiness, this.metrics,
+				() -> new State(Map.of("b", 1)));
 	}
 
 	@AfterEach
