Begin control loops only when their owners are whole

The follower's thread could make its first call before the constructor had kept the loop; the answer was then lost, and no further call was made. The same window stood in LoaderProcess. Change: ControlLoop.prepare and begin. WeightsPathTests then failed: loaders that start before their links are open read the origin by themselves; they now wait up to 2 s for a gateway. Tests: GatewayAnswerTests, WeightsPathTests, GatewayLeavingTests, ControlLoopTests pass.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -124,7 +124,7 @@
 		this.runners = new RunnerTable(this::stateOf, RunnerChoices.earliestFirstEvent(),
 				settings.weightsChangeMillis() - CHANGE_MARGIN_MILLIS);
 		this.calls = HttpCalls.on(this.worker);
-		this.follower = RegistryFollower.start(registry.open(this.calls, settings.registry().url()),
+		this.follower = RegistryFollower.of(registry.open(this.calls, settings.registry().url()),
 				FollowTimes.watchingFor(settings.registry().watchMillis()), new SecureRandom().nextLong(), clock,
 				MomentSource.system(), this::changed);
 		this.beliefs = new Beliefs(this.follower, settings.keysCertainMillis() - KEYS_MARGIN_MILLIS);
@@ -138,7 +138,7 @@
 		this.operators = OperatorsEndpoint.start(settings.operators().addresses(), this.readiness, this.metrics,
 				this::state);
 		this.end = GracefulEnd.with(settings.shutdown(), this.readiness, clock);
-		changed(this.follower.view());
+		this.follower.begin();
 	}
 
 	/**
@@ -212,12 +212,8 @@
 	private void changed(RegistryView view) {
 		this.worker.getIoThread().execute(() -> {
 			this.runners.refresh(view, this.clock.millis());
-			if (this.peers != null) {
-				this.peers.refresh(view);
-			}
-			if (this.callers != null) {
-				this.callers.limit(view.configuration().map(ServingConfiguration::limits));
-			}
+			this.peers.refresh(view);
+			this.callers.limit(view.configuration().map(ServingConfiguration::limits));
 		});
 		if (view.configuration().isPresent() && this.readiness.phase() == Readiness.Phase.STARTING) {
 			this.readiness.ready();
--- a/catkingate-loader/src/main/java/org/catkingate/loader/LoaderProcess.java
+++ b/catkingate-loader/src/main/java/org/catkingate/loader/LoaderProcess.java
@@ -118,18 +118,20 @@
 		this.links = SeedLinks.start(FrameTransport.on(this.worker, settings.peers().sharedKey(), identity),
 				settings.peers().seeds(), this.worker.getIoThread(), new Location(self.dataCentre(), self.region()),
 				new LinkListener());
-		PieceFetcher pieces = new PieceFetcher(this.exchange, () -> this.links, this::origin);
+		PieceFetcher pieces = new PieceFetcher(this.exchange, () -> this.links, this::origin, clock);
 		this.io = new LoadingIo(runners.open(this.calls, URI.create("http://" + written(settings.runner()))), pieces,
 				this.worker.getIoThread(), clock, this::submit);
 		long seed = Rendezvous.hash(settings.process().instance().value());
-		this.loop = ControlLoop.start(LoadState.initial(LoadSettings.within(settings.weightsChangeMillis(), seed)),
-				LoadReducer.create(), this.io::carryOut, clock, LoadEvent.Ticked::new, TICK_MILLIS);
-		this.follower = RegistryFollower.start(registry.open(this.calls, settings.registry().url()),
+		this.loop = ControlLoop.prepare(LoadState.initial(LoadSettings.within(settings.weightsChangeMillis(), seed)),
+				LoadReducer.create(), this.io::carryOut, clock, LoadEvent.Ticked::new, (state) -> TICK_MILLIS);
+		this.follower = RegistryFollower.of(registry.open(this.calls, settings.registry().url()),
 				FollowTimes.watchingFor(settings.registry().watchMillis()), new SecureRandom().nextLong(), clock,
 				MomentSource.system(), this::changed);
 		registerMetrics();
 		this.operators = OperatorsEndpoint.start(settings.operators().addresses(), this.readiness, this.metrics,
 				this::state);
+		this.loop.begin();
+		this.follower.begin();
 		this.worker.getIoThread().executeAtInterval(this::askRunner, REPORT_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
--- a/catkingate-loader/src/main/java/org/catkingate/loader/PieceFetcher.java
+++ b/catkingate-loader/src/main/java/org/catkingate/loader/PieceFetcher.java
@@ -11,6 +11,7 @@
 import org.catkingate.model.Digest;
 import org.catkingate.model.ModelName;
 import org.catkingate.model.registry.PieceDigests;
+import org.catkingate.runtime.MonotonicClock;
 import org.catkingate.runtime.peers.SeedLinks;
 import org.catkingate.runtime.staging.PieceExchange;
 import org.catkingate.runtime.staging.PieceOrigin;
@@ -22,16 +23,25 @@
  */
 final class PieceFetcher {
 
+	/** How long gateways may be missing before the origin is asked, in milliseconds. */
+	private static final long ALONE_MILLIS = 2000;
+
+	private final MonotonicClock clock;
+
+	private long aloneSinceMillis = Long.MAX_VALUE;
+
 	private final PieceExchange exchange;
 
 	private final Supplier<SeedLinks> links;
 
 	private final Supplier<Optional<PieceOrigin>> origin;
 
-	PieceFetcher(PieceExchange exchange, Supplier<SeedLinks> links, Supplier<Optional<PieceOrigin>> origin) {
+	PieceFetcher(PieceExchange exchange, Supplier<SeedLinks> links, Supplier<Optional<PieceOrigin>> origin,
+			MonotonicClock clock) {
 		this.exchange = exchange;
 		this.links = links;
 		this.origin = origin;
+		this.clock = clock;
 	}
 
 	CompletableFuture<PieceDigests> digests(ModelName model, long version) {
@@ -46,9 +56,26 @@
 					: CompletableFuture.failedFuture(new IOException("piece " + index + " has wrong bytes")));
 	}
 
+	/*
+	 * The origin's bytes are dear: while gateways may only be slow to connect, as after a
+	 * start of all processes, the caller is to try again.
+	 */
+	private boolean mayAskOrigin(boolean anyGateway) {
+		long now = this.clock.millis();
+		if (anyGateway) {
+			this.aloneSinceMillis = Long.MAX_VALUE;
+			return true;
+		}
+		this.aloneSinceMillis = Math.min(this.aloneSinceMillis, now);
+		return now - this.aloneSinceMillis >= ALONE_MILLIS;
+	}
+
 	private <T> CompletableFuture<T> first(Function<FrameConnection, CompletableFuture<T>> fromGateway,
 			Function<PieceOrigin, CompletableFuture<T>> fromOrigin) {
 		List<FrameConnection> gateways = this.links.get().nearestFirst();
+		if (!mayAskOrigin(!gateways.isEmpty())) {
+			return CompletableFuture.failedFuture(new IOException("no gateway is connected yet"));
+		}
 		return next(gateways.iterator(), fromGateway, fromOrigin);
 	}
 
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/ControlLoop.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/ControlLoop.java
@@ -90,12 +90,37 @@
 	 */
 	public static <S> ControlLoop<S> start(S initial, Reducer<S> reducer, Consumer<Effect> effects,
 			MonotonicClock clock, Supplier<Event> tick, ToLongFunction<S> tickMillis) {
-		Objects.requireNonNull(initial, "initial must not be null");
-		ControlLoop<S> loop = new ControlLoop<>(initial, reducer, effects, clock, tick, tickMillis);
-		loop.thread.start();
+		ControlLoop<S> loop = prepare(initial, reducer, effects, clock, tick, tickMillis);
+		loop.begin();
 		return loop;
 	}
 
+	/**
+	 * Prepares a loop that does nothing before {@link #begin()}, so that effects can
+	 * refer to it.
+	 * @param <S> the type of state
+	 * @param initial the first state
+	 * @param reducer the decision logic
+	 * @param effects carries out effects on the control thread and must not block
+	 * @param clock the clock
+	 * @param tick makes a tick event
+	 * @param tickMillis gives the time from one tick to the next, in milliseconds; asked
+	 * after each event
+	 * @return the loop, never null
+	 */
+	public static <S> ControlLoop<S> prepare(S initial, Reducer<S> reducer, Consumer<Effect> effects,
+			MonotonicClock clock, Supplier<Event> tick, ToLongFunction<S> tickMillis) {
+		Objects.requireNonNull(initial, "initial must not be null");
+		return new ControlLoop<>(initial, reducer, effects, clock, tick, tickMillis);
+	}
+
+	/**
+	 * Starts the thread; to be called once.
+	 */
+	public void begin() {
+		this.thread.start();
+	}
+
 	/**
 	 * Adds an event, without waiting for its reduction.
 	 * @param event the event, never null
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/registry/RegistryFollower.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/registry/RegistryFollower.java
@@ -53,27 +53,34 @@
 		this.registry = registry;
 		this.moments = moments;
 		this.changed = changed;
-		this.loop = ControlLoop.start(FollowState.initial(times, seed), FollowReducer.create(), this::carryOut, clock,
-				FollowEvent.Ticked::new, TICK_MILLIS);
+		this.loop = ControlLoop.prepare(FollowState.initial(times, seed), FollowReducer.create(), this::carryOut, clock,
+				FollowEvent.Ticked::new, (state) -> TICK_MILLIS);
 	}
 
 	/**
-	 * Starts to follow a registry.
+	 * Prepares to follow a registry; nothing happens before {@link #begin()}.
 	 * @param registry the registry
 	 * @param times the times
 	 * @param seed makes waits differ between processes
 	 * @param clock the clock of waits
 	 * @param moments the clocks of ages
 	 * @param changed is given each new view, on the control thread, and must not block
-	 * @return the running follower, never null
+	 * @return the follower, never null
 	 */
-	public static RegistryFollower start(Registry registry, FollowTimes times, long seed, MonotonicClock clock,
+	public static RegistryFollower of(Registry registry, FollowTimes times, long seed, MonotonicClock clock,
 			MomentSource moments, Consumer<RegistryView> changed) {
 		Objects.requireNonNull(registry, "registry must not be null");
 		Objects.requireNonNull(times, "times must not be null");
 		return new RegistryFollower(registry, times, seed, clock, moments, changed);
 	}
 
+	/**
+	 * Starts to follow; to be called once.
+	 */
+	public void begin() {
+		this.loop.begin();
+	}
+
 	/**
 	 * Returns what is believed now.
 	 * @return the view, never null
