--- a/catkingate-agent/src/main/java/org/catkingate/agent/requests/AgentRequests.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/requests/AgentRequests.java
@@ -13,9 +13,6 @@
 
 import io.undertow.client.ClientConnection;
 import io.undertow.server.DefaultByteBufferPool;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioWorker;
 
@@ -25,6 +22,7 @@
 import org.catkingate.model.RunnerId;
 import org.catkingate.model.published.Service;
 import org.catkingate.runtime.MonotonicClock;
+import org.catkingate.runtime.http.IoThreads;
 import org.catkingate.runtime.http.KeptConnections;
 import org.catkingate.runtime.peers.PeerConnection;
 import org.catkingate.runtime.peers.PeerListener;
@@ -101,14 +99,7 @@
 	public static AgentRequests start(List<RunnerEndpoint> runners, Supplier<FleetSnapshot> fleet,
 			HeartbeatAge heartbeats, CallGuard guard, MonotonicClock clock, AgentRequestSettings settings)
 			throws IOException {
-		OptionMap options = OptionMap.builder()
-			.set(Options.WORKER_IO_THREADS, settings.ioThreads())
-			.set(Options.WORKER_TASK_CORE_THREADS, 1)
-			.set(Options.WORKER_TASK_MAX_THREADS, 1)
-			.set(Options.THREAD_DAEMON, true)
-			.set(Options.WORKER_NAME, "runners")
-			.getMap();
-		XnioWorker worker = Xnio.getInstance().createWorker(options);
+		XnioWorker worker = IoThreads.start("runners", settings.ioThreads());
 		return new AgentRequests(runners, fleet, heartbeats, guard, clock, settings, worker);
 	}
 
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -12,13 +12,9 @@
 import io.undertow.server.DefaultByteBufferPool;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 
 import org.catkingate.decisions.admission.RunnerChoices;
-import org.catkingate.decisions.membership.Self;
 import org.catkingate.decisions.registry.FollowTimes;
 import org.catkingate.decisions.registry.RegistryView;
 import org.catkingate.decisions.routing.Distance;
@@ -31,6 +27,7 @@
 import org.catkingate.runtime.MonotonicClock;
 import org.catkingate.runtime.calls.CallFormat;
 import org.catkingate.runtime.http.HttpCalls;
+import org.catkingate.runtime.http.IoThreads;
 import org.catkingate.runtime.http.KeptConnections;
 import org.catkingate.runtime.operators.OperatorsEndpoint;
 import org.catkingate.runtime.operators.Readiness;
@@ -42,7 +39,6 @@
 import org.catkingate.runtime.settings.GatewaySettings;
 import org.catkingate.runtime.staging.OriginAccess;
 import org.catkingate.runtime.staging.PieceOrigin;
-import org.catkingate.wire.Handshake;
 
 /**
  * A whole gateway. One I/O thread carries all traffic and owns what is known of runners'
@@ -118,7 +114,7 @@
 			MonotonicClock clock) throws IOException {
 		this.settings = settings;
 		this.clock = clock;
-		this.worker = worker();
+		this.worker = IoThreads.start("traffic", 1);
 		this.origins = origins;
 		this.counts = GatewayCounts.in(this.metrics);
 		this.runners = new RunnerTable(this::stateOf, RunnerChoices.earliestFirstEvent(),
@@ -130,8 +126,9 @@
 		this.beliefs = new Beliefs(this.follower, settings.keysCertainMillis() - KEYS_MARGIN_MILLIS);
 		GatewaySupport support = new GatewaySupport(this.runners, format, settings.retries(), this::gateways, clock,
 				this.counts);
-		this.peers = GatewayPeers.start(identity(settings), settings.peers().sharedKey(), settings.peers().listen(),
-				settings.peers().seeds(), this.worker, this::publishedOrigin, this::origin, this.runners, clock);
+		this.peers = GatewayPeers.start(Selves.identity(Selves.of(settings.process())), settings.peers().sharedKey(),
+				settings.peers().listen(), settings.peers().seeds(), this.worker, this::publishedOrigin, this::origin,
+				this.runners, clock);
 		this.callers = CallerServer.start(settings.callers(), this.worker, this.buffers,
 				new RequestHandler(support, this.beliefs, this.connections));
 		registerMetrics();
@@ -162,23 +159,6 @@
 		return process;
 	}
 
-	private static XnioWorker worker() throws IOException {
-		OptionMap options = OptionMap.builder()
-			.set(Options.WORKER_IO_THREADS, 1)
-			.set(Options.WORKER_TASK_CORE_THREADS, 1)
-			.set(Options.WORKER_TASK_MAX_THREADS, 1)
-			.set(Options.THREAD_DAEMON, true)
-			.set(Options.WORKER_NAME, "traffic")
-			.getMap();
-		return Xnio.getInstance().createWorker(options);
-	}
-
-	private static Handshake.PeerIdentity identity(GatewaySettings settings) {
-		Self self = Selves.of(settings.process());
-		return new Handshake.PeerIdentity(self.instance(), self.role(), self.incarnation(), self.dataCentre(),
-				self.region());
-	}
-
 	private int gateways() {
 		return Math.max(ASSUMED_GATEWAYS, SPARE_GATEWAYS + this.peers.gateways());
 	}
--- a/catkingate-loader/src/main/java/org/catkingate/loader/LoaderProcess.java
+++ b/catkingate-loader/src/main/java/org/catkingate/loader/LoaderProcess.java
@@ -14,9 +14,6 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 
 import org.catkingate.decisions.Rendezvous;
@@ -35,6 +32,7 @@
 import org.catkingate.runtime.MomentSource;
 import org.catkingate.runtime.MonotonicClock;
 import org.catkingate.runtime.http.HttpCalls;
+import org.catkingate.runtime.http.IoThreads;
 import org.catkingate.runtime.operators.OperatorsEndpoint;
 import org.catkingate.runtime.operators.Readiness;
 import org.catkingate.runtime.peers.SeedLinks;
@@ -51,7 +49,6 @@
 import org.catkingate.wire.ConnectionListener;
 import org.catkingate.wire.FrameConnection;
 import org.catkingate.wire.FrameTransport;
-import org.catkingate.wire.Handshake;
 import org.catkingate.wire.Message;
 import org.catkingate.wire.Runners;
 import org.catkingate.wire.Weights;
@@ -109,13 +106,12 @@
 		this.settings = settings;
 		this.clock = clock;
 		this.origins = origins;
-		this.worker = worker();
+		this.worker = IoThreads.start("calls", 1);
 		this.calls = HttpCalls.on(this.worker);
 		this.exchange = PieceExchange.on(this.worker.getIoThread());
 		Self self = Selves.of(settings.process());
-		Handshake.PeerIdentity identity = new Handshake.PeerIdentity(self.instance(), self.role(), self.incarnation(),
-				self.dataCentre(), self.region());
-		this.links = SeedLinks.start(FrameTransport.on(this.worker, settings.peers().sharedKey(), identity),
+		this.links = SeedLinks.start(
+				FrameTransport.on(this.worker, settings.peers().sharedKey(), Selves.identity(self)),
 				settings.peers().seeds(), this.worker.getIoThread(), new Location(self.dataCentre(), self.region()),
 				new LinkListener());
 		PieceFetcher pieces = new PieceFetcher(this.exchange, () -> this.links, this::origin, clock);
@@ -156,17 +152,6 @@
 		return process;
 	}
 
-	private static XnioWorker worker() throws IOException {
-		OptionMap options = OptionMap.builder()
-			.set(Options.WORKER_IO_THREADS, 1)
-			.set(Options.WORKER_TASK_CORE_THREADS, 1)
-			.set(Options.WORKER_TASK_MAX_THREADS, 1)
-			.set(Options.THREAD_DAEMON, true)
-			.set(Options.WORKER_NAME, "calls")
-			.getMap();
-		return Xnio.getInstance().createWorker(options);
-	}
-
 	private static String written(InetSocketAddress address) {
 		return address.getAddress().getHostAddress() + ":" + address.getPort();
 	}
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/fleet/Fleet.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/fleet/Fleet.java
@@ -36,6 +36,7 @@
 import org.catkingate.runtime.peers.PeerListener;
 import org.catkingate.runtime.peers.PeerManager;
 import org.catkingate.runtime.platform.PlatformClient;
+import org.catkingate.runtime.process.Selves;
 import org.catkingate.wire.Control;
 import org.catkingate.wire.FrameTransport;
 import org.catkingate.wire.Handshake;
@@ -107,8 +108,7 @@
 	 */
 	public void start(PeerListener listener) throws IOException {
 		Self self = this.settings.self();
-		Handshake.PeerIdentity own = new Handshake.PeerIdentity(self.instance(), self.role(), self.incarnation(),
-				self.dataCentre(), self.region());
+		Handshake.PeerIdentity own = Selves.identity(self);
 		this.platform = PlatformClient.create(this.settings.configuration(), this.settings.instances());
 		this.peers = PeerManager.builder(own, this.clock)
 			.listeners(listener, new ControlEvents(self, this::submit))
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/platform/PlatformClient.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/platform/PlatformClient.java
@@ -11,14 +11,12 @@
 import io.undertow.client.ClientRequest;
 import io.undertow.util.Methods;
 import io.undertow.util.StatusCodes;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 
 import org.catkingate.model.InstanceRecord;
 import org.catkingate.model.published.ConfigurationHead;
 import org.catkingate.runtime.http.HttpCalls;
+import org.catkingate.runtime.http.IoThreads;
 
 /**
  * Reads the configuration service and the list of instances over HTTP. Every read ends:
@@ -60,14 +58,7 @@
 	public static PlatformClient create(URI configuration, URI instances) throws IOException {
 		Objects.requireNonNull(configuration, "configuration must not be null");
 		Objects.requireNonNull(instances, "instances must not be null");
-		OptionMap options = OptionMap.builder()
-			.set(Options.WORKER_IO_THREADS, 1)
-			.set(Options.WORKER_TASK_CORE_THREADS, 1)
-			.set(Options.WORKER_TASK_MAX_THREADS, 1)
-			.set(Options.THREAD_DAEMON, true)
-			.set(Options.WORKER_NAME, "platform")
-			.getMap();
-		return new PlatformClient(Xnio.getInstance().createWorker(options), configuration, instances);
+		return new PlatformClient(IoThreads.start("platform", 1), configuration, instances);
 	}
 
 	/**
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/process/Selves.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/process/Selves.java
@@ -4,6 +4,7 @@
 
 import org.catkingate.decisions.membership.Self;
 import org.catkingate.runtime.settings.ProcessSettings;
+import org.catkingate.wire.Handshake;
 
 /**
  * Makes the identity of a process that starts. Stateless.
@@ -25,6 +26,16 @@
 				settings.labels());
 	}
 
+	/**
+	 * Returns what a process proves to others.
+	 * @param self the identity
+	 * @return the same as others see it, never null
+	 */
+	public static Handshake.PeerIdentity identity(Self self) {
+		return new Handshake.PeerIdentity(self.instance(), self.role(), self.incarnation(), self.dataCentre(),
+				self.region());
+	}
+
 	// zero stands for an unknown incarnation
 	private static long incarnation() {
 		return new SecureRandom().nextLong() | 1;
