--- a/catkingate-agent/src/main/java/org/catkingate/agent/AgentProcess.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/AgentProcess.java
@@ -16,9 +16,6 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 
 import org.catkingate.agent.idempotency.IdempotencyKeys;
@@ -44,6 +41,7 @@
 import org.catkingate.runtime.fleet.Fleet;
 import org.catkingate.runtime.fleet.FleetSettings;
 import org.catkingate.runtime.fleet.ListListener;
+import org.catkingate.runtime.http.IoThreads;
 import org.catkingate.runtime.operators.OperatorsEndpoint;
 import org.catkingate.runtime.operators.Readiness;
 import org.catkingate.runtime.process.GracefulEnd;
@@ -97,7 +95,7 @@
 		this.clock = clock;
 		this.self = Selves.of(settings.process());
 		settings.runners().forEach((runner) -> this.gates.add(RunnerGate.closed(runner.id(), runner.service())));
-		this.worker = Xnio.getInstance().createWorker(workerOptions());
+		this.worker = IoThreads.start("outside", 1);
 		this.fleet = Fleet.create(fleetSettings(), clock);
 		this.keys = idempotencyKeys();
 		this.weights = WeightsDistribution.start(weightsSettings(), this.worker, this.fleet, this.fleet::dial,
@@ -138,16 +136,6 @@
 		return thread;
 	}
 
-	private static OptionMap workerOptions() {
-		return OptionMap.builder()
-			.set(Options.WORKER_IO_THREADS, 1)
-			.set(Options.WORKER_TASK_CORE_THREADS, 1)
-			.set(Options.WORKER_TASK_MAX_THREADS, 1)
-			.set(Options.THREAD_DAEMON, true)
-			.set(Options.WORKER_NAME, "outside")
-			.getMap();
-	}
-
 	private FleetSettings fleetSettings() {
 		return new FleetSettings(this.self, this.settings.platform().configuration(),
 				this.settings.platform().instances(), this.settings.peers().listen(), this.settings.peers().sharedKey(),
