--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -17,7 +17,6 @@
 import org.catkingate.decisions.admission.Choice;
 import org.catkingate.decisions.admission.Demand;
 import org.catkingate.model.RunnerId;
-import org.catkingate.model.ServiceName;
 import org.catkingate.model.registry.CallKind;
 import org.catkingate.model.registry.Route;
 import org.catkingate.runtime.calls.AnswerHead;
@@ -207,7 +206,7 @@
 			from.discard();
 			this.log.ended(from, "refused", "status " + head.getResponseCode());
 			this.attempt = null;
-			repeatOr(this.admitted.service(), () -> giveUp(0, "every runner that was asked has no place"));
+			repeatOr(() -> giveUp(0, "every runner that was asked has no place"));
 			return true;
 		}
 		this.mayHaveRun = true;
@@ -299,7 +298,7 @@
 		int status = this.response.getResponseCode();
 		if (status >= FIRST_FAILURE && this.route.mayRunAgain() && !this.answer.isBegun()) {
 			this.log.ended(from, "failed", "status " + status);
-			repeatOr(this.admitted.service(), () -> finishAnswer(from));
+			repeatOr(() -> finishAnswer(from));
 			return;
 		}
 		finishAnswer(from);
@@ -336,7 +335,7 @@
 		this.held.reset();
 		boolean resumable = !this.answer.isBegun() || (this.streaming && this.route.resumable());
 		if (this.route.mayRunAgain() && resumable) {
-			repeatOr(this.admitted.service(), () -> giveUp(0, reason));
+			repeatOr(() -> giveUp(0, reason));
 			return;
 		}
 		giveUp(0, reason);
@@ -345,8 +344,9 @@
 	/*
 	 * Sends to another runner if the route, the budget and the time allow it.
 	 */
-	private void repeatOr(ServiceName service, Runnable otherwise) {
-		if (this.sends < this.route.maximumRunners() && leftMillis() > 0 && this.support.mayRepeat(service)) {
+	private void repeatOr(Runnable otherwise) {
+		if (this.sends < this.route.maximumRunners() && leftMillis() > 0
+				&& this.support.mayRepeat(this.admitted.service())) {
 			next();
 			return;
 		}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
@@ -42,8 +42,6 @@
  */
 final class GatewayPeers implements ConnectionListener {
 
-	private static final int NO_PIECES = 1;
-
 	private final Set<FrameConnection> accepted = new HashSet<>();
 
 	private final Handshake.PeerIdentity own;
@@ -206,7 +204,7 @@
 		tellTurn(connection, question.model());
 		this.cache.digests(question.model(), question.version()).whenComplete((digests, failure) -> {
 			if (failure != null) {
-				connection.send(new Weights.VersionDigests(question.model(), question.version(), NO_PIECES, List.of()));
+				connection.send(new Weights.VersionDigests(question.model(), question.version(), 0, List.of()));
 			}
 			else {
 				connection.send(new Weights.VersionDigests(digests.model(), digests.version(), digests.pieceBytes(),
