Let calls in by the wait before them, not by their own size

Tests: RunnerChoicesTests.refusesLongPromptsNoMoreThanShortOnes and .refusesMoreWhileFirstEventsComeLaterThanPredicted.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/RunnerChoices.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/RunnerChoices.java
@@ -75,13 +75,22 @@
 	private static Choice decide(RunnerOption chosen, Demand demand, Optional<Engine> engine, double draw) {
 		double predicted = predicted(chosen, demand, engine);
 		double longest = engine.isPresent() ? demand.goalMillis() : demand.leftMillis();
-		if (predicted > longest) {
-			long late = (long) (predicted - longest);
-			return new Choice.Refuse(spread(late, draw), predicted, "the answer would begin too late");
+		double judged = engine.map((known) -> judged(known, chosen) * demand.caution()).orElse(predicted);
+		if (judged > longest) {
+			long late = (long) (judged - longest);
+			return new Choice.Refuse(spread(late, draw), judged, "the answer would begin too late");
 		}
 		return new Choice.Send(chosen.runner(), predicted);
 	}
 
+	/*
+	 * Whether a call is let in does not depend on its own size: a long prompt is worth
+	 * more, and would else be the first to be refused.
+	 */
+	private static double judged(Engine engine, RunnerOption option) {
+		return FirstEventPrediction.engineMillis(engine, option, engine.usualPromptTokens());
+	}
+
 	private static double predicted(RunnerOption option, Demand demand, Optional<Engine> engine) {
 		return engine.map((known) -> FirstEventPrediction.engineMillis(known, option, demand.promptTokens()))
 			.orElseGet(() -> FirstEventPrediction.plainMillis(option));
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/admission/RunnerChoicesTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/admission/RunnerChoicesTests.java
@@ -24,7 +24,7 @@
 	private static final Optional<Engine> ENGINE = Optional
 		.of(new Engine(16, 5, 9.27, 0.0232, 20.7, 2048, 979, 92, 64, List.of(new ModelName("m"))));
 
-	private static final Demand DEMAND = new Demand(1000, 400, 6000);
+	private static final Demand DEMAND = new Demand(1000, 400, 6000, 1);
 
 	private final RunnerChoice choice = RunnerChoices.earliestFirstEvent();
 
@@ -45,7 +45,7 @@
 	void aPlainServiceGetsACallAsLongAsItsTimeAllows() {
 		RunnerOption busy = new RunnerOption(new RunnerId("a"), Distance.DATA_CENTRE, 6, 6, 6, 0, 80, false);
 		assertThat(this.choice.choose(List.of(busy), DEMAND, Optional.empty(), 0.5)).isInstanceOf(Choice.Send.class);
-		assertThat(this.choice.choose(List.of(busy), new Demand(0, 50, 100), Optional.empty(), 0.5))
+		assertThat(this.choice.choose(List.of(busy), new Demand(0, 50, 100, 1), Optional.empty(), 0.5))
 			.isInstanceOf(Choice.Refuse.class);
 	}
 
@@ -109,6 +109,32 @@
 			assertThat(returns).doesNotHaveDuplicates();
 		}
 
+		@Test
+		void refusesLongPromptsNoMoreThanShortOnes() {
+			for (int starting = 0; starting < 8; starting++) {
+				List<RunnerOption> busy = List.of(runner("a", Distance.DATA_CENTRE, 12, starting));
+				boolean shortIn = RunnerChoicesTests.this.choice.choose(busy, new Demand(100, 400, 6000, 1), ENGINE,
+						0.5) instanceof Choice.Send;
+				boolean longIn = RunnerChoicesTests.this.choice.choose(busy, new Demand(3800, 400, 6000, 1), ENGINE,
+						0.5) instanceof Choice.Send;
+				assertThat(longIn).as("with %d starting", starting).isEqualTo(shortIn);
+			}
+		}
+
+		@Test
+		void refusesMoreWhileFirstEventsComeLaterThanPredicted() {
+			List<RunnerOption> busy = List.of(runner("a", Distance.DATA_CENTRE, 12, 3));
+			Caution caution = Caution.none();
+			for (int i = 0; i < 200; i++) {
+				caution = caution.after(200, 500);
+			}
+			assertThat(RunnerChoicesTests.this.choice.choose(busy, DEMAND, ENGINE, 0.5))
+				.isInstanceOf(Choice.Send.class);
+			assertThat(RunnerChoicesTests.this.choice.choose(busy, new Demand(1000, 400, 6000, caution.factor()),
+					ENGINE, 0.5))
+				.isInstanceOf(Choice.Refuse.class);
+		}
+
 		@Test
 		void keepsAcceptingWhatStillMeetsItsGoal() {
 			assertThat(RunnerChoicesTests.this.choice.choose(List.of(runner("a", Distance.DATA_CENTRE, 14, 1)), DEMAND,
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -90,6 +90,12 @@
 
 	private long firstByteMillis = -1;
 
+	private double predictedMillis;
+
+	private long sentAtMillis;
+
+	private boolean learnt;
+
 	private boolean over;
 
 	private XnioExecutor.Key timer;
@@ -121,10 +127,14 @@
 	}
 
 	private void next() {
-		Demand demand = new Demand(this.admitted.head().promptTokens(), this.route.goalMillis(), leftMillis());
+		Demand demand = new Demand(this.admitted.head().promptTokens(), this.route.goalMillis(), leftMillis(),
+				this.support.caution(this.admitted.service()));
 		Choice choice = this.support.choose(this.admitted.service(), demand, this.tried);
 		if (choice instanceof Choice.Send send) {
 			this.log.chosen(send);
+			this.predictedMillis = send.predictedMillis();
+			this.sentAtMillis = this.support.clock().millis();
+			this.learnt = false;
 			send(this.support.runners().state(send.runner()));
 		}
 		else if (choice instanceof Choice.Refuse refuse) {
@@ -238,6 +248,11 @@
 		if (this.firstByteMillis < 0) {
 			this.firstByteMillis = this.support.clock().millis() - this.admitted.arrivedAtMillis();
 		}
+		if (!this.learnt) {
+			this.learnt = true;
+			this.support.begun(this.admitted.service(), this.predictedMillis,
+					this.support.clock().millis() - this.sentAtMillis);
+		}
 		if (this.streaming) {
 			this.events.add(bytes, this::passOn);
 			if (this.answer.isBegun()) {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewaySupport.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewaySupport.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.IntSupplier;
 
+import org.catkingate.decisions.admission.Caution;
 import org.catkingate.decisions.admission.Choice;
 import org.catkingate.decisions.admission.Demand;
 import org.catkingate.decisions.retries.RetryAllowance;
@@ -23,6 +24,8 @@
 
 	private final Map<ServiceName, Uses> uses = new HashMap<>();
 
+	private final Map<ServiceName, Caution> cautions = new HashMap<>();
+
 	private final RunnerTable runners;
 
 	private final CallFormat format;
@@ -90,6 +93,26 @@
 		return true;
 	}
 
+	/**
+	 * Tells how much to doubt predictions for a service.
+	 * @param service the service
+	 * @return the factor by which answers began later than predicted
+	 */
+	double caution(ServiceName service) {
+		return this.cautions.getOrDefault(service, Caution.none()).factor();
+	}
+
+	/**
+	 * Learns from the beginning of an answer.
+	 * @param service the service
+	 * @param predictedMillis the predicted time to it, in milliseconds
+	 * @param observedMillis the observed time, in milliseconds
+	 */
+	void begun(ServiceName service, double predictedMillis, long observedMillis) {
+		this.cautions.merge(service, Caution.none().after(predictedMillis, observedMillis),
+				(known, first) -> known.after(predictedMillis, observedMillis));
+	}
+
 	private Uses uses(ServiceName service) {
 		return this.uses.computeIfAbsent(service, (name) -> new Uses(WindowCount.over(this.allowance.windowMillis()),
 				WindowCount.over(this.allowance.windowMillis())));
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
@@ -65,7 +65,8 @@
 	}
 
 	private boolean serves(long nowMillis) {
-		return this.table.choose(SERVICE, new Demand(100, 400, 6000), Set.of(), 0.5, nowMillis) instanceof Choice.Send;
+		return this.table.choose(SERVICE, new Demand(100, 400, 6000, 1), Set.of(), 0.5,
+				nowMillis) instanceof Choice.Send;
 	}
 
 	@Test
