Work out each runner's cost once, and learn from the attempt's own time

Cause: reading the change again: the choice of a runner computed every prediction three times for each call, and GatewayCall kept the time and the beginning that RunnerAttempt knows. Change: costs are computed once; the attempt tells when its answer has begun. Behaviour as before.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/RunnerChoices.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/RunnerChoices.java
@@ -1,7 +1,9 @@
 package org.catkingate.decisions.admission;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 
 import org.catkingate.decisions.routing.Distance;
 import org.catkingate.model.registry.Engine;
@@ -54,21 +56,10 @@
 		if (options.isEmpty()) {
 			return new Choice.Refuse(spread(NO_RUNNER_MILLIS, draw), Double.NaN, "no runner serves this");
 		}
-		double best = Double.MAX_VALUE;
-		for (RunnerOption option : options) {
-			best = Math.min(best, cost(option, demand, engine));
-		}
-		int equal = 0;
-		for (RunnerOption option : options) {
-			equal += (cost(option, demand, engine) <= best + EQUAL_MILLIS) ? 1 : 0;
-		}
-		int skip = Math.min(equal - 1, (int) (draw * equal));
-		RunnerOption chosen = null;
-		for (RunnerOption option : options) {
-			if (cost(option, demand, engine) <= best + EQUAL_MILLIS && skip-- == 0) {
-				chosen = option;
-			}
-		}
+		double[] costs = options.stream().mapToDouble((option) -> cost(option, demand, engine)).toArray();
+		double highest = Arrays.stream(costs).min().orElseThrow() + EQUAL_MILLIS;
+		int[] equal = IntStream.range(0, costs.length).filter((i) -> costs[i] <= highest).toArray();
+		RunnerOption chosen = options.get(equal[Math.min(equal.length - 1, (int) (draw * equal.length))]);
 		return decide(chosen, demand, engine, draw);
 	}
 
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -92,10 +92,6 @@
 
 	private double predictedMillis;
 
-	private long sentAtMillis;
-
-	private boolean learnt;
-
 	private boolean over;
 
 	private XnioExecutor.Key timer;
@@ -133,8 +129,6 @@
 		if (choice instanceof Choice.Send send) {
 			this.log.chosen(send);
 			this.predictedMillis = send.predictedMillis();
-			this.sentAtMillis = this.support.clock().millis();
-			this.learnt = false;
 			send(this.support.runners().state(send.runner()));
 		}
 		else if (choice instanceof Choice.Refuse refuse) {
@@ -240,6 +234,13 @@
 		return this.answer.pendingBytes() < PENDING_BYTES;
 	}
 
+	@Override
+	public void begun(RunnerAttempt from, long tookMillis) {
+		if (!isOld(from)) {
+			this.support.begun(this.admitted.service(), this.predictedMillis, tookMillis);
+		}
+	}
+
 	@Override
 	public void data(RunnerAttempt from, byte[] bytes) {
 		if (isOld(from)) {
@@ -248,11 +249,6 @@
 		if (this.firstByteMillis < 0) {
 			this.firstByteMillis = this.support.clock().millis() - this.admitted.arrivedAtMillis();
 		}
-		if (!this.learnt) {
-			this.learnt = true;
-			this.support.begun(this.admitted.service(), this.predictedMillis,
-					this.support.clock().millis() - this.sentAtMillis);
-		}
 		if (this.streaming) {
 			this.events.add(bytes, this::passOn);
 			if (this.answer.isBegun()) {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
@@ -192,7 +192,9 @@
 		}
 		if (!this.begun) {
 			this.begun = true;
-			this.runner.begun(this.promptTokens, this.clock.millis() - this.startedAtMillis);
+			long took = this.clock.millis() - this.startedAtMillis;
+			this.runner.begun(this.promptTokens, took);
+			this.listener.begun(this, took);
 		}
 		this.listener.data(this, bytes);
 	}
@@ -261,6 +263,13 @@
 		 */
 		boolean head(RunnerAttempt attempt, ClientResponse response);
 
+		/**
+		 * The first byte of the body has arrived.
+		 * @param attempt the attempt
+		 * @param tookMillis the time since the attempt began, in milliseconds
+		 */
+		void begun(RunnerAttempt attempt, long tookMillis);
+
 		/**
 		 * A piece of the body has arrived.
 		 * @param attempt the attempt
