Take an age that is told before the registry answers

Cause: a gateway that starts finds versions declared and cannot know for how long; it takes them as overdue until another gateway tells. It also passed its assumption on as if it were known. Change: DeclaredVersions keeps what is told whenever it comes, the earliest counts, and an unknown age is told as unknown. A process that has just started goes on with older versions for weights.settling-ms if nobody tells.

--- /dev/null
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/DeclaredVersions.java
@@ -0,0 +1,115 @@
+package org.catkingate.gateway;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+import org.catkingate.decisions.registry.RegistryView;
+import org.catkingate.model.ModelName;
+import org.catkingate.wire.Runners;
+
+/**
+ * Since when versions of models are declared, by which older ones are retired. The
+ * registry does not tell; the moment is the earliest at which this process or another
+ * heard of a version. Used by the traffic thread only.
+ */
+final class DeclaredVersions {
+
+	private final Map<ModelName, SortedMap<Long, Long>> heardAt = new HashMap<>();
+
+	/** What the first view of the registry held, unless somebody tells its age. */
+	private final Map<ModelName, Long> found = new HashMap<>();
+
+	private final long changeMillis;
+
+	private final long settledAtMillis;
+
+	/**
+	 * Starts without any version.
+	 * @param changeMillis how long after its declaration a version must be everywhere, in
+	 * milliseconds
+	 * @param settledAtMillis until when this process may learn the age of versions that
+	 * it found declared, in monotonic milliseconds; from then on they must be everywhere
+	 */
+	DeclaredVersions(long changeMillis, long settledAtMillis) {
+		this.changeMillis = changeMillis;
+		this.settledAtMillis = settledAtMillis;
+	}
+
+	/**
+	 * Takes the versions that this process finds when it reads the registry first.
+	 * @param versions the version of each model
+	 */
+	void found(Map<ModelName, Long> versions) {
+		this.found.putAll(versions);
+	}
+
+	void declared(Map<ModelName, Long> versions, long nowMillis) {
+		versions.forEach((model, version) -> {
+			if (!version.equals(this.found.get(model))) {
+				heard(model, version, nowMillis);
+			}
+		});
+	}
+
+	/**
+	 * Takes another process's word, which may come before the registry's.
+	 * @param told what the other says
+	 * @param nowMillis the time now, in monotonic milliseconds
+	 */
+	void told(Runners.VersionDeclared told, long nowMillis) {
+		if (told.isAgeKnown()) {
+			heard(told.model(), told.version(), nowMillis - told.ageMillis());
+		}
+	}
+
+	private void heard(ModelName model, long version, long atMillis) {
+		this.heardAt.computeIfAbsent(model, (key) -> new TreeMap<>()).merge(version, atMillis, Math::min);
+	}
+
+	private boolean isHeard(ModelName model, long version) {
+		return this.heardAt.getOrDefault(model, new TreeMap<>()).containsKey(version);
+	}
+
+	/**
+	 * Returns the oldest version that requests may begin on.
+	 * @param model the model
+	 * @param nowMillis the time now, in monotonic milliseconds
+	 * @return the newest version that has been declared for so long that it must be
+	 * everywhere
+	 */
+	long lowest(ModelName model, long nowMillis) {
+		long lowest = RegistryView.FIRST_VERSION;
+		for (Map.Entry<Long, Long> version : this.heardAt.getOrDefault(model, new TreeMap<>()).entrySet()) {
+			if (nowMillis >= version.getValue() + this.changeMillis) {
+				lowest = Math.max(lowest, version.getKey());
+			}
+		}
+		Long atStart = this.found.get(model);
+		if (atStart != null && !isHeard(model, atStart) && nowMillis >= this.settledAtMillis) {
+			lowest = Math.max(lowest, atStart);
+		}
+		return lowest;
+	}
+
+	/**
+	 * Lists what is declared, for other processes.
+	 * @param nowMillis the time now, in monotonic milliseconds
+	 * @return a message for each version
+	 */
+	List<Runners.VersionDeclared> messages(long nowMillis) {
+		List<Runners.VersionDeclared> messages = new ArrayList<>();
+		this.heardAt.forEach((model, versions) -> versions
+			.forEach((version, heard) -> messages.add(new Runners.VersionDeclared(model, version, nowMillis - heard))));
+		this.found.forEach((model, version) -> {
+			if (!isHeard(model, version)) {
+				messages.add(new Runners.VersionDeclared(model, version, Runners.VersionDeclared.UNKNOWN_AGE));
+			}
+		});
+		return messages;
+	}
+
+}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
@@ -68,12 +68,12 @@
 
 	private GatewayPeers(Handshake.PeerIdentity own, SharedKey key, List<InetSocketAddress> seeds, XnioWorker worker,
 			Supplier<Optional<WeightsOrigin>> published, Supplier<Optional<PieceOrigin>> origin, RunnerTable table,
-			MonotonicClock clock) {
+			DeclaredVersions versions, MonotonicClock clock) {
 		this.own = own;
 		this.published = published;
 		this.runnerTold = (told) -> table.told(told, clock.millis());
-		this.versionTold = (told) -> table.told(told, clock.millis());
-		this.declarations = () -> table.declarations(clock.millis());
+		this.versionTold = (told) -> versions.told(told, clock.millis());
+		this.declarations = () -> versions.messages(clock.millis());
 		this.exchange = PieceExchange.on(worker.getIoThread());
 		this.cache = new PieceCache(this.exchange, this::upstream, origin, worker.getIoThread());
 		this.transport = FrameTransport.on(worker, key, own);
@@ -90,16 +90,18 @@
 	 * @param worker the I/O threads
 	 * @param published the origin that the configuration names
 	 * @param origin opens that origin
-	 * @param table is given what others say of runners and versions
+	 * @param table is given what others say of runners
+	 * @param versions are given what others say of versions, and tell them theirs
 	 * @param clock the clock
 	 * @return the connections, never null
 	 * @throws IOException if the address cannot be used
 	 */
 	static GatewayPeers start(Handshake.PeerIdentity own, SharedKey key, InetSocketAddress listen,
 			List<InetSocketAddress> seeds, XnioWorker worker, Supplier<Optional<WeightsOrigin>> published,
-			Supplier<Optional<PieceOrigin>> origin, RunnerTable table, MonotonicClock clock) throws IOException {
+			Supplier<Optional<PieceOrigin>> origin, RunnerTable table, DeclaredVersions versions, MonotonicClock clock)
+			throws IOException {
 		List<InetSocketAddress> others = seeds.stream().filter((seed) -> !seed.equals(listen)).toList();
-		GatewayPeers peers = new GatewayPeers(own, key, others, worker, published, origin, table, clock);
+		GatewayPeers peers = new GatewayPeers(own, key, others, worker, published, origin, table, versions, clock);
 		peers.transport.listen(listen, peers);
 		return peers;
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -70,6 +70,12 @@
 	 */
 	private static final long CHANGE_MARGIN_MILLIS = 500;
 
+	/**
+	 * The part of the time for settling that passed before the settings were read, and
+	 * that a request may take to its runner, in milliseconds.
+	 */
+	private static final long SETTLING_MARGIN_MILLIS = 1000;
+
 	/**
 	 * What is left of the bound on keys for the clocks' and the link's part, in
 	 * milliseconds.
@@ -94,6 +100,8 @@
 
 	private final GatewayCounts counts;
 
+	private final DeclaredVersions versions;
+
 	private final RunnerTable runners;
 
 	private final RegistryFollower follower;
@@ -117,8 +125,9 @@
 		this.worker = IoThreads.start("traffic", 1);
 		this.origins = origins;
 		this.counts = GatewayCounts.in(this.metrics);
-		this.runners = new RunnerTable(this::stateOf, RunnerChoices.earliestFirstEvent(),
-				settings.weightsChangeMillis() - CHANGE_MARGIN_MILLIS);
+		this.versions = new DeclaredVersions(settings.weights().changeMillis() - CHANGE_MARGIN_MILLIS,
+				clock.millis() + settings.weights().settlingMillis() - SETTLING_MARGIN_MILLIS);
+		this.runners = new RunnerTable(this::stateOf, RunnerChoices.earliestFirstEvent(), this.versions);
 		this.calls = HttpCalls.on(this.worker);
 		this.follower = RegistryFollower.of(registry.open(this.calls, settings.registry().url()),
 				FollowTimes.watchingFor(settings.registry().watchMillis()), new SecureRandom().nextLong(), clock,
@@ -128,7 +137,7 @@
 				this.counts);
 		this.peers = GatewayPeers.start(Selves.identity(Selves.of(settings.process())), settings.peers().sharedKey(),
 				settings.peers().listen(), settings.peers().seeds(), this.worker, this::publishedOrigin, this::origin,
-				this.runners, clock);
+				this.runners, this.versions, clock);
 		this.callers = CallerServer.start(settings.callers(), this.worker, this.buffers,
 				new RequestHandler(support, this.beliefs, this.connections));
 		registerMetrics();
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -2,13 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.SortedMap;
-import java.util.TreeMap;
 import java.util.function.Function;
 
 import org.catkingate.decisions.admission.Choice;
@@ -16,7 +13,6 @@
 import org.catkingate.decisions.admission.RunnerChoice;
 import org.catkingate.decisions.admission.RunnerOption;
 import org.catkingate.decisions.registry.RegistryView;
-import org.catkingate.model.ModelName;
 import org.catkingate.model.RunnerId;
 import org.catkingate.model.ServiceName;
 import org.catkingate.model.registry.Engine;
@@ -31,37 +27,26 @@
 
 	private final Map<RunnerId, RunnerState> runners = new HashMap<>();
 
-	private static final SortedMap<Long, Long> NOTHING_DECLARED = new TreeMap<>();
-
-	/** When each version of a model was heard of, in monotonic milliseconds. */
-	private final Map<ModelName, SortedMap<Long, Long>> declared = new HashMap<>();
-
-	/** Models with versions that were there when this process started. */
-	private final Set<ModelName> ofUnknownAge = new HashSet<>();
-
 	private final Function<RegisteredRunner, RunnerState> states;
 
-	private final long changeMillis;
+	private final DeclaredVersions versions;
 
 	private final RunnerChoice policy;
 
 	private RegistryView view = RegistryView.empty();
 
-	RunnerTable(Function<RegisteredRunner, RunnerState> states, RunnerChoice policy, long changeMillis) {
+	RunnerTable(Function<RegisteredRunner, RunnerState> states, RunnerChoice policy, DeclaredVersions versions) {
 		this.states = states;
-		this.changeMillis = changeMillis;
+		this.versions = versions;
 		this.policy = policy;
 	}
 
 	void refresh(RegistryView next, long nowMillis) {
-		boolean atStart = this.view.configuration().isEmpty();
+		if (this.view.configuration().isEmpty()) {
+			this.versions.found(next.versions());
+		}
+		this.versions.declared(next.versions(), nowMillis);
 		this.view = next;
-		next.versions().forEach((model, version) -> {
-			boolean isNew = declared(model).putIfAbsent(version, nowMillis - (atStart ? this.changeMillis : 0)) == null;
-			if (isNew && atStart) {
-				this.ofUnknownAge.add(model);
-			}
-		});
 		this.runners.entrySet().removeIf((entry) -> {
 			RegisteredRunner now = next.runners().get(entry.getKey());
 			boolean gone = now == null || !isSameLife(now, entry.getValue().runner());
@@ -101,50 +86,7 @@
 		return engine.isEmpty() || engine.get()
 			.models()
 			.stream()
-			.allMatch((model) -> state.version(model, nowMillis) >= lowestVersion(model, nowMillis));
-	}
-
-	private SortedMap<Long, Long> declared(ModelName model) {
-		return this.declared.computeIfAbsent(model, (key) -> new TreeMap<>());
-	}
-
-	/**
-	 * Takes another process's word on how long ago a version was declared. It counts
-	 * where this process found the version there when it started, and cannot know by
-	 * itself.
-	 * @param told what the other says
-	 * @param nowMillis the time now, in monotonic milliseconds
-	 */
-	void told(Runners.VersionDeclared told, long nowMillis) {
-		if (this.ofUnknownAge.contains(told.model()) && declared(told.model()).containsKey(told.version())) {
-			declared(told.model()).put(told.version(), nowMillis - told.ageMillis());
-		}
-	}
-
-	/**
-	 * Lists what is declared, with the time since then.
-	 * @param nowMillis the time now, in monotonic milliseconds
-	 * @return a message for each version
-	 */
-	List<Runners.VersionDeclared> declarations(long nowMillis) {
-		List<Runners.VersionDeclared> messages = new ArrayList<>();
-		this.declared.forEach((model, versions) -> versions.forEach(
-				(version, heardAt) -> messages.add(new Runners.VersionDeclared(model, version, nowMillis - heardAt))));
-		return messages;
-	}
-
-	/*
-	 * The version that a request may begin on: any until a newer one has been declared
-	 * for so long that it must be everywhere.
-	 */
-	private long lowestVersion(ModelName model, long nowMillis) {
-		long lowest = RegistryView.FIRST_VERSION;
-		for (Map.Entry<Long, Long> version : this.declared.getOrDefault(model, NOTHING_DECLARED).entrySet()) {
-			if (nowMillis >= version.getValue() + this.changeMillis) {
-				lowest = Math.max(lowest, version.getKey());
-			}
-		}
-		return lowest;
+			.allMatch((model) -> state.version(model, nowMillis) >= this.versions.lowest(model, nowMillis));
 	}
 
 	/**
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/GatewaySettings.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/GatewaySettings.java
@@ -27,13 +27,12 @@
  * @param keysCertainMillis how long a key is accepted after it was last known to be
  * valid, in milliseconds
  * @param retries how many sends beyond the first all gateways together may make
- * @param weightsChangeMillis how long after its declaration a version must be everywhere,
- * in milliseconds
+ * @param weights how versions of weights are changed
  * @since 0.1
  */
 public record GatewaySettings(ProcessSettings.Process process, Map<DataCentreName, RegionName> regions,
 		RegistrySettings registry, InetSocketAddress callers, PeerSettings peers, ProcessSettings.Operators operators,
-		ProcessSettings.Shutdown shutdown, long keysCertainMillis, RetryAllowance retries, long weightsChangeMillis) {
+		ProcessSettings.Shutdown shutdown, long keysCertainMillis, RetryAllowance retries, Weights weights) {
 
 	private static final List<String> SECTIONS = List.of("process", "data-centres", "registry", "callers", "peers",
 			"operators", "shutdown", "keys", "retries", "weights");
@@ -74,10 +73,10 @@
 		ProcessSettings.Shutdown shutdown = SettingsForms.shutdown(sections.reader("shutdown"));
 		int certain = millis(sections.reader("keys"), "certain-ms");
 		RetryAllowance retries = retries(sections.reader("retries"));
-		int change = millis(sections.reader("weights"), "change-ms");
+		Weights weights = weights(sections.reader("weights"));
 		sections.problems().throwIfAny();
 		return new GatewaySettings(process, regions, registry, callers, peers, operators, shutdown, certain, retries,
-				change);
+				weights);
 	}
 
 	private static Map<DataCentreName, RegionName> regions(SettingsSections sections) {
@@ -99,6 +98,13 @@
 		return millis;
 	}
 
+	private static Weights weights(SectionReader reader) {
+		int change = reader.number("change-ms", 1, HIGHEST_MILLIS);
+		int settling = reader.number("settling-ms", 0, 0, HIGHEST_MILLIS);
+		reader.checkUnknownKeys();
+		return new Weights(change, settling);
+	}
+
 	private static RetryAllowance retries(SectionReader reader) {
 		double ratio = reader.parsed("ratio", 0.0, GatewaySettings::ratio);
 		int free = reader.number("free", 0, HIGHEST_RETRIES);
@@ -120,4 +126,23 @@
 		throw new IllegalArgumentException("write a number from 0 to 1");
 	}
 
+	/**
+	 * How versions of weights are changed. Immutable.
+	 *
+	 * @param changeMillis how long after its declaration a version must be everywhere, in
+	 * milliseconds
+	 * @param settlingMillis how long after its start a process may go on with older
+	 * versions while it does not know how long ago a newer one was declared, in
+	 * milliseconds
+	 */
+	public record Weights(long changeMillis, long settlingMillis) {
+
+		public Weights {
+			if (changeMillis < 1 || settlingMillis < 0) {
+				throw new IllegalArgumentException("the times of a change must not be negative");
+			}
+		}
+
+	}
+
 }
--- a/catkingate-wire/src/main/java/org/catkingate/wire/Runners.java
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/Runners.java
@@ -46,14 +46,26 @@
 	 *
 	 * @param model the model
 	 * @param version the version
-	 * @param ageMillis how long ago the sender heard of it, in milliseconds
+	 * @param ageMillis how long ago it was heard of, in milliseconds;
+	 * {@link #UNKNOWN_AGE} if the sender found it declared when it started
 	 */
 	record VersionDeclared(ModelName model, long version, long ageMillis) implements Runners {
 
+		/** The age that a process tells which does not know it. */
+		public static final long UNKNOWN_AGE = -1;
+
 		public VersionDeclared {
 			Objects.requireNonNull(model, "model must not be null");
 		}
 
+		/**
+		 * Tells whether the sender knows the age.
+		 * @return whether it is known
+		 */
+		public boolean isAgeKnown() {
+			return this.ageMillis >= 0;
+		}
+
 	}
 
 	/**
