Ask for pieces in one order and skip versions while the newer can come in time

Cause: each loader began at a piece of its own. Turns were pressed into what was left. Change: one order for all, so that the gateway's reading runs ahead of every loader. As more than half of a copy has come sooner now, a newer version is weighed by time instead: the older is finished only if the newer could not come in the older's time. Tests: LoadReducerTests (order: seen failing first; the test of a version that has largely come is replaced by two, for both sides of the new rule).

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/LoadReducer.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/LoadReducer.java
@@ -57,6 +57,9 @@
 	 */
 	private static final long HURRIED_MILLIS = 2500;
 
+	/** How much longer the next pieces may take than those before. */
+	private static final double CAUTIOUS = 1.1;
+
 	/** Failures in a row after which the digests are doubted and asked for again. */
 	private static final int DOUBTFUL_FAILURES = 20;
 
@@ -150,10 +153,9 @@
 	}
 
 	/*
-	 * A version that has largely come is finished before a newer one is begun: the newer
-	 * may be held up, and the time of each counts by itself. One that has not is left for
-	 * the newer, whose time is then that of the older. Nobody knows how long ago a
-	 * version was declared that is there at the start.
+	 * Each change takes a runner away for a while, so an older version is skipped if the
+	 * newer can come in the older's time, and the newer's time is then that of the older.
+	 * Nobody knows how long ago a version was declared that is there at the start.
 	 */
 	private static LoadState declared(LoadState state, long nowMillis, ModelName model, long version) {
 		ModelLoad known = state.models().get(model);
@@ -166,7 +168,7 @@
 		if (known.step() == LoadStep.SETTLED) {
 			return state.with(ModelLoad.declared(model, version, nowMillis));
 		}
-		if (hasLargelyCome(known)) {
+		if (isBetterFinished(state.settings(), known, nowMillis)) {
 			ModelLoad waiting = state.waiting().get(model);
 			return (waiting != null && waiting.version() >= version) ? state
 					: state.withWaiting(model, ModelLoad.declared(model, version, nowMillis));
@@ -174,8 +176,18 @@
 		return state.with(ModelLoad.declared(model, version, known.declaredAtMillis())).withWaiting(model, null);
 	}
 
-	private static boolean hasLargelyCome(ModelLoad load) {
-		return load.digests() != null && load.step() != LoadStep.ASKING && 2 * load.missing() <= load.pieces();
+	private static boolean isBetterFinished(LoadSettings settings, ModelLoad load, long nowMillis) {
+		if (load.step() == LoadStep.ORDERED) {
+			return true;
+		}
+		int come = (load.step() == LoadStep.ASKING) ? 0 : load.pieces() - load.missing();
+		if (come <= 0) {
+			return false;
+		}
+		double pieceMillis = CAUTIOUS * (nowMillis - load.declaredAtMillis()) / come;
+		long leftMillis = load.declaredAtMillis() + settings.changeMillis() - settings.finishMillis() - nowMillis;
+		boolean newerComesInTime = pieceMillis * load.pieces() <= leftMillis;
+		return !newerComesInTime && pieceMillis * load.missing() <= leftMillis;
 	}
 
 	private static LoadState takeUpWaiting(LoadState state) {
@@ -250,7 +262,7 @@
 				boolean late = nowMillis >= load.sinceMillis() + STEP_MILLIS;
 				yield (nowMillis >= load.dueMillis() || late) ? check(load, nowMillis, effects) : load;
 			}
-			case FETCHING -> fetch(state, load, nowMillis, effects);
+			case FETCHING -> fetch(load, nowMillis, effects);
 			case WAITING -> waiting(load, runner, nowMillis, effects);
 			case ORDERED -> (!runner.loading() && nowMillis >= load.sinceMillis() + ORDER_MILLIS)
 					? check(load, nowMillis, effects) : load;
@@ -267,7 +279,7 @@
 		return load.at(LoadStep.CHECKING, nowMillis, Long.MAX_VALUE);
 	}
 
-	private static ModelLoad fetch(LoadState state, ModelLoad load, long nowMillis, List<Effect> effects) {
+	private static ModelLoad fetch(ModelLoad load, long nowMillis, List<Effect> effects) {
 		if (load.missing() == 0) {
 			return check(load, nowMillis, effects);
 		}
@@ -275,9 +287,9 @@
 			return ask(load, nowMillis, effects);
 		}
 		ModelLoad next = load;
-		int first = (int) Math.floorMod(state.settings().seed(), (long) load.pieces());
-		for (int i = 0; i < load.pieces() && next.fetching().size() < load.window(); i++) {
-			int index = (first + i) % load.pieces();
+		// all loaders ask in one order, so that the piece one waits for is on its way to
+		// all
+		for (int index = 0; index < load.pieces() && next.fetching().size() < load.window(); index++) {
 			boolean wanted = !next.good().contains(index) && !next.fetching().contains(index);
 			if (wanted && nowMillis >= load.dueMillis()) {
 				effects.add(new LoadEffect.FetchPiece(load.digests(), index));
