Keep a version's digests while its origin cannot be reached

Cause: after three refused connections a gateway took the digests for wrong and forgot the version. Change: digests are doubted only if the origin sends wrong bytes. A gateway that cannot get a piece now says so; one that does not know the version is asked for its digests first, by loaders and gateways alike. Loaders turn to the origin after two seconds in which no gateway helped. Test: WeightsPathTests, an origin that is away for a while; seen failing first.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
@@ -42,6 +42,9 @@
  */
 final class GatewayPeers implements ConnectionListener {
 
+	/** When to ask again for a piece that could not be had, in milliseconds. */
+	private static final long REFUSED_MILLIS = 150;
+
 	private final Set<FrameConnection> accepted = new HashSet<>();
 
 	private final Handshake.PeerIdentity own;
@@ -218,9 +221,9 @@
 	private void answer(FrameConnection connection, Weights.ChunkRequest request) {
 		this.cache.piece(request.chunk())
 			.ifPresentOrElse(
-					(piece) -> piece.whenComplete((bytes,
-							failure) -> connection.send((failure != null) ? new Weights.ChunkRefusal(request.chunk(), 0)
-									: new Weights.ChunkSlice(request.chunk(), 0, bytes))),
+					(piece) -> piece.whenComplete((bytes, failure) -> connection
+						.send((failure != null) ? new Weights.ChunkRefusal(request.chunk(), REFUSED_MILLIS)
+								: new Weights.ChunkSlice(request.chunk(), 0, bytes))),
 					() -> connection.send(new Weights.ChunkRefusal(request.chunk(), 0)));
 	}
 
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/PieceCache.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/PieceCache.java
@@ -153,15 +153,14 @@
 			readOrigin(place, digest, 1, piece);
 			return piece;
 		}
-		this.exchange.piece(near.get(), digest, place.shelf().digests().pieceBytes())
-			.whenCompleteAsync((bytes, failure) -> {
-				if (failure == null) {
-					piece.complete(bytes);
-				}
-				else {
-					readOrigin(place, digest, 1, piece);
-				}
-			}, this.thread);
+		this.exchange.piece(near.get(), place.shelf().digests(), place.index()).whenCompleteAsync((bytes, failure) -> {
+			if (failure == null) {
+				piece.complete(bytes);
+			}
+			else {
+				readOrigin(place, digest, 1, piece);
+			}
+		}, this.thread);
 		return piece;
 	}
 
@@ -183,7 +182,7 @@
 				piece.complete(bytes);
 			}
 			else {
-				again(place, digest, tryNumber, piece, (failure != null) ? failure.getMessage() : "wrong bytes");
+				again(place, digest, tryNumber, piece, failure);
 			}
 			Runnable next = this.waitingReads.poll();
 			if (next != null) {
@@ -192,23 +191,25 @@
 		}, this.thread);
 	}
 
-	private void again(Place place, Digest digest, int tryNumber, CompletableFuture<byte[]> piece, String reason) {
+	private void again(Place place, Digest digest, int tryNumber, CompletableFuture<byte[]> piece, Throwable failure) {
 		PieceDigests version = place.shelf().digests();
 		logger.atWarn()
 			.addKeyValue("event", "piece-unusable")
 			.addKeyValue("version", key(version.model(), version.version()))
 			.addKeyValue("piece", place.index())
 			.addKeyValue("try", tryNumber)
-			.addKeyValue("reason", reason)
+			.addKeyValue("reason", (failure != null) ? failure.getMessage() : "wrong bytes")
 			.log("a piece of the origin's cannot be used");
 		if (tryNumber < ORIGIN_TRIES) {
 			readOrigin(place, digest, tryNumber + 1, piece);
 			return;
 		}
-		// the digest itself may be wrong; the next question reads the digests anew
-		this.shelves.remove(key(version.model(), version.version()));
-		this.places.values().removeIf((held) -> held.shelf() == place.shelf());
-		piece.completeExceptionally(new IOException("the origin sends no piece with this digest"));
+		if (failure == null) {
+			// the digest itself may be wrong; the next question reads the digests anew
+			this.shelves.remove(key(version.model(), version.version()));
+			this.places.values().removeIf((held) -> held.shelf() == place.shelf());
+		}
+		piece.completeExceptionally(new IOException("the origin sends no piece with this digest", failure));
 	}
 
 	/**
--- a/catkingate-loader/src/main/java/org/catkingate/loader/PieceFetcher.java
+++ b/catkingate-loader/src/main/java/org/catkingate/loader/PieceFetcher.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.util.Iterator;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
@@ -19,11 +18,14 @@
 
 /**
  * Gets pieces from the gateways, the nearest first, and from the origin if none of them
- * can help. Used by the I/O thread only.
+ * has helped for a while. Used by the I/O thread only.
  */
 final class PieceFetcher {
 
-	/** How long gateways may be missing before the origin is asked, in milliseconds. */
+	/**
+	 * How long no gateway may have helped before the origin is asked, in milliseconds:
+	 * longer than gateways take to start or to find the origin again.
+	 */
 	private static final long ALONE_MILLIS = 2000;
 
 	private final MonotonicClock clock;
@@ -50,47 +52,46 @@
 
 	CompletableFuture<byte[]> piece(PieceDigests version, int index) {
 		Digest digest = version.digests().get(index);
-		return first((link) -> this.exchange.piece(link, digest, version.pieceBytes()),
+		return first((link) -> this.exchange.piece(link, version, index),
 				(source) -> source.piece(version.model(), version.version(), index))
 			.thenCompose((bytes) -> Digest.of(bytes).equals(digest) ? CompletableFuture.completedFuture(bytes)
 					: CompletableFuture.failedFuture(new IOException("piece " + index + " has wrong bytes")));
 	}
 
 	/*
-	 * The origin's bytes are dear: while gateways may only be slow to connect, as after a
-	 * start of all processes, the caller is to try again.
+	 * The origin's bytes are dear, and its link carries a copy for each gateway, not for
+	 * each runner.
 	 */
-	private boolean mayAskOrigin(boolean anyGateway) {
+	private boolean mayAskOrigin() {
 		long now = this.clock.millis();
-		if (anyGateway) {
-			this.aloneSinceMillis = Long.MAX_VALUE;
-			return true;
-		}
 		this.aloneSinceMillis = Math.min(this.aloneSinceMillis, now);
 		return now - this.aloneSinceMillis >= ALONE_MILLIS;
 	}
 
 	private <T> CompletableFuture<T> first(Function<FrameConnection, CompletableFuture<T>> fromGateway,
 			Function<PieceOrigin, CompletableFuture<T>> fromOrigin) {
-		List<FrameConnection> gateways = this.links.get().nearestFirst();
-		if (!mayAskOrigin(!gateways.isEmpty())) {
-			return CompletableFuture.failedFuture(new IOException("no gateway is connected yet"));
-		}
-		return next(gateways.iterator(), fromGateway, fromOrigin);
+		return next(this.links.get().nearestFirst().iterator(), fromGateway, fromOrigin);
 	}
 
 	private <T> CompletableFuture<T> next(Iterator<FrameConnection> gateways,
 			Function<FrameConnection, CompletableFuture<T>> fromGateway,
 			Function<PieceOrigin, CompletableFuture<T>> fromOrigin) {
+		if (!gateways.hasNext() && !mayAskOrigin()) {
+			return CompletableFuture
+				.failedFuture(new IOException("no gateway can help now; the origin is asked later"));
+		}
 		if (!gateways.hasNext()) {
 			return this.origin.get()
 				.map(fromOrigin)
 				.orElseGet(() -> CompletableFuture.failedFuture(new IOException("no origin of weights is known")));
 		}
-		return fromGateway.apply(gateways.next())
-			.handle((answer, failure) -> (failure != null) ? next(gateways, fromGateway, fromOrigin)
-					: CompletableFuture.completedFuture(answer))
-			.thenCompose((answer) -> answer);
+		return fromGateway.apply(gateways.next()).handle((answer, failure) -> {
+			if (failure != null) {
+				return next(gateways, fromGateway, fromOrigin);
+			}
+			this.aloneSinceMillis = Long.MAX_VALUE;
+			return CompletableFuture.completedFuture(answer);
+		}).thenCompose((answer) -> answer);
 	}
 
 }
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/staging/PieceExchange.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/staging/PieceExchange.java
@@ -57,17 +57,32 @@
 	}
 
 	/**
-	 * Asks for a piece.
+	 * Asks for a piece. A process that has started since the digests came knows nothing
+	 * of the version until it is asked for them.
 	 * @param link whom to ask
-	 * @param digest its digest
-	 * @param maximumBytes the longest piece, in bytes
+	 * @param version the version
+	 * @param index the number of the piece
 	 * @return the bytes, verified
 	 */
-	public CompletableFuture<byte[]> piece(FrameConnection link, Digest digest, int maximumBytes) {
-		return ask(link, new Question(link, digest.hex()), new Weights.ChunkRequest(digest, 0, maximumBytes))
+	public CompletableFuture<byte[]> piece(FrameConnection link, PieceDigests version, int index) {
+		return askPiece(link, version, index)
+			.exceptionallyCompose(
+					(failure) -> isUnknown(failure)
+							? digests(link, version.model(), version.version())
+								.thenCompose((known) -> askPiece(link, version, index))
+							: CompletableFuture.failedFuture(failure));
+	}
+
+	private CompletableFuture<byte[]> askPiece(FrameConnection link, PieceDigests version, int index) {
+		Digest digest = version.digests().get(index);
+		return ask(link, new Question(link, digest.hex()), new Weights.ChunkRequest(digest, 0, version.pieceBytes()))
 			.thenApply(byte[].class::cast);
 	}
 
+	private static boolean isUnknown(Throwable failure) {
+		return failure instanceof UnknownPieceException || failure.getCause() instanceof UnknownPieceException;
+	}
+
 	private CompletableFuture<Object> ask(FrameConnection link, Question question, Weights message) {
 		CompletableFuture<Object> answer = new CompletableFuture<>();
 		CompletableFuture<Object> before = this.asked.putIfAbsent(question, answer);
@@ -117,7 +132,10 @@
 		else if (message instanceof Weights.ChunkRefusal refusal) {
 			CompletableFuture<Object> answer = this.asked.remove(new Question(link, refusal.chunk().hex()));
 			if (answer != null) {
-				answer.completeExceptionally(new IOException(link.peer().instance() + " does not have the piece"));
+				answer.completeExceptionally((refusal.retryAfterMillis() == 0)
+						? new UnknownPieceException(
+								link.peer().instance() + " knows no version with the piece; ask for digests")
+						: new IOException(link.peer().instance() + " cannot get the piece now; ask again"));
 			}
 		}
 	}
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/MemoryOrigin.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/MemoryOrigin.java
@@ -1,5 +1,6 @@
 package org.catkingate.tests.gateway;
 
+import java.net.ConnectException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -25,6 +26,10 @@
 
 	private final AtomicInteger sent = new AtomicInteger();
 
+	private final AtomicInteger refused = new AtomicInteger();
+
+	private volatile int reachableUntil = Integer.MAX_VALUE;
+
 	private static byte[] bytes(long version, int index) {
 		byte[] bytes = new byte[PIECE_BYTES];
 		new Random(version * PIECES + index).nextBytes(bytes);
@@ -39,17 +44,45 @@
 		return new PieceDigests(model, version, PIECE_BYTES, digests);
 	}
 
+	/**
+	 * Refuses all calls once it has sent some pieces.
+	 * @param pieces how many
+	 */
+	void endAfter(int pieces) {
+		this.reachableUntil = pieces;
+	}
+
+	void returnAgain() {
+		this.reachableUntil = Integer.MAX_VALUE;
+	}
+
+	int callsRefused() {
+		return this.refused.get();
+	}
+
+	private boolean hasEnded() {
+		return this.sent.get() >= this.reachableUntil;
+	}
+
+	private <T> CompletableFuture<T> refusal() {
+		this.refused.incrementAndGet();
+		return CompletableFuture.failedFuture(new ConnectException("Connection refused"));
+	}
+
 	int piecesSent() {
 		return this.sent.get();
 	}
 
 	@Override
 	public CompletableFuture<PieceDigests> digests(ModelName model, long version) {
-		return CompletableFuture.completedFuture(version(model, version));
+		return hasEnded() ? refusal() : CompletableFuture.completedFuture(version(model, version));
 	}
 
 	@Override
 	public CompletableFuture<byte[]> piece(ModelName model, long version, int index) {
+		if (hasEnded()) {
+			return refusal();
+		}
 		byte[] bytes = bytes(version, index);
 		if (this.sent.incrementAndGet() % WRONG == 0) {
 			bytes[0]++;
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/WeightsPathTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/WeightsPathTests.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -38,6 +39,9 @@
 
 	private static final Duration PATIENCE = Duration.ofSeconds(20);
 
+	/** Several tries of the gateway and of each loader. */
+	private static final int REFUSALS = 12;
+
 	private static List<RegistryItem> declared(long version) {
 		Engine engine = new Engine(16, 5, 9.27, 0.0232, 20.7, 2048, 979, 92, MemoryOrigin.PIECES, List.of(MODEL));
 		WeightsOrigin origin = new WeightsOrigin(new InetSocketAddress("127.0.0.1", 1), new DataCentreName("a"), 8);
@@ -52,6 +56,11 @@
 
 	private static LoaderProcess loader(String name, InetSocketAddress gateway, MemoryRunner runner, long version)
 			throws Exception {
+		return loader(name, gateway, runner, version, new MemoryOrigin());
+	}
+
+	private static LoaderProcess loader(String name, InetSocketAddress gateway, MemoryRunner runner, long version,
+			MemoryOrigin origin) throws Exception {
 		LoaderSettings settings = LoaderSettings.parse("""
 				[process]
 				instance = %s
@@ -71,7 +80,7 @@
 				change-ms = 3000
 				""".formatted(name, FreePorts.next().getPort(), gateway.getPort(), FreePorts.next().getPort()));
 		return LoaderProcess.start(settings, (calls, url) -> new TestGateway.InMemory(declared(version)),
-				(calls, address) -> new MemoryOrigin(), (calls, url) -> runner);
+				(calls, address) -> origin, (calls, url) -> runner);
 	}
 
 	@Test
@@ -102,4 +111,29 @@
 		}
 	}
 
+	@Test
+	void anOriginThatIsAwayForAWhileSendsItsPiecesToTheGatewayOnlyAsBefore() throws Exception {
+		MemoryOrigin origin = new MemoryOrigin();
+		origin.endAfter(MemoryOrigin.PIECES / 2);
+		InetSocketAddress peers = FreePorts.next();
+		List<MemoryRunner> runners = List.of(new MemoryRunner(), new MemoryRunner(), new MemoryRunner());
+		List<LoaderProcess> loaders = new ArrayList<>();
+		try (TestGateway gateway = TestGateway.with(declared(2), peers, (calls, address) -> origin)) {
+			assertThat(gateway).isNotNull();
+			for (int i = 0; i < runners.size(); i++) {
+				loaders.add(loader("loader-" + i, peers, runners.get(i), 2, origin));
+			}
+			Awaitility.await().atMost(PATIENCE).until(() -> origin.callsRefused() > REFUSALS);
+			origin.returnAgain();
+			Awaitility.await()
+				.atMost(PATIENCE)
+				.untilAsserted(
+						() -> assertThat(runners).allMatch((runner) -> runner.serving().equals(Map.of(MODEL, 2L))));
+			assertThat(origin.piecesSent()).isLessThan(2 * MemoryOrigin.PIECES);
+		}
+		finally {
+			loaders.forEach(LoaderProcess::stop);
+		}
+	}
+
 }
