--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/LoadSettings.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/LoadSettings.java
@@ -18,8 +18,11 @@
 	 */
 	private static final long FINISH_MILLIS = 1200;
 
-	/** Enough to keep a thin link busy while answers are on their way. */
-	private static final int PIECES_AT_ONCE = 6;
+	/**
+	 * One on its way while the next is asked for keeps a link busy. Requests to the
+	 * runner come over the same link and wait behind every piece that is on it.
+	 */
+	private static final int PIECES_AT_ONCE = 2;
 
 	public LoadSettings {
 		if (changeMillis < 1 || piecesAtOnce < 1) {
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/ModelLoad.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/ModelLoad.java
@@ -25,7 +25,7 @@
 public record ModelLoad(ModelName model, long version, long declaredAtMillis, LoadStep step, PieceDigests digests,
 		Set<Integer> good, Set<Integer> fetching, int failures, int window, long sinceMillis, long dueMillis) {
 
-	private static final int FIRST_WINDOW = 4;
+	private static final int FIRST_WINDOW = 2;
 
 	public ModelLoad {
 		good = Set.copyOf(good);
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/loading/LoadReducerTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/loading/LoadReducerTests.java
@@ -143,15 +143,17 @@
 		}
 
 		@Test
-		void hasAFewPiecesUnderWayAtATimeAndFewerOverASlowLink() {
+		void hasTwoPiecesUnderWaySoThatRequestsOverItsLinkWaitBehindNoMoreAndOneOverASlowLink() {
 			reports(false, Map.of());
 			happens(new LoadEvent.Declared(Map.of(MODEL, 1L)));
 			happens(new LoadEvent.DigestsArrived(digests(1)));
 			happens(new LoadEvent.Checked(MODEL, 1, Set.of()));
 			List<LoadEffect.FetchPiece> first = taken(LoadEffect.FetchPiece.class);
-			assertThat(first).hasSize(4);
-			first.forEach((fetch) -> happens(new LoadEvent.PieceEnded(MODEL, 1, fetch.index(), true, 900)));
+			assertThat(first).hasSize(2);
+			happens(new LoadEvent.PieceEnded(MODEL, 1, first.get(0).index(), true, 60));
 			assertThat(taken(LoadEffect.FetchPiece.class)).hasSize(1);
+			happens(new LoadEvent.PieceEnded(MODEL, 1, first.get(1).index(), true, 900));
+			assertThat(taken(LoadEffect.FetchPiece.class)).isEmpty();
 		}
 
 	}
