Read a version ahead of the loaders at the gateways

Cause: a gateway read a piece from the origin when the first loader asked, so it had the last piece only when a loader had almost all (3.2 s). Change: once its digests were asked for, a version is read to its end, two pieces at a time and for the newest version only.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/PieceCache.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/PieceCache.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import org.slf4j.Logger;
@@ -37,6 +38,12 @@
 	/** How often a piece is read from the origin before its asker is refused. */
 	private static final int ORIGIN_TRIES = 3;
 
+	/** How many pieces that nobody has asked for yet are read at a time. */
+	private static final int READS_AHEAD = 2;
+
+	/** The wait after a piece could not be read ahead, in milliseconds. */
+	private static final long AHEAD_RETRY_MILLIS = 300;
+
 	private final Map<String, CompletableFuture<Shelf>> shelves = new HashMap<>();
 
 	private final Map<Digest, Place> places = new HashMap<>();
@@ -117,6 +124,9 @@
 		}
 		drop(digests.model(), digests.version() - KEPT_VERSIONS);
 		coming.complete(shelf);
+		for (int i = 0; i < READS_AHEAD; i++) {
+			readAhead(shelf, i);
+		}
 	}
 
 	private void drop(ModelName model, long version) {
@@ -146,6 +156,26 @@
 		return Optional.of(coming);
 	}
 
+	/*
+	 * Loaders ask at the speed of their own links; the origin may be away before they
+	 * come to the last piece.
+	 */
+	private void readAhead(Shelf shelf, int index) {
+		PieceDigests version = shelf.digests();
+		boolean newest = !this.shelves.containsKey(key(version.model(), version.version() + 1));
+		if (index >= version.digests().size() || !newest) {
+			return;
+		}
+		piece(version.digests().get(index)).ifPresent((piece) -> piece.whenCompleteAsync((bytes, failure) -> {
+			if (failure == null) {
+				readAhead(shelf, index + READS_AHEAD);
+			}
+			else {
+				this.thread.executeAfter(() -> readAhead(shelf, index), AHEAD_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+			}
+		}, this.thread));
+	}
+
 	private CompletableFuture<byte[]> fetch(Place place, Digest digest) {
 		CompletableFuture<byte[]> piece = new CompletableFuture<>();
 		Optional<FrameConnection> near = this.upstream.get();
