--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/loading/LoadReducerTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/loading/LoadReducerTests.java
@@ -94,6 +94,15 @@
 		assertThat(taken(LoadEffect.CheckStaged.class)).hasSize(1);
 	}
 
+	private void waitForOrder() {
+		long until = this.now + 8000;
+		while (taken(LoadEffect.OrderLoad.class).isEmpty()) {
+			assertThat(this.now).isLessThan(until);
+			after(50);
+			taken(LoadEffect.CheckStaged.class).forEach((check) -> happens(new LoadEvent.Checked(MODEL, 2, all())));
+		}
+	}
+
 	@Test
 	void allLoadersAskForPiecesInOneOrderSoThatNoneWaitsForAPieceOfItsOwn() {
 		Set<List<Integer>> orders = new HashSet<>();
@@ -178,11 +187,7 @@
 				reports(false, Map.of(MODEL, 1L));
 				bringToCheck(2);
 				happens(new LoadEvent.Checked(MODEL, 2, all()));
-				while (taken(LoadEffect.OrderLoad.class).isEmpty()) {
-					after(50);
-					taken(LoadEffect.CheckStaged.class)
-						.forEach((check) -> happens(new LoadEvent.Checked(MODEL, 2, all())));
-				}
+				waitForOrder();
 				moments.add(LoadReducerTests.this.now);
 			}
 			assertThat(moments).allMatch((moment) -> moment <= 1000 + 8000 - 1000);
@@ -199,11 +204,7 @@
 				reports(false, Map.of(MODEL, 1L));
 				bringToCheck(2);
 				happens(new LoadEvent.Checked(MODEL, 2, all()));
-				while (taken(LoadEffect.OrderLoad.class).isEmpty()) {
-					after(50);
-					taken(LoadEffect.CheckStaged.class)
-						.forEach((check) -> happens(new LoadEvent.Checked(MODEL, 2, all())));
-				}
+				waitForOrder();
 				moments.add(LoadReducerTests.this.now);
 			}
 			assertThat(moments).isSorted().doesNotHaveDuplicates();
@@ -265,10 +266,7 @@
 				happens(new LoadEvent.PieceEnded(MODEL, 2, i, true, 50));
 			}
 			happens(new LoadEvent.Checked(MODEL, 2, all()));
-			while (taken(LoadEffect.OrderLoad.class).isEmpty()) {
-				after(50);
-				taken(LoadEffect.CheckStaged.class).forEach((check) -> happens(new LoadEvent.Checked(MODEL, 2, all())));
-			}
+			waitForOrder();
 			assertThat(LoadReducerTests.this.now).isLessThan(1000 + 8000 - 1200);
 			reports(true, Map.of(MODEL, 1L));
 			assertThat(taken(LoadEffect.AskDigests.class)).containsExactly(new LoadEffect.AskDigests(MODEL, 3));
