Take other gateways to send to the runner that looks free as well

Cause: loads are told every 200 ms. Change: half of what a gateway has sent since the last word counts for each other gateway that it knows. Test: RunnerTableTests, two runners and a gateway's six sends; with a part of 0 five of them go to the one that was free.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -133,8 +133,8 @@
 				FollowTimes.watchingFor(settings.registry().watchMillis()), new SecureRandom().nextLong(), clock,
 				MomentSource.system(), this::changed);
 		this.beliefs = new Beliefs(this.follower, settings.keysCertainMillis() - KEYS_MARGIN_MILLIS);
-		GatewaySupport support = new GatewaySupport(this.runners, format, settings.retries(), this::gateways, clock,
-				this.counts);
+		GatewaySupport support = new GatewaySupport(this.runners, format, settings.retries(), this::gateways,
+				this::assumedGateways, clock, this.counts);
 		this.peers = GatewayPeers.start(Selves.identity(Selves.of(settings.process())), settings.peers().sharedKey(),
 				settings.peers().listen(), settings.peers().seeds(), this.worker, this::publishedOrigin, this::origin,
 				this.runners, this.versions, clock);
@@ -169,7 +169,11 @@
 	}
 
 	private int gateways() {
-		return Math.max(ASSUMED_GATEWAYS, SPARE_GATEWAYS + this.peers.gateways());
+		return this.peers.gateways();
+	}
+
+	private int assumedGateways() {
+		return Math.max(ASSUMED_GATEWAYS, SPARE_GATEWAYS + gateways());
 	}
 
 	private Optional<WeightsOrigin> publishedOrigin() {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewaySupport.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewaySupport.java
@@ -34,16 +34,29 @@
 
 	private final IntSupplier gateways;
 
+	private final IntSupplier assumedGateways;
+
 	private final MonotonicClock clock;
 
 	private final GatewayCounts counts;
 
+	/**
+	 * Makes what is shared.
+	 * @param runners the runners
+	 * @param format the heads of calls
+	 * @param allowance how many sends beyond the first all gateways may make
+	 * @param gateways counts the gateways that are known, with this one
+	 * @param assumedGateways counts those that may share the allowance, rather too many
+	 * @param clock the clock
+	 * @param counts the counts
+	 */
 	GatewaySupport(RunnerTable runners, CallFormat format, RetryAllowance allowance, IntSupplier gateways,
-			MonotonicClock clock, GatewayCounts counts) {
+			IntSupplier assumedGateways, MonotonicClock clock, GatewayCounts counts) {
 		this.runners = runners;
 		this.format = format;
 		this.allowance = allowance;
 		this.gateways = gateways;
+		this.assumedGateways = assumedGateways;
 		this.clock = clock;
 		this.counts = counts;
 	}
@@ -65,8 +78,8 @@
 	}
 
 	Choice choose(ServiceName service, Demand demand, Set<RunnerId> tried) {
-		return this.runners.choose(service, demand, tried, ThreadLocalRandom.current().nextDouble(),
-				this.clock.millis());
+		return this.runners.choose(service, demand, tried, this.gateways.getAsInt() - 1,
+				ThreadLocalRandom.current().nextDouble(), this.clock.millis());
 	}
 
 	/**
@@ -85,7 +98,8 @@
 	boolean mayRepeat(ServiceName service) {
 		long now = this.clock.millis();
 		Uses used = uses(service);
-		if (!this.allowance.allows(used.calls().count(now), used.repeats().count(now), this.gateways.getAsInt())) {
+		if (!this.allowance.allows(used.calls().count(now), used.repeats().count(now),
+				this.assumedGateways.getAsInt())) {
 			return false;
 		}
 		used.repeats().add(now);
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
@@ -53,6 +53,13 @@
 	/** The time of a plain service before any is observed, in milliseconds. */
 	private static final double FIRST_WORK_MILLIS = 80;
 
+	/**
+	 * How much of what this gateway sent since the last word on a load each other gateway
+	 * is taken to have sent as well: all see the same runner as the best, but for their
+	 * distance.
+	 */
+	private static final double OTHERS_ALIKE = 0.5;
+
 	private final KeptConnections connections;
 
 	private final Distance distance;
@@ -75,6 +82,8 @@
 
 	private int othersStarting;
 
+	private int sentSinceTold;
+
 	private long toldAtMillis = Long.MIN_VALUE / 2;
 
 	private long fullUntilMillis = Long.MIN_VALUE;
@@ -109,6 +118,7 @@
 
 	void started(long promptTokens, long nowMillis) {
 		this.startedAtMillis.addLast(nowMillis);
+		this.sentSinceTold++;
 		this.starting++;
 		this.startingPromptTokens += promptTokens;
 	}
@@ -134,6 +144,7 @@
 	void told(RunnerLoad load, long nowMillis) {
 		this.othersAnswering = Math.max(0, load.running() - this.answering);
 		this.othersStarting = Math.max(0, load.waiting() - this.starting);
+		this.sentSinceTold = 0;
 		this.toldAtMillis = nowMillis;
 	}
 
@@ -174,10 +185,11 @@
 		}
 	}
 
-	RunnerOption option(double usualPromptTokens, long nowMillis) {
+	RunnerOption option(double usualPromptTokens, int otherGateways, long nowMillis) {
 		boolean young = nowMillis - this.toldAtMillis < LOAD_MILLIS;
 		int others = young ? this.othersAnswering : 0;
-		int othersWaiting = young ? this.othersStarting : 0;
+		double untold = OTHERS_ALIKE * otherGateways * this.sentSinceTold;
+		double othersWaiting = young ? this.othersStarting + untold : 0;
 		return new RunnerOption(this.runner.id(), this.distance, this.runner.slots(), this.answering + others,
 				this.starting + othersWaiting, this.startingPromptTokens + othersWaiting * usualPromptTokens,
 				this.workMillis, nowMillis < this.suspectUntilMillis || isStalled(nowMillis));
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -65,14 +65,15 @@
 				&& one.service().equals(other.service());
 	}
 
-	Choice choose(ServiceName service, Demand demand, Set<RunnerId> tried, double draw, long nowMillis) {
+	Choice choose(ServiceName service, Demand demand, Set<RunnerId> tried, int otherGateways, double draw,
+			long nowMillis) {
 		Optional<Engine> engine = this.view.configuration().flatMap((published) -> published.engine(service));
 		double usualPrompt = engine.map(Engine::usualPromptTokens).orElse(0.0);
 		List<RunnerOption> options = new ArrayList<>();
 		for (RunnerState state : this.runners.values()) {
 			if (serves(state, service, engine, nowMillis) && !tried.contains(state.runner().id())
 					&& !state.isFull(nowMillis)) {
-				options.add(state.option(usualPrompt, nowMillis));
+				options.add(state.option(usualPrompt, otherGateways, nowMillis));
 			}
 		}
 		return this.policy.choose(options, demand, engine, draw);
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
@@ -67,7 +67,7 @@
 	}
 
 	private boolean serves(long nowMillis) {
-		return this.table.choose(SERVICE, new Demand(100, 400, 6000, 1), Set.of(), 0.5,
+		return this.table.choose(SERVICE, new Demand(100, 400, 6000, 1), Set.of(), 3, 0.5,
 				nowMillis) instanceof Choice.Send;
 	}
 
@@ -130,6 +130,26 @@
 		assertThat(serves(1300)).isFalse();
 	}
 
+	@Test
+	void gatewaysThatSeeTheSameLoadsDoNotAllSendToTheRunnerThatWasFree() {
+		RegisteredRunner free = runner("free", false, Map.of(MODEL, 1L));
+		RegisteredRunner busy = new RegisteredRunner(new RunnerId("busy"), 1, SERVICE,
+				new InetSocketAddress("127.0.0.1", 8081), new DataCentreName("a"), 16, false, Map.of(MODEL, 1L));
+		this.table.refresh(view(Map.of(), free, busy), 1000);
+		this.table.told(new Runners.RunnerTold("127.0.0.1:8080", 1, false, 0, 0, Map.of("m", 1L)), 1000);
+		this.table.told(new Runners.RunnerTold("127.0.0.1:8081", 1, false, 4, 3, Map.of("m", 1L)), 1000);
+		int sentToFree = 0;
+		for (int i = 0; i < 6; i++) {
+			Choice choice = this.table.choose(SERVICE, new Demand(979, 2000, 6000, 1), Set.of(), 3, 0.5, 1001 + i);
+			RunnerId chosen = ((Choice.Send) choice).runner();
+			this.table.state(chosen).started(979, 1001 + i);
+			sentToFree += (chosen.equals(free.id())) ? 1 : 0;
+		}
+		// four gateways that do so send as many to the one as to the other, but for the
+		// start
+		assertThat(sentToFree).isBetween(2, 4);
+	}
+
 	@Test
 	void aRunnerThatIsLeavingGetsNothing() {
 		this.table.refresh(view(Map.of(), runner("a", true, Map.of(MODEL, 1L))), 1000);
