Write addresses and show the registry's age in one place each

WrittenAddress and RegistryFollower.measure hold them now. Behaviour as before; the tests of these classes pass.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -218,11 +218,7 @@
 	}
 
 	private void registerMetrics() {
-		GaugeWithCallback.builder()
-			.name("catkingate_registry_age_seconds")
-			.help("For how long the view of the registry has not been confirmed")
-			.callback((callback) -> callback.call(this.follower.ageMillis() / 1000.0))
-			.register(this.metrics);
+		this.follower.measure(this.metrics);
 		GaugeWithCallback.builder()
 			.name("catkingate_configuration_version")
 			.help("The version of the configuration in force")
--- a/catkingate-loader/src/main/java/org/catkingate/loader/LoaderProcess.java
+++ b/catkingate-loader/src/main/java/org/catkingate/loader/LoaderProcess.java
@@ -1,7 +1,6 @@
 package org.catkingate.loader;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.URI;
 import java.security.SecureRandom;
 import java.util.HashMap;
@@ -26,6 +25,7 @@
 import org.catkingate.decisions.registry.RegistryView;
 import org.catkingate.decisions.routing.Location;
 import org.catkingate.model.ModelName;
+import org.catkingate.model.WrittenAddress;
 import org.catkingate.model.registry.Engine;
 import org.catkingate.model.registry.ServingConfiguration;
 import org.catkingate.runtime.ControlLoop;
@@ -115,7 +115,7 @@
 				settings.peers().seeds(), this.worker.getIoThread(), new Location(self.dataCentre(), self.region()),
 				new LinkListener());
 		PieceFetcher pieces = new PieceFetcher(this.exchange, () -> this.links, this::origin, clock);
-		this.io = new LoadingIo(runners.open(this.calls, URI.create("http://" + written(settings.runner()))), pieces,
+		this.io = new LoadingIo(runners.open(this.calls, URI.create(WrittenAddress.url(settings.runner()))), pieces,
 				this.worker.getIoThread(), clock, this::submit);
 		long seed = Rendezvous.hash(settings.process().instance().value());
 		this.loop = ControlLoop.prepare(LoadState.initial(LoadSettings.within(settings.weightsChangeMillis(), seed)),
@@ -152,10 +152,6 @@
 		return process;
 	}
 
-	private static String written(InetSocketAddress address) {
-		return address.getAddress().getHostAddress() + ":" + address.getPort();
-	}
-
 	private Optional<PieceOrigin> origin() {
 		return this.follower.view()
 			.configuration()
@@ -203,8 +199,8 @@
 	private void tell(RunnerReport report) {
 		Map<String, Long> models = new HashMap<>();
 		report.models().forEach((model, version) -> models.put(model.value(), version));
-		Runners.RunnerTold next = new Runners.RunnerTold(written(this.settings.runner()), report.startedAtEpochMillis(),
-				report.loading(), report.running(), report.waiting(), models);
+		Runners.RunnerTold next = new Runners.RunnerTold(WrittenAddress.of(this.settings.runner()),
+				report.startedAtEpochMillis(), report.loading(), report.running(), report.waiting(), models);
 		long now = this.clock.millis();
 		if (!next.equals(this.told) || now - this.toldAtMillis >= REPEAT_MILLIS) {
 			this.told = next;
@@ -214,11 +210,7 @@
 	}
 
 	private void registerMetrics() {
-		GaugeWithCallback.builder()
-			.name("catkingate_registry_age_seconds")
-			.help("For how long the view of the registry has not been confirmed")
-			.callback((callback) -> callback.call(this.follower.ageMillis() / 1000.0))
-			.register(this.metrics);
+		this.follower.measure(this.metrics);
 		GaugeWithCallback.builder()
 			.name("catkingate_weights_missing_pieces")
 			.help("Pieces of the declared version that are not staged")
--- /dev/null
+++ b/catkingate-model/src/main/java/org/catkingate/model/WrittenAddress.java
@@ -0,0 +1,34 @@
+package org.catkingate.model;
+
+import java.net.InetSocketAddress;
+
+/**
+ * How addresses are written in URLs, messages and logs. Stateless and safe for use by any
+ * thread.
+ *
+ * @since 0.1
+ */
+public final class WrittenAddress {
+
+	private WrittenAddress() {
+	}
+
+	/**
+	 * Writes an address.
+	 * @param address the address, resolved
+	 * @return it as IP:PORT
+	 */
+	public static String of(InetSocketAddress address) {
+		return address.getAddress().getHostAddress() + ":" + address.getPort();
+	}
+
+	/**
+	 * Writes the URL of a server.
+	 * @param address its address, resolved
+	 * @return the URL without a path
+	 */
+	public static String url(InetSocketAddress address) {
+		return "http://" + of(address);
+	}
+
+}
--- a/catkingate-model/src/main/java/org/catkingate/model/registry/RegisteredRunner.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/registry/RegisteredRunner.java
@@ -8,6 +8,7 @@
 import org.catkingate.model.ModelName;
 import org.catkingate.model.RunnerId;
 import org.catkingate.model.ServiceName;
+import org.catkingate.model.WrittenAddress;
 
 /**
  * A runner as it registers itself. Immutable and safe for use by any thread.
@@ -43,7 +44,7 @@
 	 * @return the address as IP:PORT
 	 */
 	public String writtenAddress() {
-		return this.address.getAddress().getHostAddress() + ":" + this.address.getPort();
+		return WrittenAddress.of(this.address);
 	}
 
 }
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/KeptConnections.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/KeptConnections.java
@@ -16,6 +16,7 @@
 import org.xnio.Options;
 import org.xnio.XnioWorker;
 
+import org.catkingate.model.WrittenAddress;
 import org.catkingate.runtime.MonotonicClock;
 
 /**
@@ -67,7 +68,7 @@
 	 */
 	public static KeptConnections to(InetSocketAddress address, XnioWorker worker, ByteBufferPool buffers,
 			int maximumIdle, MonotonicClock clock) {
-		URI uri = URI.create("http://" + address.getAddress().getHostAddress() + ":" + address.getPort());
+		URI uri = URI.create(WrittenAddress.url(address));
 		return new KeptConnections(uri, worker, buffers, maximumIdle, clock);
 	}
 
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/registry/RegistryFollower.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/registry/RegistryFollower.java
@@ -6,6 +6,8 @@
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -89,6 +91,18 @@
 		return this.view;
 	}
 
+	/**
+	 * Shows the age of the view among a process's metrics.
+	 * @param metrics the metrics
+	 */
+	public void measure(PrometheusRegistry metrics) {
+		GaugeWithCallback.builder()
+			.name("catkingate_registry_age_seconds")
+			.help("For how long the view of the registry has not been confirmed")
+			.callback((callback) -> callback.call(ageMillis() / 1000.0))
+			.register(metrics);
+	}
+
 	/**
 	 * Tells how old the view may be.
 	 * @return the milliseconds since it was last known to be the newest;
