Admit what is predicted within three quarters of its goal

Cause: under overload the waiting prompts grow until predictions stand at the bound, which was the goal itself, and observed times lie on both sides of it: of what was answered, a third came late for a quarter of its value, though a runner is kept busy by far less than a goal's time of waiting prompts. Change: the bound is three quarters of the goal. Test: RunnerChoicesTests, a runner under twice its load: 75 in 100 in time before, over 90 now, and it stays busy. The test of caution sends at two waiting prompts instead of three, which the lower bound refuses.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/RunnerChoices.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/RunnerChoices.java
@@ -30,6 +30,13 @@
 	/** Runners whose times differ by less are equal, in milliseconds. */
 	private static final double EQUAL_MILLIS = 5;
 
+	/**
+	 * The part of the goal within which a first event must be predicted. Under overload
+	 * predictions stand at the bound, and observed times lie on both sides of them; a
+	 * runner is kept busy by far less than a goal's time of waiting prompts.
+	 */
+	private static final double GOAL_PART = 0.75;
+
 	/** The shortest wait that callers are told, in milliseconds. */
 	private static final long SHORTEST_RETRY_MILLIS = 150;
 
@@ -65,7 +72,7 @@
 
 	private static Choice decide(RunnerOption chosen, Demand demand, Optional<Engine> engine, double draw) {
 		double predicted = predicted(chosen, demand, engine);
-		double longest = engine.isPresent() ? demand.goalMillis() : demand.leftMillis();
+		double longest = engine.isPresent() ? GOAL_PART * demand.goalMillis() : demand.leftMillis();
 		double judged = engine.map((known) -> judged(known, chosen) * demand.caution()).orElse(predicted);
 		if (judged > longest) {
 			long late = (long) (judged - longest);
