Log the status that a refused caller gets

"no runner serves this" was also said where all that serve had been tried. Change: the status comes from the refusal or the answer, 0 where the caller left before there was one; the reason says that no runner is left. Reading ahead ends at any newer version, not only at the next number. Test: RequestLineTests, seen failing first (status 200 for 503). Behaviour towards callers as before; not measured."

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/RunnerChoices.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/RunnerChoices.java
@@ -61,7 +61,7 @@
 
 	private static Choice earliest(List<RunnerOption> options, Demand demand, Optional<Engine> engine, double draw) {
 		if (options.isEmpty()) {
-			return new Choice.Refuse(spread(NO_RUNNER_MILLIS, draw), Double.NaN, "no runner serves this");
+			return new Choice.Refuse(spread(NO_RUNNER_MILLIS, draw), Double.NaN, "no runner is left that serves this");
 		}
 		double[] costs = options.stream().mapToDouble((option) -> cost(option, demand, engine)).toArray();
 		double highest = Arrays.stream(costs).min().orElseThrow() + EQUAL_MILLIS;
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -56,6 +56,9 @@
 
 	private static final int FIRST_FAILURE = 300;
 
+	/** Stands in the log for a status where the caller left before there was one. */
+	private static final int NO_STATUS = 0;
+
 	private final Admitted admitted;
 
 	private final Route route;
@@ -324,7 +327,7 @@
 		}
 		passHeld();
 		this.answer.end();
-		settle("answered");
+		settle("answered", this.response.getResponseCode());
 		this.answer.proceed();
 	}
 
@@ -369,14 +372,13 @@
 			return;
 		}
 		if (this.answer.isBegun()) {
-			settle("broken-off");
+			settle("broken-off", this.response.getResponseCode());
 			this.answer.cut();
 			return;
 		}
 		Refusal refusal = this.mayHaveRun ? Refusal.of(Refusal.Kind.OUTCOME_UNKNOWN, reason)
 				: Refusal.notRun(Math.max(retryAfterMillis, RefusalWriter.SOON_MILLIS), reason);
-		settle(refusal.kind().name());
-		RefusalWriter.write(this.exchange, this.support.format(), this.admitted.head().requestId(), refusal);
+		refuse(refusal);
 	}
 
 	private void timedOut() {
@@ -394,8 +396,7 @@
 		}
 		Refusal refusal = unsent ? Refusal.notRun(RefusalWriter.SOON_MILLIS, "no runner could be reached in time")
 				: Refusal.of(Refusal.Kind.TIMED_OUT, "the time for the answer is over");
-		settle(refusal.kind().name());
-		RefusalWriter.write(this.exchange, this.support.format(), this.admitted.head().requestId(), refusal);
+		refuse(refusal);
 	}
 
 	private void callerReady() {
@@ -412,7 +413,7 @@
 			return;
 		}
 		stopRunner("cancelled");
-		settle("caller-left");
+		settle("caller-left", NO_STATUS);
 		this.answer.cut();
 	}
 
@@ -424,18 +425,23 @@
 		}
 	}
 
-	private void settle(String outcome) {
+	private void refuse(Refusal refusal) {
+		settle(refusal.kind().name(), refusal.kind().status());
+		RefusalWriter.write(this.exchange, this.support.format(), this.admitted.head().requestId(), refusal);
+	}
+
+	private void settle(String outcome, int status) {
 		this.over = true;
 		this.attempt = null;
 		long whole = this.support.clock().millis() - this.admitted.arrivedAtMillis();
 		this.support.counts().finished(outcome, this.firstByteMillis, whole);
-		this.log.write(outcome, this.exchange, this.firstByteMillis, whole);
+		this.log.write(outcome, status, this.firstByteMillis, whole);
 	}
 
 	private void exchangeEnded() {
 		if (!this.over) {
 			stopRunner("cancelled");
-			settle("caller-left");
+			settle("caller-left", NO_STATUS);
 		}
 		this.timer.remove();
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/PieceCache.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/PieceCache.java
@@ -48,6 +48,8 @@
 
 	private final Map<Digest, Place> places = new HashMap<>();
 
+	private final Map<ModelName, Long> newest = new HashMap<>();
+
 	private final Deque<Runnable> waitingReads = new ArrayDeque<>();
 
 	private final PieceExchange exchange;
@@ -123,6 +125,7 @@
 			this.places.put(digests.digests().get(i), new Place(shelf, i));
 		}
 		drop(digests.model(), digests.version() - KEPT_VERSIONS);
+		this.newest.merge(digests.model(), digests.version(), Math::max);
 		coming.complete(shelf);
 		for (int i = 0; i < READS_AHEAD; i++) {
 			readAhead(shelf, i);
@@ -162,8 +165,7 @@
 	 */
 	private void readAhead(Shelf shelf, int index) {
 		PieceDigests version = shelf.digests();
-		boolean newest = !this.shelves.containsKey(key(version.model(), version.version() + 1));
-		if (index >= version.digests().size() || !newest) {
+		if (index >= version.digests().size() || this.newest.get(version.model()) > version.version()) {
 			return;
 		}
 		piece(version.digests().get(index)).ifPresent((piece) -> piece.whenCompleteAsync((bytes, failure) -> {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestLog.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestLog.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 
-import io.undertow.server.HttpServerExchange;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -42,7 +41,7 @@
 		this.decisions.add(attempt.runner().runner().id() + " " + outcome + (reason.isEmpty() ? "" : ": " + reason));
 	}
 
-	void write(String outcome, HttpServerExchange exchange, long firstByteMillis, long wholeMillis) {
+	void write(String outcome, int status, long firstByteMillis, long wholeMillis) {
 		logger.atInfo()
 			.addKeyValue("event", "request")
 			.addKeyValue("id", this.admitted.head().requestId())
@@ -55,7 +54,7 @@
 			.addKeyValue("allowed-ms", this.admitted.deadlineMillis() - this.admitted.arrivedAtMillis())
 			.addKeyValue("decisions", this.decisions)
 			.addKeyValue("outcome", outcome)
-			.addKeyValue("status", exchange.getStatusCode())
+			.addKeyValue("status", status)
 			.addKeyValue("first-byte-ms", firstByteMillis)
 			.addKeyValue("whole-ms", wholeMillis)
 			.log("a request has ended");
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/RequestLineTests.java
@@ -0,0 +1,78 @@
+package org.catkingate.tests.gateway;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.slf4j.LoggerFactory;
+import org.slf4j.event.KeyValuePair;
+
+import org.catkingate.model.registry.CallKind;
+import org.catkingate.standins.raw.RawServer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * The line that each request leaves in the log.
+ */
+class RequestLineTests {
+
+	private static final Duration PATIENCE = Duration.ofSeconds(10);
+
+	private final Logger logger = (Logger) LoggerFactory.getLogger("org.catkingate.gateway.requests");
+
+	private final ListAppender<ILoggingEvent> lines = new ListAppender<>();
+
+	@BeforeEach
+	void listen() {
+		this.logger.setLevel(Level.INFO);
+		this.lines.start();
+		this.logger.addAppender(this.lines);
+	}
+
+	@AfterEach
+	void leave() {
+		this.logger.detachAppender(this.lines);
+		this.logger.setLevel(null);
+	}
+
+	private Map<String, String> line() {
+		Awaitility.await().atMost(PATIENCE).until(() -> !this.lines.list.isEmpty());
+		return this.lines.list.get(0)
+			.getKeyValuePairs()
+			.stream()
+			.collect(Collectors.toMap((KeyValuePair pair) -> pair.key, (pair) -> String.valueOf(pair.value)));
+	}
+
+	private String answer(String runnerAnswer) throws Exception {
+		try (RawServer runner = RawServer.answering(runnerAnswer);
+				TestGateway gateway = TestGateway.with(CallKind.NON_IDEMPOTENT, runner.address());
+				RawCaller caller = gateway.connect()) {
+			return caller.post("r1", "/songs/1", "hello").answer();
+		}
+	}
+
+	@Test
+	void tellsTheStatusOfARefusal() throws Exception {
+		assertThat(answer("HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"))
+			.startsWith("HTTP/1.1 503 ");
+		assertThat(line()).containsEntry("outcome", "NOT_RUN").containsEntry("status", "503").containsEntry("id", "r1");
+	}
+
+	@Test
+	void tellsTheStatusOfARunnersAnswer() throws Exception {
+		assertThat(answer("HTTP/1.1 201 Created\r\nX-Request-Id: " + RawServer.ECHO
+				+ "\r\nX-Server-Seal: a.b\r\nContent-Length: 2\r\n\r\nok"))
+			.startsWith("HTTP/1.1 201 ");
+		assertThat(line()).containsEntry("outcome", "answered").containsEntry("status", "201");
+	}
+
+}
