--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/runners/RunnersReducerTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/runners/RunnersReducerTests.java
@@ -137,6 +137,18 @@
 			.toList();
 	}
 
+	private WeightsVersion wantTwoWhileAnotherSwitches() {
+		AgentView serving = agent("other", this.one);
+		RunnerStatus closed = new RunnerStatus(RUNNER, SERVICE, null, null, false);
+		AgentView switching = new AgentView(serving.instance(), 1, true, false, List.of(closed), List.of(), 0);
+		WeightsVersion next = version(this.two, false);
+		on(new RunnersEvent.VersionDropped(this.one.version()));
+		on(new RunnersEvent.FleetChanged(fleet(2, List.of(switching), next)));
+		on(new RunnersEvent.VersionWhole(next, this.two));
+		tick(1000, 0);
+		return next;
+	}
+
 	private void switchToTwo() {
 		this.on(new RunnersEvent.VersionDropped(this.one.version()));
 		want(2, this.two);
@@ -254,14 +266,7 @@
 		@Test
 		void leavesTheEntriesTimeToHearThatTheRunnerBeforeItHasOpened() {
 			serveOne();
-			AgentView serving = agent("other", RunnersReducerTests.this.one);
-			RunnerStatus closed = new RunnerStatus(RUNNER, SERVICE, null, null, false);
-			AgentView switching = new AgentView(serving.instance(), 1, true, false, List.of(closed), List.of(), 0);
-			WeightsVersion next = version(RunnersReducerTests.this.two, false);
-			on(new RunnersEvent.VersionDropped(RunnersReducerTests.this.one.version()));
-			on(new RunnersEvent.FleetChanged(fleet(2, List.of(switching), next)));
-			on(new RunnersEvent.VersionWhole(next, RunnersReducerTests.this.two));
-			tick(1000, 0);
+			WeightsVersion next = wantTwoWhileAnotherSwitches();
 			on(new RunnersEvent.FleetChanged(fleet(2, List.of(agent("other", RunnersReducerTests.this.two)), next)));
 			tick(SwitchOrder.NEWS_MILLIS - 100, 0);
 			assertThat(RunnersReducerTests.this.effects)
@@ -274,14 +279,7 @@
 		void countsTheShareOfRunnersThatAreThereAndNotOfThoseExpected() {
 			RunnersReducerTests.this.expectedRunners = 10;
 			serveOne();
-			AgentView serving = agent("other", RunnersReducerTests.this.one);
-			RunnerStatus closed = new RunnerStatus(RUNNER, SERVICE, null, null, false);
-			AgentView switching = new AgentView(serving.instance(), 1, true, false, List.of(closed), List.of(), 0);
-			WeightsVersion next = version(RunnersReducerTests.this.two, false);
-			on(new RunnersEvent.VersionDropped(RunnersReducerTests.this.one.version()));
-			on(new RunnersEvent.FleetChanged(fleet(2, List.of(switching), next)));
-			on(new RunnersEvent.VersionWhole(next, RunnersReducerTests.this.two));
-			tick(1000, 0);
+			wantTwoWhileAnotherSwitches();
 			assertThat(RunnersReducerTests.this.effects)
 				.noneMatch((effect) -> effect instanceof RunnersEffect.CloseGate);
 		}
