Use what there was for distances, failures of the platform, addresses and log levels

Cause: reading the change once more. SeedLinks and GatewayProcess worked out distances that Location knows; RegistryException was PlatformException again, and of its kinds only HISTORY_GONE is asked for; four commands each looked up the same log level; BenchFleet wrote an address as WrittenAddress does. Change: Location.to takes a data centre and a region; PlatformException has the kind HISTORY_GONE and serves both clients; RoleSettings names what the settings of every role hold. The stand-ins keep Addresses, since they do not depend on the product. Behaviour as before: same messages, same order of links. Not measured."

--- a/catkingate-bench/src/main/java/org/catkingate/bench/fleet/BenchFleet.java
+++ b/catkingate-bench/src/main/java/org/catkingate/bench/fleet/BenchFleet.java
@@ -16,6 +16,7 @@
 import org.catkingate.model.Labels;
 import org.catkingate.model.RegionName;
 import org.catkingate.model.Role;
+import org.catkingate.model.WrittenAddress;
 import org.catkingate.runtime.MonotonicClock;
 import org.catkingate.runtime.fleet.Fleet;
 import org.catkingate.runtime.fleet.FleetSettings;
@@ -73,7 +74,7 @@
 		ObjectNode instance = new ObjectMapper().createObjectNode()
 			.put("id", self.instance().value())
 			.put("role", (self.role() == Role.ENTRY) ? "entry" : "agent")
-			.put("address", address.getAddress().getHostAddress() + ":" + address.getPort())
+			.put("address", WrittenAddress.of(address))
 			.put("dataCentre", self.dataCentre().value())
 			.put("region", self.region().value())
 			.put("leaving", false);
--- a/catkingate-cli/src/main/java/org/catkingate/cli/AgentCommand.java
+++ b/catkingate-cli/src/main/java/org/catkingate/cli/AgentCommand.java
@@ -4,7 +4,6 @@
 import java.nio.file.Path;
 
 import com.beust.jcommander.Parameters;
-import org.slf4j.event.Level;
 
 import org.catkingate.agent.AgentProcess;
 import org.catkingate.model.Role;
@@ -28,11 +27,6 @@
 		return SettingsReader.read(Role.AGENT, path);
 	}
 
-	@Override
-	Level logLevel(ProcessSettings settings) {
-		return settings.process().logLevel();
-	}
-
 	@Override
 	RunningProcess start(ProcessSettings settings) throws IOException {
 		return AgentProcess.start(settings);
--- a/catkingate-cli/src/main/java/org/catkingate/cli/EntryCommand.java
+++ b/catkingate-cli/src/main/java/org/catkingate/cli/EntryCommand.java
@@ -4,7 +4,6 @@
 import java.nio.file.Path;
 
 import com.beust.jcommander.Parameters;
-import org.slf4j.event.Level;
 
 import org.catkingate.entry.EntryProcess;
 import org.catkingate.model.Role;
@@ -28,11 +27,6 @@
 		return SettingsReader.read(Role.ENTRY, path);
 	}
 
-	@Override
-	Level logLevel(ProcessSettings settings) {
-		return settings.process().logLevel();
-	}
-
 	@Override
 	RunningProcess start(ProcessSettings settings) throws IOException {
 		return EntryProcess.start(settings);
--- a/catkingate-cli/src/main/java/org/catkingate/cli/GatewayCommand.java
+++ b/catkingate-cli/src/main/java/org/catkingate/cli/GatewayCommand.java
@@ -4,7 +4,6 @@
 import java.nio.file.Path;
 
 import com.beust.jcommander.Parameters;
-import org.slf4j.event.Level;
 
 import org.catkingate.gateway.GatewayProcess;
 import org.catkingate.model.ini.InvalidConfigurationException;
@@ -30,11 +29,6 @@
 		return GatewaySettings.read(path);
 	}
 
-	@Override
-	Level logLevel(GatewaySettings settings) {
-		return settings.process().logLevel();
-	}
-
 	@Override
 	RunningProcess start(GatewaySettings settings) throws IOException {
 		return GatewayProcess.start(settings, (calls, url) -> PlatformRegistry.at(calls, url, RegistryScope.EVERYTHING),
--- a/catkingate-cli/src/main/java/org/catkingate/cli/LoaderCommand.java
+++ b/catkingate-cli/src/main/java/org/catkingate/cli/LoaderCommand.java
@@ -4,7 +4,6 @@
 import java.nio.file.Path;
 
 import com.beust.jcommander.Parameters;
-import org.slf4j.event.Level;
 
 import org.catkingate.loader.LoaderProcess;
 import org.catkingate.model.ini.InvalidConfigurationException;
@@ -30,11 +29,6 @@
 		return LoaderSettings.read(path);
 	}
 
-	@Override
-	Level logLevel(LoaderSettings settings) {
-		return settings.process().logLevel();
-	}
-
 	@Override
 	RunningProcess start(LoaderSettings settings) throws IOException {
 		return LoaderProcess.start(settings, (calls, url) -> PlatformRegistry.at(calls, url, RegistryScope.OPERATORS),
--- a/catkingate-cli/src/main/java/org/catkingate/cli/ProcessCommand.java
+++ b/catkingate-cli/src/main/java/org/catkingate/cli/ProcessCommand.java
@@ -7,20 +7,20 @@
 import com.beust.jcommander.Parameter;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.slf4j.event.Level;
 
 import org.catkingate.model.ini.ConfigurationProblem;
 import org.catkingate.model.ini.InvalidConfigurationException;
 import org.catkingate.runtime.logging.Logging;
 import org.catkingate.runtime.process.HangUp;
 import org.catkingate.runtime.process.RunningProcess;
+import org.catkingate.runtime.settings.RoleSettings;
 
 /**
  * Runs a process of one role until it is told to end.
  *
  * @param <S> the type of the role's settings
  */
-abstract class ProcessCommand<S> extends Command {
+abstract class ProcessCommand<S extends RoleSettings> extends Command {
 
 	/** Names the settings file where no argument does. */
 	static final String SETTINGS_VARIABLE = "CATKINGATE_SETTINGS";
@@ -50,7 +50,7 @@
 					"catkingate: name the settings file; run 'catkingate " + this.name + " --help'");
 		}
 		S settings = settings(path);
-		Logging.toStandardOutput(logLevel(settings));
+		Logging.toStandardOutput(settings.process().logLevel());
 		try {
 			RunningProcess process = start(settings);
 			HangUp.onSignal(() -> checkAgain(path));
@@ -110,13 +110,6 @@
 	 */
 	abstract S read(Path path) throws InvalidConfigurationException;
 
-	/**
-	 * Returns the lowest level that is logged.
-	 * @param settings the settings
-	 * @return the level, never null
-	 */
-	abstract Level logLevel(S settings);
-
 	/**
 	 * Starts the process.
 	 * @param settings its settings
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/routing/Location.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/routing/Location.java
@@ -26,10 +26,20 @@
 	 * @return the distance, never null
 	 */
 	public Distance to(InstanceRecord instance) {
-		if (instance.dataCentre().equals(this.dataCentre)) {
+		return to(instance.dataCentre(), instance.region());
+	}
+
+	/**
+	 * Tells how far another place is.
+	 * @param otherDataCentre its data centre
+	 * @param otherRegion its region, null if that is unknown
+	 * @return the distance, never null
+	 */
+	public Distance to(DataCentreName otherDataCentre, RegionName otherRegion) {
+		if (otherDataCentre.equals(this.dataCentre)) {
 			return Distance.DATA_CENTRE;
 		}
-		return (instance.region().equals(this.region)) ? Distance.REGION : Distance.ELSEWHERE;
+		return (this.region.equals(otherRegion)) ? Distance.REGION : Distance.ELSEWHERE;
 	}
 
 }
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -18,8 +18,7 @@
 import org.catkingate.decisions.registry.FollowTimes;
 import org.catkingate.decisions.registry.RegistryView;
 import org.catkingate.decisions.routing.Distance;
-import org.catkingate.model.DataCentreName;
-import org.catkingate.model.RegionName;
+import org.catkingate.decisions.routing.Location;
 import org.catkingate.model.registry.RegisteredRunner;
 import org.catkingate.model.registry.ServingConfiguration;
 import org.catkingate.model.registry.WeightsOrigin;
@@ -190,16 +189,10 @@
 			.map((published) -> published.services().get(runner.service()))
 			.map((service) -> service.maximumConnections() / (2 * ASSUMED_GATEWAYS))
 			.orElse(1);
-		return new RunnerState(runner, distance(runner.dataCentre()), KeptConnections.to(runner.address(), this.worker,
-				this.buffers, Math.max(1, Math.min(MOST_IDLE, idle)), this.clock));
-	}
-
-	private Distance distance(DataCentreName dataCentre) {
-		if (dataCentre.equals(this.settings.process().dataCentre())) {
-			return Distance.DATA_CENTRE;
-		}
-		RegionName region = this.settings.regions().get(dataCentre);
-		return this.settings.process().region().equals(region) ? Distance.REGION : Distance.ELSEWHERE;
+		Distance distance = new Location(this.settings.process().dataCentre(), this.settings.process().region())
+			.to(runner.dataCentre(), this.settings.regions().get(runner.dataCentre()));
+		return new RunnerState(runner, distance, KeptConnections.to(runner.address(), this.worker, this.buffers,
+				Math.max(1, Math.min(MOST_IDLE, idle)), this.clock));
 	}
 
 	private void changed(RegistryView view) {
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/peers/SeedLinks.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/peers/SeedLinks.java
@@ -87,17 +87,10 @@
 	 */
 	public List<FrameConnection> nearestFirst() {
 		List<FrameConnection> links = new ArrayList<>(this.open.values());
-		links.sort(Comparator.comparing((link) -> distance(link)));
+		links.sort(Comparator.comparing((link) -> this.own.to(link.peer().dataCentre(), link.peer().region())));
 		return links;
 	}
 
-	private int distance(FrameConnection link) {
-		if (link.peer().dataCentre().equals(this.own.dataCentre())) {
-			return 0;
-		}
-		return link.peer().region().equals(this.own.region()) ? 1 : 2;
-	}
-
 	/**
 	 * Sends a message over all open connections.
 	 * @param message the message
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/platform/PlatformException.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/platform/PlatformException.java
@@ -44,6 +44,9 @@
 		/** An answer with an unexpected status. */
 		REFUSED,
 
+		/** It has forgotten the changes asked for. */
+		HISTORY_GONE,
+
 		/** An answer that cannot be understood. */
 		MALFORMED
 
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/registry/Registry.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/registry/Registry.java
@@ -3,10 +3,11 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.catkingate.model.registry.RegistryItems;
+import org.catkingate.runtime.platform.PlatformException;
 
 /**
  * A registry that is only read. Every call ends, with an answer or with a
- * {@link RegistryException} as the cause. Safe for use by any thread.
+ * {@link PlatformException} as the cause. Safe for use by any thread.
  *
  * @since 0.1
  */
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/registry/RegistryFollower.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/registry/RegistryFollower.java
@@ -24,6 +24,7 @@
 import org.catkingate.runtime.ControlLoop;
 import org.catkingate.runtime.MomentSource;
 import org.catkingate.runtime.MonotonicClock;
+import org.catkingate.runtime.platform.PlatformException;
 
 /**
  * Keeps a process's view of a registry up to date, on a control thread of its own. The
@@ -142,8 +143,8 @@
 
 	private static Event failed(long call, Throwable failure) {
 		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
-		boolean historyGone = cause instanceof RegistryException known
-				&& known.kind() == RegistryException.Kind.HISTORY_GONE;
+		boolean historyGone = cause instanceof PlatformException known
+				&& known.kind() == PlatformException.Kind.HISTORY_GONE;
 		return new FollowEvent.CallFailed(call, historyGone, String.valueOf(cause.getMessage()));
 	}
 
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/GatewaySettings.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/GatewaySettings.java
@@ -32,7 +32,8 @@
  */
 public record GatewaySettings(ProcessSettings.Process process, Map<DataCentreName, RegionName> regions,
 		RegistrySettings registry, InetSocketAddress callers, PeerSettings peers, ProcessSettings.Operators operators,
-		ProcessSettings.Shutdown shutdown, long keysCertainMillis, RetryAllowance retries, Weights weights) {
+		ProcessSettings.Shutdown shutdown, long keysCertainMillis, RetryAllowance retries,
+		Weights weights) implements RoleSettings {
 
 	private static final List<String> SECTIONS = List.of("process", "data-centres", "registry", "callers", "peers",
 			"operators", "shutdown", "keys", "retries", "weights");
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/LoaderSettings.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/LoaderSettings.java
@@ -24,7 +24,8 @@
  * @since 0.1
  */
 public record LoaderSettings(ProcessSettings.Process process, RegistrySettings registry, PeerSettings peers,
-		ProcessSettings.Operators operators, InetSocketAddress runner, ServiceName service, long weightsChangeMillis) {
+		ProcessSettings.Operators operators, InetSocketAddress runner, ServiceName service,
+		long weightsChangeMillis) implements RoleSettings {
 
 	private static final List<String> SECTIONS = List.of("process", "registry", "peers", "operators", "runner",
 			"weights");
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/ProcessSettings.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/ProcessSettings.java
@@ -31,7 +31,7 @@
  * @since 0.1
  */
 public record ProcessSettings(Process process, Platform platform, Peers peers, Operators operators, Shutdown shutdown,
-		Callers callers, Weights weights, List<Runner> runners) {
+		Callers callers, Weights weights, List<Runner> runners) implements RoleSettings {
 
 	public ProcessSettings {
 		Objects.requireNonNull(process, "process must not be null");
