Work out a version's bound once a choice, and verify pieces once

Cause: reading the change once more. Each choice of a runner looked up the oldest usable version again for every runner, with an empty map made each time; loaders computed the digest of a piece that PieceExchange had just verified; GatewayPeers kept three lambdas for a table, the versions and a clock. Change: RunnerTable looks the bounds up before it goes through the runners, only what comes straight from the origin is verified by the loader, GatewayPeers keeps the three themselves. Behaviour as before; RunnerTableTests, WeightsPathTests, PieceCacheTests and GatewayAnswerTests pass. Not measured."

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/DeclaredVersions.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/DeclaredVersions.java
@@ -1,6 +1,7 @@
 package org.catkingate.gateway;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -70,8 +71,12 @@
 		this.heardAt.computeIfAbsent(model, (key) -> new TreeMap<>()).merge(version, atMillis, Math::min);
 	}
 
+	private SortedMap<Long, Long> heard(ModelName model) {
+		return this.heardAt.getOrDefault(model, Collections.emptySortedMap());
+	}
+
 	private boolean isHeard(ModelName model, long version) {
-		return this.heardAt.getOrDefault(model, new TreeMap<>()).containsKey(version);
+		return heard(model).containsKey(version);
 	}
 
 	/**
@@ -83,7 +88,7 @@
 	 */
 	long lowest(ModelName model, long nowMillis) {
 		long lowest = RegistryView.FIRST_VERSION;
-		for (Map.Entry<Long, Long> version : this.heardAt.getOrDefault(model, new TreeMap<>()).entrySet()) {
+		for (Map.Entry<Long, Long> version : heard(model).entrySet()) {
 			if (nowMillis >= version.getValue() + this.changeMillis) {
 				lowest = Math.max(lowest, version.getKey());
 			}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import org.xnio.XnioWorker;
@@ -59,11 +58,11 @@
 
 	private final Supplier<Optional<WeightsOrigin>> published;
 
-	private final Consumer<Runners.RunnerTold> runnerTold;
+	private final RunnerTable table;
 
-	private final Consumer<Runners.VersionDeclared> versionTold;
+	private final DeclaredVersions versions;
 
-	private final Supplier<List<Runners.VersionDeclared>> declarations;
+	private final MonotonicClock clock;
 
 	private final Map<FrameConnection, String> runners = new HashMap<>();
 
@@ -74,9 +73,9 @@
 			DeclaredVersions versions, MonotonicClock clock) {
 		this.own = own;
 		this.published = published;
-		this.runnerTold = (told) -> table.told(told, clock.millis());
-		this.versionTold = (told) -> versions.told(told, clock.millis());
-		this.declarations = () -> versions.messages(clock.millis());
+		this.table = table;
+		this.versions = versions;
+		this.clock = clock;
 		this.exchange = PieceExchange.on(worker.getIoThread());
 		this.cache = new PieceCache(this.exchange, this::upstream, origin, worker.getIoThread());
 		this.transport = FrameTransport.on(worker, key, own);
@@ -153,7 +152,7 @@
 	}
 
 	private void tellDeclarations(FrameConnection link) {
-		this.declarations.get().forEach(link::send);
+		this.versions.messages(this.clock.millis()).forEach(link::send);
 	}
 
 	@Override
@@ -177,7 +176,7 @@
 			answer(connection, request);
 		}
 		else if (message instanceof Runners.RunnerTold told) {
-			this.runnerTold.accept(told);
+			this.table.told(told, this.clock.millis());
 			if (connection.peer().role() == Role.AGENT) {
 				this.runners.put(connection, told.address());
 				this.accepted.stream()
@@ -243,10 +242,10 @@
 		@Override
 		public void received(FrameConnection connection, Message message) {
 			if (message instanceof Runners.RunnerTold told) {
-				GatewayPeers.this.runnerTold.accept(told);
+				GatewayPeers.this.table.told(told, GatewayPeers.this.clock.millis());
 			}
 			else if (message instanceof Runners.VersionDeclared told) {
-				GatewayPeers.this.versionTold.accept(told);
+				GatewayPeers.this.versions.told(told, GatewayPeers.this.clock.millis());
 			}
 			else if (message instanceof Weights answer) {
 				GatewayPeers.this.exchange.received(connection, answer);
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -13,6 +13,7 @@
 import org.catkingate.decisions.admission.RunnerChoice;
 import org.catkingate.decisions.admission.RunnerOption;
 import org.catkingate.decisions.registry.RegistryView;
+import org.catkingate.model.ModelName;
 import org.catkingate.model.RunnerId;
 import org.catkingate.model.ServiceName;
 import org.catkingate.model.registry.Engine;
@@ -69,9 +70,12 @@
 			long nowMillis) {
 		Optional<Engine> engine = this.view.configuration().flatMap((published) -> published.engine(service));
 		double usualPrompt = engine.map(Engine::usualPromptTokens).orElse(0.0);
+		Map<ModelName, Long> lowest = new HashMap<>();
+		engine.ifPresent((known) -> known.models()
+			.forEach((model) -> lowest.put(model, this.versions.lowest(model, nowMillis))));
 		List<RunnerOption> options = new ArrayList<>();
 		for (RunnerState state : this.runners.values()) {
-			if (serves(state, service, engine, nowMillis) && !tried.contains(state.runner().id())
+			if (serves(state, service, lowest, nowMillis) && !tried.contains(state.runner().id())
 					&& !state.isFull(nowMillis)) {
 				options.add(state.option(usualPrompt, otherGateways, nowMillis));
 			}
@@ -79,15 +83,12 @@
 		return this.policy.choose(options, demand, engine, draw);
 	}
 
-	private boolean serves(RunnerState state, ServiceName service, Optional<Engine> engine, long nowMillis) {
+	private static boolean serves(RunnerState state, ServiceName service, Map<ModelName, Long> lowest, long nowMillis) {
 		RegisteredRunner runner = state.runner();
-		if (!runner.service().equals(service) || runner.draining()) {
-			return false;
-		}
-		return engine.isEmpty() || engine.get()
-			.models()
-			.stream()
-			.allMatch((model) -> state.version(model, nowMillis) >= this.versions.lowest(model, nowMillis));
+		return runner.service().equals(service) && !runner.draining()
+				&& lowest.entrySet()
+					.stream()
+					.allMatch((model) -> state.version(model.getKey(), nowMillis) >= model.getValue());
 	}
 
 	/**
--- a/catkingate-loader/src/main/java/org/catkingate/loader/PieceFetcher.java
+++ b/catkingate-loader/src/main/java/org/catkingate/loader/PieceFetcher.java
@@ -51,10 +51,13 @@
 	}
 
 	CompletableFuture<byte[]> piece(PieceDigests version, int index) {
-		Digest digest = version.digests().get(index);
-		return first((link) -> this.exchange.piece(link, version, index),
-				(source) -> source.piece(version.model(), version.version(), index))
-			.thenCompose((bytes) -> Digest.of(bytes).equals(digest) ? CompletableFuture.completedFuture(bytes)
+		return first((link) -> this.exchange.piece(link, version, index), (source) -> verified(source, version, index));
+	}
+
+	private static CompletableFuture<byte[]> verified(PieceOrigin source, PieceDigests version, int index) {
+		return source.piece(version.model(), version.version(), index)
+			.thenCompose((bytes) -> Digest.of(bytes).equals(version.digests().get(index))
+					? CompletableFuture.completedFuture(bytes)
 					: CompletableFuture.failedFuture(new IOException("piece " + index + " has wrong bytes")));
 	}
 
