Pass on what is needed instead of copies of it

Cause: reading the change once more. Behaviour as before; the tests of these classes pass. Not measured."

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/PieceCache.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/PieceCache.java
@@ -154,7 +154,7 @@
 		if (known != null && !known.isCompletedExceptionally()) {
 			return Optional.of(known);
 		}
-		CompletableFuture<byte[]> coming = fetch(place, digest);
+		CompletableFuture<byte[]> coming = fetch(place);
 		place.shelf().pieces.put(place.index(), coming);
 		return Optional.of(coming);
 	}
@@ -178,11 +178,11 @@
 		}, this.thread));
 	}
 
-	private CompletableFuture<byte[]> fetch(Place place, Digest digest) {
+	private CompletableFuture<byte[]> fetch(Place place) {
 		CompletableFuture<byte[]> piece = new CompletableFuture<>();
 		Optional<FrameConnection> near = this.upstream.get();
 		if (near.isEmpty()) {
-			readOrigin(place, digest, 1, piece);
+			readOrigin(place, 1, piece);
 			return piece;
 		}
 		this.exchange.piece(near.get(), place.shelf().digests(), place.index()).whenCompleteAsync((bytes, failure) -> {
@@ -190,31 +190,31 @@
 				piece.complete(bytes);
 			}
 			else {
-				readOrigin(place, digest, 1, piece);
+				readOrigin(place, 1, piece);
 			}
 		}, this.thread);
 		return piece;
 	}
 
-	private void readOrigin(Place place, Digest digest, int tryNumber, CompletableFuture<byte[]> piece) {
+	private void readOrigin(Place place, int tryNumber, CompletableFuture<byte[]> piece) {
 		Optional<PieceOrigin> open = this.origin.get();
 		if (open.isEmpty()) {
 			piece.completeExceptionally(new IOException("no origin of weights is published"));
 			return;
 		}
 		if (this.reads >= ORIGIN_READS) {
-			this.waitingReads.add(() -> readOrigin(place, digest, tryNumber, piece));
+			this.waitingReads.add(() -> readOrigin(place, tryNumber, piece));
 			return;
 		}
 		this.reads++;
 		PieceDigests version = place.shelf().digests();
 		open.get().piece(version.model(), version.version(), place.index()).whenCompleteAsync((bytes, failure) -> {
 			this.reads--;
-			if (failure == null && Digest.of(bytes).equals(digest)) {
+			if (failure == null && Digest.of(bytes).equals(version.digests().get(place.index()))) {
 				piece.complete(bytes);
 			}
 			else {
-				again(place, digest, tryNumber, piece, failure);
+				again(place, tryNumber, piece, failure);
 			}
 			Runnable next = this.waitingReads.poll();
 			if (next != null) {
@@ -223,7 +223,7 @@
 		}, this.thread);
 	}
 
-	private void again(Place place, Digest digest, int tryNumber, CompletableFuture<byte[]> piece, Throwable failure) {
+	private void again(Place place, int tryNumber, CompletableFuture<byte[]> piece, Throwable failure) {
 		PieceDigests version = place.shelf().digests();
 		logger.atWarn()
 			.addKeyValue("event", "piece-unusable")
@@ -233,7 +233,7 @@
 			.addKeyValue("reason", (failure != null) ? failure.getMessage() : "wrong bytes")
 			.log("a piece of the origin's cannot be used");
 		if (tryNumber < ORIGIN_TRIES) {
-			readOrigin(place, digest, tryNumber + 1, piece);
+			readOrigin(place, tryNumber + 1, piece);
 			return;
 		}
 		if (failure == null) {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
@@ -5,7 +5,6 @@
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
-import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
@@ -28,9 +27,7 @@
 
 	private final RunnerState runner;
 
-	private final long promptTokens;
-
-	private final boolean onNewConnection;
+	private final Sending sending;
 
 	private final CallFormat format;
 
@@ -40,10 +37,6 @@
 
 	private final Listener listener;
 
-	private ClientRequest request;
-
-	private byte[] body;
-
 	private XnioExecutor.Key connecting;
 
 	private StreamedCall call;
@@ -54,11 +47,10 @@
 
 	private boolean over;
 
-	private RunnerAttempt(RunnerState runner, long promptTokens, boolean onNewConnection, CallFormat format,
-			MonotonicClock clock, Listener listener) {
+	private RunnerAttempt(RunnerState runner, Sending sending, CallFormat format, MonotonicClock clock,
+			Listener listener) {
 		this.runner = runner;
-		this.promptTokens = promptTokens;
-		this.onNewConnection = onNewConnection;
+		this.sending = sending;
 		this.format = format;
 		this.clock = clock;
 		this.startedAtMillis = clock.millis();
@@ -77,10 +69,7 @@
 	 */
 	static RunnerAttempt start(RunnerState runner, Sending sending, CallFormat format, XnioIoThread thread,
 			MonotonicClock clock, Listener listener) {
-		RunnerAttempt attempt = new RunnerAttempt(runner, sending.promptTokens(), sending.onNewConnection(), format,
-				clock, listener);
-		attempt.request = sending.request();
-		attempt.body = sending.body();
+		RunnerAttempt attempt = new RunnerAttempt(runner, sending, format, clock, listener);
 		runner.started(sending.promptTokens(), clock.millis());
 		attempt.connecting = thread.executeAfter(() -> attempt.notSent("the connection did not open in time"),
 				CONNECT_MILLIS, TimeUnit.MILLISECONDS);
@@ -109,7 +98,7 @@
 			return;
 		}
 		this.listener.sent(this);
-		this.call = StreamedCall.start(connection, this.request, this.body, this);
+		this.call = StreamedCall.start(connection, this.sending.request(), this.sending.body(), this);
 	}
 
 	private void notSent(String reason) {
@@ -166,7 +155,7 @@
 			this.runner.ended();
 		}
 		else {
-			this.runner.notStarting(this.promptTokens);
+			this.runner.notStarting(this.sending.promptTokens());
 		}
 	}
 
@@ -193,7 +182,7 @@
 		if (!this.begun) {
 			this.begun = true;
 			long took = this.clock.millis() - this.startedAtMillis;
-			this.runner.begun(this.promptTokens, took);
+			this.runner.begun(this.sending.promptTokens(), took);
 			this.listener.begun(this, took);
 		}
 		this.listener.data(this, bytes);
@@ -201,13 +190,13 @@
 
 	@Override
 	public void ended(StreamedCall.End end) {
-		boolean reusable = end.isReusable() && this.answer.keptMillis() > 0 && !this.onNewConnection;
+		boolean reusable = end.isReusable() && this.answer.keptMillis() > 0 && !this.sending.onNewConnection();
 		if (reusable) {
 			// half of the time, so that the runner does not close it at the moment of use
 			this.runner.connections().release(end.connection(), this.answer.keptMillis() / 2);
 		}
 		else {
-			IoUtils.safeClose(end.connection());
+			end.close();
 		}
 		if (!this.over) {
 			close();
