--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -1,7 +1,5 @@
 package org.catkingate.gateway;
 
-import java.io.ByteArrayOutputStream;
-import java.nio.ByteBuffer;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -9,7 +7,6 @@
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import org.xnio.XnioExecutor;
@@ -21,7 +18,6 @@
 import org.catkingate.model.registry.Route;
 import org.catkingate.runtime.calls.AnswerHead;
 import org.catkingate.runtime.calls.RunnerHead;
-import org.catkingate.runtime.http.CallerAnswer;
 import org.catkingate.runtime.http.CallerDeparture;
 import org.catkingate.runtime.http.StreamedCall;
 
@@ -33,12 +29,6 @@
  */
 final class GatewayCall implements RunnerAttempt.Listener {
 
-	/** Answers up to this length are passed on only when they are whole, in bytes. */
-	private static final int HELD_BYTES = 256 * 1024;
-
-	/** How much may wait for a slow caller before the runner is held up, in bytes. */
-	private static final int PENDING_BYTES = 256 * 1024;
-
 	/**
 	 * How long after the end of the time the runner's own answer is waited for, in
 	 * milliseconds: it gives up at the same moment, and its word is worth more.
@@ -67,30 +57,20 @@
 
 	private final GatewaySupport support;
 
-	private final CallerAnswer answer;
+	private final AnswerRelay answer;
 
 	private final RequestLog log;
 
 	private final Set<RunnerId> tried = new HashSet<>();
 
-	private final EventSplitter events = new EventSplitter();
-
-	private final ByteArrayOutputStream held = new ByteArrayOutputStream();
-
 	private RunnerAttempt attempt;
 
-	private ClientResponse response;
-
 	private int sends;
 
 	private int unreached;
 
 	private boolean mayHaveRun;
 
-	private boolean streaming;
-
-	private long lastEvent = Long.MIN_VALUE;
-
 	private long firstByteMillis = -1;
 
 	private double predictedMillis;
@@ -104,7 +84,7 @@
 		this.route = admitted.route();
 		this.exchange = exchange;
 		this.support = support;
-		this.answer = new CallerAnswer(exchange, this::callerReady, this::callerLeft);
+		this.answer = new AnswerRelay(exchange, this::callerReady, this::callerLeft);
 		this.log = RequestLog.of(admitted);
 	}
 
@@ -171,10 +151,9 @@
 			}
 		}
 		request.getRequestHeaders().put(Headers.HOST, this.admitted.host());
-		Long afterEvent = (this.lastEvent != Long.MIN_VALUE) ? this.lastEvent : null;
 		this.support.format()
 			.write(request.getRequestHeaders(), new RunnerHead(runner.runner().id(), Math.max(1, leftMillis()),
-					this.admitted.account(), afterEvent));
+					this.admitted.account(), this.answer.lastEvent()));
 		return request;
 	}
 
@@ -221,10 +200,7 @@
 			failed(from, "unsigned", "the answer bears no code of a runner");
 			return false;
 		}
-		this.response = head;
-		this.streaming = this.route.kind() == CallKind.STREAM && head.getResponseCode() < FIRST_FAILURE;
-		this.held.reset();
-		this.events.clear();
+		this.answer.head(head, this.route.kind() == CallKind.STREAM && head.getResponseCode() < FIRST_FAILURE);
 		return true;
 	}
 
@@ -234,7 +210,7 @@
 
 	@Override
 	public boolean hasRoom() {
-		return this.answer.pendingBytes() < PENDING_BYTES;
+		return this.answer.hasRoom();
 	}
 
 	@Override
@@ -252,52 +228,7 @@
 		if (this.firstByteMillis < 0) {
 			this.firstByteMillis = this.support.clock().millis() - this.admitted.arrivedAtMillis();
 		}
-		if (this.streaming) {
-			this.events.add(bytes, this::passOn);
-			if (this.answer.isBegun()) {
-				this.answer.proceed();
-			}
-			return;
-		}
-		this.held.writeBytes(bytes);
-		if (this.held.size() > HELD_BYTES) {
-			passHeld();
-			this.answer.proceed();
-		}
-	}
-
-	private void passOn(EventSplitter.Event event) {
-		if (event.id() != null) {
-			if (event.id() <= this.lastEvent) {
-				return;
-			}
-			this.lastEvent = event.id();
-		}
-		begin();
-		this.answer.add(ByteBuffer.wrap(event.bytes()));
-	}
-
-	private void passHeld() {
-		begin();
-		if (this.held.size() > 0) {
-			this.answer.add(ByteBuffer.wrap(this.held.toByteArray()));
-			this.held.reset();
-		}
-	}
-
-	private void begin() {
-		if (!this.answer.isBegun()) {
-			this.answer.begin(this.response.getResponseCode(), answerHeaders());
-		}
-	}
-
-	private HeaderMap answerHeaders() {
-		HeaderMap headers = this.response.getResponseHeaders();
-		if (this.streaming) {
-			// a stream that goes on at another runner has another length
-			headers.remove(Headers.CONTENT_LENGTH);
-		}
-		return headers;
+		this.answer.data(bytes);
 	}
 
 	@Override
@@ -305,11 +236,11 @@
 		if (isOld(from)) {
 			return;
 		}
-		if (this.streaming && this.events.hasRest()) {
+		if (this.answer.isInsideEvent()) {
 			broken(from, "the stream ended inside an event");
 			return;
 		}
-		int status = this.response.getResponseCode();
+		int status = this.answer.status();
 		if (status >= FIRST_FAILURE && this.route.mayRunAgain() && !this.answer.isBegun()) {
 			this.log.ended(from, "failed", "status " + status);
 			repeatOr(() -> finishAnswer(from));
@@ -319,15 +250,9 @@
 	}
 
 	private void finishAnswer(RunnerAttempt from) {
-		this.log.ended(from, "answered", "status " + this.response.getResponseCode());
-		if (!this.answer.isBegun() && !this.streaming
-				&& !this.response.getResponseHeaders().contains(Headers.CONTENT_LENGTH)) {
-			this.response.getResponseHeaders().put(Headers.CONTENT_LENGTH, Integer.toString(this.held.size()));
-			this.response.getResponseHeaders().remove(Headers.TRANSFER_ENCODING);
-		}
-		passHeld();
+		this.log.ended(from, "answered", "status " + this.answer.status());
 		this.answer.end();
-		settle("answered", this.response.getResponseCode());
+		settle("answered", this.answer.status());
 		this.answer.proceed();
 	}
 
@@ -345,9 +270,8 @@
 		this.log.ended(from, outcome, reason);
 		from.cancel();
 		this.attempt = null;
-		this.events.clear();
-		this.held.reset();
-		boolean resumable = !this.answer.isBegun() || (this.streaming && this.route.resumable());
+		this.answer.forget();
+		boolean resumable = !this.answer.isBegun() || (this.answer.isStreaming() && this.route.resumable());
 		if (this.route.mayRunAgain() && resumable) {
 			repeatOr(() -> giveUp(0, reason));
 			return;
@@ -372,7 +296,7 @@
 			return;
 		}
 		if (this.answer.isBegun()) {
-			settle("broken-off", this.response.getResponseCode());
+			settle("broken-off", this.answer.status());
 			this.answer.cut();
 			return;
 		}
