Log what a gateway takes a runner to serve, and since when a version is declared

Callers see nothing of this. The lines of requests could not tell the hypotheses of the VERSION incident apart (docs/incidents/2026-12-version.md): whether a request waited at a runner of the older version (H1), whether the gateway heard late of the newer one (H2), or whether it was wrong on the runner's version (H3). Each chosen runner now comes with the versions that it is taken to serve and with the time after which its answer began; version-age says how long ago a version was declared, as far as the gateway knows, and when it is due. One line a version and gateway, and some 60 bytes more in a request's line. No decision has changed.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/DeclaredVersions.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/DeclaredVersions.java
@@ -8,6 +8,9 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
 import org.catkingate.decisions.registry.RegistryView;
 import org.catkingate.model.ModelName;
 import org.catkingate.wire.Runners;
@@ -19,6 +22,8 @@
  */
 final class DeclaredVersions {
 
+	private static final Logger logger = LoggerFactory.getLogger(DeclaredVersions.class);
+
 	private final Map<ModelName, SortedMap<Long, Long>> heardAt = new HashMap<>();
 
 	/** What the first view of the registry held, unless somebody tells its age. */
@@ -51,7 +56,7 @@
 	void declared(Map<ModelName, Long> versions, long nowMillis) {
 		versions.forEach((model, version) -> {
 			if (!version.equals(this.found.get(model))) {
-				heard(model, version, nowMillis);
+				heard(model, version, nowMillis, nowMillis);
 			}
 		});
 	}
@@ -63,12 +68,24 @@
 	 */
 	void told(Runners.VersionDeclared told, long nowMillis) {
 		if (told.isAgeKnown()) {
-			heard(told.model(), told.version(), nowMillis - told.ageMillis());
+			heard(told.model(), told.version(), nowMillis - told.ageMillis(), nowMillis);
 		}
 	}
 
-	private void heard(ModelName model, long version, long atMillis) {
-		this.heardAt.computeIfAbsent(model, (key) -> new TreeMap<>()).merge(version, atMillis, Math::min);
+	private void heard(ModelName model, long version, long atMillis, long nowMillis) {
+		Long known = heard(model).get(version);
+		if (known != null && known <= atMillis) {
+			return;
+		}
+		this.heardAt.computeIfAbsent(model, (key) -> new TreeMap<>()).put(version, atMillis);
+		logger.atInfo()
+			.addKeyValue("event", "version-age")
+			.addKeyValue("model", model)
+			.addKeyValue("version", version)
+			.addKeyValue("age-ms", nowMillis - atMillis)
+			.addKeyValue("age-before-ms", (known != null) ? nowMillis - known : "unknown")
+			.addKeyValue("due-in-ms", atMillis + this.changeMillis - nowMillis)
+			.log("requests may begin on older versions until this version is due");
 	}
 
 	private SortedMap<Long, Long> heard(ModelName model) {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -110,9 +110,10 @@
 				this.support.caution(this.admitted.service()));
 		Choice choice = this.support.choose(this.admitted.service(), demand, this.tried);
 		if (choice instanceof Choice.Send send) {
-			this.log.chosen(send);
+			RunnerState runner = this.support.runners().state(send.runner());
+			this.log.chosen(send, runner.serving(this.support.clock().millis()));
 			this.predictedMillis = send.predictedMillis();
-			send(this.support.runners().state(send.runner()));
+			send(runner);
 		}
 		else if (choice instanceof Choice.Refuse refuse) {
 			this.log.refused(refuse);
@@ -216,6 +217,7 @@
 	@Override
 	public void begun(RunnerAttempt from, long tookMillis) {
 		if (!isOld(from)) {
+			this.log.begun(from, tookMillis);
 			this.support.begun(this.admitted.service(), this.predictedMillis, tookMillis);
 		}
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestLog.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestLog.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 import org.catkingate.decisions.admission.Choice;
+import org.catkingate.model.ModelName;
 
 /**
  * Gathers what was decided about one request, and logs it in one line at its end, so that
@@ -28,8 +30,13 @@
 		return new RequestLog(admitted);
 	}
 
-	void chosen(Choice.Send send) {
-		this.decisions.add("send " + send.runner() + " predicted-ms=" + Math.round(send.predictedMillis()));
+	void chosen(Choice.Send send, Map<ModelName, Long> serving) {
+		this.decisions.add("send " + send.runner() + " predicted-ms=" + Math.round(send.predictedMillis()) + " serving="
+				+ serving);
+	}
+
+	void begun(RunnerAttempt attempt, long tookMillis) {
+		this.decisions.add(attempt.runner().runner().id() + " begun after-ms=" + tookMillis);
 	}
 
 	void refused(Choice.Refuse refuse) {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Map;
 
 import org.catkingate.decisions.admission.RunnerOption;
 import org.catkingate.decisions.routing.Distance;
@@ -66,7 +67,7 @@
 
 	private RegisteredRunner runner;
 
-	private Runners.RunnerTold word;
+	private Map<ModelName, Long> toldToServe = Map.of();
 
 	private long wordAtMillis = Long.MIN_VALUE / 2;
 
@@ -154,7 +155,7 @@
 	 * @param nowMillis the time now, in monotonic milliseconds
 	 */
 	void told(Runners.RunnerTold told, long nowMillis) {
-		this.word = told;
+		this.toldToServe = told.loading() ? Map.of() : told.versions();
 		this.wordAtMillis = nowMillis;
 		told(new RunnerLoad(told.running(), told.waiting()), nowMillis);
 	}
@@ -166,12 +167,17 @@
 	 * @return the version, or 0 for none
 	 */
 	long version(ModelName model, long nowMillis) {
-		Long registered = this.runner.models().get(model);
-		if (nowMillis - this.wordAtMillis >= WORD_MILLIS) {
-			return (registered != null) ? registered : 0;
-		}
-		Long told = this.word.version(model);
-		return (told == null || this.word.loading()) ? 0 : told;
+		return serving(nowMillis).getOrDefault(model, 0L);
+	}
+
+	/**
+	 * Tells which versions the runner serves now, by its loader's word if that is recent,
+	 * else by its registration.
+	 * @param nowMillis the time now, in monotonic milliseconds
+	 * @return the version of each model
+	 */
+	Map<ModelName, Long> serving(long nowMillis) {
+		return (nowMillis - this.wordAtMillis >= WORD_MILLIS) ? this.runner.models() : this.toldToServe;
 	}
 
 	void refused(long nowMillis) {
--- a/catkingate-wire/src/main/java/org/catkingate/wire/Runners.java
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/Runners.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Objects;
+import java.util.stream.Collectors;
 
 import org.catkingate.model.ModelName;
 
@@ -28,15 +29,18 @@
 		public RunnerTold {
 			Objects.requireNonNull(address, "address must not be null");
 			models = Map.copyOf(models);
+			// a message with a name that is none is refused when it is decoded
+			models.keySet().forEach(ModelName::new);
 		}
 
 		/**
-		 * Tells which version of a model the runner serves.
-		 * @param model the model
-		 * @return the version, or null if it serves none
+		 * Tells which versions the runner serves.
+		 * @return the version of each model
 		 */
-		public Long version(ModelName model) {
-			return this.models.get(model.value());
+		public Map<ModelName, Long> versions() {
+			return this.models.entrySet()
+				.stream()
+				.collect(Collectors.toUnmodifiableMap((model) -> new ModelName(model.getKey()), Map.Entry::getValue));
 		}
 
 	}
