Reproduce requests that begin on an older version after the time for the change

RunnerTableTests: a runner of the older version whose queue outlasts the change still gets a request (sent, predicted in 312 ms with 300 ms left). RawServer counts the connections that its peer has ended; TestGateway takes a registry that changes.

--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
@@ -67,8 +67,11 @@
 	}
 
 	private boolean serves(long nowMillis) {
-		return this.table.choose(SERVICE, new Demand(100, 400, 6000, 1), Set.of(), 3, 0.5,
-				nowMillis) instanceof Choice.Send;
+		return choose(nowMillis) instanceof Choice.Send;
+	}
+
+	private Choice choose(long nowMillis) {
+		return this.table.choose(SERVICE, new Demand(100, 600, 6000, 1), Set.of(), 3, 0.5, nowMillis);
 	}
 
 	@Test
@@ -104,6 +107,17 @@
 		assertThat(serves(8000)).isFalse();
 	}
 
+	// Guards against requests that begin on an older version because they wait at its
+	// runner.
+	@Test
+	void aRunnerOfAnOlderVersionGetsNothingThatWouldBeginThereAfterTheTimeForTheChange() {
+		this.table.refresh(view(Map.of(), runner("a", false, Map.of(MODEL, 1L))), 500);
+		this.table.refresh(view(Map.of(MODEL, 2L), runner("a", false, Map.of(MODEL, 1L))), 1000);
+		this.table.told(new Runners.RunnerTold("127.0.0.1:8080", 1, false, 8, 4, Map.of("m", 1L)), 7700);
+		Choice choice = choose(7700);
+		assertThat(choice).as("four usual prompts wait there, and 300 ms are left").isInstanceOf(Choice.Refuse.class);
+	}
+
 	@Test
 	void aNewerVersionDoesNotLengthenTheTimeOfTheOneBefore() {
 		this.table.refresh(view(Map.of(), runner("a", false, Map.of(MODEL, 1L))), 500);
--- a/catkingate-standins/src/main/java/org/catkingate/standins/raw/RawServer.java
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/raw/RawServer.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -36,6 +37,8 @@
 
 	private final List<Socket> sockets = new CopyOnWriteArrayList<>();
 
+	private final AtomicInteger left = new AtomicInteger();
+
 	private final ServerSocket socket;
 
 	private final Supplier<Answer> answers;
@@ -96,6 +99,14 @@
 		return this.sockets.size();
 	}
 
+	/**
+	 * Counts the connections that the other side has ended.
+	 * @return how many
+	 */
+	public int connectionsLeft() {
+		return this.left.get();
+	}
+
 	/**
 	 * Lists the heads of the requests so far.
 	 * @return the heads in order of arrival
@@ -137,9 +148,11 @@
 					return;
 				}
 			}
+			this.left.incrementAndGet();
 		}
 		catch (IOException ex) {
 			// the other side has closed the connection
+			this.left.incrementAndGet();
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
@@ -81,6 +81,19 @@
 	 * @return the gateway, which knows its configuration
 	 */
 	static TestGateway with(List<RegistryItem> items, InetSocketAddress peers, OriginAccess origins) throws Exception {
+		return with(new InMemory(items), peers, origins, 8000);
+	}
+
+	/**
+	 * Starts a gateway.
+	 * @param registry what it follows
+	 * @param peers where it listens for other processes
+	 * @param origins opens the origin of weights
+	 * @param changeMillis how long a change of versions may take
+	 * @return the gateway, which knows its configuration
+	 */
+	static TestGateway with(Registry registry, InetSocketAddress peers, OriginAccess origins, long changeMillis)
+			throws Exception {
 		InetSocketAddress callers = FreePorts.next();
 		InetSocketAddress operators = FreePorts.next();
 		GatewaySettings settings = GatewaySettings.parse("""
@@ -110,9 +123,9 @@
 				free = 600
 				window-ms = 10000
 				[weights]
-				change-ms = 8000
-				""".formatted(callers.getPort(), operators.getPort(), peers.getPort()));
-		GatewayProcess process = GatewayProcess.start(settings, (calls, url) -> new InMemory(items), origins,
+				change-ms = %d
+				""".formatted(callers.getPort(), operators.getPort(), peers.getPort(), changeMillis));
+		GatewayProcess process = GatewayProcess.start(settings, (calls, url) -> registry, origins,
 				new PlatformCallFormat());
 		Awaitility.await().atMost(Duration.ofSeconds(20)).until(() -> isReady(operators));
 		return new TestGateway(process, callers);
