Tell other gateways again and again since when versions are declared

A gateway that slept, or was cut off, while a version was declared takes it for newer than it is: the age that others told lay in its buffers with its value of then, and its monotonic clock stood still. It would let requests begin on the older version for as long as it was away, from 3 s after its return.

Change: gateways tell each other every second, both ways over their links; the earliest moment counts, so that the next age corrects one that was too low. Versions before one that is due are forgotten, so that the messages stay few.

Tests: GatewayPeersTests fails before (one age in 20 s) and passes; versionsBeforeOneThatIsDueAreForgotten fails before and passes. anAgeThatIsToldLaterAndIsHigherBringsTheEndForward passed before too: it keeps the rule that this rests on.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/DeclaredVersions.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/DeclaredVersions.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -80,7 +81,9 @@
 		if (known != null && known <= atMillis) {
 			return;
 		}
-		this.heardAt.computeIfAbsent(model, (key) -> new TreeMap<>()).put(version, atMillis);
+		SortedMap<Long, Long> versions = this.heardAt.computeIfAbsent(model, (key) -> new TreeMap<>());
+		versions.put(version, atMillis);
+		forgetReplaced(versions, nowMillis);
 		logger.atInfo()
 			.addKeyValue("event", "version-age")
 			.addKeyValue("model", model)
@@ -91,6 +94,18 @@
 			.log("requests may begin on older versions until this version is due");
 	}
 
+	/*
+	 * Versions older than one that is due are over whatever their own age is.
+	 */
+	private void forgetReplaced(SortedMap<Long, Long> versions, long nowMillis) {
+		versions.entrySet()
+			.stream()
+			.filter((version) -> version.getValue() + this.changeMillis <= nowMillis)
+			.map(Map.Entry::getKey)
+			.max(Comparator.naturalOrder())
+			.ifPresent((due) -> versions.headMap(due).clear());
+	}
+
 	private SortedMap<Long, Long> heard(ModelName model) {
 		return this.heardAt.getOrDefault(model, Collections.emptySortedMap());
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
@@ -9,7 +9,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 
 import org.xnio.XnioWorker;
 
@@ -44,6 +46,12 @@
 	/** When to ask again for a piece that could not be had, in milliseconds. */
 	private static final long REFUSED_MILLIS = 150;
 
+	/**
+	 * How often gateways tell each other since when versions are declared, in
+	 * milliseconds: far below the time that a change may take.
+	 */
+	private static final long TELL_MILLIS = 1000;
+
 	private final Set<FrameConnection> accepted = new HashSet<>();
 
 	private final Handshake.PeerIdentity own;
@@ -105,6 +113,7 @@
 		List<InetSocketAddress> others = seeds.stream().filter((seed) -> !seed.equals(listen)).toList();
 		GatewayPeers peers = new GatewayPeers(own, key, others, worker, published, origin, table, versions, clock);
 		peers.transport.listen(listen, peers);
+		worker.getIoThread().executeAtInterval(peers::tellAges, TELL_MILLIS, TimeUnit.MILLISECONDS);
 		return peers;
 	}
 
@@ -116,9 +125,7 @@
 		Set<InstanceId> known = new HashSet<>();
 		known.add(this.own.instance());
 		this.links.nearestFirst().forEach((link) -> known.add(link.peer().instance()));
-		this.accepted.stream()
-			.filter((link) -> link.peer().role() == Role.ENTRY)
-			.forEach((link) -> known.add(link.peer().instance()));
+		gatewaysThatDialled().forEach((link) -> known.add(link.peer().instance()));
 		return known.size();
 	}
 
@@ -155,6 +162,23 @@
 		this.versions.messages(this.clock.millis()).forEach(link::send);
 	}
 
+	/*
+	 * An age may be told too low: it waits on a link that is cut or full, and the clock
+	 * of a machine that sleeps stands still. The next one corrects it.
+	 */
+	private void tellAges() {
+		gatewaysThatDialled().forEach(this::tellDeclarations);
+		this.links.nearestFirst().forEach(this::tellDeclarations);
+	}
+
+	private Stream<FrameConnection> gatewaysThatDialled() {
+		return this.accepted.stream().filter((link) -> link.peer().role() == Role.ENTRY);
+	}
+
+	private void take(Runners.VersionDeclared told) {
+		this.versions.told(told, this.clock.millis());
+	}
+
 	@Override
 	public void opened(FrameConnection connection) {
 		this.accepted.add(connection);
@@ -179,11 +203,12 @@
 			this.table.told(told, this.clock.millis());
 			if (connection.peer().role() == Role.AGENT) {
 				this.runners.put(connection, told.address());
-				this.accepted.stream()
-					.filter((link) -> link.peer().role() == Role.ENTRY)
-					.forEach((link) -> link.send(told));
+				gatewaysThatDialled().forEach((link) -> link.send(told));
 			}
 		}
+		else if (message instanceof Runners.VersionDeclared told) {
+			take(told);
+		}
 	}
 
 	/*
@@ -245,7 +270,7 @@
 				GatewayPeers.this.table.told(told, GatewayPeers.this.clock.millis());
 			}
 			else if (message instanceof Runners.VersionDeclared told) {
-				GatewayPeers.this.versions.told(told, GatewayPeers.this.clock.millis());
+				take(told);
 			}
 			else if (message instanceof Weights answer) {
 				GatewayPeers.this.exchange.received(connection, answer);
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
@@ -101,6 +101,27 @@
 		assertThat(this.versions.messages(1700)).containsExactly(new Runners.VersionDeclared(MODEL, 2, 800));
 	}
 
+	// Guards against requests that begin on an older version because a gateway slept or
+	// was cut off when the newer one was declared.
+	@Test
+	void anAgeThatIsToldLaterAndIsHigherBringsTheEndForward() {
+		this.table.refresh(view(Map.of(), runner("a", false, Map.of(MODEL, 1L))), 500);
+		this.table.refresh(view(Map.of(MODEL, 2L), runner("a", false, Map.of(MODEL, 1L))), 5000);
+		this.versions.told(new Runners.VersionDeclared(MODEL, 2, 4000), 6000);
+		assertThat(this.versions.endMillis(MODEL, 1)).isEqualTo(9000);
+		this.versions.told(new Runners.VersionDeclared(MODEL, 2, 10), 6100);
+		assertThat(this.versions.endMillis(MODEL, 1)).isEqualTo(9000);
+	}
+
+	@Test
+	void versionsBeforeOneThatIsDueAreForgotten() {
+		for (long version = 2; version < 100; version++) {
+			this.table.refresh(view(Map.of(MODEL, version)), 10_000 * version);
+		}
+		assertThat(this.versions.messages(1_000_000)).hasSizeLessThan(4);
+		assertThat(this.versions.endMillis(MODEL, 1)).isLessThan(1_000_000);
+	}
+
 	@Test
 	void aRunnerOfAnOlderVersionGetsNothingOnceTheTimeForTheChangeIsOver() {
 		this.table.refresh(view(Map.of(), runner("a", false, Map.of(MODEL, 1L))), 500);
--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/GatewayPeersTests.java
@@ -0,0 +1,79 @@
+package org.catkingate.tests.gateway;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.Test;
+
+import org.catkingate.model.DataCentreName;
+import org.catkingate.model.InstanceId;
+import org.catkingate.model.RegionName;
+import org.catkingate.model.Role;
+import org.catkingate.tests.harness.FreePorts;
+import org.catkingate.wire.ConnectionListener;
+import org.catkingate.wire.FrameConnection;
+import org.catkingate.wire.FrameTransport;
+import org.catkingate.wire.Handshake;
+import org.catkingate.wire.Message;
+import org.catkingate.wire.Runners;
+import org.catkingate.wire.SharedKey;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * What gateways tell each other.
+ */
+class GatewayPeersTests {
+
+	private static final Duration PATIENCE = Duration.ofSeconds(20);
+
+	private static FrameTransport gateway(String name) throws Exception {
+		return FrameTransport.create(1, SharedKey.of("only-for-these-tests"), new Handshake.PeerIdentity(
+				new InstanceId(name), Role.ENTRY, 1, new DataCentreName("a"), new RegionName("r")));
+	}
+
+	// Guards against requests that begin on an older version because a gateway slept or
+	// was cut off when the newer one was declared.
+	@Test
+	void theAgeOfADeclaredVersionIsToldAgainWhileALinkStaysOpen() throws Exception {
+		InetSocketAddress listen = FreePorts.next();
+		Ages ages = new Ages();
+		try (TestGateway gateway = TestGateway.with(VersionChangeTests.declaring(FreePorts.next(), () -> true), listen,
+				(calls, address) -> null, 8000); FrameTransport other = gateway("gateway-2")) {
+			assertThat(gateway).isNotNull();
+			other.connect(listen, ages, () -> {
+			});
+			Awaitility.await().atMost(PATIENCE).until(() -> ages.told.size() >= 3);
+			assertThat(ages.told).isSorted().doesNotHaveDuplicates();
+		}
+	}
+
+	/**
+	 * Keeps the ages that a gateway tells of version 2.
+	 */
+	private static final class Ages implements ConnectionListener {
+
+		private final List<Long> told = new CopyOnWriteArrayList<>();
+
+		@Override
+		public void opened(FrameConnection connection) {
+		}
+
+		@Override
+		public void received(FrameConnection connection, Message message) {
+			if (message instanceof Runners.VersionDeclared declared && declared.version() == 2
+					&& declared.isAgeKnown()) {
+				this.told.add(declared.ageMillis());
+			}
+		}
+
+		@Override
+		public void closed(FrameConnection connection, String reason) {
+		}
+
+	}
+
+}
