Give an answer of the registry time while it comes

Cause: an answer of the registry had 2.4 s for its whole. The configuration with 1,680 routes more, fetched by all gateways of a region over one link, took longer; each gateway gave up what had come and asked for all of it again, at edge-srt-a-3 twice (registry-lost at 23.83 s, regained at 28.46 s), which kept the link full. The five gateways beside the registry had it within 0.4 s, those elsewhere after 6.3 to 7.6 s.

Change: HttpCalls takes a Patience: how long nothing may come, and how long the whole may take.

Tests: HttpCallsTests; with one time for both, isTakenWholeWhileItComes fails.

--- /dev/null
+++ b/catkingate-runtime/src/test/java/org/catkingate/runtime/http/HttpCallsTests.java
@@ -0,0 +1,111 @@
+package org.catkingate.runtime.http;
+
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+
+import io.undertow.client.ClientRequest;
+import io.undertow.util.Methods;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.xnio.XnioWorker;
+
+import org.catkingate.standins.raw.RawServer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+/**
+ * Tests for {@link HttpCalls}.
+ */
+class HttpCallsTests {
+
+	private static final long PATIENCE_SECONDS = 20;
+
+	private static final int MAXIMUM_BYTES = 1000;
+
+	/** Many pauses of the server. */
+	private static final long SILENT_MILLIS = 1000;
+
+	private static final long WHOLE_MILLIS = 5000;
+
+	private XnioWorker worker;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.worker = IoThreads.start("calls", 1);
+	}
+
+	@AfterEach
+	void stop() {
+		this.worker.shutdownNow();
+	}
+
+	private HttpCalls.Answer call(RawServer server) throws Exception {
+		URI base = URI.create("http://127.0.0.1:" + server.address().getPort());
+		ClientRequest request = new ClientRequest().setMethod(Methods.GET).setPath("/");
+		return HttpCalls.on(this.worker)
+			.call(base, request, HttpCalls.Body.none(), MAXIMUM_BYTES,
+					new HttpCalls.Patience(SILENT_MILLIS, WHOLE_MILLIS))
+			.get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+	}
+
+	private static String[] answer(int length, List<String> pieces) {
+		List<String> all = new ArrayList<>(List.of("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n"));
+		all.addAll(pieces);
+		return all.toArray(String[]::new);
+	}
+
+	@Nested
+	class AnAnswerThatComesInManyPieces {
+
+		// Guards against a long answer over a thin link that is given up and asked for
+		// again
+		// without end.
+		@Test
+		void isTakenWholeWhileItComes() throws Exception {
+			try (RawServer server = RawServer.answering(answer(20, Collections.nCopies(20, "x")))) {
+				assertThat(call(server).body()).hasSize(20);
+			}
+		}
+
+		@Test
+		void isGivenUpOnceNothingComesAnyMore() throws Exception {
+			List<String> pieces = new ArrayList<>(Collections.nCopies(3, "x"));
+			pieces.addAll(Collections.nCopies(40, ""));
+			pieces.add("x");
+			try (RawServer server = RawServer.answering(answer(4, pieces))) {
+				assertThatThrownBy(() -> call(server)).isInstanceOf(ExecutionException.class)
+					.hasMessageContaining("sent nothing within " + SILENT_MILLIS + " ms");
+			}
+		}
+
+		@Test
+		void isGivenUpInTheEndIfItTricklesIn() throws Exception {
+			try (RawServer server = RawServer.answering(answer(400, Collections.nCopies(400, "x")))) {
+				assertThatThrownBy(() -> call(server)).isInstanceOf(ExecutionException.class)
+					.hasMessageContaining("no whole answer within " + WHOLE_MILLIS + " ms");
+			}
+		}
+
+	}
+
+	@Nested
+	class AnAnswerThatDoesNotBegin {
+
+		@Test
+		void isGivenUp() throws Exception {
+			try (RawServer server = RawServer.answering("")) {
+				assertThatThrownBy(() -> call(server)).isInstanceOf(ExecutionException.class)
+					.hasMessageContaining("sent nothing within " + SILENT_MILLIS + " ms");
+			}
+		}
+
+	}
+
+}
