Make the head that a runner gets in a class of its own

Behaviour as before; VersionChangeTests, GatewayPeersTests, GatewayAnswerTests and RequestLineTests pass.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -5,11 +5,8 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
-import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.HeaderValues;
-import io.undertow.util.Headers;
 import org.xnio.XnioExecutor;
 
 import org.catkingate.decisions.admission.Choice;
@@ -21,7 +18,6 @@
 import org.catkingate.runtime.calls.AnswerHead;
 import org.catkingate.runtime.calls.RunnerHead;
 import org.catkingate.runtime.http.CallerDeparture;
-import org.catkingate.runtime.http.StreamedCall;
 
 /**
  * One request of a caller, from the choice of a runner to the end of its answer. The
@@ -137,8 +133,11 @@
 
 	private void send(RunnerState runner) {
 		this.tried.add(runner.runner().id());
+		RunnerHead head = new RunnerHead(runner.runner().id(), Math.max(1, leftMillis()), this.admitted.account(),
+				this.answer.lastEvent());
 		boolean onNewConnection = this.route.kind() == CallKind.NON_IDEMPOTENT;
-		RunnerAttempt.Sending sending = new RunnerAttempt.Sending(request(runner), this.admitted.body(),
+		RunnerAttempt.Sending sending = new RunnerAttempt.Sending(
+				RunnerRequest.of(this.exchange, this.admitted, this.support.format(), head), this.admitted.body(),
 				this.admitted.head().promptTokens(), onNewConnection);
 		this.attempt = RunnerAttempt.start(runner, sending, this.support.format(), this.exchange.getIoThread(),
 				this.support.clock(), this);
@@ -179,22 +178,6 @@
 		}
 	}
 
-	private ClientRequest request(RunnerState runner) {
-		ClientRequest request = new ClientRequest().setMethod(this.exchange.getRequestMethod())
-			.setPath(this.admitted.target());
-		for (HeaderValues values : this.exchange.getRequestHeaders()) {
-			if (!StreamedCall.CONNECTION_HEADERS.contains(values.getHeaderName())
-					&& !this.support.format().ownHeaders().contains(values.getHeaderName())) {
-				request.getRequestHeaders().putAll(values.getHeaderName(), values);
-			}
-		}
-		request.getRequestHeaders().put(Headers.HOST, this.admitted.host());
-		this.support.format()
-			.write(request.getRequestHeaders(), new RunnerHead(runner.runner().id(), Math.max(1, leftMillis()),
-					this.admitted.account(), this.answer.lastEvent()));
-		return request;
-	}
-
 	@Override
 	public void sent(RunnerAttempt from) {
 		this.sends++;
--- /dev/null
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerRequest.java
@@ -0,0 +1,34 @@
+package org.catkingate.gateway;
+
+import io.undertow.client.ClientRequest;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+
+import org.catkingate.runtime.calls.CallFormat;
+import org.catkingate.runtime.calls.RunnerHead;
+import org.catkingate.runtime.http.StreamedCall;
+
+/**
+ * Makes the head that a runner gets of a caller's request: as the caller sent it, but for
+ * what concerns a connection or is the gateway's to say. Stateless.
+ */
+final class RunnerRequest {
+
+	private RunnerRequest() {
+	}
+
+	static ClientRequest of(HttpServerExchange exchange, Admitted admitted, CallFormat format, RunnerHead head) {
+		ClientRequest request = new ClientRequest().setMethod(exchange.getRequestMethod()).setPath(admitted.target());
+		for (HeaderValues values : exchange.getRequestHeaders()) {
+			if (!StreamedCall.CONNECTION_HEADERS.contains(values.getHeaderName())
+					&& !format.ownHeaders().contains(values.getHeaderName())) {
+				request.getRequestHeaders().putAll(values.getHeaderName(), values);
+			}
+		}
+		request.getRequestHeaders().put(Headers.HOST, admitted.host());
+		format.write(request.getRequestHeaders(), head);
+		return request;
+	}
+
+}
