Let the engine of a test die only when its caller has some of the answer

The caller had not got an answer that looked whole: it had got 502, kind runner-failed, with none of the answer in it. If the engine or the entry is late, the head, the bytes and the failure come to the entry's I/O thread together; nothing has been written, so the entry drops the part, finds no other runner and tells the failure, as it should. The product is unchanged.

In its place: - the engine dies when the caller has the first event; the answer must break off with an IOException, and what came must be a true, shorter part of it without [DONE] - with the former options, an IOException other than a timeout or 502 runner-failed without any of the answer; nothing else - the entry's I/O thread is held until head, bytes and failure have all come; the caller must get 502 runner-failed without any of the bytes

--- a/catkingate-tests/src/test/java/org/catkingate/tests/requests/ListenerBridge.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/requests/ListenerBridge.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.catkingate.model.InstanceId;
 import org.catkingate.runtime.peers.PeerConnection;
@@ -20,6 +21,8 @@
 
 	private final Map<InstanceId, PeerConnection> newest = new ConcurrentHashMap<>();
 
+	private final AtomicLong handed = new AtomicLong();
+
 	private final PeerListener listener;
 
 	ListenerBridge(PeerListener listener) {
@@ -42,6 +45,15 @@
 	@Override
 	public void received(FrameConnection connection, Message message) {
 		this.listener.received(this.open.get(connection), message);
+		this.handed.incrementAndGet();
+	}
+
+	/**
+	 * Counts what has come from all instances.
+	 * @return how many messages have been handed on
+	 */
+	long handed() {
+		return this.handed.get();
 	}
 
 	@Override
--- a/catkingate-tests/src/test/java/org/catkingate/tests/requests/LocalFleet.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/requests/LocalFleet.java
@@ -19,6 +19,7 @@
 import org.catkingate.decisions.membership.AgentView;
 import org.catkingate.decisions.membership.FleetSnapshot;
 import org.catkingate.decisions.routing.Location;
+import org.catkingate.decisions.routing.RoutingPolicy;
 import org.catkingate.entry.EntryPolicies;
 import org.catkingate.entry.EntryRequests;
 import org.catkingate.entry.EntrySettings;
@@ -78,13 +79,12 @@
 
 	private PublishedConfiguration configuration = configuration(account(1000, 1000, 1_000_000), 8, 8);
 
-	private LocalFleet(EntryPolicies policies) throws IOException {
+	private LocalFleet(EntrySettings settings, EntryPolicies policies) throws IOException {
 		this.snapshot = new FleetSnapshot(this.configuration, Map.of());
 		this.transport = FrameTransport.create(1, KEY, LocalAgent.identity("entry", Role.ENTRY, 1));
-		InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
 		ListenerBridge[] later = new ListenerBridge[1];
 		PeerConnections connections = (instance) -> Optional.ofNullable(later[0].newest(instance));
-		this.entry = EntryRequests.start(EntrySettings.listeningOn(any),
+		this.entry = EntryRequests.start(settings,
 				new Location(new DataCentreName("ahd-a"), new RegionName("guj-west")), () -> this.snapshot, connections,
 				() -> 1, policies, MonotonicClock.system());
 		later[0] = new ListenerBridge(this.entry);
@@ -92,7 +92,27 @@
 	}
 
 	static LocalFleet start() throws IOException {
-		return new LocalFleet(EntryPolicies.standard(1));
+		return new LocalFleet(settings(), EntryPolicies.standard(1));
+	}
+
+	/**
+	 * Starts a fleet whose entry serves all callers on one I/O thread, so that a routing
+	 * policy that waits holds up everything there.
+	 * @param routing the routing policy
+	 */
+	static LocalFleet startOnOneThread(RoutingPolicy routing) throws IOException {
+		EntrySettings usual = settings();
+		EntrySettings settings = new EntrySettings(usual.listen(), 1, usual.maximumBodyBytes(),
+				usual.maximumHeaderBytes(), usual.maximumConnections(), usual.headTimeoutMillis(),
+				usual.bodyTimeoutMillis(), usual.idleTimeoutMillis(), usual.defaultDeadlineMillis(),
+				usual.maximumDeadlineMillis(), usual.attachPatienceMillis());
+		EntryPolicies standard = EntryPolicies.standard(1);
+		return new LocalFleet(settings,
+				new EntryPolicies(routing, standard.retries(), standard.retryBudget(), standard.seed()));
+	}
+
+	private static EntrySettings settings() {
+		return EntrySettings.listeningOn(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
 	}
 
 	static ClientAccount account(int requestsPerSecond, int concurrent, int tokensPerSecond) {
--- a/catkingate-tests/src/test/java/org/catkingate/tests/requests/StrayFramesTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/requests/StrayFramesTests.java
@@ -5,15 +5,22 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 
+import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
+import org.catkingate.decisions.routing.Candidate;
+import org.catkingate.decisions.routing.RouteQuery;
+import org.catkingate.decisions.routing.RoutingPolicies;
+import org.catkingate.decisions.routing.RoutingPolicy;
 import org.catkingate.model.RequestId;
 import org.catkingate.wire.Traffic;
 
@@ -175,6 +182,34 @@
 			assertThat(get(response).statusCode()).isEqualTo(502);
 		}
 
+		// guards against telling the caller a part of an answer as if it were whole when
+		// its failure comes together with its head
+		@Test
+		void whoseHeadAndFailureComeTogetherIsReplacedByAFailure() throws Exception {
+			StrayFramesTests test = StrayFramesTests.this;
+			HeldRouting routing = new HeldRouting();
+			test.fleet.close();
+			test.fleet = LocalFleet.startOnOneThread(routing);
+			test.fleet.addScripted(test.agent.view());
+			CompletableFuture<HttpResponse<String>> response = lookUp();
+			RequestId id = dispatched();
+			routing.hold();
+			CompletableFuture<HttpResponse<String>> other = lookUp();
+			routing.awaitHeld();
+			long before = test.fleet.bridge().handed();
+			test.agent.head(id);
+			test.agent.data(id, 0, "abc");
+			test.agent.fail(id, Traffic.FailureReason.FAILED);
+			Awaitility.await().atMost(LocalFleet.PATIENCE).until(() -> test.fleet.bridge().handed() == before + 3);
+			routing.release();
+			assertThat(get(response).statusCode()).isEqualTo(502);
+			assertThat(get(response).body()).contains("\"kind\":\"runner-failed\"").doesNotContain("abc");
+			RequestId otherId = dispatched();
+			test.agent.head(otherId);
+			test.agent.end(otherId, 0);
+			assertThat(get(other).statusCode()).isEqualTo(200);
+		}
+
 	}
 
 	@Nested
@@ -262,4 +297,43 @@
 
 	}
 
+	/**
+	 * Chooses any runner, but holds up the entry's thread where a test wants it.
+	 */
+	private static final class HeldRouting implements RoutingPolicy {
+
+		private final CountDownLatch held = new CountDownLatch(1);
+
+		private final CountDownLatch released = new CountDownLatch(1);
+
+		private volatile boolean holding;
+
+		void hold() {
+			this.holding = true;
+		}
+
+		void awaitHeld() throws InterruptedException {
+			assertThat(this.held.await(20, TimeUnit.SECONDS)).isTrue();
+		}
+
+		void release() {
+			this.released.countDown();
+		}
+
+		@Override
+		public Optional<Candidate> choose(RouteQuery query) {
+			if (this.holding) {
+				this.held.countDown();
+				try {
+					this.released.await(20, TimeUnit.SECONDS);
+				}
+				catch (InterruptedException ex) {
+					Thread.currentThread().interrupt();
+				}
+			}
+			return RoutingPolicies.localThenLeastLoaded().choose(query);
+		}
+
+	}
+
 }
--- a/catkingate-tests/src/test/java/org/catkingate/tests/requests/WholeAnswerTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/requests/WholeAnswerTests.java
@@ -1,9 +1,13 @@
 package org.catkingate.tests.requests;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.net.http.HttpTimeoutException;
+import java.nio.charset.StandardCharsets;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -71,12 +75,44 @@
 			}
 		}
 
+		// the engine dies only when the caller has some of the answer; before that the
+		// entry may still replace it by a failure
 		@Test
 		void thatDiesInTheMiddleLeavesAVisiblyBrokenAnswer() throws Exception {
+			WholeAnswerTests test = WholeAnswerTests.this;
+			test.engine.configure("--token-micros", "50000");
+			test.fleet.addEngine("ahd-1", test.engine.address());
+			HttpResponse<InputStream> response = test.client.send(test.fleet.completion("a song", 300),
+					HttpResponse.BodyHandlers.ofInputStream());
+			assertThat(response.statusCode()).isEqualTo(200);
+			ByteArrayOutputStream received = new ByteArrayOutputStream();
+			while (!received.toString(StandardCharsets.UTF_8).endsWith("\n\n")) {
+				int next = response.body().read();
+				assertThat(next).isNotNegative();
+				received.write(next);
+			}
+			test.engine.configure("--die-after-tokens", "1");
+			assertThatThrownBy(() -> response.body().transferTo(received)).isInstanceOf(IOException.class);
+			String events = received.toString(StandardCharsets.UTF_8);
+			String whole = events.substring(0, events.lastIndexOf("\n\n") + 2);
+			assertThat(Runs.text(whole)).isNotEmpty().isNotEqualTo(Runs.expected("a song", 300));
+			assertThat(Runs.expected("a song", 300)).startsWith(Runs.text(whole));
+			assertThat(events).doesNotContain("[DONE]");
+		}
+
+		@Test
+		void thatDiesAtOnceLeavesABrokenAnswerOrAFailureButNoPartOfAnAnswerThatLooksWhole() throws Exception {
 			WholeAnswerTests test = WholeAnswerTests.this;
 			test.engine.configure("--die-after-tokens", "20");
 			test.fleet.addEngine("ahd-1", test.engine.address());
-			assertThatThrownBy(() -> send(test.fleet.completion("a song", 300))).isInstanceOf(IOException.class);
+			try {
+				HttpResponse<String> response = send(test.fleet.completion("a song", 300));
+				assertThat(response.statusCode()).isEqualTo(502);
+				assertThat(response.body()).contains("\"kind\":\"runner-failed\"").doesNotContain("choices");
+			}
+			catch (IOException ex) {
+				assertThat(ex).isNotInstanceOf(HttpTimeoutException.class);
+			}
 		}
 
 		@Test
