Watch declared versions only in loaders

Cause: every loader watched all that operators publish, so each new configuration was also sent to the loaders of other regions. 1,680 routes more are some 0.9 MB as the registry sends them; the 40 and more loaders and 9 gateways beyond the registry's region share 18.9 Mbit/s between two regions with pieces and streams. The gateways beside the registry had it within 0.4 s, the others after 6.3 to 7.6 s (21.25 s against 27.6 to 28.8 s). Until then they also heard nothing of declared versions from the registry.

Change: loaders read everything at the start, then watch declared versions only, and read the rest anew every 45 to 90 s. They need of it their service's models and the origin. The bound: a model that is added to a running service reaches loaders with the next reading, or with the next start.

Tests: FollowReducerTests$AProcessThatWatchesVersionsOnly, written with the change: it cannot be expressed before it.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowEffect.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowEffect.java
@@ -25,8 +25,9 @@
 	 * @param call identifies the call
 	 * @param afterRevision the revision that is known
 	 * @param waitMillis how long the registry may wait for a change, in milliseconds
+	 * @param versionsOnly whether only declared versions matter
 	 */
-	record Watch(long call, long afterRevision, long waitMillis) implements FollowEffect {
+	record Watch(long call, long afterRevision, long waitMillis, boolean versionsOnly) implements FollowEffect {
 
 	}
 
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowEvent.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowEvent.java
@@ -55,6 +55,13 @@
 
 	}
 
+	/**
+	 * What is known may be read anew.
+	 */
+	record RereadDue() implements FollowEvent {
+
+	}
+
 	/**
 	 * Time has passed.
 	 */
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowReducer.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowReducer.java
@@ -45,6 +45,9 @@
 		if (event instanceof FollowEvent.Ticked) {
 			return ticked(state, nowMillis);
 		}
+		if (event instanceof FollowEvent.RereadDue) {
+			return state.reading().isPresent() ? Step.to(state) : readAnew(state, nowMillis);
+		}
 		if (event instanceof FollowEvent.PageArrived page && isAwaited(state, page.call())) {
 			return pageArrived(state, nowMillis, page);
 		}
@@ -94,11 +97,28 @@
 		FollowState.Contact contact = state.contact().calling();
 		Effect call = state.reading()
 			.<Effect>map((reading) -> new FollowEffect.ReadPage(contact.lastCall(), reading.lastKey()))
-			.orElseGet(() -> new FollowEffect.Watch(contact.lastCall(), state.revision(), state.times().watchMillis()));
+			.orElseGet(() -> new FollowEffect.Watch(contact.lastCall(), state.revision(), state.times().watchMillis(),
+					watchesVersionsOnly(state)));
 		effects.add(call);
 		return new Step<>(state.with(contact), effects);
 	}
 
+	private static boolean watchesVersionsOnly(FollowState state) {
+		return state.times().versionsOnly() && state.items()
+			.values()
+			.stream()
+			.anyMatch((item) -> item.entry() instanceof RegistryEntry.Configuration);
+	}
+
+	/*
+	 * The answer that is awaited no longer counts.
+	 */
+	private static Step<FollowState> readAnew(FollowState state, long nowMillis) {
+		FollowState anew = state.with(state.contact().answered(state.contact().graceUntilMillis(), nowMillis))
+			.with(FollowState.Reading.begun());
+		return call(anew, new ArrayList<>());
+	}
+
 	private static Step<FollowState> pageArrived(FollowState state, long nowMillis, FollowEvent.PageArrived event) {
 		List<Effect> effects = new ArrayList<>();
 		FollowState answered = answered(state, nowMillis, nowMillis, effects);
@@ -210,9 +230,7 @@
 
 	private static Step<FollowState> callFailed(FollowState state, long nowMillis, FollowEvent.CallFailed event) {
 		if (event.historyGone()) {
-			FollowState anew = state.with(state.contact().answered(state.contact().graceUntilMillis(), nowMillis))
-				.with(FollowState.Reading.begun());
-			return call(anew, new ArrayList<>());
+			return readAnew(state, nowMillis);
 		}
 		FollowState.Contact contact = state.contact();
 		double draw = Rendezvous.unit(Rendezvous.mix(state.seed() + contact.lastCall()));
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowTimes.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowTimes.java
@@ -11,10 +11,12 @@
  * @param longestBackoffMillis the wait after many failures
  * @param lapseGraceMillis how long after the registry's return a runner that lapsed
  * meanwhile may register again
+ * @param versionsOnly whether only declared versions are watched once a configuration is
+ * known, which then changes with each new reading
  * @since 0.1
  */
 public record FollowTimes(long watchMillis, long pauseMillis, long firstBackoffMillis, long longestBackoffMillis,
-		long lapseGraceMillis) {
+		long lapseGraceMillis, boolean versionsOnly) {
 
 	private static final long PAUSE_MILLIS = 40;
 
@@ -37,7 +39,17 @@
 	 */
 	public static FollowTimes watchingFor(long watchMillis) {
 		return new FollowTimes(watchMillis, PAUSE_MILLIS, FIRST_BACKOFF_MILLIS, LONGEST_BACKOFF_MILLIS,
-				LAPSE_GRACE_MILLIS);
+				LAPSE_GRACE_MILLIS, false);
+	}
+
+	/**
+	 * Returns the times of a process that watches declared versions only.
+	 * @param watchMillis how long one watch waits for a change, in milliseconds
+	 * @return the times, never null
+	 */
+	public static FollowTimes watchingVersionsFor(long watchMillis) {
+		return new FollowTimes(watchMillis, PAUSE_MILLIS, FIRST_BACKOFF_MILLIS, LONGEST_BACKOFF_MILLIS,
+				LAPSE_GRACE_MILLIS, true);
 	}
 
 	/**
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/registry/FollowReducerTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/registry/FollowReducerTests.java
@@ -268,4 +268,51 @@
 
 	}
 
+	@Nested
+	class AProcessThatWatchesVersionsOnly {
+
+		private void starts() {
+			FollowReducerTests.this.state = FollowState.initial(FollowTimes.watchingVersionsFor(1500), 7);
+			after(0);
+		}
+
+		private boolean watchesVersionsOnly() {
+			return only(FollowEffect.Watch.class).versionsOnly();
+		}
+
+		// Guards against all loaders fetching each long configuration, over links that
+		// gateways need for it.
+		@Test
+		void watchesNothingElseOnceItKnowsAConfiguration() {
+			starts();
+			page(false, 10, configuration(5, 9));
+			assertThat(watchesVersionsOnly()).isTrue();
+		}
+
+		@Test
+		void waitsForAFirstConfiguration() {
+			starts();
+			page(false, 10);
+			assertThat(watchesVersionsOnly()).isFalse();
+			changes(11, configuration(5, 11));
+			after(100);
+			assertThat(watchesVersionsOnly()).isTrue();
+		}
+
+		@Test
+		void takesANewConfigurationWhenItReadsAnew() {
+			starts();
+			page(false, 10, configuration(5, 9));
+			long watch = call();
+			happens(new FollowEvent.RereadDue());
+			assertThat(only(FollowEffect.ReadPage.class).afterKey()).isEmpty();
+			happens(new FollowEvent.ChangesArrived(watch, moment(), new RegistryItems(List.of(), false, 10)));
+			assertThat(FollowReducerTests.this.effects).isEmpty();
+			page(false, 20, configuration(6, 19));
+			assertThat(FollowReducerTests.this.state.view().configuration().orElseThrow().version()).isEqualTo(6);
+			assertThat(watchesVersionsOnly()).isTrue();
+		}
+
+	}
+
 }
--- a/catkingate-loader/src/main/java/org/catkingate/loader/LoaderProcess.java
+++ b/catkingate-loader/src/main/java/org/catkingate/loader/LoaderProcess.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
@@ -71,6 +72,13 @@
 
 	private static final long TICK_MILLIS = 100;
 
+	/**
+	 * The shortest time between two readings of the configuration, in milliseconds. A
+	 * loader needs its models and its origin, which hardly change, while all loaders that
+	 * fetch a long configuration at once fill the links between regions.
+	 */
+	private static final long REREAD_MILLIS = 45_000;
+
 	private final Readiness readiness = Readiness.starting();
 
 	private final PrometheusRegistry metrics = new PrometheusRegistry();
@@ -121,13 +129,14 @@
 		this.loop = ControlLoop.prepare(LoadState.initial(LoadSettings.within(settings.weightsChangeMillis(), seed)),
 				LoadReducer.create(), this.io::carryOut, clock, LoadEvent.Ticked::new, (state) -> TICK_MILLIS);
 		this.follower = RegistryFollower.of(registry.open(this.calls, settings.registry().url()),
-				FollowTimes.watchingFor(settings.registry().watchMillis()), new SecureRandom().nextLong(), clock,
-				MomentSource.system(), this::changed);
+				FollowTimes.watchingVersionsFor(settings.registry().watchMillis()), new SecureRandom().nextLong(),
+				clock, MomentSource.system(), this::changed);
 		registerMetrics();
 		this.operators = OperatorsEndpoint.start(settings.operators().addresses(), this.readiness, this.metrics,
 				this::state);
 		this.loop.begin();
 		this.follower.begin();
+		rereadLater();
 		this.worker.getIoThread().executeAtInterval(this::askRunner, REPORT_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
@@ -159,6 +168,16 @@
 			.map((published) -> this.origins.open(this.calls, published.address()));
 	}
 
+	/*
+	 * Spread, so that loaders do not read together.
+	 */
+	private void rereadLater() {
+		this.worker.getIoThread().executeAfter(() -> {
+			this.follower.reread();
+			rereadLater();
+		}, REREAD_MILLIS + ThreadLocalRandom.current().nextLong(REREAD_MILLIS), TimeUnit.MILLISECONDS);
+	}
+
 	private void submit(LoadEvent event) {
 		this.loop.submit(event);
 	}
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/registry/Registry.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/registry/Registry.java
@@ -29,4 +29,15 @@
 	 */
 	CompletableFuture<RegistryItems> watch(long afterRevision, long waitMillis);
 
+	/**
+	 * Waits for changes of declared versions; where these cannot be watched by
+	 * themselves, for any.
+	 * @param afterRevision the revision that is known
+	 * @param waitMillis how long to wait for a first change, in milliseconds
+	 * @return the changes in order, none if there was none in this time
+	 */
+	default CompletableFuture<RegistryItems> watchVersions(long afterRevision, long waitMillis) {
+		return watch(afterRevision, waitMillis);
+	}
+
 }
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/registry/RegistryFollower.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/registry/RegistryFollower.java
@@ -84,6 +84,13 @@
 		this.loop.begin();
 	}
 
+	/**
+	 * Reads everything anew, for what is not watched.
+	 */
+	public void reread() {
+		this.loop.submit(new FollowEvent.RereadDue());
+	}
+
 	/**
 	 * Returns what is believed now.
 	 * @return the view, never null
@@ -120,7 +127,7 @@
 					(askedAt, items) -> new FollowEvent.PageArrived(page.call(), askedAt, items));
 		}
 		else if (effect instanceof FollowEffect.Watch watch) {
-			call(watch.call(), this.registry.watch(watch.afterRevision(), watch.waitMillis()),
+			call(watch.call(), changes(watch),
 					(askedAt, items) -> new FollowEvent.ChangesArrived(watch.call(), askedAt, items));
 		}
 		else if (effect instanceof FollowEffect.Publish published) {
@@ -134,6 +141,11 @@
 		}
 	}
 
+	private CompletableFuture<RegistryItems> changes(FollowEffect.Watch watch) {
+		return watch.versionsOnly() ? this.registry.watchVersions(watch.afterRevision(), watch.waitMillis())
+				: this.registry.watch(watch.afterRevision(), watch.waitMillis());
+	}
+
 	private void call(long call, CompletableFuture<RegistryItems> answer,
 			BiFunction<Moment, RegistryItems, FollowEvent> arrived) {
 		Moment askedAt = this.moments.now();
