Test that a gateway cuts a stream that breaks off between events

Callers see nothing of this. A chunked stream that its only runner leaves after two whole events must reach the caller without a last chunk, over a closed connection.

--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/GatewayAnswerTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/GatewayAnswerTests.java
@@ -63,6 +63,20 @@
 			}
 		}
 
+		// guards against an answer that breaks off but ends with a last chunk, as if it
+		// were whole
+		@Test
+		void thatBreaksOffBetweenEventsWithNoOtherRunnerIsCutWithoutItsLastChunk() throws Exception {
+			try (RawServer runner = RawServer.answeringAndClosing(STREAM, event(1), event(2));
+					TestGateway gateway = TestGateway.with(CallKind.STREAM, runner.address());
+					RawCaller caller = gateway.connect()) {
+				assertThat(caller.post("r1", "/songs/1", "hello").answer()).startsWith("HTTP/1.1 200 ")
+					.containsOnlyOnce("id: 1")
+					.endsWith("<closed>")
+					.doesNotContain("\r\n0\r\n");
+			}
+		}
+
 	}
 
 	@Nested
