Do not take up versions again that are replaced

On-call engineers would have read six lines of version-age a second from 31 s on: a gateway forgot a version once a newer one was due, others that had not forgotten it told it again each second, and it was heard of as if for the first time. Decisions were right all the while: the newer version's end counts.

Change: a version older than one that is due is not taken up, and is forgotten when versions are told to others. versionsThatOthersStillTellOfAreNotTakenUpAgain fails before.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/DeclaredVersions.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/DeclaredVersions.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -77,13 +76,12 @@
 	}
 
 	private void heard(ModelName model, long version, long atMillis, long nowMillis) {
-		Long known = heard(model).get(version);
-		if (known != null && known <= atMillis) {
+		SortedMap<Long, Long> versions = this.heardAt.computeIfAbsent(model, (key) -> new TreeMap<>());
+		Long known = versions.get(version);
+		if ((known != null && known <= atMillis) || version < newestDue(versions, nowMillis)) {
 			return;
 		}
-		SortedMap<Long, Long> versions = this.heardAt.computeIfAbsent(model, (key) -> new TreeMap<>());
 		versions.put(version, atMillis);
-		forgetReplaced(versions, nowMillis);
 		logger.atInfo()
 			.addKeyValue("event", "version-age")
 			.addKeyValue("model", model)
@@ -94,16 +92,13 @@
 			.log("requests may begin on older versions until this version is due");
 	}
 
-	/*
-	 * Versions older than one that is due are over whatever their own age is.
-	 */
-	private void forgetReplaced(SortedMap<Long, Long> versions, long nowMillis) {
-		versions.entrySet()
+	private long newestDue(SortedMap<Long, Long> versions, long nowMillis) {
+		return versions.entrySet()
 			.stream()
 			.filter((version) -> version.getValue() + this.changeMillis <= nowMillis)
-			.map(Map.Entry::getKey)
-			.max(Comparator.naturalOrder())
-			.ifPresent((due) -> versions.headMap(due).clear());
+			.mapToLong(Map.Entry::getKey)
+			.max()
+			.orElse(Long.MIN_VALUE);
 	}
 
 	private SortedMap<Long, Long> heard(ModelName model) {
@@ -134,12 +129,14 @@
 	}
 
 	/**
-	 * Lists what is declared, for other processes.
+	 * Lists what is declared, for other processes. Versions older than one that is due
+	 * are over whatever their own age is, and are forgotten.
 	 * @param nowMillis the time now, in monotonic milliseconds
 	 * @return a message for each version
 	 */
 	List<Runners.VersionDeclared> messages(long nowMillis) {
 		List<Runners.VersionDeclared> messages = new ArrayList<>();
+		this.heardAt.values().forEach((versions) -> versions.headMap(newestDue(versions, nowMillis)).clear());
 		this.heardAt.forEach((model, versions) -> versions
 			.forEach((version, heard) -> messages.add(new Runners.VersionDeclared(model, version, nowMillis - heard))));
 		this.found.forEach((model, version) -> {
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
@@ -122,6 +122,17 @@
 		assertThat(this.versions.endMillis(MODEL, 1)).isLessThan(1_000_000);
 	}
 
+	@Test
+	void versionsThatOthersStillTellOfAreNotTakenUpAgain() {
+		this.table.refresh(view(Map.of()), 500);
+		this.table.refresh(view(Map.of(MODEL, 2L)), 10_000);
+		this.table.refresh(view(Map.of(MODEL, 3L)), 14_000);
+		assertThat(this.versions.messages(14_001)).extracting(Runners.VersionDeclared::version).containsExactly(2L, 3L);
+		assertThat(this.versions.messages(40_000)).extracting(Runners.VersionDeclared::version).containsExactly(3L);
+		this.versions.told(new Runners.VersionDeclared(MODEL, 2, 29_000), 40_000);
+		assertThat(this.versions.messages(40_000)).extracting(Runners.VersionDeclared::version).containsExactly(3L);
+	}
+
 	@Test
 	void aRunnerOfAnOlderVersionGetsNothingOnceTheTimeForTheChangeIsOver() {
 		this.table.refresh(view(Map.of(), runner("a", false, Map.of(MODEL, 1L))), 500);
