Hold the engine's first request longer in the test of priorities

The first request held the only slot for 1 s; a second one that comes later runs at once, and nothing ever waits. Shown by sending it 1.3 s later: the same failure. With 6 s it passes so. What is asserted, the order of the three runs, is as before.

--- a/catkingate-standins/src/test/java/org/catkingate/standins/engine/EngineTests.java
+++ b/catkingate-standins/src/test/java/org/catkingate/standins/engine/EngineTests.java
@@ -167,10 +167,13 @@
 	@Nested
 	class Waiting {
 
+		/** Long enough for two requests to arrive meanwhile on a busy machine. */
+		private static final String HELD_TOKEN_MICROS = "6000000";
+
 		@Test
 		void goesByPriority() throws Exception {
 			load(FIRST, 1);
-			EngineTests.this.engine.configure("--token-micros", "1000000");
+			EngineTests.this.engine.configure("--token-micros", HELD_TOKEN_MICROS);
 			CompletableFuture<Void> blocking = post("blocking", 0);
 			Awaitility.await().atMost(PATIENCE).until(() -> state().get("running").asInt() == 1);
 			CompletableFuture<Void> low = post("low", 1);
