--- a/catkingate-tests/src/test/java/org/catkingate/tests/harness/Member.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/harness/Member.java
@@ -12,6 +12,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.awaitility.Awaitility;
+import org.awaitility.core.ConditionTimeoutException;
 
 import org.catkingate.standins.Addresses;
 import org.catkingate.standins.HttpService;
@@ -100,12 +101,18 @@
 	}
 
 	public void awaitReady() {
-		Awaitility.await(this.instance + " ready").atMost(ChildProcess.PATIENCE).until(() -> {
-			if (!this.process.isAlive()) {
-				throw new IllegalStateException(this.process.output() + this.process.errors());
-			}
-			return isReady();
-		});
+		try {
+			Awaitility.await(this.instance + " ready").atMost(ChildProcess.PATIENCE).until(() -> {
+				if (!this.process.isAlive()) {
+					throw new IllegalStateException(this.process.output() + this.process.errors());
+				}
+				return isReady();
+			});
+		}
+		catch (ConditionTimeoutException ex) {
+			throw new IllegalStateException(
+					this.instance + " is not ready: " + this.process.output() + this.process.errors(), ex);
+		}
 	}
 
 	public JsonNode state() throws IOException {
