Accept fractions in the figures that the platform fills in

Cause: figures of the platform are whole numbers or fractions; the settings took whole numbers only. `window-ms = {{RetryWindowS}}000` would have read 10.5 s as 10.5 ms. No test rendered the templates.

Change: limits drop a fraction, windows round up, so that each errs towards fewer retries and shorter trust. `window-ms` becomes `window-s`. A gateway that starts replaces an unreadable limit on retries or settling time by the value that allows least, with a log line; `parse`, which checks settings, still rejects them.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -160,6 +160,14 @@
 	 */
 	public static GatewayProcess start(GatewaySettings settings, RegistryFactory registry, PieceOriginFactory origins,
 			HeaderCodec codec) throws IOException {
+		settings.replacedValues()
+			.forEach((problem) -> logger.atWarn()
+				.addKeyValue("event", "setting-replaced")
+				.addKeyValue("section", problem.section())
+				.addKeyValue("key", problem.key())
+				.addKeyValue("value", problem.value())
+				.addKeyValue("remedy", problem.remedy())
+				.log("a setting cannot be read; a safe value is used instead"));
 		GatewayProcess process = new GatewayProcess(settings, registry, origins, codec, MonotonicClock.system());
 		logger.atInfo()
 			.addKeyValue("event", "started")
--- a/catkingate-model/src/main/java/org/catkingate/model/ini/ProblemCollector.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/ini/ProblemCollector.java
@@ -27,7 +27,15 @@
 	 * @param remedy the description of the problem and how to correct it
 	 */
 	public void add(ConfigurationProblem.Kind kind, String section, String key, String value, String remedy) {
-		this.found.add(new ConfigurationProblem(kind, section, key, value, remedy));
+		add(new ConfigurationProblem(kind, section, key, value, remedy));
+	}
+
+	/**
+	 * Adds a problem.
+	 * @param problem the problem
+	 */
+	public void add(ConfigurationProblem problem) {
+		this.found.add(problem);
 	}
 
 	/**
--- a/catkingate-model/src/main/java/org/catkingate/model/ini/SectionReader.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/ini/SectionReader.java
@@ -1,9 +1,12 @@
 package org.catkingate.model.ini;
 
+import java.math.BigDecimal;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 import org.catkingate.model.Digest;
@@ -161,6 +164,57 @@
 		return min;
 	}
 
+	/**
+	 * Reads a required limit, of which another system may have computed a fraction. The
+	 * fraction is dropped, and a number above the maximum is read as the maximum, so that
+	 * the result never exceeds what was written.
+	 * @param key the key
+	 * @param min the minimum, inclusive
+	 * @param max the largest result
+	 * @return the number, or the minimum if it is invalid
+	 */
+	public int limit(String key, int min, int max) {
+		String value = text(key);
+		if (value.isEmpty()) {
+			return min;
+		}
+		OptionalInt limit = parseLimit(value, min, max);
+		if (limit.isEmpty()) {
+			report(ConfigurationProblem.Kind.INVALID_VALUE, key, "write a number from " + min + " to " + max);
+		}
+		return limit.orElse(min);
+	}
+
+	/**
+	 * Reads a limit like {@link #limit(String, int, int)}, which is replaced by a safe
+	 * value if it is absent or invalid.
+	 * @param key the key
+	 * @param min the minimum, inclusive
+	 * @param max the largest result
+	 * @param safeValue the value that causes no harm whatever was meant
+	 * @param replaced receives the problem if the safe value is used
+	 * @return the number, or the safe value
+	 */
+	public int limitOrElse(String key, int min, int max, int safeValue, Consumer<ConfigurationProblem> replaced) {
+		String value = text(key, "");
+		return parseLimit(value, min, max).orElseGet(() -> {
+			replaced.accept(new ConfigurationProblem(ConfigurationProblem.Kind.INVALID_VALUE, title(), key, value,
+					"write a number from " + min + " to " + max));
+			return safeValue;
+		});
+	}
+
+	private static OptionalInt parseLimit(String value, int min, int max) {
+		try {
+			BigDecimal limit = new BigDecimal(value);
+			return (limit.compareTo(BigDecimal.valueOf(min)) < 0) ? OptionalInt.empty()
+					: OptionalInt.of(limit.min(BigDecimal.valueOf(max)).intValue());
+		}
+		catch (NumberFormatException ex) {
+			return OptionalInt.empty();
+		}
+	}
+
 	/**
 	 * Reads an optional boolean.
 	 * @param key the key
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/GatewaySettings.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/GatewaySettings.java
@@ -1,16 +1,22 @@
 package org.catkingate.runtime.settings;
 
+import java.math.BigDecimal;
+import java.math.RoundingMode;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.function.Consumer;
+import java.util.function.Function;
 
 import org.catkingate.decisions.retries.RetryAllowance;
 import org.catkingate.model.DataCentreName;
 import org.catkingate.model.RegionName;
 import org.catkingate.model.Role;
+import org.catkingate.model.ini.ConfigurationProblem;
 import org.catkingate.model.ini.InvalidConfigurationException;
 import org.catkingate.model.ini.SectionReader;
 
@@ -28,12 +34,13 @@
  * valid, in milliseconds
  * @param retries the limit on the retries that all gateways together may make
  * @param weights the times for changing the version of weights
+ * @param replacedValues the values that could not be read and were replaced by safe ones
  * @since 0.1
  */
 public record GatewaySettings(ProcessSettings.Process process, Map<DataCentreName, RegionName> regions,
 		RegistrySettings registry, InetSocketAddress callers, PeerSettings peers, ProcessSettings.Operators operators,
-		ProcessSettings.Shutdown shutdown, long keyValidityMillis, RetryAllowance retries,
-		Weights weights) implements RoleSettings {
+		ProcessSettings.Shutdown shutdown, long keyValidityMillis, RetryAllowance retries, Weights weights,
+		List<ConfigurationProblem> replacedValues) implements RoleSettings {
 
 	private static final List<String> SECTIONS = List.of("process", "data-centres", "registry", "callers", "peers",
 			"operators", "shutdown", "keys", "retries", "weights");
@@ -42,20 +49,32 @@
 
 	private static final int MAX_FREE_RETRIES = 1_000_000;
 
+	private static final long MAX_RETRY_WINDOW_SECONDS = 60 * 60;
+
+	private static final long MILLIS_PER_SECOND = 1000;
+
 	public GatewaySettings {
 		Objects.requireNonNull(process, "process must not be null");
 		regions = Map.copyOf(regions);
+		replacedValues = List.copyOf(replacedValues);
 	}
 
 	/**
-	 * Reads settings from a file.
+	 * Reads settings from a file for a process that starts. Invalid limits on retries and
+	 * an invalid settling time are replaced by values that allow least, since the
+	 * platform sends the same values to all processes and they would all end.
 	 * @param file the file
 	 * @return the settings, never null
 	 * @throws InvalidConfigurationException if the settings are invalid; names every
 	 * problem
 	 */
 	public static GatewaySettings read(Path file) throws InvalidConfigurationException {
-		return parse(SettingsSections.readText(file));
+		return parseTolerant(SettingsSections.readText(file));
+	}
+
+	static GatewaySettings parseTolerant(String text) throws InvalidConfigurationException {
+		List<ConfigurationProblem> replacedValues = new ArrayList<>();
+		return parse(SettingsSections.parse(text, SECTIONS, List.of()), replacedValues::add, replacedValues);
 	}
 
 	/**
@@ -67,6 +86,11 @@
 	 */
 	public static GatewaySettings parse(String text) throws InvalidConfigurationException {
 		SettingsSections sections = SettingsSections.parse(text, SECTIONS, List.of());
+		return parse(sections, sections.problems()::add, List.of());
+	}
+
+	private static GatewaySettings parse(SettingsSections sections, Consumer<ConfigurationProblem> replaced,
+			List<ConfigurationProblem> replacedValues) throws InvalidConfigurationException {
 		// A gateway connects to its peers in the role of an entry.
 		ProcessSettings.Process process = SectionParsers.process(sections.reader("process"), Role.ENTRY);
 		Map<DataCentreName, RegionName> regions = regions(sections);
@@ -76,11 +100,11 @@
 		ProcessSettings.Operators operators = SectionParsers.operators(sections.reader("operators"));
 		ProcessSettings.Shutdown shutdown = SectionParsers.shutdown(sections.reader("shutdown"));
 		int keyValidityMillis = parseDuration(sections.reader("keys"), "certain-ms");
-		RetryAllowance retries = retries(sections.reader("retries"));
-		Weights weights = weights(sections.reader("weights"));
+		RetryAllowance retries = retries(sections.reader("retries"), replaced);
+		Weights weights = weights(sections.reader("weights"), replaced);
 		sections.problems().throwIfAny();
 		return new GatewaySettings(process, regions, registry, callers, peers, operators, shutdown, keyValidityMillis,
-				retries, weights);
+				retries, weights, replacedValues);
 	}
 
 	private static Map<DataCentreName, RegionName> regions(SettingsSections sections) {
@@ -103,26 +127,61 @@
 	 * @return the duration, in milliseconds
 	 */
 	static int parseDuration(SectionReader reader, String key) {
-		int millis = reader.number(key, 1, MAX_DURATION_MILLIS);
+		int millis = reader.limit(key, 1, MAX_DURATION_MILLIS);
 		reader.checkUnknownKeys();
 		return millis;
 	}
 
-	private static Weights weights(SectionReader reader) {
-		int changeMillis = reader.number("change-ms", 1, MAX_DURATION_MILLIS);
-		int settlingMillis = reader.number("settling-ms", 0, 0, MAX_DURATION_MILLIS);
+	private static Weights weights(SectionReader reader, Consumer<ConfigurationProblem> replaced) {
+		int changeMillis = reader.limit("change-ms", 1, MAX_DURATION_MILLIS);
+		int settlingMillis = reader.limitOrElse("settling-ms", 0, MAX_DURATION_MILLIS, 0, replaced);
 		reader.checkUnknownKeys();
 		return new Weights(changeMillis, settlingMillis);
 	}
 
-	private static RetryAllowance retries(SectionReader reader) {
-		double ratio = reader.value("ratio", 0.0, GatewaySettings::ratio);
-		int freeRetries = reader.number("free", 0, MAX_FREE_RETRIES);
-		int windowMillis = reader.number("window-ms", 1, MAX_DURATION_MILLIS);
+	/*
+	 * Without a readable allowance no retries are made, and without a readable window it
+	 * applies to the longest one.
+	 */
+	private static RetryAllowance retries(SectionReader reader, Consumer<ConfigurationProblem> replaced) {
+		double ratio = valueOrElse(reader, "ratio", 0.0, GatewaySettings::ratio, replaced);
+		int freeRetries = reader.limitOrElse("free", 0, MAX_FREE_RETRIES, 0, replaced);
+		long windowMillis = valueOrElse(reader, "window-s", MAX_RETRY_WINDOW_SECONDS * MILLIS_PER_SECOND,
+				GatewaySettings::windowMillis, replaced);
 		reader.checkUnknownKeys();
 		return new RetryAllowance(ratio, freeRetries, windowMillis);
 	}
 
+	private static <T> T valueOrElse(SectionReader reader, String key, T safeValue, Function<String, T> parser,
+			Consumer<ConfigurationProblem> replaced) {
+		String text = reader.text(key, "");
+		try {
+			return parser.apply(text);
+		}
+		catch (IllegalArgumentException ex) {
+			replaced.accept(new ConfigurationProblem(ConfigurationProblem.Kind.INVALID_VALUE, reader.title(), key, text,
+					ex.getMessage()));
+			return safeValue;
+		}
+	}
+
+	// A window that is counted too long allows fewer retries, so fractions are rounded
+	// up.
+	private static long windowMillis(String text) {
+		try {
+			BigDecimal seconds = new BigDecimal(text);
+			if (seconds.signum() > 0 && seconds.compareTo(BigDecimal.valueOf(MAX_RETRY_WINDOW_SECONDS)) <= 0) {
+				return seconds.multiply(BigDecimal.valueOf(MILLIS_PER_SECOND))
+					.setScale(0, RoundingMode.CEILING)
+					.longValueExact();
+			}
+		}
+		catch (NumberFormatException ex) {
+			throw new IllegalArgumentException("write a number of seconds", ex);
+		}
+		throw new IllegalArgumentException("write a number of seconds from 0 to " + MAX_RETRY_WINDOW_SECONDS);
+	}
+
 	private static double ratio(String text) {
 		try {
 			double ratio = Double.parseDouble(text);
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
@@ -122,7 +122,7 @@
 				[retries]
 				ratio = 0.2
 				free = 600
-				window-ms = 10000
+				window-s = 10
 				[weights]
 				change-ms = %d
 				""".formatted(callers.getPort(), operators.getPort(), peers.getPort(), changeMillis));
