--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowEffect.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowEffect.java
@@ -32,6 +32,26 @@
 
 	}
 
+	/**
+	 * An instruction to request the copy of another process, since the registry has not
+	 * confirmed this one for longer than usual.
+	 *
+	 * @param afterRevision the revision of this process's copy
+	 */
+	record RequestCopy(long afterRevision) implements FollowEffect {
+
+	}
+
+	/**
+	 * An instruction to report that copies of other processes confirm the view while the
+	 * registry does not respond.
+	 *
+	 * @param revision the revision of the copy
+	 */
+	record ReportCopyUsed(long revision) implements FollowEffect {
+
+	}
+
 	/**
 	 * An instruction to publish the current view.
 	 *
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowEvent.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowEvent.java
@@ -44,6 +44,21 @@
 
 	}
 
+	/**
+	 * Another process has passed on how its copy of the registry differs.
+	 *
+	 * @param confirmedAt the time at which that copy was up to date
+	 * @param delta the difference
+	 */
+	record CopyReceived(Moment confirmedAt, RegistryDelta delta) implements FollowEvent {
+
+		public CopyReceived {
+			Objects.requireNonNull(confirmedAt, "confirmedAt must not be null");
+			Objects.requireNonNull(delta, "delta must not be null");
+		}
+
+	}
+
 	/**
 	 * A call failed or returned an unusable response.
 	 *
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowReducer.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowReducer.java
@@ -58,6 +58,9 @@
 		if (event instanceof FollowEvent.ChangesReceived changes && isAwaited(state, changes.call())) {
 			return handleChanges(state, nowMillis, changes);
 		}
+		if (event instanceof FollowEvent.CopyReceived copy) {
+			return handleCopy(state, copy);
+		}
 		if (event instanceof FollowEvent.CallFailed failed && isAwaited(state, failed.call())) {
 			return handleFailure(state, nowMillis, failed);
 		}
@@ -74,12 +77,62 @@
 		if (current != state) {
 			effects.add(new FollowEffect.Publish(current.view()));
 		}
+		current = requestCopyIfDue(current, nowMillis, effects);
 		if (!current.calls().waiting() && nowMillis >= current.calls().nextCallAtMillis()) {
 			return startCall(current, effects);
 		}
 		return new ReductionResult<>(current, effects);
 	}
 
+	private static FollowState requestCopyIfDue(FollowState state, long nowMillis, List<Effect> effects) {
+		FollowState.Confirmation confirmation = state.confirmation();
+		if (nowMillis - confirmation.atMillis() < state.times().copyRequestAgeMillis()
+				|| nowMillis < confirmation.nextCopyRequestAtMillis()) {
+			return state;
+		}
+		effects.add(new FollowEffect.RequestCopy(state.revision()));
+		double draw = RendezvousHashing.uniform(RendezvousHashing.mix(state.seed() + nowMillis));
+		return state
+			.withConfirmation(confirmation.withCopyRequested(nowMillis + state.times().copyRequestDelayMillis(draw)));
+	}
+
+	/*
+	 * The other copy had all changes up to the time at which it was confirmed. It thus
+	 * confirms this one too, unless this one lacks changes that it does not contain.
+	 */
+	private static ReductionResult<FollowState> handleCopy(FollowState state, FollowEvent.CopyReceived event) {
+		RegistryDelta delta = event.delta();
+		if (delta.afterRevision() > state.revision()) {
+			return ReductionResult.of(state);
+		}
+		List<Effect> effects = new ArrayList<>();
+		FollowState next = state;
+		if (delta.revision() > state.revision()) {
+			next = applyDelta(state, delta, effects);
+			effects.add(new FollowEffect.Publish(next.view()));
+		}
+		if (!state.confirmation().byCopy()) {
+			effects.add(new FollowEffect.ReportCopyUsed(delta.revision()));
+		}
+		effects.add(new FollowEffect.Confirm(event.confirmedAt()));
+		return new ReductionResult<>(
+				next.withConfirmation(state.confirmation().withCopy(event.confirmedAt().monotonicMillis())), effects);
+	}
+
+	private static FollowState applyDelta(FollowState state, RegistryDelta delta, List<Effect> effects) {
+		SortedMap<String, RegistryItem> items = new TreeMap<>(state.items());
+		items.keySet().retainAll(delta.keys());
+		delta.changes().forEach((change) -> {
+			RegistryItem known = items.get(change.key());
+			if (known == null || known.revision() < change.revision()) {
+				items.put(change.key(), resolveItem(known, change, effects));
+			}
+		});
+		Map<String, Long> graceDeadlines = new HashMap<>(state.graceDeadlines());
+		graceDeadlines.keySet().retainAll(items.keySet());
+		return state.withCopy(items, delta.revision(), graceDeadlines);
+	}
+
 	private static FollowState removeItemsPastGrace(FollowState state, long nowMillis) {
 		if (state.graceDeadlines().values().stream().noneMatch((until) -> nowMillis >= until)) {
 			return state;
@@ -93,8 +146,7 @@
 			}
 			return overdue;
 		});
-		return new FollowState(state.times(), state.seed(), state.calls(), items, state.fullRead(), state.revision(),
-				graceDeadlines);
+		return state.withCopy(items, state.revision(), graceDeadlines);
 	}
 
 	private static ReductionResult<FollowState> startCall(FollowState state, List<Effect> effects) {
@@ -138,7 +190,8 @@
 		if (page.hasMore() && !page.items().isEmpty()) {
 			return startCall(updated.withFullRead(fullRead), effects);
 		}
-		FollowState complete = applyFullRead(updated, nowMillis, fullRead, effects);
+		FollowState complete = applyFullRead(updated, nowMillis, fullRead, effects)
+			.withConfirmation(updated.confirmation().withResponse(fullRead.requestedAt().monotonicMillis()));
 		effects.add(new FollowEffect.Publish(complete.view()));
 		effects.add(new FollowEffect.Confirm(fullRead.requestedAt()));
 		return startCall(complete, effects);
@@ -146,6 +199,10 @@
 
 	private static FollowState applyFullRead(FollowState state, long nowMillis, FollowState.FullRead fullRead,
 			List<Effect> effects) {
+		if (fullRead.revision() < state.revision()) {
+			// a copy of another process is newer than the pages
+			return state.withFullReadEnded();
+		}
 		SortedMap<String, RegistryItem> items = new TreeMap<>();
 		fullRead.items().values().forEach((item) -> {
 			RegistryItem known = state.items().get(item.key());
@@ -185,7 +242,8 @@
 				items.remove(change.key());
 			}
 		}
-		FollowState next = updated.withItems(items, Math.max(state.revision(), changes.revision()), graceDeadlines);
+		FollowState next = updated.withItems(items, Math.max(state.revision(), changes.revision()), graceDeadlines)
+			.withConfirmation(updated.confirmation().withResponse(event.requestedAt().monotonicMillis()));
 		if (!changes.items().isEmpty()) {
 			effects.add(new FollowEffect.Publish(next.view()));
 		}
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowState.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowState.java
@@ -18,10 +18,11 @@
  * @param revision the last known revision
  * @param graceDeadlines the times until which items removed during an outage of the
  * registry are kept, by key, in milliseconds of the monotonic clock
+ * @param confirmation when the items were last known to be current
  * @since 0.1
  */
 public record FollowState(FollowTimes times, long seed, Calls calls, SortedMap<String, RegistryItem> items,
-		Optional<FullRead> fullRead, long revision, Map<String, Long> graceDeadlines) {
+		Optional<FullRead> fullRead, long revision, Map<String, Long> graceDeadlines, Confirmation confirmation) {
 
 	/**
 	 * Returns the state before the first call.
@@ -30,21 +31,40 @@
 	 * @return the state, never null
 	 */
 	public static FollowState initial(FollowTimes times, long seed) {
-		return new FollowState(times, seed, Calls.none(), new TreeMap<>(), Optional.of(FullRead.start()), 0, Map.of());
+		return new FollowState(times, seed, Calls.none(), new TreeMap<>(), Optional.of(FullRead.start()), 0, Map.of(),
+				Confirmation.none());
 	}
 
 	FollowState withCalls(Calls next) {
 		return new FollowState(this.times, this.seed, next, this.items, this.fullRead, this.revision,
-				this.graceDeadlines);
+				this.graceDeadlines, this.confirmation);
 	}
 
 	FollowState withFullRead(FullRead next) {
 		return new FollowState(this.times, this.seed, this.calls, this.items, Optional.of(next), this.revision,
-				this.graceDeadlines);
+				this.graceDeadlines, this.confirmation);
 	}
 
 	FollowState withItems(SortedMap<String, RegistryItem> known, long atRevision, Map<String, Long> deadlines) {
-		return new FollowState(this.times, this.seed, this.calls, known, Optional.empty(), atRevision, deadlines);
+		return new FollowState(this.times, this.seed, this.calls, known, Optional.empty(), atRevision, deadlines,
+				this.confirmation);
+	}
+
+	FollowState withFullReadEnded() {
+		return withItems(this.items, this.revision, this.graceDeadlines);
+	}
+
+	/*
+	 * Keeps a full read in progress, unlike the items that result from it.
+	 */
+	FollowState withCopy(SortedMap<String, RegistryItem> copied, long atRevision, Map<String, Long> deadlines) {
+		return new FollowState(this.times, this.seed, this.calls, copied, this.fullRead, atRevision, deadlines,
+				this.confirmation);
+	}
+
+	FollowState withConfirmation(Confirmation next) {
+		return new FollowState(this.times, this.seed, this.calls, this.items, this.fullRead, this.revision,
+				this.graceDeadlines, next);
 	}
 
 	RegistryView view() {
@@ -103,4 +123,32 @@
 
 	}
 
+	/**
+	 * The knowledge of when the items were current.
+	 *
+	 * @param atMillis the time at which they were last known to be current, in
+	 * milliseconds of the monotonic clock
+	 * @param byCopy whether a copy of another process has confirmed them
+	 * @param nextCopyRequestAtMillis the earliest time of the next request for a copy
+	 */
+	public record Confirmation(long atMillis, boolean byCopy, long nextCopyRequestAtMillis) {
+
+		static Confirmation none() {
+			return new Confirmation(Moment.NEVER.monotonicMillis(), false, Long.MIN_VALUE);
+		}
+
+		Confirmation withResponse(long confirmedAtMillis) {
+			return new Confirmation(Math.max(this.atMillis, confirmedAtMillis), false, this.nextCopyRequestAtMillis);
+		}
+
+		Confirmation withCopy(long confirmedAtMillis) {
+			return new Confirmation(Math.max(this.atMillis, confirmedAtMillis), true, this.nextCopyRequestAtMillis);
+		}
+
+		Confirmation withCopyRequested(long nextAtMillis) {
+			return new Confirmation(this.atMillis, this.byCopy, nextAtMillis);
+		}
+
+	}
+
 }
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowTimes.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowTimes.java
@@ -13,10 +13,24 @@
  * that expired meanwhile may register again
  * @param versionsOnly whether only declared versions are watched once a configuration is
  * known; the configuration is then updated by full reads only
+ * @param copyRequestAgeMillis the age of the view from which copies of other processes
+ * are requested; {@link #NO_COPY_REQUESTS} to request none
  * @since 0.1
  */
 public record FollowTimes(long watchMillis, long batchDelayMillis, long initialBackoffMillis, long maxBackoffMillis,
-		long expiryGraceMillis, boolean versionsOnly) {
+		long expiryGraceMillis, boolean versionsOnly, long copyRequestAgeMillis) {
+
+	/** The age from which a process requests copies that never does so. */
+	public static final long NO_COPY_REQUESTS = Long.MAX_VALUE;
+
+	/** The interval between two requests for a copy, before jitter. */
+	private static final long COPY_REQUEST_INTERVAL_MILLIS = 400;
+
+	/**
+	 * The time that a usual response of the registry takes beside the two watches that
+	 * may pass between two confirmations.
+	 */
+	private static final long USUAL_RESPONSE_MILLIS = 300;
 
 	private static final long DEFAULT_BATCH_DELAY_MILLIS = 40;
 
@@ -40,7 +54,8 @@
 	 */
 	public static FollowTimes forAllItems(long watchMillis) {
 		return new FollowTimes(watchMillis, DEFAULT_BATCH_DELAY_MILLIS, DEFAULT_INITIAL_BACKOFF_MILLIS,
-				DEFAULT_MAX_BACKOFF_MILLIS, DEFAULT_EXPIRY_GRACE_MILLIS, false);
+				DEFAULT_MAX_BACKOFF_MILLIS, DEFAULT_EXPIRY_GRACE_MILLIS, false,
+				2 * watchMillis + USUAL_RESPONSE_MILLIS);
 	}
 
 	/**
@@ -50,7 +65,7 @@
 	 */
 	public static FollowTimes forVersionsOnly(long watchMillis) {
 		return new FollowTimes(watchMillis, DEFAULT_BATCH_DELAY_MILLIS, DEFAULT_INITIAL_BACKOFF_MILLIS,
-				DEFAULT_MAX_BACKOFF_MILLIS, DEFAULT_EXPIRY_GRACE_MILLIS, true);
+				DEFAULT_MAX_BACKOFF_MILLIS, DEFAULT_EXPIRY_GRACE_MILLIS, true, NO_COPY_REQUESTS);
 	}
 
 	/**
@@ -68,4 +83,14 @@
 		return (long) (bounded * (0.5 + 0.5 * draw));
 	}
 
+	/**
+	 * Returns the delay until the next request for a copy, spread so that processes that
+	 * have lost the registry together do not request copies together.
+	 * @param draw a random number from 0 to 1
+	 * @return the delay in milliseconds
+	 */
+	long copyRequestDelayMillis(double draw) {
+		return (long) (COPY_REQUEST_INTERVAL_MILLIS * (1 + draw));
+	}
+
 }
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/Moment.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/Moment.java
@@ -24,4 +24,14 @@
 		return Math.max(now.monotonicMillis - this.monotonicMillis, now.wallMillis - this.wallMillis);
 	}
 
+	/**
+	 * Returns an earlier moment.
+	 * @param millis the time before this moment, in milliseconds, not negative
+	 * @return the earlier moment, {@link #NEVER} if it is earlier than that
+	 */
+	public Moment minusMillis(long millis) {
+		return (millis >= -NEVER.monotonicMillis) ? NEVER
+				: new Moment(this.monotonicMillis - millis, this.wallMillis - millis);
+	}
+
 }
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/registry/FollowReducerTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/registry/FollowReducerTests.java
@@ -2,8 +2,11 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -315,4 +318,88 @@
 
 	}
 
+	@Nested
+	class ACopyOfAnotherProcess {
+
+		private void receiveCopy(long ageMillis, long afterRevision, long revision, RegistryItem... changes) {
+			Set<String> keys = (revision > afterRevision)
+					? Arrays.stream(changes).map(RegistryItem::key).collect(Collectors.toSet()) : Set.of();
+			reduce(new FollowEvent.CopyReceived(moment().minusMillis(ageMillis),
+					new RegistryDelta(afterRevision, revision, keys, List.of(changes))));
+		}
+
+		private void loseRegistry() {
+			completeFullRead(configuration(1, 5), runner("a", 3, false), runner("b", 4, false));
+			failCall(false);
+			tickAfter(3500);
+		}
+
+		@Test
+		void isRequestedOnceTheRegistryHasNotConfirmedTheViewForLongerThanUsual() {
+			completeFullRead(configuration(1, 5));
+			failCall(false);
+			tickAfter(3000);
+			assertThat(FollowReducerTests.this.effects).noneMatch(FollowEffect.RequestCopy.class::isInstance);
+			tickAfter(400);
+			assertThat(onlyEffect(FollowEffect.RequestCopy.class).afterRevision()).isEqualTo(10);
+			tickAfter(300);
+			assertThat(FollowReducerTests.this.effects).noneMatch(FollowEffect.RequestCopy.class::isInstance);
+			tickAfter(600);
+			onlyEffect(FollowEffect.RequestCopy.class);
+		}
+
+		@Test
+		void isNotRequestedByAProcessThatReadsTheConfigurationOnlyNowAndThen() {
+			FollowReducerTests.this.state = FollowState.initial(FollowTimes.forVersionsOnly(8000), 7);
+			loseRegistry();
+			tickAfter(60_000);
+			assertThat(FollowReducerTests.this.effects).noneMatch(FollowEffect.RequestCopy.class::isInstance);
+		}
+
+		@Test
+		void replacesItemsAndConfirmsThemAsOfItsOwnAge() {
+			loseRegistry();
+			receiveCopy(700, 10, 12, configuration(2, 11), runner("b", 12, true));
+			assertThat(published().configuration().orElseThrow().version()).isEqualTo(2);
+			assertThat(published().runners()).containsOnlyKeys(new RunnerId("b"));
+			assertThat(published().runners().get(new RunnerId("b")).draining()).isTrue();
+			Moment confirmedAt = onlyEffect(FollowEffect.Confirm.class).at();
+			assertThat(confirmedAt.ageMillis(moment())).isEqualTo(700);
+		}
+
+		@Test
+		void confirmsTheViewIfNothingHasChanged() {
+			loseRegistry();
+			receiveCopy(700, 10, 10);
+			assertThat(FollowReducerTests.this.effects).noneMatch(FollowEffect.Publish.class::isInstance);
+			onlyEffect(FollowEffect.Confirm.class);
+		}
+
+		// Guards against a configuration that goes back because of an older copy.
+		@Test
+		void neverReplacesAConfigurationByALowerVersion() {
+			loseRegistry();
+			receiveCopy(700, 10, 12, configuration(0, 11), runner("a", 3, false), runner("b", 4, false));
+			assertThat(published().configuration().orElseThrow().version()).isEqualTo(1);
+		}
+
+		@Test
+		void thatBelongsToALaterRequestThanTheItemsIsIgnored() {
+			loseRegistry();
+			receiveCopy(0, 11, 11);
+			assertThat(FollowReducerTests.this.effects).isEmpty();
+		}
+
+		// Guards against pages that were requested before the copy and arrive after it.
+		@Test
+		void isNotReplacedByAnOlderFullRead() {
+			tickAfter(0);
+			receiveCopy(100, 0, 12, configuration(2, 11), runner("b", 12, true));
+			receivePage(false, 10, configuration(1, 5), runner("b", 4, false));
+			assertThat(published().runners().get(new RunnerId("b")).draining()).isTrue();
+			assertThat(onlyEffect(FollowEffect.Watch.class).afterRevision()).isEqualTo(12);
+		}
+
+	}
+
 }
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
@@ -32,6 +32,7 @@
 import org.catkingate.wire.FrameTransport;
 import org.catkingate.wire.HandshakeMessage;
 import org.catkingate.wire.Message;
+import org.catkingate.wire.RegistryMessage;
 import org.catkingate.wire.RunnerMessage;
 import org.catkingate.wire.SharedKey;
 import org.catkingate.wire.WeightsMessage;
@@ -72,6 +73,8 @@
 
 	private final MonotonicClock clock;
 
+	private final RegistryCopyExchange copies;
+
 	private final Map<FrameConnection, String> runnerAddresses = new HashMap<>();
 
 	private RegistryView view = RegistryView.empty();
@@ -79,7 +82,8 @@
 	private GatewayPeers(HandshakeMessage.PeerIdentity self, SharedKey key, List<InetSocketAddress> seeds,
 			XnioWorker worker, Supplier<Optional<WeightsOrigin>> publishedOrigin,
 			Supplier<Optional<PieceOrigin>> origin, RunnerTable table, DeclaredVersions versions,
-			MonotonicClock clock) {
+			RegistryCopyExchange copies, MonotonicClock clock) {
+		this.copies = copies;
 		this.self = self;
 		this.publishedOrigin = publishedOrigin;
 		this.table = table;
@@ -104,17 +108,18 @@
 	 * @param table receives the reports on runners
 	 * @param versions receives the versions that others report, and provides those to
 	 * send
+	 * @param copies exchanges copies of the registry
 	 * @param clock the clock
 	 * @return the connections, never null
 	 * @throws IOException if the address cannot be used
 	 */
 	static GatewayPeers start(HandshakeMessage.PeerIdentity self, SharedKey key, InetSocketAddress listen,
 			List<InetSocketAddress> seeds, XnioWorker worker, Supplier<Optional<WeightsOrigin>> publishedOrigin,
-			Supplier<Optional<PieceOrigin>> origin, RunnerTable table, DeclaredVersions versions, MonotonicClock clock)
-			throws IOException {
+			Supplier<Optional<PieceOrigin>> origin, RunnerTable table, DeclaredVersions versions,
+			RegistryCopyExchange copies, MonotonicClock clock) throws IOException {
 		List<InetSocketAddress> others = seeds.stream().filter((seed) -> !seed.equals(listen)).toList();
 		GatewayPeers peers = new GatewayPeers(self, key, others, worker, publishedOrigin, origin, table, versions,
-				clock);
+				copies, clock);
 		peers.transport.listen(listen, peers);
 		worker.getIoThread()
 			.executeAtInterval(peers::broadcastDeclarations, DECLARATIONS_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
@@ -163,6 +168,15 @@
 		}
 	}
 
+	/**
+	 * Requests the copy of the registry that another gateway has. Only gateways that the
+	 * settings name are asked, since this process has chosen their addresses.
+	 * @param afterRevision the revision of this process's copy
+	 */
+	void requestRegistryCopy(long afterRevision) {
+		this.copies.request(this.seedConnections.nearestFirst(), afterRevision);
+	}
+
 	private void sendDeclarations(FrameConnection connection) {
 		this.versions.pruneAndListMessages(this.clock.millis()).forEach(connection::send);
 	}
@@ -194,6 +208,7 @@
 	@Override
 	public void onClosed(FrameConnection connection, String reason) {
 		this.acceptedConnections.remove(connection);
+		this.copies.connectionLost(connection);
 		this.runnerAddresses.remove(connection);
 	}
 
@@ -215,6 +230,9 @@
 		else if (message instanceof RunnerMessage.VersionDeclaration declaration) {
 			receiveDeclaration(declaration);
 		}
+		else if (message instanceof RegistryMessage.CopyRequest request && connection.peer().role() == Role.ENTRY) {
+			this.copies.respond(connection, request);
+		}
 	}
 
 	/*
@@ -280,6 +298,9 @@
 			else if (message instanceof RunnerMessage.VersionDeclaration declaration) {
 				receiveDeclaration(declaration);
 			}
+			else if (message instanceof RegistryMessage.CopyContent copy) {
+				GatewayPeers.this.copies.receive(connection, copy);
+			}
 			else if (message instanceof WeightsMessage response) {
 				GatewayPeers.this.pieceClient.onReceived(connection, response);
 			}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -16,6 +16,7 @@
 
 import org.catkingate.decisions.admission.AdmissionPolicies;
 import org.catkingate.decisions.registry.FollowTimes;
+import org.catkingate.decisions.registry.KeyAcceptance;
 import org.catkingate.decisions.registry.RegistryView;
 import org.catkingate.decisions.routing.Distance;
 import org.catkingate.decisions.routing.Location;
@@ -84,7 +85,7 @@
 	 */
 	private static final long REGISTRY_AGE_MARGIN_MILLIS = 250;
 
-	private final Readiness readiness = Readiness.starting();
+	private final Readiness readiness = Readiness.startingWhile(this::canAcceptKeys);
 
 	private final PrometheusRegistry metrics = new PrometheusRegistry();
 
@@ -133,13 +134,15 @@
 		this.httpClient = BufferedHttpClient.create(this.worker);
 		this.follower = RegistryFollower.of(registry.open(this.httpClient, settings.registry().url()),
 				FollowTimes.forAllItems(settings.registry().watchMillis()), new SecureRandom().nextLong(), clock,
-				MomentSource.system(), this::applyView);
-		this.registry = new RegistryCopy(this.follower, settings.keyValidityMillis() - REGISTRY_AGE_MARGIN_MILLIS);
+				MomentSource.system(), this::applyView, this::requestRegistryCopy);
+		RegistryCopyExchange copies = new RegistryCopyExchange(this.follower, MomentSource.system());
+		this.registry = new RegistryCopy(this.follower,
+				new KeyAcceptance(settings.keyValidityMillis() - REGISTRY_AGE_MARGIN_MILLIS), copies::othersAgeMillis);
 		SharedCallState sharedCallState = new SharedCallState(this.runners, codec, settings.retries(),
 				this::gatewayCount, this::assumedGatewayCount, clock, this.gatewayMetrics);
 		this.peers = GatewayPeers.start(ProcessIdentities.toPeerIdentity(ProcessIdentities.of(settings.process())),
 				settings.peers().sharedKey(), settings.peers().listen(), settings.peers().seeds(), this.worker,
-				this::publishedOrigin, this::openOrigin, this.runners, this.versions, clock);
+				this::publishedOrigin, this::openOrigin, this.runners, this.versions, copies, clock);
 		this.callerServer = CallerServer.start(settings.callers(), this.worker, this.buffers,
 				new RequestHandler(sharedCallState, this.registry, this.connections));
 		registerMetrics();
@@ -178,6 +181,14 @@
 		return process;
 	}
 
+	private boolean canAcceptKeys() {
+		return this.registry.canAcceptKeys();
+	}
+
+	private void requestRegistryCopy(long afterRevision) {
+		this.worker.getIoThread().execute(() -> this.peers.requestRegistryCopy(afterRevision));
+	}
+
 	private int gatewayCount() {
 		return this.peers.gatewayCount();
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RegistryCopy.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RegistryCopy.java
@@ -1,7 +1,11 @@
 package org.catkingate.gateway;
 
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Supplier;
 
+import org.catkingate.decisions.registry.KeyAcceptance;
 import org.catkingate.decisions.registry.RegistryView;
 import org.catkingate.model.registry.ServingConfiguration;
 import org.catkingate.runtime.registry.RegistryFollower;
@@ -14,17 +18,20 @@
 
 	private final RegistryFollower follower;
 
-	private final long maxAgeForKeysMillis;
+	private final KeyAcceptance keyAcceptance;
+
+	private final Supplier<OptionalLong> othersAgeMillis;
 
 	/**
 	 * Creates the access to the copy that a follower maintains.
 	 * @param follower follows the registry
-	 * @param maxAgeForKeysMillis the maximum age of the copy at which keys are accepted,
-	 * in milliseconds
+	 * @param keyAcceptance decides up to which age of the copy keys are accepted
+	 * @param othersAgeMillis the age of the copy that another gateway has lately reported
 	 */
-	RegistryCopy(RegistryFollower follower, long maxAgeForKeysMillis) {
+	RegistryCopy(RegistryFollower follower, KeyAcceptance keyAcceptance, Supplier<OptionalLong> othersAgeMillis) {
 		this.follower = follower;
-		this.maxAgeForKeysMillis = maxAgeForKeysMillis;
+		this.keyAcceptance = keyAcceptance;
+		this.othersAgeMillis = othersAgeMillis;
 	}
 
 	RegistryView view() {
@@ -36,7 +43,16 @@
 	}
 
 	boolean canAcceptKeys() {
-		return this.follower.ageMillis() <= this.maxAgeForKeysMillis;
+		return this.keyAcceptance.canAccept(this.follower.ageMillis());
+	}
+
+	/**
+	 * Returns after which time a caller should come back whose key cannot be checked.
+	 * @return the delay in milliseconds
+	 */
+	long keyRetryAfterMillis() {
+		return this.keyAcceptance.retryAfterMillis(this.othersAgeMillis.get(),
+				ThreadLocalRandom.current().nextDouble());
 	}
 
 	AdmittedRequest.DecisionBasis basis() {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestHandler.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestHandler.java
@@ -71,7 +71,7 @@
 		AccountName account = null;
 		if (!route.allowsAnonymousCalls()) {
 			if (!this.registry.canAcceptKeys()) {
-				reject(exchange, head, Rejection.notRun(REGISTRY_RETRY_AFTER_MILLIS,
+				reject(exchange, head, Rejection.notRun(this.registry.keyRetryAfterMillis(),
 						"it is not known whether keys are still valid; use another entry"));
 				return;
 			}
--- a/catkingate-loader/src/main/java/org/catkingate/loader/LoaderProcess.java
+++ b/catkingate-loader/src/main/java/org/catkingate/loader/LoaderProcess.java
@@ -134,7 +134,8 @@
 				(state) -> TICK_INTERVAL_MILLIS);
 		this.follower = RegistryFollower.of(registry.open(this.httpClient, settings.registry().url()),
 				FollowTimes.forVersionsOnly(settings.registry().watchMillis()), new SecureRandom().nextLong(), clock,
-				MomentSource.system(), this::applyView);
+				MomentSource.system(), this::applyView, (revision) -> {
+				});
 		registerMetrics();
 		this.operators = OperatorsEndpoint.start(settings.operators().addresses(), this.readiness, this.metrics,
 				this::state);
--- a/catkingate-model/src/main/java/org/catkingate/model/ini/SectionReader.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/ini/SectionReader.java
@@ -187,16 +187,18 @@
 
 	/**
 	 * Reads a limit like {@link #limit(String, int, int)}, which is replaced by a safe
-	 * value if it is absent or invalid.
+	 * value if it is invalid.
 	 * @param key the key
+	 * @param defaultText the text to read if the key is absent, empty if it is required
 	 * @param min the minimum, inclusive
 	 * @param max the largest result
 	 * @param safeValue the value that causes no harm whatever was meant
 	 * @param replaced receives the problem if the safe value is used
 	 * @return the number, or the safe value
 	 */
-	public int limitOrElse(String key, int min, int max, int safeValue, Consumer<ConfigurationProblem> replaced) {
-		String value = text(key, "");
+	public int limitOrElse(String key, String defaultText, int min, int max, int safeValue,
+			Consumer<ConfigurationProblem> replaced) {
+		String value = text(key, defaultText);
 		return parseLimit(value, min, max).orElseGet(() -> {
 			replaced.accept(new ConfigurationProblem(ConfigurationProblem.Kind.INVALID_VALUE, title(), key, value,
 					"write a number from " + min + " to " + max));
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/operators/Readiness.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/operators/Readiness.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
 
 /**
  * The readiness of a process, which determines whether the platform's load balancer
@@ -13,7 +14,10 @@
 
 	private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.STARTING);
 
-	private Readiness() {
+	private final BooleanSupplier canServe;
+
+	private Readiness(BooleanSupplier canServe) {
+		this.canServe = canServe;
 	}
 
 	/**
@@ -21,7 +25,17 @@
 	 * @return the readiness, never null
 	 */
 	public static Readiness starting() {
-		return new Readiness();
+		return startingWhile(() -> true);
+	}
+
+	/**
+	 * Creates a readiness in {@link Phase#STARTING} that depends on a condition.
+	 * @param canServe whether a process that has started can serve requests now; called
+	 * by any thread
+	 * @return the readiness
+	 */
+	public static Readiness startingWhile(BooleanSupplier canServe) {
+		return new Readiness(canServe);
 	}
 
 	/**
@@ -43,7 +57,8 @@
 	 * @return the phase, never null
 	 */
 	public Phase phase() {
-		return Objects.requireNonNull(this.phase.get());
+		Phase current = Objects.requireNonNull(this.phase.get());
+		return (current == Phase.READY && !this.canServe.getAsBoolean()) ? Phase.DEGRADED : current;
 	}
 
 	/**
@@ -57,6 +72,9 @@
 		/** The process serves requests. */
 		READY,
 
+		/** The process has started, but rejects most requests for now. */
+		DEGRADED,
+
 		/** The process finishes the requests in progress before it ends. */
 		STOPPING
 
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/registry/Registry.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/registry/Registry.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.catkingate.model.registry.RegistryPage;
+import org.catkingate.model.registry.RegistryValue;
 import org.catkingate.runtime.platform.PlatformException;
 
 /**
@@ -40,4 +41,12 @@
 		return watch(afterRevision, waitMillis);
 	}
 
+	/**
+	 * Decodes the content of an item that another process has passed on.
+	 * @param key the key of the item
+	 * @param content the content as published
+	 * @return the value, {@link RegistryValue.Unreadable} if the content is malformed
+	 */
+	RegistryValue decode(String key, byte[] content);
+
 }
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/registry/RegistryFollower.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/registry/RegistryFollower.java
@@ -1,10 +1,13 @@
 package org.catkingate.runtime.registry;
 
+import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -19,7 +22,9 @@
 import org.catkingate.decisions.registry.FollowState;
 import org.catkingate.decisions.registry.FollowTimes;
 import org.catkingate.decisions.registry.Moment;
+import org.catkingate.decisions.registry.RegistryDelta;
 import org.catkingate.decisions.registry.RegistryView;
+import org.catkingate.model.registry.RegistryItem;
 import org.catkingate.model.registry.RegistryPage;
 import org.catkingate.runtime.ControlLoop;
 import org.catkingate.runtime.MomentSource;
@@ -45,6 +50,8 @@
 
 	private final Consumer<RegistryView> onChange;
 
+	private final LongConsumer copyRequests;
+
 	private final ControlLoop<FollowState> loop;
 
 	private volatile RegistryView view = RegistryView.empty();
@@ -52,10 +59,11 @@
 	private volatile Moment confirmedAt = Moment.NEVER;
 
 	private RegistryFollower(Registry registry, FollowTimes times, long seed, MonotonicClock clock,
-			MomentSource momentSource, Consumer<RegistryView> onChange) {
+			MomentSource momentSource, Consumer<RegistryView> onChange, LongConsumer copyRequests) {
 		this.registry = registry;
 		this.momentSource = momentSource;
 		this.onChange = onChange;
+		this.copyRequests = copyRequests;
 		this.loop = ControlLoop.prepare(FollowState.initial(times, seed), FollowReducer.create(), this::execute, clock,
 				FollowEvent.Ticked::new, (state) -> TICK_MILLIS);
 	}
@@ -68,13 +76,15 @@
 	 * @param clock the clock for delays and timeouts
 	 * @param momentSource the clocks by which the age of the view is measured
 	 * @param onChange receives each new view on the control thread; must not block
+	 * @param copyRequests receives the revision of this process's copy when another
+	 * process should be asked for its own, on the control thread; must not block
 	 * @return the follower, never null
 	 */
 	public static RegistryFollower of(Registry registry, FollowTimes times, long seed, MonotonicClock clock,
-			MomentSource momentSource, Consumer<RegistryView> onChange) {
+			MomentSource momentSource, Consumer<RegistryView> onChange, LongConsumer copyRequests) {
 		Objects.requireNonNull(registry, "registry must not be null");
 		Objects.requireNonNull(times, "times must not be null");
-		return new RegistryFollower(registry, times, seed, clock, momentSource, onChange);
+		return new RegistryFollower(registry, times, seed, clock, momentSource, onChange, copyRequests);
 	}
 
 	/**
@@ -99,6 +109,46 @@
 		return this.view;
 	}
 
+	/**
+	 * Compares this process's copy of the registry with an older one.
+	 * @param afterRevision the revision of the older copy
+	 * @return the age of this process's copy and how it differs; items without their
+	 * published content are left out
+	 */
+	public AgedDelta compareWith(long afterRevision) {
+		// the age is read first, so that the items are at least as new
+		long ageMillis = ageMillis();
+		FollowState state = this.loop.state();
+		if (state.revision() <= afterRevision) {
+			return new AgedDelta(ageMillis, new RegistryDelta(afterRevision, state.revision(), Set.of(), List.of()));
+		}
+		List<RegistryItem> changes = state.items()
+			.values()
+			.stream()
+			.filter((item) -> item.revision() > afterRevision && item.content() != null)
+			.toList();
+		return new AgedDelta(ageMillis,
+				new RegistryDelta(afterRevision, state.revision(), state.items().keySet(), changes));
+	}
+
+	/**
+	 * Receives the copy of another process.
+	 * @param confirmedAt the time at which that copy was up to date
+	 * @param afterRevision the revision of this process's copy in the request
+	 * @param revision the revision of the other copy
+	 * @param keys the keys of all items
+	 * @param contents the changed items, of which only key, revision and content are used
+	 */
+	public void receiveCopy(Moment confirmedAt, long afterRevision, long revision, Set<String> keys,
+			List<RegistryItem> contents) {
+		List<RegistryItem> changes = contents.stream()
+			.map((item) -> new RegistryItem(item.key(), item.revision(),
+					this.registry.decode(item.key(), item.content()), item.content()))
+			.toList();
+		this.loop.submit(
+				new FollowEvent.CopyReceived(confirmedAt, new RegistryDelta(afterRevision, revision, keys, changes)));
+	}
+
 	/**
 	 * Registers a metric for the age of the view.
 	 * @param metrics the metrics
@@ -134,13 +184,24 @@
 			publish(publish.view());
 		}
 		else if (effect instanceof FollowEffect.Confirm confirm) {
-			this.confirmedAt = confirm.at();
+			confirm(confirm.at());
+		}
+		else if (effect instanceof FollowEffect.RequestCopy request) {
+			this.copyRequests.accept(request.afterRevision());
 		}
 		else {
 			logEffect(effect);
 		}
 	}
 
+	// A copy of another process may be older than what the registry has confirmed.
+	private void confirm(Moment at) {
+		Moment now = this.momentSource.now();
+		if (at.ageMillis(now) < this.confirmedAt.ageMillis(now)) {
+			this.confirmedAt = at;
+		}
+	}
+
 	private CompletableFuture<RegistryPage> changes(FollowEffect.Watch watch) {
 		return watch.versionsOnly() ? this.registry.watchVersions(watch.afterRevision(), watch.waitMillis())
 				: this.registry.watch(watch.afterRevision(), watch.waitMillis());
@@ -181,6 +242,12 @@
 				.addKeyValue("failed-calls", available.failures())
 				.log("the registry responds again");
 		}
+		else if (effect instanceof FollowEffect.ReportCopyUsed copy) {
+			logger.atInfo()
+				.addKeyValue("event", "registry-copy-used")
+				.addKeyValue("revision", copy.revision())
+				.log("the registry does not confirm the view; another gateway does");
+		}
 		else if (effect instanceof FollowEffect.ReportUnusable unusable) {
 			logger.atWarn()
 				.addKeyValue("event", "registry-item-left-out")
@@ -195,4 +262,15 @@
 		this.loop.close();
 	}
 
+	/**
+	 * A difference between two copies of the registry. Immutable.
+	 *
+	 * @param ageMillis the time since the newer copy was confirmed, in milliseconds;
+	 * {@link Long#MAX_VALUE} if it never was
+	 * @param delta the difference
+	 */
+	public record AgedDelta(long ageMillis, RegistryDelta delta) {
+
+	}
+
 }
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/GatewaySettings.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/GatewaySettings.java
@@ -134,7 +134,7 @@
 
 	private static Weights weights(SectionReader reader, Consumer<ConfigurationProblem> replaced) {
 		int changeMillis = reader.limit("change-ms", 1, MAX_DURATION_MILLIS);
-		int settlingMillis = reader.limitOrElse("settling-ms", 0, MAX_DURATION_MILLIS, 0, replaced);
+		int settlingMillis = reader.limitOrElse("settling-ms", "0", 0, MAX_DURATION_MILLIS, 0, replaced);
 		reader.checkUnknownKeys();
 		return new Weights(changeMillis, settlingMillis);
 	}
@@ -145,7 +145,7 @@
 	 */
 	private static RetryAllowance retries(SectionReader reader, Consumer<ConfigurationProblem> replaced) {
 		double ratio = valueOrElse(reader, "ratio", 0.0, GatewaySettings::ratio, replaced);
-		int freeRetries = reader.limitOrElse("free", 0, MAX_FREE_RETRIES, 0, replaced);
+		int freeRetries = reader.limitOrElse("free", "", 0, MAX_FREE_RETRIES, 0, replaced);
 		long windowMillis = valueOrElse(reader, "window-s", MAX_RETRY_WINDOW_SECONDS * MILLIS_PER_SECOND,
 				GatewaySettings::windowMillis, replaced);
 		reader.checkUnknownKeys();
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
@@ -51,9 +51,12 @@
 
 	private final InetSocketAddress callers;
 
-	private TestGateway(GatewayProcess process, InetSocketAddress callers) {
+	private final InetSocketAddress operators;
+
+	private TestGateway(GatewayProcess process, InetSocketAddress callers, InetSocketAddress operators) {
 		this.process = process;
 		this.callers = callers;
+		this.operators = operators;
 	}
 
 	/**
@@ -63,6 +66,16 @@
 	 * @return the gateway, after it has read its configuration
 	 */
 	static TestGateway start(CallKind kind, InetSocketAddress... runners) throws Exception {
+		return start(items(kind, runners), FreePorts.next(), (client, address) -> null);
+	}
+
+	/**
+	 * Creates the content of a registry with one route.
+	 * @param kind the kind of the route's calls
+	 * @param runners the addresses of the runners of its service
+	 * @return the items
+	 */
+	static List<RegistryItem> items(CallKind kind, InetSocketAddress... runners) {
 		List<RegistryItem> items = new ArrayList<>();
 		items.add(new RegistryItem("configuration", 1, new RegistryValue.Configuration(configuration(kind))));
 		for (int i = 0; i < runners.length; i++) {
@@ -70,7 +83,7 @@
 					new DataCentreName("a"), 4, false, Map.of());
 			items.add(new RegistryItem("runners/" + i, 2 + i, new RegistryValue.Runner(runner)));
 		}
-		return start(items, FreePorts.next(), (client, address) -> null);
+		return items;
 	}
 
 	/**
@@ -95,11 +108,25 @@
 	 */
 	static TestGateway start(Registry registry, InetSocketAddress peers, PieceOriginFactory originFactory,
 			long changeMillis) throws Exception {
+		return start(registry, peers, originFactory, changeMillis, "");
+	}
+
+	/**
+	 * Starts a gateway that connects to others.
+	 * @param registry the registry it follows
+	 * @param peers the address on which it listens for other processes
+	 * @param originFactory creates the origin of weights
+	 * @param changeMillis the time that a version change may take, in milliseconds
+	 * @param seeds the addresses of other gateways, separated by commas
+	 * @return the gateway, after it has received a configuration
+	 */
+	static TestGateway start(Registry registry, InetSocketAddress peers, PieceOriginFactory originFactory,
+			long changeMillis, String seeds) throws Exception {
 		InetSocketAddress callers = FreePorts.next();
 		InetSocketAddress operators = FreePorts.next();
 		GatewaySettings settings = GatewaySettings.parse("""
 				[process]
-				instance = gateway-1
+				instance = gateway-%d
 				data-centre = a
 				region = r
 				[data-centres]
@@ -112,7 +139,7 @@
 				listen = 127.0.0.1:%d
 				[peers]
 				listen = 127.0.0.1:%d
-				seeds =
+				seeds = %s
 				shared-key = only-for-these-tests
 				[shutdown]
 				notice-s = 0
@@ -125,11 +152,16 @@
 				window-s = 10
 				[weights]
 				change-ms = %d
-				""".formatted(callers.getPort(), operators.getPort(), peers.getPort(), changeMillis));
+				""".formatted(peers.getPort(), callers.getPort(), operators.getPort(), peers.getPort(), seeds,
+				changeMillis));
 		GatewayProcess process = GatewayProcess.start(settings, (client, url) -> registry, originFactory,
 				new PlatformHeaderCodec());
 		Awaitility.await().atMost(Duration.ofSeconds(20)).until(() -> isReady(operators));
-		return new TestGateway(process, callers);
+		return new TestGateway(process, callers, operators);
+	}
+
+	boolean isReady() throws IOException {
+		return isReady(this.operators);
 	}
 
 	private static boolean isReady(InetSocketAddress operators) throws IOException {
@@ -180,6 +212,11 @@
 					CompletableFuture.delayedExecutor(200, TimeUnit.MILLISECONDS));
 		}
 
+		@Override
+		public RegistryValue decode(String key, byte[] content) {
+			return new RegistryValue.Unreadable("no item has a published content");
+		}
+
 	}
 
 }
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/VersionChangeTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/VersionChangeTests.java
@@ -186,6 +186,11 @@
 					CompletableFuture.delayedExecutor(200, TimeUnit.MILLISECONDS));
 		}
 
+		@Override
+		public RegistryValue decode(String key, byte[] content) {
+			return new RegistryValue.Unreadable("no item has a published content");
+		}
+
 		private RegistryPage changesSince(long afterRevision) {
 			return (afterRevision < REVISION_AFTER && this.changed.getAsBoolean())
 					? new RegistryPage(this.after, false, REVISION_AFTER)
--- a/catkingate-wire/src/main/java/org/catkingate/wire/MessageCodec.java
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/MessageCodec.java
@@ -42,7 +42,8 @@
 			IdempotencyKeyMessage.StatementResponse.class, IdempotencyKeyMessage.IssueKeyRequest.class,
 			IdempotencyKeyMessage.IssueKeyResponse.class, WeightsMessage.VersionDigestsRequest.class,
 			WeightsMessage.VersionDigests.class, RunnerMessage.RunnerUpdate.class,
-			RunnerMessage.VersionDeclaration.class, RunnerMessage.RolloutPosition.class);
+			RunnerMessage.VersionDeclaration.class, RunnerMessage.RolloutPosition.class,
+			RegistryMessage.CopyRequest.class, RegistryMessage.CopyContent.class);
 
 	private static final int RESPONSE_DATA_KIND = KINDS.indexOf(RequestMessage.ResponseData.class);
 
--- /dev/null
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/RegistryMessage.java
@@ -0,0 +1,60 @@
+package org.catkingate.wire;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * A message by which gateways pass on their copies of the registry.
+ *
+ * @since 0.1
+ */
+public sealed interface RegistryMessage extends Message {
+
+	/**
+	 * A request for the receiver's copy.
+	 *
+	 * @param afterRevision the revision of the sender's copy
+	 */
+	record CopyRequest(long afterRevision) implements RegistryMessage {
+
+	}
+
+	/**
+	 * The response to a {@link CopyRequest}.
+	 *
+	 * @param afterRevision the revision in the request
+	 * @param revision the revision of the copy
+	 * @param ageMillis the time since the copy was last confirmed, in milliseconds
+	 * @param keys the keys of all items, empty if both revisions are equal
+	 * @param changes the items that were changed after the revision in the request
+	 */
+	record CopyContent(long afterRevision, long revision, long ageMillis, List<String> keys,
+			List<ChangedItem> changes) implements RegistryMessage {
+
+		public CopyContent {
+			if (ageMillis < 0) {
+				throw new IllegalArgumentException("ageMillis must not be negative");
+			}
+			keys = List.copyOf(keys);
+			changes = List.copyOf(changes);
+		}
+
+	}
+
+	/**
+	 * An item of the registry.
+	 *
+	 * @param key the key
+	 * @param revision the revision of its last change
+	 * @param content the content as published
+	 */
+	record ChangedItem(String key, long revision, byte[] content) {
+
+		public ChangedItem {
+			Objects.requireNonNull(key, "key must not be null");
+			Objects.requireNonNull(content, "content must not be null");
+		}
+
+	}
+
+}
