--- a/catkingate-cli/src/main/java/org/catkingate/cli/ProcessCommand.java
+++ b/catkingate-cli/src/main/java/org/catkingate/cli/ProcessCommand.java
@@ -49,6 +49,7 @@
 			throw new CommandException(ExitCodes.USAGE,
 					"catkingate: no settings file given; run 'catkingate " + this.name + " --help'");
 		}
+		NoMBeanServerBuilder.install();
 		S settings = readSettings(path);
 		Logging.toStandardOutput(settings.process().logLevel());
 		try {
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/admission/AdmissionPoliciesTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/admission/AdmissionPoliciesTests.java
@@ -231,4 +231,51 @@
 
 	}
 
+	/**
+	 * The load pattern: all machines have lost power, the runners hold no weights, and
+	 * callers who may retry once arrive all the while.
+	 */
+	@Nested
+	class CallersWhileAllRunnersLoadWeights {
+
+		private static final long LOADED_AT_MILLIS = 1500;
+
+		private final Random random = new Random(SEED);
+
+		private List<Long> returnTimes() {
+			List<Long> times = new ArrayList<>();
+			for (int i = 0; i < ARRIVALS; i++) {
+				long arrival = LOADED_AT_MILLIS * i / ARRIVALS;
+				times.add(arrival
+						+ AdmissionPolicies.rejectWhileLoading(arrival, this.random.nextDouble()).retryAfterMillis());
+			}
+			return times;
+		}
+
+		// Guards against callers that spend their only retry before a runner can serve.
+		@Test
+		void returnOnceRunnersAreExpectedToServe() {
+			assertThat(returnTimes()).as("seed %d", SEED).allMatch((time) -> time >= LOADED_AT_MILLIS);
+		}
+
+		// Guards against runners that are flooded the moment they have loaded.
+		@Test
+		void doNotReturnAtTheSameMoment() {
+			long busiest = 0;
+			List<Long> times = returnTimes();
+			for (long from = 0; from < 2 * LOADED_AT_MILLIS; from += 100) {
+				long start = from;
+				busiest = Math.max(busiest, times.stream().filter((t) -> t >= start && t < start + 100).count());
+			}
+			assertThat(busiest).as("seed %d", SEED).isLessThan(ARRIVALS / 5);
+		}
+
+		@Test
+		void areNotKeptAwayIfLoadingTakesLongerThanExpected() {
+			assertThat(AdmissionPolicies.rejectWhileLoading(60_000, 0).retryAfterMillis()).isPositive()
+				.isLessThanOrEqualTo(200);
+		}
+
+	}
+
 }
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/CallerServer.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/CallerServer.java
@@ -19,8 +19,10 @@
 import org.catkingate.model.registry.CallerLimits;
 
 /**
- * The HTTP server that callers connect to. Its limits follow the configuration; a change
- * of the limits applies to new connections only. Safe for use by any thread.
+ * The HTTP server that callers connect to. The address is bound before the rest of the
+ * process has started, and connections wait in the backlog until
+ * {@link #startAccepting(HttpHandler)} is called. Its limits follow the configuration; a
+ * change of the limits applies to new connections only. Safe for use by any thread.
  */
 final class CallerServer implements AutoCloseable {
 
@@ -34,15 +36,15 @@
 
 	private volatile CallerLimits limits;
 
+	private boolean accepting;
+
 	private CallerServer(HttpOpenListener listener, AcceptingChannel<StreamConnection> channel) {
 		this.listener = listener;
 		this.channel = channel;
 	}
 
-	static CallerServer start(InetSocketAddress address, XnioWorker worker, ByteBufferPool buffers, HttpHandler handler)
-			throws IOException {
+	static CallerServer bind(InetSocketAddress address, XnioWorker worker, ByteBufferPool buffers) throws IOException {
 		HttpOpenListener listener = new HttpOpenListener(buffers, options(null));
-		listener.setRootHandler(handler);
 		OptionMap socket = OptionMap.builder()
 			.set(Options.TCP_NODELAY, true)
 			.set(Options.REUSE_ADDRESSES, true)
@@ -50,10 +52,21 @@
 			.getMap();
 		AcceptingChannel<StreamConnection> channel = worker.createStreamConnectionServer(address,
 				ChannelListeners.openListenerAdapter(listener), socket);
-		channel.resumeAccepts();
 		return new CallerServer(listener, channel);
 	}
 
+	/**
+	 * Starts to accept connections. Calls after the first one have no effect.
+	 * @param handler handles the requests
+	 */
+	synchronized void startAccepting(HttpHandler handler) {
+		if (!this.accepting) {
+			this.accepting = true;
+			this.listener.setRootHandler(handler);
+			this.channel.resumeAccepts();
+		}
+	}
+
 	private static OptionMap options(CallerLimits limits) {
 		OptionMap.Builder options = OptionMap.builder()
 			.set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -9,6 +9,7 @@
 import java.util.function.Function;
 
 import org.catkingate.decisions.admission.AdmissionDecision;
+import org.catkingate.decisions.admission.AdmissionPolicies;
 import org.catkingate.decisions.admission.AdmissionPolicy;
 import org.catkingate.decisions.admission.CallRequirements;
 import org.catkingate.decisions.admission.RunnerOption;
@@ -34,6 +35,9 @@
 
 	private final AdmissionPolicy policy;
 
+	/** When a service was first seen to have only runners without weights. */
+	private final Map<ServiceName, Long> loadingSinceMillis = new HashMap<>();
+
 	private RegistryView view = RegistryView.empty();
 
 	RunnerTable(Function<RegisteredRunner, RunnerState> stateFactory, AdmissionPolicy policy,
@@ -80,9 +84,27 @@
 						startLimitMillis(models, state.servedVersions(nowMillis)) - nowMillis, nowMillis));
 			}
 		}
+		if (hasServingRunner(service, models, nowMillis)) {
+			this.loadingSinceMillis.remove(service);
+		}
+		else if (isRegistered(service)) {
+			long since = this.loadingSinceMillis.computeIfAbsent(service, (key) -> nowMillis);
+			return AdmissionPolicies.rejectWhileLoading(nowMillis - since, draw);
+		}
 		return this.policy.decide(options, requirements, engine, draw);
 	}
 
+	private boolean hasServingRunner(ServiceName service, List<ModelName> models, long nowMillis) {
+		return this.runners.values().stream().anyMatch((state) -> canServe(state, service, models, nowMillis));
+	}
+
+	private boolean isRegistered(ServiceName service) {
+		return this.runners.values()
+			.stream()
+			.map(RunnerState::runner)
+			.anyMatch((runner) -> runner.service().equals(service) && !runner.draining());
+	}
+
 	private Optional<EngineProfile> engine(ServiceName service) {
 		return this.view.configuration().flatMap((configuration) -> configuration.engine(service));
 	}
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
@@ -218,4 +218,17 @@
 		assertThat(canServe(1100)).isFalse();
 	}
 
+	// Guards against callers that are told to come back while all runners still load.
+	@Test
+	void callersOfAServiceWithoutWeightsAreToldWhenItsRunnersAreExpectedToServe() {
+		this.table.update(view(Map.of(), runner("a", false, Map.of())), 500);
+		long first = ((AdmissionDecision.Reject) decide(1000)).retryAfterMillis();
+		long later = ((AdmissionDecision.Reject) decide(1800)).retryAfterMillis();
+		assertThat(1000 + first).isEqualTo(1800 + later);
+		this.table.update(view(Map.of(), runner("a", false, Map.of(MODEL, 1L))), 2500);
+		assertThat(canServe(2501)).isTrue();
+		this.table.update(view(Map.of(), runner("a", false, Map.of())), 90_000);
+		assertThat(((AdmissionDecision.Reject) decide(90_001)).retryAfterMillis()).isEqualTo(first);
+	}
+
 }
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/operators/OperatorsEndpoint.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/operators/OperatorsEndpoint.java
@@ -42,10 +42,6 @@
 
 	private final Supplier<?> state;
 
-	private final ObjectMapper mapper = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT)
-		.enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
-		.disable(SerializationFeature.FAIL_ON_EMPTY_BEANS);
-
 	private OperatorsEndpoint(List<InetSocketAddress> addresses, Readiness readiness, PrometheusRegistry metrics,
 			Supplier<?> state) {
 		this.readiness = readiness;
@@ -122,7 +118,7 @@
 	}
 
 	private void respondWithState(HttpServerExchange exchange) throws IOException {
-		respond(exchange, StatusCodes.OK, JSON, this.mapper.writeValueAsString(this.state.get()) + "\n");
+		respond(exchange, StatusCodes.OK, JSON, StateMapper.INSTANCE.writeValueAsString(this.state.get()) + "\n");
 	}
 
 	private static void respond(HttpServerExchange exchange, int status, String type, String body) {
@@ -139,4 +135,16 @@
 		this.server.stop();
 	}
 
+	/**
+	 * Holds the mapper of states, which is created when a state is first requested, since
+	 * its creation would delay the start of the process.
+	 */
+	private static final class StateMapper {
+
+		private static final ObjectMapper INSTANCE = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT)
+			.enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
+			.disable(SerializationFeature.FAIL_ON_EMPTY_BEANS);
+
+	}
+
 }
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/registry/RegistryFollower.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/registry/RegistryFollower.java
@@ -224,8 +224,8 @@
 	private void publish(RegistryView next) {
 		RegistryView previous = this.view;
 		this.view = next;
-		RegistryChangeLogger.log(previous, next);
 		this.onChange.accept(next);
+		RegistryChangeLogger.log(previous, next);
 	}
 
 	private static void logEffect(Effect effect) {
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/RegistryCopyTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/RegistryCopyTests.java
@@ -95,6 +95,34 @@
 		}
 	}
 
+	// Guards against requests that are rejected although the configuration arrives a
+	// moment
+	// later, as after a restart of all processes.
+	@Test
+	void aRequestSentBeforeTheConfigurationHasArrivedWaitsForIt() throws Exception {
+		long reachableAtNanos = System.nanoTime() + Duration.ofMillis(300).toNanos();
+		try (RawServer runner = RawServer.respondingWith(RESPONSE);
+				TestGateway gateway = TestGateway.startWithoutWaiting(
+						new UnreliableRegistry(publishedItems(runner.address()),
+								() -> System.nanoTime() - reachableAtNanos > 0),
+						FreePorts.next(), (client, address) -> null, 8000, "");
+				RawCaller caller = gateway.connect()) {
+			assertThat(caller.post("r1", "/songs/1", "hello").readResponse()).endsWith("whole");
+		}
+	}
+
+	@Test
+	void aRequestIsRejectedIfNoConfigurationArrivesForLong() throws Exception {
+		try (RawServer runner = RawServer.respondingWith(RESPONSE);
+				TestGateway gateway = TestGateway.startWithoutWaiting(
+						new UnreliableRegistry(publishedItems(runner.address()), () -> false), FreePorts.next(),
+						(client, address) -> null, 8000, "");
+				RawCaller caller = gateway.connect()) {
+			assertThat(caller.post("r1", "/songs/1", "hello").readResponse()).startsWith("HTTP/1.1 503 ")
+				.contains("Retry-After: ");
+		}
+	}
+
 	/**
 	 * A registry that never changes and fails at times.
 	 *
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
@@ -122,6 +122,22 @@
 	 */
 	static TestGateway start(Registry registry, InetSocketAddress peers, PieceOriginFactory originFactory,
 			long changeMillis, String seeds) throws Exception {
+		TestGateway gateway = startWithoutWaiting(registry, peers, originFactory, changeMillis, seeds);
+		Awaitility.await().atMost(Duration.ofSeconds(20)).until(gateway::isReady);
+		return gateway;
+	}
+
+	/**
+	 * Starts a gateway and does not wait until it has received a configuration.
+	 * @param registry the registry it follows
+	 * @param peers the address on which it listens for other processes
+	 * @param originFactory creates the origin of weights
+	 * @param changeMillis the time that a version change may take, in milliseconds
+	 * @param seeds the addresses of other gateways, separated by commas
+	 * @return the gateway
+	 */
+	static TestGateway startWithoutWaiting(Registry registry, InetSocketAddress peers, PieceOriginFactory originFactory,
+			long changeMillis, String seeds) throws Exception {
 		InetSocketAddress callers = FreePorts.next();
 		InetSocketAddress operators = FreePorts.next();
 		GatewaySettings settings = GatewaySettings.parse("""
@@ -156,17 +172,12 @@
 				changeMillis));
 		GatewayProcess process = GatewayProcess.start(settings, (client, url) -> registry, originFactory,
 				new PlatformHeaderCodec());
-		Awaitility.await().atMost(Duration.ofSeconds(20)).until(() -> isReady(operators));
 		return new TestGateway(process, callers, operators);
 	}
 
 	boolean isReady() throws IOException {
-		return isReady(this.operators);
-	}
-
-	private static boolean isReady(InetSocketAddress operators) throws IOException {
 		HttpURLConnection connection = (HttpURLConnection) URI
-			.create("http://127.0.0.1:" + operators.getPort() + "/readyz")
+			.create("http://127.0.0.1:" + this.operators.getPort() + "/readyz")
 			.toURL()
 			.openConnection();
 		try {
