--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -117,9 +117,8 @@
 	}
 
 	private void tryNextRunner() {
-		CallRequirements requirements = new CallRequirements(this.admitted.head().promptTokens(),
-				this.route.goalMillis(), remainingMillis(), this.sharedState.correctionFactor(this.admitted.service()));
-		AdmissionDecision decision = this.sharedState.decide(this.admitted.service(), requirements, this.triedRunners);
+		AdmissionDecision decision = this.sharedState.decide(this.admitted.service(), requirements(),
+				this.triedRunners);
 		if (decision instanceof AdmissionDecision.Send send) {
 			RunnerState runner = this.sharedState.runners().state(send.runner());
 			Map<ModelName, Long> serving = runner.servedVersions(this.sharedState.clock().millis());
@@ -136,6 +135,11 @@
 		}
 	}
 
+	private CallRequirements requirements() {
+		return new CallRequirements(this.admitted.head().promptTokens(), this.route.goalMillis(), remainingMillis(),
+				this.sharedState.correctionFactor(this.admitted.service()));
+	}
+
 	private void send(RunnerState runner) {
 		this.triedRunners.add(runner.runner().id());
 		RunnerHead head = new RunnerHead(runner.runner().id(), Math.max(1, remainingMillis()), this.admitted.account(),
@@ -216,11 +220,11 @@
 			return false;
 		}
 		if (response.notRun()) {
-			from.runner().recordRejection(this.sharedState.clock().millis());
+			recordRejection(from.runner(), response);
 			from.discard();
 			this.log.addAttemptEnd(from, "refused", "status " + head.getResponseCode());
 			this.attempt = null;
-			retryOrElse(() -> rejectOrAbort(0, "every runner that was asked has no place"));
+			retryOrElse(() -> rejectOrAbort(retryAfterMillis(), "every runner that was asked has no place"));
 			return true;
 		}
 		this.mayHaveRun = true;
@@ -233,6 +237,24 @@
 		return true;
 	}
 
+	private void recordRejection(RunnerState runner, RunnerResponseHead response) {
+		long now = this.sharedState.clock().millis();
+		if (response.misdirected()) {
+			runner.recordMisdirected(now);
+		}
+		else {
+			runner.recordRejection(now);
+		}
+	}
+
+	/*
+	 * The delay after which a new request would find a place, 0 if it would find one now.
+	 */
+	private long retryAfterMillis() {
+		AdmissionDecision decision = this.sharedState.decide(this.admitted.service(), requirements(), Set.of());
+		return (decision instanceof AdmissionDecision.Reject reject) ? reject.retryAfterMillis() : 0;
+	}
+
 	private boolean isStale(RunnerAttempt from) {
 		return this.finished || this.attempt != from;
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
@@ -36,6 +36,13 @@
 	 */
 	private static final long FULL_BACKOFF_MILLIS = 100;
 
+	/**
+	 * The time for which a runner that rejected a request as not meant for it counts as
+	 * serving nothing, unless its registration changes or its loader reports. After a
+	 * loss of power, registrations of the time before may be listed for seconds.
+	 */
+	private static final long MISDIRECTED_MILLIS = 1500;
+
 	/**
 	 * The time for which a runner is suspect after consecutive failures, that is, used
 	 * only if no other runner is available.
@@ -104,6 +111,8 @@
 
 	private long suspectUntilMillis = Long.MIN_VALUE;
 
+	private long misdirectedUntilMillis = Long.MIN_VALUE;
+
 	private int failures;
 
 	private double responseStartMillis = DEFAULT_RESPONSE_START_MILLIS;
@@ -119,6 +128,9 @@
 	}
 
 	void updateRegistration(RegisteredRunner next) {
+		if (!next.equals(this.runner)) {
+			this.misdirectedUntilMillis = Long.MIN_VALUE;
+		}
 		this.runner = next;
 	}
 
@@ -170,6 +182,7 @@
 	void recordReport(RunnerMessage.RunnerUpdate report, long nowMillis) {
 		this.reportedVersions = report.loading() ? Map.of() : report.versions();
 		this.loaderReportAtMillis = nowMillis;
+		this.misdirectedUntilMillis = Long.MIN_VALUE;
 		recordLoad(new RunnerLoad(report.running(), report.waiting()), nowMillis);
 	}
 
@@ -188,6 +201,19 @@
 		this.fullUntilMillis = nowMillis + FULL_BACKOFF_MILLIS;
 	}
 
+	/**
+	 * Records that the runner rejected a request as not meant for it: it is another one
+	 * than registered, or does not serve the registered versions.
+	 * @param nowMillis the time now, in monotonic milliseconds
+	 */
+	void recordMisdirected(long nowMillis) {
+		this.misdirectedUntilMillis = nowMillis + MISDIRECTED_MILLIS;
+	}
+
+	boolean isMisdirected(long nowMillis) {
+		return nowMillis < this.misdirectedUntilMillis;
+	}
+
 	void recordFailure(long nowMillis) {
 		this.failures++;
 		if (this.failures >= MIN_SUSPECT_FAILURES) {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -115,7 +115,7 @@
 
 	private static boolean canServe(RunnerState state, ServiceName service, List<ModelName> models, long nowMillis) {
 		RegisteredRunner runner = state.runner();
-		return runner.service().equals(service) && !runner.draining()
+		return runner.service().equals(service) && !runner.draining() && !state.isMisdirected(nowMillis)
 				&& state.servedVersions(nowMillis).keySet().containsAll(models);
 	}
 
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
@@ -231,4 +231,22 @@
 		assertThat(((AdmissionDecision.Reject) decide(90_001)).retryAfterMillis()).isEqualTo(first);
 	}
 
+	// Guards against sending to runners whose registration dates from before a loss of
+	// power, which costs callers their retries.
+	@Test
+	void aRunnerThatRejectsRequestsAsMisdirectedServesNothingUntilSomethingIsKnownAnew() {
+		this.table.update(view(Map.of(), runner("a", false, Map.of(MODEL, 1L))), 500);
+		this.table.state(new RunnerId("a")).recordMisdirected(1000);
+		this.table.update(view(Map.of(), runner("a", false, Map.of(MODEL, 1L))), 1100);
+		assertThat(((AdmissionDecision.Reject) decide(1200)).reason()).contains("loading");
+		this.table.recordReport(report(false, Map.of("m", 1L)), 1300);
+		assertThat(canServe(1301)).isTrue();
+		this.table.state(new RunnerId("a")).recordMisdirected(2000);
+		this.table.update(view(Map.of(), runner("a", false, Map.of(MODEL, 2L))), 2100);
+		assertThat(canServe(2101)).isTrue();
+		this.table.state(new RunnerId("a")).recordMisdirected(3000);
+		assertThat(canServe(4400)).isFalse();
+		assertThat(canServe(4600)).isTrue();
+	}
+
 }
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/calls/RunnerResponseHead.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/calls/RunnerResponseHead.java
@@ -9,12 +9,14 @@
  * sent
  * @param signed whether the response carries a runner's message authentication code
  * @param notRun whether the runner reports that it has not run the request
+ * @param misdirected whether it has not run it because the request names another runner
+ * or a version that it does not serve
  * @param load the load of the runner, empty if it is not sent
  * @param keepAliveMillis how long the runner keeps the idle connection open, in
  * milliseconds; 0 if it closes the connection, {@link Long#MAX_VALUE} if this is not sent
  * @since 0.1
  */
-public record RunnerResponseHead(String requestId, boolean signed, boolean notRun, Optional<RunnerLoad> load,
-		long keepAliveMillis) {
+public record RunnerResponseHead(String requestId, boolean signed, boolean notRun, boolean misdirected,
+		Optional<RunnerLoad> load, long keepAliveMillis) {
 
 }
