--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
@@ -65,8 +65,8 @@
 	private static final long NO_RUNNER_RETRY_AFTER_MILLIS = 500;
 
 	/**
-	 * The time from the moment at which a service has no runner with weights until its
-	 * runners have fetched and loaded them, in milliseconds.
+	 * The time from the moment at which most runners of a service are without weights
+	 * until they have fetched and loaded them, in milliseconds.
 	 */
 	private static final long EXPECTED_LOAD_MILLIS = 1500;
 
@@ -80,8 +80,8 @@
 	}
 
 	/**
-	 * Rejects a call to a service whose runners are all without weights and load them,
-	 * with a retry delay after which they are expected to serve.
+	 * Rejects a call to a service most of whose runners are without weights and load
+	 * them, with a retry delay after which they are expected to serve.
 	 * @param elapsedMillis the time since the service was first seen in this state, in
 	 * milliseconds
 	 * @param draw a random number from 0 to 1
@@ -90,7 +90,7 @@
 	public static AdmissionDecision.Reject rejectWhileLoading(long elapsedMillis, double draw) {
 		long untilLoadedMillis = Math.max(MIN_RETRY_AFTER_MILLIS, EXPECTED_LOAD_MILLIS - elapsedMillis);
 		return new AdmissionDecision.Reject(untilLoadedMillis + (long) (draw * LOAD_RETRY_SPREAD_MILLIS), Double.NaN,
-				"all runners that serve this are loading weights");
+				"most runners that serve this are loading weights");
 	}
 
 	/**
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/RegistryView.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/RegistryView.java
@@ -1,5 +1,6 @@
 package org.catkingate.decisions.registry;
 
+import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
@@ -59,7 +60,20 @@
 				versions.merge(declared.model(), declared.version(), Math::max);
 			}
 		}
-		return new RegistryView(revision, inForce, runners, versions);
+		return new RegistryView(revision, inForce, withoutSuperseded(runners), versions);
+	}
+
+	/*
+	 * After a restart under another id, the registration of the time before may be listed
+	 * until it expires. Only one process can listen on an address: the one that started
+	 * last.
+	 */
+	private static Map<RunnerId, RegisteredRunner> withoutSuperseded(Map<RunnerId, RegisteredRunner> runners) {
+		Map<InetSocketAddress, Long> newestStarts = new HashMap<>();
+		runners.values()
+			.forEach((runner) -> newestStarts.merge(runner.address(), runner.startedAtEpochMillis(), Math::max));
+		runners.values().removeIf((runner) -> runner.startedAtEpochMillis() < newestStarts.get(runner.address()));
+		return runners;
 	}
 
 	/**
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -35,7 +35,7 @@
 
 	private final AdmissionPolicy policy;
 
-	/** When a service was first seen to have only runners without weights. */
+	/** When most runners of a service were first seen to load weights. */
 	private final Map<ServiceName, Long> loadingSinceMillis = new HashMap<>();
 
 	private RegistryView view = RegistryView.empty();
@@ -84,25 +84,32 @@
 						startLimitMillis(models, state.servedVersions(nowMillis)) - nowMillis, nowMillis));
 			}
 		}
-		if (hasServingRunner(service, models, nowMillis)) {
+		AdmissionDecision decision = this.policy.decide(options, requirements, engine, draw);
+		boolean loading = areMostLoading(service, models, nowMillis);
+		long sinceMillis = loading ? this.loadingSinceMillis.computeIfAbsent(service, (key) -> nowMillis) : nowMillis;
+		if (!loading) {
 			this.loadingSinceMillis.remove(service);
 		}
-		else if (isRegistered(service)) {
-			long since = this.loadingSinceMillis.computeIfAbsent(service, (key) -> nowMillis);
-			return AdmissionPolicies.rejectWhileLoading(nowMillis - since, draw);
-		}
-		return this.policy.decide(options, requirements, engine, draw);
-	}
-
-	private boolean hasServingRunner(ServiceName service, List<ModelName> models, long nowMillis) {
-		return this.runners.values().stream().anyMatch((state) -> canServe(state, service, models, nowMillis));
+		return (loading && decision instanceof AdmissionDecision.Reject)
+				? AdmissionPolicies.rejectWhileLoading(nowMillis - sinceMillis, draw) : decision;
 	}
 
-	private boolean isRegistered(ServiceName service) {
-		return this.runners.values()
-			.stream()
-			.map(RunnerState::runner)
-			.anyMatch((runner) -> runner.service().equals(service) && !runner.draining());
+	/*
+	 * Whether fewer runners serve than are registered without the versions or with
+	 * outdated ones, as after a loss of power of all machines.
+	 */
+	private boolean areMostLoading(ServiceName service, List<ModelName> models, long nowMillis) {
+		int serving = 0;
+		int loading = 0;
+		for (RunnerState state : this.runners.values()) {
+			if (canServe(state, service, models, nowMillis)) {
+				serving++;
+			}
+			else if (state.runner().service().equals(service) && !state.runner().draining()) {
+				loading++;
+			}
+		}
+		return serving < loading;
 	}
 
 	private Optional<EngineProfile> engine(ServiceName service) {
