--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionDecision.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionDecision.java
@@ -25,6 +25,15 @@
 
 	}
 
+	/**
+	 * The call waits, since a runner is expected to be able to serve it soon.
+	 *
+	 * @param maxMillis the time after which it must be rejected, in milliseconds
+	 */
+	record Wait(long maxMillis) implements AdmissionDecision {
+
+	}
+
 	/**
 	 * The call is rejected immediately.
 	 *
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
@@ -70,6 +70,12 @@
 	 */
 	private static final long EXPECTED_LOAD_MILLIS = 1500;
 
+	/**
+	 * The time beyond the expected one for which calls wait, so that those that have
+	 * waited can be sent one after the other, in milliseconds.
+	 */
+	private static final long LOAD_WAIT_MARGIN_MILLIS = 800;
+
 	/**
 	 * The time over which callers return to a service whose runners have just loaded, in
 	 * milliseconds.
@@ -80,17 +86,25 @@
 	}
 
 	/**
-	 * Rejects a call to a service most of whose runners are without weights and load
-	 * them, with a retry delay after which they are expected to serve.
+	 * Decides on a call to a service most of whose runners are without weights and load
+	 * them. It waits if they are expected to serve within a part of its remaining time;
+	 * many callers may retry only once, and have done so when the machines failed. Once
+	 * loading takes longer than expected, calls are rejected with a retry delay.
 	 * @param elapsedMillis the time since the service was first seen in this state, in
 	 * milliseconds
+	 * @param remainingMillis the time left until the call's deadline, in milliseconds
 	 * @param draw a random number from 0 to 1
-	 * @return the rejection, never null
+	 * @return the decision, never null
 	 */
-	public static AdmissionDecision.Reject rejectWhileLoading(long elapsedMillis, double draw) {
-		long untilLoadedMillis = Math.max(MIN_RETRY_AFTER_MILLIS, EXPECTED_LOAD_MILLIS - elapsedMillis);
-		return new AdmissionDecision.Reject(untilLoadedMillis + (long) (draw * LOAD_RETRY_SPREAD_MILLIS), Double.NaN,
-				"most runners that serve this are loading weights");
+	public static AdmissionDecision whileLoading(long elapsedMillis, long remainingMillis, double draw) {
+		long untilLoadedMillis = EXPECTED_LOAD_MILLIS - elapsedMillis;
+		long maxWaitMillis = untilLoadedMillis + LOAD_WAIT_MARGIN_MILLIS;
+		if (untilLoadedMillis > 0 && maxWaitMillis <= remainingMillis / 2) {
+			return new AdmissionDecision.Wait(maxWaitMillis);
+		}
+		return new AdmissionDecision.Reject(
+				Math.max(MIN_RETRY_AFTER_MILLIS, untilLoadedMillis) + (long) (draw * LOAD_RETRY_SPREAD_MILLIS),
+				Double.NaN, "most runners that serve this are loading weights");
 	}
 
 	/**
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -49,6 +49,8 @@
 	 */
 	private static final long VERSION_CHECK_INTERVAL_MILLIS = 500;
 
+	private static final long WAIT_CHECK_INTERVAL_MILLIS = 60;
+
 	private static final String VERSION_REPLACED = "it has not begun and its runner's version is replaced";
 
 	/** The number of unreachable runners after which the request is rejected. */
@@ -89,6 +91,9 @@
 
 	private XnioExecutor.Key timer;
 
+	/** The time until which the call waits for a runner, 0 if it has not waited. */
+	private long waitUntilMillis;
+
 	GatewayCall(AdmittedRequest admitted, HttpServerExchange exchange, SharedCallState sharedState) {
 		this.admitted = admitted;
 		this.route = admitted.route();
@@ -129,10 +134,41 @@
 				withdrawIfNotStarted(this.attempt, serving);
 			}
 		}
+		else if (isWaiting() || (decision instanceof AdmissionDecision.Wait wait && startWaiting(wait))) {
+			awaitRunner();
+		}
 		else if (decision instanceof AdmissionDecision.Reject reject) {
 			this.log.addRejection(reject);
 			rejectOrAbort(reject.retryAfterMillis(), reject.reason());
 		}
+		else {
+			rejectOrAbort(retryAfterMillis(decision), "its runners have not loaded weights in time");
+		}
+	}
+
+	private boolean startWaiting(AdmissionDecision.Wait wait) {
+		if (this.waitUntilMillis != 0 || !this.sharedState.acquireWaitingPlace()) {
+			return false;
+		}
+		this.waitUntilMillis = this.sharedState.clock().millis() + wait.maxMillis();
+		this.log.addWait(wait);
+		return true;
+	}
+
+	private boolean isWaiting() {
+		return this.sharedState.clock().millis() < this.waitUntilMillis;
+	}
+
+	/*
+	 * Decides again after a moment, so that calls that wait are sent as runners become
+	 * free.
+	 */
+	private void awaitRunner() {
+		this.exchange.getIoThread().executeAfter(() -> {
+			if (!this.finished) {
+				tryNextRunner();
+			}
+		}, WAIT_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	private CallRequirements requirements() {
@@ -251,7 +287,13 @@
 	 * The delay after which a new request would find a place, 0 if it would find one now.
 	 */
 	private long retryAfterMillis() {
-		AdmissionDecision decision = this.sharedState.decide(this.admitted.service(), requirements(), Set.of());
+		return retryAfterMillis(this.sharedState.decide(this.admitted.service(), requirements(), Set.of()));
+	}
+
+	private static long retryAfterMillis(AdmissionDecision decision) {
+		if (decision instanceof AdmissionDecision.Wait wait) {
+			return wait.maxMillis();
+		}
 		return (decision instanceof AdmissionDecision.Reject reject) ? reject.retryAfterMillis() : 0;
 	}
 
@@ -410,6 +452,9 @@
 
 	private void finish(String outcome, int status) {
 		this.finished = true;
+		if (this.waitUntilMillis != 0) {
+			this.sharedState.releaseWaitingPlace();
+		}
 		this.attempt = null;
 		long totalMillis = this.sharedState.clock().millis() - this.admitted.arrivedAtMillis();
 		this.sharedState.metrics().recordFinished(outcome, this.firstByteMillis, totalMillis);
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
@@ -5,36 +5,44 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 
 import org.xnio.XnioWorker;
 
 import org.catkingate.decisions.RendezvousHashing;
+import org.catkingate.decisions.distribution.GatewayTree;
 import org.catkingate.decisions.registry.RegistryView;
 import org.catkingate.decisions.routing.Location;
+import org.catkingate.model.AddressFormatter;
+import org.catkingate.model.DataCentreName;
 import org.catkingate.model.InstanceId;
 import org.catkingate.model.ModelName;
+import org.catkingate.model.RegionName;
 import org.catkingate.model.Role;
 import org.catkingate.model.registry.RegisteredRunner;
 import org.catkingate.model.registry.WeightsOrigin;
 import org.catkingate.runtime.MonotonicClock;
+import org.catkingate.runtime.peers.ListedGateways;
 import org.catkingate.runtime.peers.SeedConnections;
+import org.catkingate.runtime.settings.PeerSettings;
 import org.catkingate.runtime.staging.PeerPieceClient;
 import org.catkingate.runtime.staging.PieceOrigin;
 import org.catkingate.wire.ConnectionListener;
 import org.catkingate.wire.FrameConnection;
 import org.catkingate.wire.FrameTransport;
+import org.catkingate.wire.GatewayMessage;
 import org.catkingate.wire.HandshakeMessage;
 import org.catkingate.wire.Message;
 import org.catkingate.wire.RegistryMessage;
 import org.catkingate.wire.RunnerMessage;
-import org.catkingate.wire.SharedKey;
 import org.catkingate.wire.WeightsMessage;
 
 /**
@@ -53,6 +61,12 @@
 	 */
 	private static final long DECLARATIONS_INTERVAL_MILLIS = 1000;
 
+	/**
+	 * The interval at which reports on runners are forwarded, so that a fleet's reports
+	 * reach a gateway in a few messages.
+	 */
+	private static final long FORWARDING_INTERVAL_MILLIS = 100;
+
 	private final Set<FrameConnection> acceptedConnections = new HashSet<>();
 
 	private final HandshakeMessage.PeerIdentity self;
@@ -75,36 +89,63 @@
 
 	private final RegistryCopyExchange copies;
 
+	private final GatewayDirectory directory;
+
+	private final ListedGateways listedGateways;
+
+	private final SeedConnections listedConnections;
+
+	private final String ownAddress;
+
+	private final boolean seed;
+
+	private final Function<DataCentreName, RegionName> regions;
+
+	private final Map<String, RunnerMessage.RunnerUpdate> updatesToForward = new LinkedHashMap<>();
+
 	private final Map<FrameConnection, String> runnerAddresses = new HashMap<>();
 
 	private RegistryView view = RegistryView.empty();
 
-	private GatewayPeers(HandshakeMessage.PeerIdentity self, SharedKey key, List<InetSocketAddress> seeds,
-			XnioWorker worker, Supplier<Optional<WeightsOrigin>> publishedOrigin,
-			Supplier<Optional<PieceOrigin>> origin, RunnerTable table, DeclaredVersions versions,
+	private GatewayPeers(HandshakeMessage.PeerIdentity self, PeerSettings settings, XnioWorker worker,
+			Supplier<Optional<WeightsOrigin>> publishedOrigin, Supplier<Optional<PieceOrigin>> origin,
+			Function<DataCentreName, RegionName> regions, RunnerTable table, DeclaredVersions versions,
 			RegistryCopyExchange copies, MonotonicClock clock) {
 		this.copies = copies;
 		this.self = self;
 		this.publishedOrigin = publishedOrigin;
+		this.regions = regions;
 		this.table = table;
 		this.versions = versions;
 		this.clock = clock;
+		this.ownAddress = AddressFormatter.format(settings.listen());
+		this.seed = settings.seeds().contains(settings.listen());
+		this.directory = new GatewayDirectory(self, this.ownAddress);
 		this.pieceClient = PeerPieceClient.create(worker.getIoThread());
-		this.cache = new PieceCache(this.pieceClient, this::upstream, origin, worker.getIoThread());
-		this.transport = FrameTransport.createOn(worker, key, self);
-		this.seedConnections = SeedConnections.start(this.transport, seeds, worker.getIoThread(),
-				new Location(self.dataCentre(), self.region()), new SeedConnectionListener());
+		this.cache = new PieceCache(this.pieceClient, this::upstreams, origin, worker.getIoThread());
+		this.transport = FrameTransport.createOn(worker, settings.sharedKey(), self);
+		Location location = new Location(self.dataCentre(), self.region());
+		Set<InetSocketAddress> known = new HashSet<>(settings.seeds());
+		known.add(settings.listen());
+		this.listedGateways = ListedGateways.of(self.instance(), known, GatewayMessage.GatewayList.MAX_ADDRESSES);
+		this.listedConnections = SeedConnections.start(this.transport, List.of(), worker.getIoThread(), location,
+				new OutboundConnectionListener());
+		List<InetSocketAddress> otherSeeds = settings.seeds()
+			.stream()
+			.filter((address) -> !address.equals(settings.listen()))
+			.toList();
+		this.seedConnections = SeedConnections.start(this.transport, otherSeeds, worker.getIoThread(), location,
+				new OutboundConnectionListener());
 	}
 
 	/**
 	 * Starts to listen and to connect to the other seeds.
 	 * @param self the identity of this process
-	 * @param key the key that all processes share
-	 * @param listen the address to listen on
-	 * @param seeds the addresses of gateways, possibly including this one
+	 * @param settings the address to listen on and the seeds, possibly including this one
 	 * @param worker the I/O threads
 	 * @param publishedOrigin the origin that the configuration names
 	 * @param origin opens that origin
+	 * @param regions the region of each data centre
 	 * @param table receives the reports on runners
 	 * @param versions receives the versions that others report, and provides those to
 	 * send
@@ -113,16 +154,17 @@
 	 * @return the connections, never null
 	 * @throws IOException if the address cannot be used
 	 */
-	static GatewayPeers start(HandshakeMessage.PeerIdentity self, SharedKey key, InetSocketAddress listen,
-			List<InetSocketAddress> seeds, XnioWorker worker, Supplier<Optional<WeightsOrigin>> publishedOrigin,
-			Supplier<Optional<PieceOrigin>> origin, RunnerTable table, DeclaredVersions versions,
+	static GatewayPeers start(HandshakeMessage.PeerIdentity self, PeerSettings settings, XnioWorker worker,
+			Supplier<Optional<WeightsOrigin>> publishedOrigin, Supplier<Optional<PieceOrigin>> origin,
+			Function<DataCentreName, RegionName> regions, RunnerTable table, DeclaredVersions versions,
 			RegistryCopyExchange copies, MonotonicClock clock) throws IOException {
-		List<InetSocketAddress> others = seeds.stream().filter((seed) -> !seed.equals(listen)).toList();
-		GatewayPeers peers = new GatewayPeers(self, key, others, worker, publishedOrigin, origin, table, versions,
+		GatewayPeers peers = new GatewayPeers(self, settings, worker, publishedOrigin, origin, regions, table, versions,
 				copies, clock);
-		peers.transport.listen(listen, peers);
+		peers.transport.listen(settings.listen(), peers);
 		worker.getIoThread()
 			.executeAtInterval(peers::broadcastDeclarations, DECLARATIONS_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+		worker.getIoThread()
+			.executeAtInterval(peers::forwardUpdates, FORWARDING_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 		return peers;
 	}
 
@@ -133,25 +175,35 @@
 	int gatewayCount() {
 		Set<InstanceId> known = new HashSet<>();
 		known.add(this.self.instance());
-		this.seedConnections.nearestFirst().forEach((gateway) -> known.add(gateway.peer().instance()));
+		outboundGateways().forEach((gateway) -> known.add(gateway.peer().instance()));
 		inboundGateways().forEach((gateway) -> known.add(gateway.peer().instance()));
 		return known.size();
 	}
 
-	/*
-	 * Only a gateway in the data centre of the origin reads from it; the others request
-	 * pieces from that gateway. Thus a piece leaves the origin once, and is transferred
-	 * to each region once.
-	 */
-	private Optional<FrameConnection> upstream() {
-		Optional<WeightsOrigin> origin = this.publishedOrigin.get();
-		if (origin.isEmpty() || this.self.dataCentre().equals(origin.get().dataCentre())) {
-			return Optional.empty();
-		}
-		return this.seedConnections.nearestFirst()
+	private List<FrameConnection> upstreams(String piece) {
+		Map<InstanceId, FrameConnection> connected = new HashMap<>();
+		outboundGateways().forEach((gateway) -> connected.put(gateway.peer().instance(), gateway));
+		List<GatewayTree.Member> members = connected.values()
+			.stream()
+			.map((gateway) -> member(gateway.peer()))
+			.toList();
+		return GatewayTree.upstreams(piece, member(this.self), members, originRegion())
 			.stream()
-			.filter((gateway) -> gateway.peer().dataCentre().equals(origin.get().dataCentre()))
-			.findFirst();
+			.map(connected::get)
+			.toList();
+	}
+
+	private static GatewayTree.Member member(HandshakeMessage.PeerIdentity gateway) {
+		return new GatewayTree.Member(gateway.instance(), gateway.region());
+	}
+
+	private Optional<RegionName> originRegion() {
+		return this.publishedOrigin.get().map(WeightsOrigin::dataCentre).map(this.regions);
+	}
+
+	private Stream<FrameConnection> outboundGateways() {
+		return Stream.concat(this.seedConnections.nearestFirst().stream(),
+				this.listedConnections.nearestFirst().stream());
 	}
 
 	/**
@@ -191,6 +243,22 @@
 		this.seedConnections.nearestFirst().forEach(this::sendDeclarations);
 	}
 
+	private void forwardUpdates() {
+		if (this.seed) {
+			this.acceptedConnections.forEach((connection) -> this.directory.sendList(connection, originRegion()));
+		}
+		if (!this.updatesToForward.isEmpty()) {
+			RunnerMessage.RunnerUpdates updates = new RunnerMessage.RunnerUpdates(
+					List.copyOf(this.updatesToForward.values()));
+			this.updatesToForward.clear();
+			inboundGateways().forEach((gateway) -> gateway.send(updates));
+		}
+	}
+
+	private void recordReport(RunnerMessage.RunnerUpdate report) {
+		this.table.recordReport(report, this.clock.millis());
+	}
+
 	private Stream<FrameConnection> inboundGateways() {
 		return this.acceptedConnections.stream().filter((gateway) -> gateway.peer().role() == Role.ENTRY);
 	}
@@ -209,6 +277,7 @@
 	public void onClosed(FrameConnection connection, String reason) {
 		this.acceptedConnections.remove(connection);
 		this.copies.connectionLost(connection);
+		this.directory.remove(connection);
 		this.runnerAddresses.remove(connection);
 	}
 
@@ -221,11 +290,16 @@
 			respond(connection, request);
 		}
 		else if (message instanceof RunnerMessage.RunnerUpdate report) {
-			this.table.recordReport(report, this.clock.millis());
-			if (connection.peer().role() == Role.AGENT) {
-				this.runnerAddresses.put(connection, report.address());
-				inboundGateways().forEach((gateway) -> gateway.send(report));
-			}
+			recordReport(report);
+			this.runnerAddresses.put(connection, report.address());
+		}
+		else if (message instanceof RunnerMessage.ForwardedUpdate forwarded) {
+			recordReport(forwarded.update());
+			this.runnerAddresses.put(connection, forwarded.update().address());
+			this.updatesToForward.put(forwarded.update().address(), forwarded.update());
+		}
+		else if (message instanceof GatewayMessage.GatewayAddress address && connection.peer().role() == Role.ENTRY) {
+			this.directory.add(connection, address);
 		}
 		else if (message instanceof RunnerMessage.VersionDeclaration declaration) {
 			receiveDeclaration(declaration);
@@ -279,21 +353,27 @@
 
 	void close() {
 		this.seedConnections.close();
+		this.listedConnections.close();
 	}
 
 	/**
-	 * A listener for messages on the connections to seeds.
+	 * A listener for messages on the connections that this gateway has opened.
 	 */
-	private final class SeedConnectionListener implements ConnectionListener {
+	private final class OutboundConnectionListener implements ConnectionListener {
 
 		@Override
 		public void onOpened(FrameConnection connection) {
+			connection.send(new GatewayMessage.GatewayAddress(GatewayPeers.this.ownAddress));
 		}
 
 		@Override
 		public void onReceived(FrameConnection connection, Message message) {
-			if (message instanceof RunnerMessage.RunnerUpdate report) {
-				GatewayPeers.this.table.recordReport(report, GatewayPeers.this.clock.millis());
+			if (message instanceof RunnerMessage.RunnerUpdates reports) {
+				reports.updates().forEach(GatewayPeers.this::recordReport);
+			}
+			else if (message instanceof GatewayMessage.GatewayList list) {
+				GatewayPeers.this.listedConnections
+					.replaceAddresses(GatewayPeers.this.listedGateways.update(connection, list.addresses()));
 			}
 			else if (message instanceof RunnerMessage.VersionDeclaration declaration) {
 				receiveDeclaration(declaration);
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -153,8 +153,8 @@
 		SharedCallState sharedCallState = new SharedCallState(this.runners, codec, settings.retries(),
 				this::gatewayCount, this::assumedGatewayCount, clock, this.gatewayMetrics);
 		this.peers = GatewayPeers.start(ProcessIdentities.toPeerIdentity(ProcessIdentities.of(settings.process())),
-				settings.peers().sharedKey(), settings.peers().listen(), settings.peers().seeds(), this.worker,
-				this::publishedOrigin, this::openOrigin, this.runners, this.versions, copies, clock);
+				settings.peers(), this.worker, this::publishedOrigin, this::openOrigin, settings.regions()::get,
+				this.runners, this.versions, copies, clock);
 		this.requestHandler = new RequestHandler(sharedCallState, this.registry, this.connections);
 		registerMetrics();
 		this.operators = OperatorsEndpoint.start(settings.operators().addresses(), this.readiness, this.metrics,
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/PieceCache.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/PieceCache.java
@@ -4,10 +4,13 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 import org.slf4j.Logger;
@@ -48,6 +51,9 @@
 	/** The number of pieces that are prefetched at the same time. */
 	private static final int CONCURRENT_PREFETCHES = 2;
 
+	/** The number of gateways that are tried before the origin. */
+	private static final int MAX_UPSTREAM_ATTEMPTS = 2;
+
 	/** The wait after a failed prefetch of a piece. */
 	private static final long PREFETCH_RETRY_MILLIS = 300;
 
@@ -61,7 +67,7 @@
 
 	private final PeerPieceClient pieceClient;
 
-	private final Supplier<Optional<FrameConnection>> upstream;
+	private final Function<String, List<FrameConnection>> upstreams;
 
 	private final Supplier<Optional<PieceOrigin>> origin;
 
@@ -72,14 +78,15 @@
 	/**
 	 * Creates an empty cache.
 	 * @param pieceClient requests pieces from other gateways
-	 * @param upstream the gateway to request from first, empty to read from the origin
+	 * @param upstreams the gateways to request a piece from, given by its version and
+	 * index, in the order in which to try them; none to read from the origin
 	 * @param origin the origin, empty while none is known
 	 * @param thread the traffic thread
 	 */
-	PieceCache(PeerPieceClient pieceClient, Supplier<Optional<FrameConnection>> upstream,
+	PieceCache(PeerPieceClient pieceClient, Function<String, List<FrameConnection>> upstreams,
 			Supplier<Optional<PieceOrigin>> origin, XnioIoThread thread) {
 		this.pieceClient = pieceClient;
-		this.upstream = upstream;
+		this.upstreams = upstreams;
 		this.origin = origin;
 		this.thread = thread;
 	}
@@ -96,17 +103,35 @@
 		}
 		CompletableFuture<CachedVersion> pending = new CompletableFuture<>();
 		this.versions.put(key, pending);
-		CompletableFuture<PieceDigests> upstreamDigests = this.upstream.get()
-			.map((gateway) -> this.pieceClient.requestDigests(gateway, model, version))
-			.orElseGet(() -> CompletableFuture.failedFuture(new IOException("no gateway is nearer to the origin")));
-		upstreamDigests
-			.handle((digests, failure) -> (failure != null) ? readOriginDigests(model, version)
-					: CompletableFuture.completedFuture(digests))
-			.thenCompose((digests) -> digests)
+		firstSuccess(this.upstreams.apply(key).iterator(),
+				(gateway) -> this.pieceClient.requestDigests(gateway, model, version),
+				() -> readOriginDigests(model, version))
 			.whenCompleteAsync((digests, failure) -> storeDigests(key, pending, digests, failure), this.thread);
 		return pending;
 	}
 
+	/*
+	 * Requests from up to MAX_UPSTREAM_ATTEMPTS gateways, each after the one before has
+	 * failed, and then falls back.
+	 */
+	private <T> CompletableFuture<T> firstSuccess(Iterator<FrameConnection> gateways,
+			Function<FrameConnection, CompletableFuture<T>> request, Supplier<CompletableFuture<T>> fallback) {
+		return firstSuccess(gateways, MAX_UPSTREAM_ATTEMPTS, request, fallback);
+	}
+
+	private <T> CompletableFuture<T> firstSuccess(Iterator<FrameConnection> gateways, int attempts,
+			Function<FrameConnection, CompletableFuture<T>> request, Supplier<CompletableFuture<T>> fallback) {
+		if (attempts == 0 || !gateways.hasNext()) {
+			return fallback.get();
+		}
+		return request.apply(gateways.next())
+			.handleAsync(
+					(response, failure) -> (failure != null) ? firstSuccess(gateways, attempts - 1, request, fallback)
+							: CompletableFuture.completedFuture(response),
+					this.thread)
+			.thenCompose((response) -> response);
+	}
+
 	private CompletableFuture<PieceDigests> readOriginDigests(ModelName model, long version) {
 		return this.origin.get()
 			.map((pieceOrigin) -> pieceOrigin.readDigests(model, version))
@@ -188,22 +213,14 @@
 	}
 
 	private CompletableFuture<byte[]> fetch(PieceLocation location) {
-		CompletableFuture<byte[]> piece = new CompletableFuture<>();
-		Optional<FrameConnection> gateway = this.upstream.get();
-		if (gateway.isEmpty()) {
-			readOrigin(location, 1, piece);
-			return piece;
-		}
-		this.pieceClient.requestPiece(gateway.get(), location.version().digests(), location.index())
-			.whenCompleteAsync((bytes, failure) -> {
-				if (failure == null) {
-					piece.complete(bytes);
-				}
-				else {
+		PieceDigests version = location.version().digests();
+		return firstSuccess(
+				this.upstreams.apply(key(version.model(), version.version()) + "/" + location.index()).iterator(),
+				(gateway) -> this.pieceClient.requestPiece(gateway, version, location.index()), () -> {
+					CompletableFuture<byte[]> piece = new CompletableFuture<>();
 					readOrigin(location, 1, piece);
-				}
-			}, this.thread);
-		return piece;
+					return piece;
+				});
 	}
 
 	private void readOrigin(PieceLocation location, int attempt, CompletableFuture<byte[]> piece) {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestLog.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestLog.java
@@ -40,6 +40,10 @@
 		this.decisions.add(attempt.runner().runner().id() + " begun after-ms=" + elapsedMillis);
 	}
 
+	void addWait(AdmissionDecision.Wait wait) {
+		this.decisions.add("wait max-ms=" + wait.maxMillis() + ": most runners load weights");
+	}
+
 	void addRejection(AdmissionDecision.Reject reject) {
 		String predicted = Double.isNaN(reject.predictedMillis()) ? "none"
 				: String.valueOf(Math.round(reject.predictedMillis()));
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 
 import org.catkingate.decisions.admission.AdmissionDecision;
 import org.catkingate.decisions.admission.AdmissionPolicies;
@@ -27,16 +28,23 @@
  */
 final class RunnerTable {
 
+	/**
+	 * The time without a rejected call after which runners that load weights are
+	 * considered to have begun anew.
+	 */
+	private static final long LOADING_PAUSE_MILLIS = 3000;
+
 	private final Map<RunnerId, RunnerState> runners = new HashMap<>();
 
+	private Map<String, List<RunnerState>> runnersByAddress = Map.of();
+
 	private final Function<RegisteredRunner, RunnerState> stateFactory;
 
 	private final DeclaredVersions versions;
 
 	private final AdmissionPolicy policy;
 
-	/** When most runners of a service were first seen to load weights. */
-	private final Map<ServiceName, Long> loadingSinceMillis = new HashMap<>();
+	private final Map<ServiceName, LoadingPeriod> loadingPeriods = new HashMap<>();
 
 	private RegistryView view = RegistryView.empty();
 
@@ -64,6 +72,9 @@
 		next.runners()
 			.forEach((id, runner) -> this.runners.computeIfAbsent(id, (key) -> this.stateFactory.apply(runner))
 				.updateRegistration(runner));
+		this.runnersByAddress = this.runners.values()
+			.stream()
+			.collect(Collectors.groupingBy((state) -> state.runner().addressText()));
 	}
 
 	private static boolean isSameProcess(RegisteredRunner first, RegisteredRunner second) {
@@ -85,13 +96,21 @@
 			}
 		}
 		AdmissionDecision decision = this.policy.decide(options, requirements, engine, draw);
-		boolean loading = areMostLoading(service, models, nowMillis);
-		long sinceMillis = loading ? this.loadingSinceMillis.computeIfAbsent(service, (key) -> nowMillis) : nowMillis;
-		if (!loading) {
-			this.loadingSinceMillis.remove(service);
-		}
-		return (loading && decision instanceof AdmissionDecision.Reject)
-				? AdmissionPolicies.rejectWhileLoading(nowMillis - sinceMillis, draw) : decision;
+		return (decision instanceof AdmissionDecision.Reject && areMostLoading(service, models, nowMillis))
+				? AdmissionPolicies.whileLoading(recordLoading(service, nowMillis), requirements.remainingMillis(),
+						draw)
+				: decision;
+	}
+
+	/*
+	 * Returns the time since the service was first seen in this state without a pause.
+	 */
+	private long recordLoading(ServiceName service, long nowMillis) {
+		LoadingPeriod previous = this.loadingPeriods.get(service);
+		boolean continued = previous != null && nowMillis - previous.lastSeenMillis() < LOADING_PAUSE_MILLIS;
+		long sinceMillis = continued ? previous.sinceMillis() : nowMillis;
+		this.loadingPeriods.put(service, new LoadingPeriod(sinceMillis, nowMillis));
+		return nowMillis - sinceMillis;
 	}
 
 	/*
@@ -152,15 +171,22 @@
 	 * @param nowMillis the time now, in monotonic milliseconds
 	 */
 	void recordReport(RunnerMessage.RunnerUpdate report, long nowMillis) {
-		for (RunnerState state : this.runners.values()) {
-			if (report.address().equals(state.runner().addressText())) {
-				state.recordReport(report, nowMillis);
-			}
-		}
+		this.runnersByAddress.getOrDefault(report.address(), List.of())
+			.forEach((state) -> state.recordReport(report, nowMillis));
 	}
 
 	RunnerState state(RunnerId runner) {
 		return this.runners.get(runner);
 	}
 
+	/**
+	 * A period in which most runners of a service load weights.
+	 *
+	 * @param sinceMillis when it was first seen, in monotonic milliseconds
+	 * @param lastSeenMillis when it was last seen, in monotonic milliseconds
+	 */
+	private record LoadingPeriod(long sinceMillis, long lastSeenMillis) {
+
+	}
+
 }
--- a/catkingate-loader/src/main/java/org/catkingate/loader/LoaderProcess.java
+++ b/catkingate-loader/src/main/java/org/catkingate/loader/LoaderProcess.java
@@ -3,9 +3,13 @@
 import java.io.IOException;
 import java.net.URI;
 import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -27,6 +31,7 @@
 import org.catkingate.decisions.routing.Location;
 import org.catkingate.model.AddressFormatter;
 import org.catkingate.model.ModelName;
+import org.catkingate.model.RegionName;
 import org.catkingate.model.registry.EngineProfile;
 import org.catkingate.model.registry.ServingConfiguration;
 import org.catkingate.runtime.ControlLoop;
@@ -36,6 +41,7 @@
 import org.catkingate.runtime.http.IoThreads;
 import org.catkingate.runtime.operators.OperatorsEndpoint;
 import org.catkingate.runtime.operators.Readiness;
+import org.catkingate.runtime.peers.ListedGateways;
 import org.catkingate.runtime.peers.SeedConnections;
 import org.catkingate.runtime.process.ProcessIdentities;
 import org.catkingate.runtime.process.RunningProcess;
@@ -50,6 +56,7 @@
 import org.catkingate.wire.ConnectionListener;
 import org.catkingate.wire.FrameConnection;
 import org.catkingate.wire.FrameTransport;
+import org.catkingate.wire.GatewayMessage;
 import org.catkingate.wire.Message;
 import org.catkingate.wire.RunnerMessage;
 import org.catkingate.wire.WeightsMessage;
@@ -70,6 +77,9 @@
 	/** The interval at which an unchanged report is sent to the gateways again. */
 	private static final long REPORT_REPEAT_INTERVAL_MILLIS = 900;
 
+	/** The maximum number of gateways in the region that pieces are requested from. */
+	private static final int MAX_LISTED_GATEWAYS = 4;
+
 	private static final long TICK_INTERVAL_MILLIS = 100;
 
 	/**
@@ -99,7 +109,11 @@
 
 	private final PeerPieceClient pieceClient;
 
-	private final SeedConnections gatewayConnections;
+	private final ListedGateways listedGateways;
+
+	private final SeedConnections listedConnections;
+
+	private final SeedConnections seedConnections;
 
 	private final RegistryFollower follower;
 
@@ -118,13 +132,16 @@
 		this.httpClient = BufferedHttpClient.create(this.worker);
 		this.pieceClient = PeerPieceClient.create(this.worker.getIoThread());
 		ProcessIdentity self = ProcessIdentities.of(settings.process());
-		this.gatewayConnections = SeedConnections.start(
-				FrameTransport.createOn(this.worker, settings.peers().sharedKey(),
-						ProcessIdentities.toPeerIdentity(self)),
-				settings.peers().seeds(), this.worker.getIoThread(), new Location(self.dataCentre(), self.region()),
+		FrameTransport transport = FrameTransport.createOn(this.worker, settings.peers().sharedKey(),
+				ProcessIdentities.toPeerIdentity(self));
+		Location location = new Location(self.dataCentre(), self.region());
+		this.listedGateways = ListedGateways.of(self.instance(), Set.copyOf(settings.peers().seeds()),
+				MAX_LISTED_GATEWAYS);
+		this.listedConnections = SeedConnections.start(transport, List.of(), this.worker.getIoThread(), location,
 				new GatewayConnectionListener());
-		PieceFetcher pieceFetcher = new PieceFetcher(this.pieceClient, () -> this.gatewayConnections, this::origin,
-				clock);
+		this.seedConnections = SeedConnections.start(transport, settings.peers().seeds(), this.worker.getIoThread(),
+				location, new GatewayConnectionListener());
+		PieceFetcher pieceFetcher = new PieceFetcher(this.pieceClient, this::pieceSources, this::origin, clock);
 		this.effectExecutor = new LoadEffectExecutor(
 				runners.open(this.httpClient, URI.create(AddressFormatter.formatUrl(settings.runner()))), pieceFetcher,
 				this.worker.getIoThread(), clock, this::submit);
@@ -232,10 +249,37 @@
 		if (!next.equals(this.lastReport) || now - this.lastReportAtMillis >= REPORT_REPEAT_INTERVAL_MILLIS) {
 			this.lastReport = next;
 			this.lastReportAtMillis = now;
-			this.gatewayConnections.broadcast(next);
+			send(next);
 		}
 	}
 
+	/*
+	 * All seeds receive the report directly, and the first one forwards it to the other
+	 * gateways.
+	 */
+	private void send(RunnerMessage.RunnerUpdate report) {
+		boolean first = true;
+		for (FrameConnection seed : this.seedConnections.nearestFirst()) {
+			seed.send(first ? new RunnerMessage.ForwardedUpdate(report) : report);
+			first = false;
+		}
+	}
+
+	/*
+	 * The gateways of the region come first, in an order that differs by loader and piece
+	 * and thus spreads the load over them.
+	 */
+	private List<FrameConnection> pieceSources(String piece) {
+		RegionName region = this.settings.process().region();
+		List<FrameConnection> sources = new ArrayList<>(this.listedConnections.nearestFirst());
+		sources.addAll(this.seedConnections.nearestFirst());
+		String prefix = this.settings.process().instance() + "/" + piece + "/";
+		sources
+			.sort(Comparator.<FrameConnection, Boolean>comparing((gateway) -> !gateway.peer().region().equals(region))
+				.thenComparingLong((gateway) -> RendezvousHashing.hash(prefix + gateway.peer().instance())));
+		return sources;
+	}
+
 	private void registerMetrics() {
 		this.follower.registerMetrics(this.metrics);
 		GaugeWithCallback.builder()
@@ -263,7 +307,8 @@
 	public void stop() {
 		this.readiness.markStopping();
 		logger.atInfo().addKeyValue("event", "stopped").log("loader stopped");
-		this.gatewayConnections.close();
+		this.listedConnections.close();
+		this.seedConnections.close();
 		this.follower.close();
 		this.loop.close();
 		this.operators.close();
@@ -290,6 +335,10 @@
 			else if (message instanceof RunnerMessage.VersionDeclaration declaration) {
 				handleDeclaration(declaration);
 			}
+			else if (message instanceof GatewayMessage.GatewayList list) {
+				LoaderProcess.this.listedConnections
+					.replaceAddresses(LoaderProcess.this.listedGateways.update(connection, list.addresses()));
+			}
 			else if (message instanceof RunnerMessage.RolloutPosition position) {
 				submit(new LoadEvent.TurnAssigned(position.model(), position.position(), position.total()));
 			}
--- a/catkingate-loader/src/main/java/org/catkingate/loader/PieceFetcher.java
+++ b/catkingate-loader/src/main/java/org/catkingate/loader/PieceFetcher.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
@@ -11,7 +12,6 @@
 import org.catkingate.model.ModelName;
 import org.catkingate.model.registry.PieceDigests;
 import org.catkingate.runtime.MonotonicClock;
-import org.catkingate.runtime.peers.SeedConnections;
 import org.catkingate.runtime.staging.PeerPieceClient;
 import org.catkingate.runtime.staging.PieceOrigin;
 import org.catkingate.wire.FrameConnection;
@@ -35,25 +35,34 @@
 
 	private final PeerPieceClient pieceClient;
 
-	private final Supplier<SeedConnections> gatewayConnections;
+	private final Function<String, List<FrameConnection>> gateways;
 
 	private final Supplier<Optional<PieceOrigin>> origin;
 
-	PieceFetcher(PeerPieceClient pieceClient, Supplier<SeedConnections> gatewayConnections,
+	/**
+	 * Creates a fetcher.
+	 * @param pieceClient requests pieces from gateways
+	 * @param gateways the gateways to request a piece from, in the order in which to try
+	 * them
+	 * @param origin the origin, empty while none is known
+	 * @param clock the clock
+	 */
+	PieceFetcher(PeerPieceClient pieceClient, Function<String, List<FrameConnection>> gateways,
 			Supplier<Optional<PieceOrigin>> origin, MonotonicClock clock) {
 		this.pieceClient = pieceClient;
-		this.gatewayConnections = gatewayConnections;
+		this.gateways = gateways;
 		this.origin = origin;
 		this.clock = clock;
 	}
 
 	CompletableFuture<PieceDigests> digests(ModelName model, long version) {
-		return fetch((gateway) -> this.pieceClient.requestDigests(gateway, model, version),
+		return fetch(model + "/" + version, (gateway) -> this.pieceClient.requestDigests(gateway, model, version),
 				(source) -> source.readDigests(model, version));
 	}
 
 	CompletableFuture<byte[]> piece(PieceDigests pieceDigests, int index) {
-		return fetch((gateway) -> this.pieceClient.requestPiece(gateway, pieceDigests, index),
+		return fetch(pieceDigests.version() + "/" + index,
+				(gateway) -> this.pieceClient.requestPiece(gateway, pieceDigests, index),
 				(source) -> readVerified(source, pieceDigests, index));
 	}
 
@@ -74,9 +83,9 @@
 		return now - this.noGatewaySinceMillis >= ORIGIN_FALLBACK_MILLIS;
 	}
 
-	private <T> CompletableFuture<T> fetch(Function<FrameConnection, CompletableFuture<T>> fromGateway,
+	private <T> CompletableFuture<T> fetch(String subject, Function<FrameConnection, CompletableFuture<T>> fromGateway,
 			Function<PieceOrigin, CompletableFuture<T>> fromOrigin) {
-		return fetchFromNext(this.gatewayConnections.get().nearestFirst().iterator(), fromGateway, fromOrigin);
+		return fetchFromNext(this.gateways.apply(subject).iterator(), fromGateway, fromOrigin);
 	}
 
 	private <T> CompletableFuture<T> fetchFromNext(Iterator<FrameConnection> gateways,
--- a/catkingate-model/src/main/java/org/catkingate/model/AddressFormatter.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/AddressFormatter.java
@@ -1,18 +1,38 @@
 package org.catkingate.model;
 
 import java.net.InetSocketAddress;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
- * A formatter of addresses for URLs, messages and logs. Stateless and safe for use by any
- * thread.
+ * A formatter and parser of addresses for URLs, messages and logs. Stateless and safe for
+ * use by any thread.
  *
  * @since 0.1
  */
 public final class AddressFormatter {
 
+	private static final Pattern ADDRESS = Pattern.compile("([0-9.]+|\\[[0-9a-fA-F:]+\\]):([0-9]{1,5})");
+
+	private static final int MAX_PORT = 65535;
+
 	private AddressFormatter() {
 	}
 
+	/**
+	 * Parses an address.
+	 * @param text the address as IP:PORT
+	 * @return the address, resolved
+	 * @throws IllegalArgumentException if the text has another form
+	 */
+	public static InetSocketAddress parse(String text) {
+		Matcher matcher = ADDRESS.matcher(text);
+		if (!matcher.matches() || Integer.parseInt(matcher.group(2)) > MAX_PORT) {
+			throw new IllegalArgumentException("write IP:PORT with a numeric IP address");
+		}
+		return new InetSocketAddress(matcher.group(1), Integer.parseInt(matcher.group(2)));
+	}
+
 	/**
 	 * Formats an address.
 	 * @param address the address, resolved
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/peers/SeedConnections.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/peers/SeedConnections.java
@@ -2,10 +2,12 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -21,8 +23,8 @@
 import org.catkingate.wire.Message;
 
 /**
- * The connections to a few configured addresses. Opens a connection to each of them and
- * reconnects after a delay if it is lost. Safe for use by any thread.
+ * The connections to a few addresses, which may change. Opens a connection to each of
+ * them and reconnects after a delay if it is lost. Safe for use by any thread.
  *
  * @since 0.1
  */
@@ -49,6 +51,11 @@
 
 	private final ConnectionListener listener;
 
+	private final Set<InetSocketAddress> addresses = ConcurrentHashMap.newKeySet();
+
+	/** The addresses to which a connection is open or will be opened again. */
+	private final Set<InetSocketAddress> dialedAddresses = ConcurrentHashMap.newKeySet();
+
 	private volatile boolean closed;
 
 	private SeedConnections(FrameTransport transport, XnioIoThread thread, Location location,
@@ -72,12 +79,32 @@
 			Location location, ConnectionListener listener) {
 		Objects.requireNonNull(listener, "listener must not be null");
 		SeedConnections connections = new SeedConnections(transport, thread, location, listener);
-		seeds.forEach(connections::dial);
+		connections.add(seeds);
 		return connections;
 	}
 
+	private void add(Collection<InetSocketAddress> added) {
+		this.addresses.addAll(added);
+		added.forEach((address) -> {
+			if (this.dialedAddresses.add(address)) {
+				dial(address);
+			}
+		});
+	}
+
+	/**
+	 * Replaces the addresses. Connections to those that are left out stay open until they
+	 * are lost.
+	 * @param replacements the addresses
+	 */
+	public void replaceAddresses(Collection<InetSocketAddress> replacements) {
+		this.addresses.retainAll(replacements);
+		add(replacements);
+	}
+
 	private void dial(InetSocketAddress seed) {
-		if (this.closed) {
+		if (this.closed || !this.addresses.contains(seed)) {
+			this.dialedAddresses.remove(seed);
 			return;
 		}
 		DialAttempt attempt = new DialAttempt(seed);
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/LoaderSettings.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/LoaderSettings.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Objects;
 
+import org.catkingate.model.AddressFormatter;
 import org.catkingate.model.Role;
 import org.catkingate.model.ServiceName;
 import org.catkingate.model.ini.InvalidConfigurationException;
@@ -60,7 +61,7 @@
 		PeerSettings peers = PeerSettings.connecting(sections.reader("peers"));
 		ProcessSettings.Operators operators = SectionParsers.operators(sections.reader("operators"));
 		SectionReader runner = sections.reader("runner");
-		InetSocketAddress runnerAddress = runner.value("address", null, SectionParsers::address);
+		InetSocketAddress runnerAddress = runner.value("address", null, AddressFormatter::parse);
 		ServiceName service = runner.value("service", null, ServiceName::new);
 		runner.checkUnknownKeys();
 		int weightsChangeMillis = GatewaySettings.parseDuration(sections.reader("weights"), "change-ms");
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/PeerSettings.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/PeerSettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 
+import org.catkingate.model.AddressFormatter;
 import org.catkingate.model.ini.SectionReader;
 import org.catkingate.wire.SharedKey;
 
@@ -23,7 +24,7 @@
 	}
 
 	static PeerSettings listening(SectionReader reader) {
-		return read(reader, reader.value("listen", null, SectionParsers::address));
+		return read(reader, reader.value("listen", null, AddressFormatter::parse));
 	}
 
 	static PeerSettings connecting(SectionReader reader) {
@@ -31,7 +32,7 @@
 	}
 
 	private static PeerSettings read(SectionReader reader, InetSocketAddress listen) {
-		List<InetSocketAddress> seeds = reader.list("seeds", SectionParsers::address);
+		List<InetSocketAddress> seeds = reader.list("seeds", AddressFormatter::parse);
 		SharedKey key = reader.secret("shared-key", SharedKey::of);
 		reader.checkUnknownKeys();
 		return new PeerSettings(listen, seeds, key);
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/SectionParsers.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/SectionParsers.java
@@ -6,11 +6,10 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 
 import org.slf4j.event.Level;
 
+import org.catkingate.model.AddressFormatter;
 import org.catkingate.model.DataCentreName;
 import org.catkingate.model.InstanceId;
 import org.catkingate.model.Labels;
@@ -28,10 +27,6 @@
  */
 final class SectionParsers {
 
-	private static final Pattern ADDRESS = Pattern.compile("([0-9.]+|\\[[0-9a-fA-F:]+\\]):([0-9]{1,5})");
-
-	private static final int MAX_PORT = 65535;
-
 	private static final int BYTES_PER_MB = 1024 * 1024;
 
 	private static final int BYTES_PER_KB = 1024;
@@ -93,7 +88,7 @@
 	static ProcessSettings.Peers peers(SectionReader reader, Role role) {
 		InetSocketAddress listen = null;
 		if (role == Role.AGENT) {
-			listen = reader.value("listen", null, SectionParsers::address);
+			listen = reader.value("listen", null, AddressFormatter::parse);
 		}
 		SharedKey key = reader.secret("shared-key", SharedKey::of);
 		int threads = reader.number("io-threads", DEFAULT_PEER_THREADS, 1, MAX_THREADS);
@@ -102,14 +97,14 @@
 	}
 
 	static ProcessSettings.Operators operators(SectionReader reader) {
-		InetSocketAddress listen = reader.value("listen", null, SectionParsers::address);
-		InetSocketAddress alsoListen = parsed(reader, "also-listen", "", null, SectionParsers::address);
+		InetSocketAddress listen = reader.value("listen", null, AddressFormatter::parse);
+		InetSocketAddress alsoListen = parsed(reader, "also-listen", "", null, AddressFormatter::parse);
 		reader.checkUnknownKeys();
 		return new ProcessSettings.Operators(listen, Optional.ofNullable(alsoListen));
 	}
 
 	static InetSocketAddress listen(SectionReader reader) {
-		InetSocketAddress listen = reader.value("listen", null, SectionParsers::address);
+		InetSocketAddress listen = reader.value("listen", null, AddressFormatter::parse);
 		reader.checkUnknownKeys();
 		return listen;
 	}
@@ -123,7 +118,7 @@
 	}
 
 	static ProcessSettings.Callers callers(SectionReader reader) {
-		InetSocketAddress listen = reader.value("listen", null, SectionParsers::address);
+		InetSocketAddress listen = reader.value("listen", null, AddressFormatter::parse);
 		int threads = reader.number("io-threads", DEFAULT_CALLER_THREADS, 1, MAX_THREADS);
 		int maxBodyKb = reader.number("max-body-kb", DEFAULT_BODY_KB, 1, MAX_BODY_KB);
 		int maxHeaderKb = reader.number("max-header-kb", DEFAULT_HEADER_KB, 1, MAX_HEADER_KB);
@@ -154,7 +149,7 @@
 
 	static ProcessSettings.Runner runner(SectionReader reader) {
 		RunnerId id = reader.name("runner", RunnerId::new);
-		InetSocketAddress address = reader.value("address", null, SectionParsers::address);
+		InetSocketAddress address = reader.value("address", null, AddressFormatter::parse);
 		ServiceName service = reader.value("service", null, ServiceName::new);
 		reader.checkUnknownKeys();
 		return new ProcessSettings.Runner(id, address, service);
@@ -191,12 +186,4 @@
 		return uri;
 	}
 
-	static InetSocketAddress address(String text) {
-		Matcher matcher = ADDRESS.matcher(text);
-		if (!matcher.matches() || Integer.parseInt(matcher.group(2)) > MAX_PORT) {
-			throw new IllegalArgumentException("write IP:PORT with a numeric IP address");
-		}
-		return new InetSocketAddress(matcher.group(1), Integer.parseInt(matcher.group(2)));
-	}
-
 }
--- a/catkingate-wire/src/main/java/org/catkingate/wire/MessageCodec.java
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/MessageCodec.java
@@ -43,7 +43,8 @@
 			IdempotencyKeyMessage.IssueKeyResponse.class, WeightsMessage.VersionDigestsRequest.class,
 			WeightsMessage.VersionDigests.class, RunnerMessage.RunnerUpdate.class,
 			RunnerMessage.VersionDeclaration.class, RunnerMessage.RolloutPosition.class,
-			RegistryMessage.CopyRequest.class, RegistryMessage.CopyContent.class);
+			RegistryMessage.CopyRequest.class, RegistryMessage.CopyContent.class, RunnerMessage.ForwardedUpdate.class,
+			RunnerMessage.RunnerUpdates.class, GatewayMessage.GatewayAddress.class, GatewayMessage.GatewayList.class);
 
 	private static final int RESPONSE_DATA_KIND = KINDS.indexOf(RequestMessage.ResponseData.class);
 
--- a/catkingate-wire/src/main/java/org/catkingate/wire/RunnerMessage.java
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/RunnerMessage.java
@@ -1,5 +1,6 @@
 package org.catkingate.wire;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.stream.Collectors;
@@ -46,6 +47,34 @@
 
 	}
 
+	/**
+	 * A report that the receiver should forward to all other gateways. A loader sends its
+	 * report in this form to one gateway, and as {@link RunnerUpdate} to others.
+	 *
+	 * @param update the report
+	 */
+	record ForwardedUpdate(RunnerUpdate update) implements RunnerMessage {
+
+		public ForwardedUpdate {
+			Objects.requireNonNull(update, "update must not be null");
+		}
+
+	}
+
+	/**
+	 * The reports that a gateway has received for forwarding since it last sent such a
+	 * message.
+	 *
+	 * @param updates the newest report of each runner
+	 */
+	record RunnerUpdates(List<RunnerUpdate> updates) implements RunnerMessage {
+
+		public RunnerUpdates {
+			updates = List.copyOf(updates);
+		}
+
+	}
+
 	/**
 	 * The declared version of a model that runners should serve, as last observed by the
 	 * sender.
