--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
@@ -76,6 +76,12 @@
 	 */
 	private static final long LOAD_WAIT_MARGIN_MILLIS = 800;
 
+	/**
+	 * The time that must be left for the response to a call that has waited, in
+	 * milliseconds.
+	 */
+	private static final long MIN_SERVING_MILLIS = 1000;
+
 	/**
 	 * The time over which callers return to a service whose runners have just loaded, in
 	 * milliseconds.
@@ -87,9 +93,9 @@
 
 	/**
 	 * Decides on a call to a service most of whose runners are without weights and load
-	 * them. It waits if they are expected to serve within a part of its remaining time;
-	 * many callers may retry only once, and have done so when the machines failed. Once
-	 * loading takes longer than expected, calls are rejected with a retry delay.
+	 * them. It waits if they are expected to serve well before its deadline; many callers
+	 * may retry only once, and have done so when the machines failed. Once loading takes
+	 * longer than expected, calls are rejected with a retry delay.
 	 * @param elapsedMillis the time since the service was first seen in this state, in
 	 * milliseconds
 	 * @param remainingMillis the time left until the call's deadline, in milliseconds
@@ -99,7 +105,7 @@
 	public static AdmissionDecision whileLoading(long elapsedMillis, long remainingMillis, double draw) {
 		long untilLoadedMillis = EXPECTED_LOAD_MILLIS - elapsedMillis;
 		long maxWaitMillis = untilLoadedMillis + LOAD_WAIT_MARGIN_MILLIS;
-		if (untilLoadedMillis > 0 && maxWaitMillis <= remainingMillis / 2) {
+		if (untilLoadedMillis > 0 && maxWaitMillis + MIN_SERVING_MILLIS <= remainingMillis) {
 			return new AdmissionDecision.Wait(maxWaitMillis);
 		}
 		return new AdmissionDecision.Reject(
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/EventSplitter.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/EventSplitter.java
@@ -61,6 +61,14 @@
 		return this.remainder.length > 0;
 	}
 
+	/**
+	 * Returns the length of the incomplete event.
+	 * @return the number of bytes that are buffered
+	 */
+	int incompleteBytes() {
+		return this.remainder.length;
+	}
+
 	/**
 	 * Discards the bytes of an incomplete event.
 	 */
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -49,8 +49,6 @@
 	 */
 	private static final long VERSION_CHECK_INTERVAL_MILLIS = 500;
 
-	private static final long WAIT_CHECK_INTERVAL_MILLIS = 60;
-
 	private static final String VERSION_REPLACED = "it has not begun and its runner's version is replaced";
 
 	/** The number of unreachable runners after which the request is rejected. */
@@ -122,8 +120,10 @@
 	}
 
 	private void tryNextRunner() {
-		AdmissionDecision decision = this.sharedState.decide(this.admitted.service(), requirements(),
-				this.triedRunners);
+		follow(this.sharedState.decide(this.admitted.service(), requirements(), this.triedRunners));
+	}
+
+	private void follow(AdmissionDecision decision) {
 		if (decision instanceof AdmissionDecision.Send send) {
 			RunnerState runner = this.sharedState.runners().state(send.runner());
 			Map<ModelName, Long> serving = runner.servedVersions(this.sharedState.clock().millis());
@@ -134,20 +134,18 @@
 				withdrawIfNotStarted(this.attempt, serving);
 			}
 		}
-		else if (isWaiting() || (decision instanceof AdmissionDecision.Wait wait && startWaiting(wait))) {
-			awaitRunner();
-		}
 		else if (decision instanceof AdmissionDecision.Reject reject) {
 			this.log.addRejection(reject);
 			rejectOrAbort(reject.retryAfterMillis(), reject.reason());
 		}
-		else {
-			rejectOrAbort(retryAfterMillis(decision), "its runners have not loaded weights in time");
+		else if (decision instanceof AdmissionDecision.Wait wait && !startWaiting(wait)) {
+			rejectOrAbort(wait.maxMillis(), "its runners have not loaded weights in time");
 		}
 	}
 
 	private boolean startWaiting(AdmissionDecision.Wait wait) {
-		if (this.waitUntilMillis != 0 || !this.sharedState.acquireWaitingPlace()) {
+		if (this.waitUntilMillis != 0 || !this.sharedState.waitingCalls()
+			.add(this.admitted.service(), this::tryToEndWaiting, this.exchange.getIoThread())) {
 			return false;
 		}
 		this.waitUntilMillis = this.sharedState.clock().millis() + wait.maxMillis();
@@ -155,20 +153,17 @@
 		return true;
 	}
 
-	private boolean isWaiting() {
-		return this.sharedState.clock().millis() < this.waitUntilMillis;
-	}
-
-	/*
-	 * Decides again after a moment, so that calls that wait are sent as runners become
-	 * free.
-	 */
-	private void awaitRunner() {
-		this.exchange.getIoThread().executeAfter(() -> {
-			if (!this.finished) {
-				tryNextRunner();
-			}
-		}, WAIT_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+	private boolean tryToEndWaiting() {
+		if (this.finished) {
+			return true;
+		}
+		AdmissionDecision decision = this.sharedState.decide(this.admitted.service(), requirements(),
+				this.triedRunners);
+		if (!(decision instanceof AdmissionDecision.Send) && this.sharedState.clock().millis() < this.waitUntilMillis) {
+			return false;
+		}
+		follow(decision);
+		return true;
 	}
 
 	private CallRequirements requirements() {
@@ -323,6 +318,10 @@
 			this.firstByteMillis = this.sharedState.clock().millis() - this.admitted.arrivedAtMillis();
 		}
 		this.relay.receiveData(bytes);
+		this.relay.exceededLimit().ifPresent((limit) -> {
+			from.runner().recordFailure(this.sharedState.clock().millis());
+			failAttempt(from, "too-long", limit);
+		});
 	}
 
 	@Override
@@ -452,9 +451,6 @@
 
 	private void finish(String outcome, int status) {
 		this.finished = true;
-		if (this.waitUntilMillis != 0) {
-			this.sharedState.releaseWaitingPlace();
-		}
 		this.attempt = null;
 		long totalMillis = this.sharedState.clock().millis() - this.admitted.arrivedAtMillis();
 		this.sharedState.metrics().recordFinished(outcome, this.firstByteMillis, totalMillis);
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
@@ -245,7 +245,7 @@
 
 	private void forwardUpdates() {
 		if (this.seed) {
-			this.acceptedConnections.forEach((connection) -> this.directory.sendList(connection, originRegion()));
+			this.directory.sendChangedLists(originRegion());
 		}
 		if (!this.updatesToForward.isEmpty()) {
 			RunnerMessage.RunnerUpdates updates = new RunnerMessage.RunnerUpdates(
@@ -270,6 +270,7 @@
 	@Override
 	public void onOpened(FrameConnection connection) {
 		this.acceptedConnections.add(connection);
+		this.directory.addReceiver(connection);
 		sendDeclarations(connection);
 	}
 
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/ResponseRelay.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/ResponseRelay.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.util.Optional;
 
 import io.undertow.client.ClientResponse;
 import io.undertow.server.HttpServerExchange;
@@ -24,6 +25,14 @@
 	/** The number of bytes pending for a slow caller at which reading is suspended. */
 	private static final int MAX_PENDING_BYTES = 256 * 1024;
 
+	/**
+	 * The maximum length of an event, of which nothing is forwarded until it is complete.
+	 */
+	private static final int MAX_EVENT_BYTES = 256 * 1024;
+
+	/** The maximum length of a response that is not a stream of events. */
+	private static final long MAX_PLAIN_RESPONSE_BYTES = 64L * 1024 * 1024;
+
 	private final EventSplitter events = new EventSplitter();
 
 	private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
@@ -36,6 +45,8 @@
 
 	private Long lastEventId;
 
+	private long plainBytes;
+
 	/**
 	 * Creates a relay that has not written anything yet.
 	 * @param exchange the caller's exchange
@@ -64,6 +75,7 @@
 	void discardBuffered() {
 		this.events.clear();
 		this.buffer.reset();
+		this.plainBytes = 0;
 	}
 
 	/**
@@ -118,6 +130,7 @@
 			}
 			return;
 		}
+		this.plainBytes += bytes.length;
 		this.buffer.writeBytes(bytes);
 		if (this.buffer.size() > MAX_BUFFERED_BYTES) {
 			forwardBuffered();
@@ -125,6 +138,18 @@
 		}
 	}
 
+	/**
+	 * Returns why the received part of the response is too long.
+	 * @return the limit that it exceeds, empty if it exceeds none
+	 */
+	Optional<String> exceededLimit() {
+		if (this.events.incompleteBytes() > MAX_EVENT_BYTES) {
+			return Optional.of("an event is longer than " + MAX_EVENT_BYTES + " bytes");
+		}
+		return (this.plainBytes > MAX_PLAIN_RESPONSE_BYTES)
+				? Optional.of("the response is longer than " + MAX_PLAIN_RESPONSE_BYTES + " bytes") : Optional.empty();
+	}
+
 	private void forward(EventSplitter.Event event) {
 		if (event.id() != null) {
 			if (this.lastEventId != null && event.id() <= this.lastEventId) {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/SharedCallState.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/SharedCallState.java
@@ -23,12 +23,6 @@
  */
 final class SharedCallState {
 
-	/**
-	 * The maximum number of calls in progress that have waited for runners to load, which
-	 * bounds the memory for them.
-	 */
-	private static final int MAX_WAITING_CALLS = 500;
-
 	private final Map<ServiceName, ServiceUsage> usages = new HashMap<>();
 
 	private final Map<ServiceName, PredictionCorrection> predictionCorrections = new HashMap<>();
@@ -47,7 +41,7 @@
 
 	private final GatewayMetrics metrics;
 
-	private int waitingCalls;
+	private final WaitingCalls waitingCalls = new WaitingCalls();
 
 	/**
 	 * Creates the state, without any calls.
@@ -128,23 +122,8 @@
 		return true;
 	}
 
-	/**
-	 * Takes a place for a call that waits for runners to load.
-	 * @return whether there was a place
-	 */
-	boolean acquireWaitingPlace() {
-		if (this.waitingCalls >= MAX_WAITING_CALLS) {
-			return false;
-		}
-		this.waitingCalls++;
-		return true;
-	}
-
-	/**
-	 * Returns the place when the call has finished.
-	 */
-	void releaseWaitingPlace() {
-		this.waitingCalls--;
+	WaitingCalls waitingCalls() {
+		return this.waitingCalls;
 	}
 
 	/**
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/BufferedHttpClient.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/BufferedHttpClient.java
@@ -17,7 +17,6 @@
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.util.HeaderMap;
@@ -96,7 +95,7 @@
 			call.completed(idleConnection);
 		}
 		else {
-			UndertowClient.getInstance().connect(call, base, this.worker, this.buffers, OptionMap.EMPTY);
+			LimitedConnections.open(base, this.worker, this.buffers, OptionMap.EMPTY, call);
 		}
 		return call.responseFuture;
 	}
@@ -277,7 +276,12 @@
 				IoUtils.safeClose(opened);
 				return;
 			}
-			opened.getIoThread().execute(() -> opened.sendRequest(this.request, new ClientCallback<>() {
+			opened.getIoThread().execute(() -> send(opened));
+		}
+
+		private void send(ClientConnection opened) {
+			ReceiveLimit.of(opened).expectHead();
+			opened.sendRequest(this.request, new ClientCallback<>() {
 
 				@Override
 				public void completed(ClientExchange exchange) {
@@ -289,7 +293,7 @@
 					fail(ex);
 				}
 
-			}));
+			});
 		}
 
 		private void started(ClientExchange exchange) {
@@ -311,10 +315,13 @@
 
 		private void read(ClientExchange exchange, StreamSourceChannel channel) {
 			ByteBuffer buffer = ByteBuffer.allocate(BUFFER_BYTES);
+			ReceiveLimit limit = ReceiveLimit.of(this.connection);
+			limit.expectData();
 			restartIdleTimer();
 			try {
 				int count = channel.read(buffer);
 				while (count > 0) {
+					limit.expectData();
 					append(buffer);
 					count = channel.read(buffer);
 				}
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ConnectionPool.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ConnectionPool.java
@@ -9,7 +9,6 @@
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -94,7 +93,7 @@
 			reused.getIoThread().execute(() -> ready.accept(reused));
 			return;
 		}
-		UndertowClient.getInstance().connect(new ClientCallback<>() {
+		LimitedConnections.open(this.uri, this.worker, this.buffers, OPTIONS, new ClientCallback<>() {
 
 			@Override
 			public void completed(ClientConnection connection) {
@@ -106,7 +105,7 @@
 				failed.accept(ex);
 			}
 
-		}, this.uri, this.worker, this.buffers, OPTIONS);
+		});
 	}
 
 	private ClientConnection takeIdle() {
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/StreamedCall.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/StreamedCall.java
@@ -34,11 +34,19 @@
 
 	private static final int READ_BYTES = 32 * 1024;
 
+	/**
+	 * The number of parts after which other connections of the I/O thread have their
+	 * turn, so that a response that arrives without a pause does not delay them.
+	 */
+	private static final int MAX_PARTS_PER_TURN = 8;
+
 	private static final ThreadLocal<ByteBuffer> READ_BUFFER = ThreadLocal
 		.withInitial(() -> ByteBuffer.allocateDirect(READ_BYTES));
 
 	private final ClientConnection connection;
 
+	private final ReceiveLimit receiveLimit;
+
 	private final Listener listener;
 
 	private StreamSourceChannel source;
@@ -53,6 +61,7 @@
 
 	private StreamedCall(ClientConnection connection, Listener listener) {
 		this.connection = connection;
+		this.receiveLimit = ReceiveLimit.of(connection);
 		this.listener = listener;
 	}
 
@@ -72,6 +81,7 @@
 			request.getRequestHeaders().put(Headers.CONTENT_LENGTH, Integer.toString(body.length));
 		}
 		connection.addCloseListener((closed) -> call.connectionClosed());
+		call.receiveLimit.expectHead();
 		connection.sendRequest(request, new ClientCallback<>() {
 
 			@Override
@@ -130,6 +140,7 @@
 		if (this.finished) {
 			return;
 		}
+		this.receiveLimit.expectData();
 		this.source = exchange.getResponseChannel();
 		this.source.getReadSetter().set((channel) -> read());
 		read();
@@ -145,7 +156,12 @@
 	private void read() {
 		ByteBuffer buffer = READ_BUFFER.get();
 		try {
-			while (!this.finished) {
+			for (int part = 0; !this.finished; part++) {
+				if (part >= MAX_PARTS_PER_TURN) {
+					this.source.suspendReads();
+					resume();
+					return;
+				}
 				if (!this.listener.canAccept()) {
 					this.source.suspendReads();
 					return;
@@ -189,6 +205,7 @@
 		if (buffer.hasRemaining()) {
 			byte[] bytes = new byte[buffer.remaining()];
 			buffer.get(bytes);
+			this.receiveLimit.expectData();
 			this.listener.onData(bytes);
 		}
 	}
--- a/catkingate-standins/src/main/java/org/catkingate/standins/raw/RawServer.java
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/raw/RawServer.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -31,6 +32,8 @@
 
 	private static final Pattern CONTENT_LENGTH = Pattern.compile("(?mi)^Content-Length: *([0-9]+)");
 
+	private static final int BLOCK_CHARS = 8 * 1024;
+
 	private static final long PAUSE_BETWEEN_PARTS_MILLIS = 60;
 
 	private final List<String> requestHeads = new CopyOnWriteArrayList<>();
@@ -39,6 +42,8 @@
 
 	private final AtomicInteger peerClosedConnections = new AtomicInteger();
 
+	private final AtomicLong fillerBytes = new AtomicLong();
+
 	private final ServerSocket socket;
 
 	private final Supplier<Response> responses;
@@ -146,6 +151,9 @@
 					output.flush();
 					Thread.sleep(PAUSE_BETWEEN_PARTS_MILLIS);
 				}
+				if (!response.filler().isEmpty()) {
+					writeWithoutEnd(output, response);
+				}
 				if (response.closes()) {
 					accepted.close();
 					return;
@@ -162,6 +170,25 @@
 		}
 	}
 
+	private void writeWithoutEnd(OutputStream output, Response response) throws IOException, InterruptedException {
+		byte[] block = response.filler().getBytes(StandardCharsets.ISO_8859_1);
+		while (true) {
+			output.write(block);
+			this.fillerBytes.addAndGet(block.length);
+			if (response.fillerPauseMillis() > 0) {
+				Thread.sleep(response.fillerPauseMillis());
+			}
+		}
+	}
+
+	/**
+	 * Returns the number of bytes sent in responses without end.
+	 * @return the number of bytes, including those in buffers of the network
+	 */
+	public long fillerBytes() {
+		return this.fillerBytes.get();
+	}
+
 	private String requestId() {
 		Matcher matcher = REQUEST_ID.matcher(this.requestHeads.get(this.requestHeads.size() - 1));
 		return matcher.find() ? matcher.group(1) : "";
@@ -202,13 +229,47 @@
 	 *
 	 * @param parts the parts of the response, written with pauses between them
 	 * @param closes whether the connection is closed after the last part
+	 * @param filler written again and again after the last part until the peer closes the
+	 * connection; empty to write nothing
+	 * @param fillerPauseMillis the pause after each filler, in milliseconds
 	 */
-	public record Response(List<String> parts, boolean closes) {
+	public record Response(List<String> parts, boolean closes, String filler, long fillerPauseMillis) {
 
 		public Response {
 			parts = List.copyOf(parts);
 		}
 
+		/**
+		 * Creates a response that ends.
+		 * @param parts the parts of the response, written with pauses between them
+		 * @param closes whether the connection is closed after the last part
+		 */
+		public Response(List<String> parts, boolean closes) {
+			this(parts, closes, "", 0);
+		}
+
+		/**
+		 * Creates a response without end.
+		 * @param start the start of the response
+		 * @param filler follows again and again, as fast as the peer reads
+		 * @return the response, never null
+		 */
+		public static Response withoutEnd(String start, String filler) {
+			int repetitions = Math.max(1, BLOCK_CHARS / filler.length());
+			return new Response(List.of(start), false, filler.repeat(repetitions), 0);
+		}
+
+		/**
+		 * Creates a response without end that is sent slowly.
+		 * @param start the start of the response
+		 * @param filler follows again and again
+		 * @param pauseMillis the pause after each filler, in milliseconds
+		 * @return the response, never null
+		 */
+		public static Response trickling(String start, String filler, long pauseMillis) {
+			return new Response(List.of(start), false, filler, pauseMillis);
+		}
+
 	}
 
 }
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/RawCaller.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/RawCaller.java
@@ -99,6 +99,30 @@
 		}
 	}
 
+	/**
+	 * Reads everything until the connection ends.
+	 * @return whether it ended, and neither with a last chunk nor by the read timeout
+	 */
+	boolean awaitClosedAfterReadingAll() throws IOException {
+		byte[] buffer = new byte[64 * 1024];
+		String tail = "";
+		try {
+			int count = this.socket.getInputStream().read(buffer);
+			while (count >= 0) {
+				String text = tail + new String(buffer, 0, count, StandardCharsets.ISO_8859_1);
+				tail = text.substring(Math.max(0, text.length() - 10));
+				count = this.socket.getInputStream().read(buffer);
+			}
+		}
+		catch (SocketTimeoutException ex) {
+			return false;
+		}
+		catch (IOException ex) {
+			return true;
+		}
+		return !tail.endsWith("\r\n0\r\n\r\n");
+	}
+
 	@Override
 	public void close() throws IOException {
 		this.socket.close();
