--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
@@ -122,7 +122,8 @@
 		this.seed = settings.seeds().contains(settings.listen());
 		this.directory = new GatewayDirectory(self, this.ownAddress);
 		this.pieceClient = PeerPieceClient.create(worker.getIoThread());
-		this.cache = new PieceCache(this.pieceClient, this::upstreams, origin, worker.getIoThread());
+		this.cache = new PieceCache(this.pieceClient, this::upstreams,
+				(gateway) -> gateway.peer().region().equals(self.region()), origin, worker.getIoThread());
 		this.transport = FrameTransport.createOn(worker, settings.sharedKey(), self);
 		Location location = new Location(self.dataCentre(), self.region());
 		Set<InetSocketAddress> known = new HashSet<>(settings.seeds());
@@ -214,8 +215,16 @@
 	 */
 	void update(RegistryView next) {
 		boolean versionsChanged = !next.versions().equals(this.view.versions());
+		boolean started = this.view.configuration().isPresent();
 		this.view = next;
 		if (versionsChanged) {
+			if (started) {
+				// requesting the digests starts to fetch the pieces; a gateway that has
+				// just
+				// started does not know the others yet and would read them from the
+				// origin
+				next.versions().forEach(this.cache::digests);
+			}
 			this.acceptedConnections.forEach(this::sendDeclarations);
 		}
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/PieceCache.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/PieceCache.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import org.slf4j.Logger;
@@ -49,7 +50,7 @@
 	private static final int MAX_ORIGIN_ATTEMPTS = 3;
 
 	/** The number of pieces that are prefetched at the same time. */
-	private static final int CONCURRENT_PREFETCHES = 2;
+	private static final int CONCURRENT_PREFETCHES = 4;
 
 	/** The number of gateways that are tried before the origin. */
 	private static final int MAX_UPSTREAM_ATTEMPTS = 2;
@@ -69,6 +70,8 @@
 
 	private final Function<String, List<FrameConnection>> upstreams;
 
+	private final Predicate<FrameConnection> isInRegion;
+
 	private final Supplier<Optional<PieceOrigin>> origin;
 
 	private final XnioIoThread thread;
@@ -80,13 +83,15 @@
 	 * @param pieceClient requests pieces from other gateways
 	 * @param upstreams the gateways to request a piece from, given by its version and
 	 * index, in the order in which to try them; none to read from the origin
+	 * @param isInRegion whether a gateway is in the region of this one
 	 * @param origin the origin, empty while none is known
 	 * @param thread the traffic thread
 	 */
 	PieceCache(PeerPieceClient pieceClient, Function<String, List<FrameConnection>> upstreams,
-			Supplier<Optional<PieceOrigin>> origin, XnioIoThread thread) {
+			Predicate<FrameConnection> isInRegion, Supplier<Optional<PieceOrigin>> origin, XnioIoThread thread) {
 		this.pieceClient = pieceClient;
 		this.upstreams = upstreams;
+		this.isInRegion = isInRegion;
 		this.origin = origin;
 		this.thread = thread;
 	}
@@ -161,9 +166,30 @@
 		evict(digests.model(), digests.version() - KEPT_VERSIONS);
 		this.newestVersions.merge(digests.model(), digests.version(), Math::max);
 		pending.complete(version);
+		Deque<Integer> order = prefetchOrder(digests);
 		for (int i = 0; i < CONCURRENT_PREFETCHES; i++) {
-			prefetch(version, i);
+			prefetchNext(version, order);
+		}
+	}
+
+	/*
+	 * The pieces that other gateways request from this one come first, so that the origin
+	 * is read at the speed of its link, and then those that others provide.
+	 */
+	private Deque<Integer> prefetchOrder(PieceDigests digests) {
+		Deque<Integer> own = new ArrayDeque<>();
+		Deque<Integer> others = new ArrayDeque<>();
+		for (int i = 0; i < digests.digests().size(); i++) {
+			List<FrameConnection> sources = this.upstreams.apply(pieceKey(digests, i));
+			boolean provided = !sources.isEmpty() && this.isInRegion.test(sources.get(0));
+			(provided ? others : own).add(i);
 		}
+		own.addAll(others);
+		return own;
+	}
+
+	private static String pieceKey(PieceDigests version, int index) {
+		return key(version.model(), version.version()) + "/" + index;
 	}
 
 	private void evict(ModelName model, long version) {
@@ -197,25 +223,25 @@
 	 * Loaders request pieces at the speed of their own network links, and the origin may
 	 * become unreachable before they request the last piece.
 	 */
-	private void prefetch(CachedVersion cached, int index) {
+	private void prefetchNext(CachedVersion cached, Deque<Integer> order) {
 		PieceDigests version = cached.digests();
-		if (index >= version.digests().size() || this.newestVersions.get(version.model()) > version.version()) {
+		Integer index = order.poll();
+		if (index == null || this.newestVersions.get(version.model()) > version.version()) {
 			return;
 		}
 		piece(version.digests().get(index)).ifPresent((piece) -> piece.whenCompleteAsync((bytes, failure) -> {
 			if (failure == null) {
-				prefetch(cached, index + CONCURRENT_PREFETCHES);
-			}
-			else {
-				this.thread.executeAfter(() -> prefetch(cached, index), PREFETCH_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+				prefetchNext(cached, order);
+				return;
 			}
+			order.add(index);
+			this.thread.executeAfter(() -> prefetchNext(cached, order), PREFETCH_RETRY_MILLIS, TimeUnit.MILLISECONDS);
 		}, this.thread));
 	}
 
 	private CompletableFuture<byte[]> fetch(PieceLocation location) {
 		PieceDigests version = location.version().digests();
-		return firstSuccess(
-				this.upstreams.apply(key(version.model(), version.version()) + "/" + location.index()).iterator(),
+		return firstSuccess(this.upstreams.apply(pieceKey(version, location.index())).iterator(),
 				(gateway) -> this.pieceClient.requestPiece(gateway, version, location.index()), () -> {
 					CompletableFuture<byte[]> piece = new CompletableFuture<>();
 					readOrigin(location, 1, piece);
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/PieceCacheTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/PieceCacheTests.java
@@ -46,7 +46,7 @@
 	void start() throws Exception {
 		this.worker = IoThreads.start("pieces", 1);
 		this.cache = new PieceCache(PeerPieceClient.create(this.worker.getIoThread()), (piece) -> List.of(),
-				() -> Optional.of(this.origin), this.worker.getIoThread());
+				(gateway) -> true, () -> Optional.of(this.origin), this.worker.getIoThread());
 	}
 
 	@AfterEach
