--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/admission/AdmissionPoliciesTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/admission/AdmissionPoliciesTests.java
@@ -261,6 +261,19 @@
 			}
 		}
 
+		// Guards against calls that have waited, and are late, delaying calls that could
+		// be
+		// in time.
+		@Test
+		void leavePlacesToCallsThatCanStillBeInTime() {
+			RunnerOption busy = runner("a", Distance.DATA_CENTRE, 8, 2);
+			assertThat(AdmissionPoliciesTests.this.policy.decide(List.of(busy), REQUIREMENTS, ENGINE, 0.5))
+				.isInstanceOf(AdmissionDecision.Send.class);
+			assertThat(
+					AdmissionPoliciesTests.this.policy.decide(List.of(busy), REQUIREMENTS.afterWaiting(), ENGINE, 0.5))
+				.isInstanceOf(AdmissionDecision.Reject.class);
+		}
+
 		// Guards against calls that wait in vain where weights take longer than expected.
 		@Test
 		void areRejectedAtOnceWhenLoadingTakesLongerThanExpected() {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -157,7 +157,7 @@
 		if (this.finished) {
 			return true;
 		}
-		AdmissionDecision decision = this.sharedState.decide(this.admitted.service(), requirements(),
+		AdmissionDecision decision = this.sharedState.decide(this.admitted.service(), requirements().afterWaiting(),
 				this.triedRunners);
 		if (!(decision instanceof AdmissionDecision.Send) && this.sharedState.clock().millis() < this.waitUntilMillis) {
 			return false;
