Bound responses without end also for calls that are read whole

Cause: the limit on bytes without data was renewed at each readable event, not at each piece of data. Change: renewed when the head has arrived and with each part of the body.

--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/distribution/GatewayTreeTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/distribution/GatewayTreeTests.java
@@ -50,6 +50,12 @@
 			.orElseThrow();
 	}
 
+	@Test
+	void aGatewayWhoseRegionHasNoOtherAndThatKnowsNoneNearTheOriginReadsTheOrigin() {
+		assertThat(GatewayTree.upstreams("p", this.gateways.get(0), List.of(), Optional.of(ORIGIN_REGION))).isEmpty();
+		assertThat(GatewayTree.upstreams("p", this.gateways.get(0), List.of(), Optional.empty())).isEmpty();
+	}
+
 	/**
 	 * The load pattern: a new version for a fleet in five regions with links between them
 	 * that carry a copy or two in a second, and an origin that is slower still.
@@ -119,10 +125,4 @@
 
 	}
 
-	@Test
-	void aGatewayWhoseRegionHasNoOtherAndThatKnowsNoneNearTheOriginReadsTheOrigin() {
-		assertThat(GatewayTree.upstreams("p", this.gateways.get(0), List.of(), Optional.of(ORIGIN_REGION))).isEmpty();
-		assertThat(GatewayTree.upstreams("p", this.gateways.get(0), List.of(), Optional.empty())).isEmpty();
-	}
-
 }
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/registry/FollowReducerTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/registry/FollowReducerTests.java
@@ -109,6 +109,20 @@
 		receivePage(false, 10, items);
 	}
 
+	// Guards against requests that are sent to a runner of the time before a loss of
+	// power,
+	// whose registration has not expired yet.
+	@Test
+	void aRunnerIsSupersededByOneThatStartedLaterAtItsAddress() {
+		RegistryItem restarted = new RegistryItem("runners/b", 9,
+				new RegistryValue.Runner(new RegisteredRunner(new RunnerId("b"), 2, new ServiceName("songs"),
+						new InetSocketAddress("127.0.0.1", 1), new DataCentreName("a"), 4, false, Map.of())));
+		completeFullRead(runner("a", 3, false), restarted);
+		assertThat(published().runners()).containsOnlyKeys(new RunnerId("b"));
+		receiveChanges(12, removed("b", 11));
+		assertThat(published().runners()).containsOnlyKeys(new RunnerId("a"));
+	}
+
 	@Nested
 	class AFullRead {
 
@@ -318,20 +332,6 @@
 
 	}
 
-	// Guards against requests that are sent to a runner of the time before a loss of
-	// power,
-	// whose registration has not expired yet.
-	@Test
-	void aRunnerIsSupersededByOneThatStartedLaterAtItsAddress() {
-		RegistryItem restarted = new RegistryItem("runners/b", 9,
-				new RegistryValue.Runner(new RegisteredRunner(new RunnerId("b"), 2, new ServiceName("songs"),
-						new InetSocketAddress("127.0.0.1", 1), new DataCentreName("a"), 4, false, Map.of())));
-		completeFullRead(runner("a", 3, false), restarted);
-		assertThat(published().runners()).containsOnlyKeys(new RunnerId("b"));
-		receiveChanges(12, removed("b", 11));
-		assertThat(published().runners()).containsOnlyKeys(new RunnerId("a"));
-	}
-
 	@Nested
 	class ACopyOfAnotherProcess {
 
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/BufferedHttpClient.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/BufferedHttpClient.java
@@ -301,6 +301,7 @@
 
 				@Override
 				public void completed(ClientExchange result) {
+					ReceiveLimit.of(Call.this.connection).expectData();
 					read(result, result.getResponseChannel());
 				}
 
@@ -315,13 +316,11 @@
 
 		private void read(ClientExchange exchange, StreamSourceChannel channel) {
 			ByteBuffer buffer = ByteBuffer.allocate(BUFFER_BYTES);
-			ReceiveLimit limit = ReceiveLimit.of(this.connection);
-			limit.expectData();
 			restartIdleTimer();
 			try {
 				int count = channel.read(buffer);
 				while (count > 0) {
-					limit.expectData();
+					ReceiveLimit.of(this.connection).expectData();
 					append(buffer);
 					count = channel.read(buffer);
 				}
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ReceiveLimit.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ReceiveLimit.java
@@ -4,8 +4,8 @@
 import java.nio.ByteBuffer;
 
 import io.undertow.client.ClientConnection;
-import io.undertow.util.AttachmentKey;
 import io.undertow.util.Attachable;
+import io.undertow.util.AttachmentKey;
 import org.xnio.StreamConnection;
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSourceConduit;
--- a/catkingate-runtime/src/test/java/org/catkingate/runtime/http/BufferedHttpClientTests.java
+++ b/catkingate-runtime/src/test/java/org/catkingate/runtime/http/BufferedHttpClientTests.java
@@ -9,10 +9,13 @@
 
 import io.undertow.client.ClientRequest;
 import io.undertow.util.Methods;
+import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.xnio.XnioWorker;
 
 import org.catkingate.standins.raw.RawServer;
@@ -34,6 +37,9 @@
 
 	private static final long TOTAL_MILLIS = 5000;
 
+	/** More than the limits of the client and the buffers of both sockets. */
+	private static final long MAX_SENT_BYTES = 32L * 1024 * 1024;
+
 	private XnioWorker worker;
 
 	@BeforeEach
@@ -107,4 +113,38 @@
 
 	}
 
+	@Nested
+	class AResponseWithoutEnd {
+
+		// Guards against memory that fills because the store or the origin sends bytes
+		// that
+		// are no response until the connection is closed.
+		@ParameterizedTest
+		@CsvSource(delimiter = '|',
+				value = { "HTTP/1.1 200 O | K", "x | x", "HTTP/1.1 200 OK#X-Long: | x",
+						"HTTP/1.1 200 OK# | X-Again: x#", "HTTP/1.1 200 OK#Transfer-Encoding: chunked##5;x= | x",
+						"HTTP/1.1 200 OK#Transfer-Encoding: chunked##0# | X-Again: x#",
+						"HTTP/1.1 200 OK#Transfer-Encoding: chunked## | 4#data#", "HTTP/1.1 200 OK## | x" })
+		void failsTheCallAndClosesTheConnection(String start, String filler) throws Exception {
+			RawServer.Response response = RawServer.Response.withoutEnd(start.replace("#", "\r\n"),
+					filler.replace("#", "\r\n"));
+			try (RawServer server = RawServer.respondingWith(() -> response)) {
+				assertThatThrownBy(() -> call(server)).isInstanceOf(ExecutionException.class);
+				Awaitility.await().until(() -> server.connectionsClosedByPeer() == 1);
+				assertThat(server.fillerBytes()).isLessThan(MAX_SENT_BYTES);
+			}
+		}
+
+		@Test
+		void thatTricklesFailsTheCallAtItsTimeout() throws Exception {
+			RawServer.Response response = RawServer.Response.trickling("HTTP/1.1 200 OK\r\nX-Long: ", "x", 50);
+			try (RawServer server = RawServer.respondingWith(() -> response)) {
+				assertThatThrownBy(() -> call(server)).isInstanceOf(ExecutionException.class)
+					.hasMessageContaining("within");
+				Awaitility.await().until(() -> server.connectionsClosedByPeer() == 1);
+			}
+		}
+
+	}
+
 }
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/EndlessResponseTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/EndlessResponseTests.java
@@ -44,6 +44,26 @@
 		return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
 	}
 
+	// Guards against a request that is never answered because something arrives now and
+	// then.
+	@ParameterizedTest
+	@EnumSource(value = Endless.class, names = { "STATUS_LINE", "HEADERS", "CHUNK_SIZE_LINE", "TRAILER" })
+	void bytesThatTrickleAreCutAtTheDeadlineAndAnsweredByAnotherRunner(Endless endless) throws Exception {
+		Queue<RawServer.Response> responses = new ConcurrentLinkedQueue<>();
+		responses.add(RawServer.Response.trickling(endless.response.parts().get(0),
+				endless.response.filler().substring(0, 1), 20));
+		responses.add(PLAIN_RESPONSE);
+		try (RawServer first = RawServer.respondingWith(responses::poll);
+				RawServer second = RawServer.respondingWith(responses::poll);
+				TestGateway gateway = TestGateway.start(CallKind.IDEMPOTENT, first.address(), second.address());
+				RawCaller caller = gateway.connect()) {
+			assertThat(caller.post("r1", "/songs/1", "hello").readResponse()).containsAnyOf("whole", " 504 ", " 502 ");
+			Awaitility.await()
+				.atMost(TIMEOUT)
+				.until(() -> first.connectionsClosedByPeer() + second.connectionsClosedByPeer() > 0);
+		}
+	}
+
 	/**
 	 * The places at which a response may have no end. In each of them, nothing has been
 	 * forwarded to the caller, so that another runner can respond.
@@ -137,24 +157,4 @@
 
 	}
 
-	// Guards against a request that is never answered because something arrives now and
-	// then.
-	@ParameterizedTest
-	@EnumSource(value = Endless.class, names = { "STATUS_LINE", "HEADERS", "CHUNK_SIZE_LINE", "TRAILER" })
-	void bytesThatTrickleAreCutAtTheDeadlineAndAnsweredByAnotherRunner(Endless endless) throws Exception {
-		Queue<RawServer.Response> responses = new ConcurrentLinkedQueue<>();
-		responses.add(RawServer.Response.trickling(endless.response.parts().get(0),
-				endless.response.filler().substring(0, 1), 20));
-		responses.add(PLAIN_RESPONSE);
-		try (RawServer first = RawServer.respondingWith(responses::poll);
-				RawServer second = RawServer.respondingWith(responses::poll);
-				TestGateway gateway = TestGateway.start(CallKind.IDEMPOTENT, first.address(), second.address());
-				RawCaller caller = gateway.connect()) {
-			assertThat(caller.post("r1", "/songs/1", "hello").readResponse()).containsAnyOf("whole", " 504 ", " 502 ");
-			Awaitility.await()
-				.atMost(TIMEOUT)
-				.until(() -> first.connectionsClosedByPeer() + second.connectionsClosedByPeer() > 0);
-		}
-	}
-
 }
