--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -114,21 +114,23 @@
 	}
 
 	/*
-	 * Whether fewer runners serve than are registered without the versions or with
-	 * outdated ones, as after a loss of power of all machines.
+	 * Whether fewer runners hold weights than are without any, as after a loss of power
+	 * of all machines. Runners that change from one version to another count as holding
+	 * weights, since they change in turns and serve again soon.
 	 */
 	private boolean areMostLoading(ServiceName service, List<ModelName> models, long nowMillis) {
-		int serving = 0;
+		int holding = 0;
 		int loading = 0;
 		for (RunnerState state : this.runners.values()) {
-			if (canServe(state, service, models, nowMillis)) {
-				serving++;
-			}
-			else if (state.runner().service().equals(service) && !state.runner().draining()) {
-				loading++;
+			RegisteredRunner runner = state.runner();
+			if (runner.service().equals(service) && !runner.draining()) {
+				boolean holds = canServe(state, service, models, nowMillis)
+						|| (runner.models().keySet().containsAll(models) && !state.isMisdirected(nowMillis));
+				holding += holds ? 1 : 0;
+				loading += holds ? 0 : 1;
 			}
 		}
-		return serving < loading;
+		return holding < loading;
 	}
 
 	private Optional<EngineProfile> engine(ServiceName service) {
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
@@ -233,6 +233,14 @@
 		assertThat(((AdmissionDecision.Wait) decide(90_001)).maxMillis()).isEqualTo(first);
 	}
 
+	// Guards against calls that wait, and are late, each time a version changes.
+	@Test
+	void callsDoNotWaitWhileRunnersChangeToAnotherVersion() {
+		this.table.update(view(Map.of(), runner("a", false, Map.of(MODEL, 1L))), 500);
+		this.table.recordReport(report(true, Map.of()), 1000);
+		assertThat(decide(1100)).isInstanceOf(AdmissionDecision.Reject.class);
+	}
+
 	// Guards against sending to runners whose registration dates from before a loss of
 	// power, which costs callers their retries.
 	@Test
