--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
@@ -61,6 +61,12 @@
 	 */
 	private static final long DECLARATIONS_INTERVAL_MILLIS = 1000;
 
+	/**
+	 * The timeout for a piece from another gateway, below the one of loaders, so that
+	 * another gateway is tried before they give up.
+	 */
+	private static final long PIECE_TIMEOUT_MILLIS = 900;
+
 	/**
 	 * The interval at which reports on runners are forwarded, so that a fleet's reports
 	 * reach a gateway in a few messages.
@@ -121,7 +127,7 @@
 		this.ownAddress = AddressFormatter.format(settings.listen());
 		this.seed = settings.seeds().contains(settings.listen());
 		this.directory = new GatewayDirectory(self, this.ownAddress);
-		this.pieceClient = PeerPieceClient.create(worker.getIoThread());
+		this.pieceClient = PeerPieceClient.create(worker.getIoThread(), clock, PIECE_TIMEOUT_MILLIS);
 		this.cache = new PieceCache(this.pieceClient, this::upstreams,
 				(gateway) -> gateway.peer().region().equals(self.region()), origin, worker.getIoThread());
 		this.transport = FrameTransport.createOn(worker, settings.sharedKey(), self);
@@ -183,7 +189,8 @@
 
 	private List<FrameConnection> upstreams(String piece) {
 		Map<InstanceId, FrameConnection> connected = new HashMap<>();
-		outboundGateways().forEach((gateway) -> connected.put(gateway.peer().instance(), gateway));
+		outboundGateways().filter((gateway) -> !this.pieceClient.isUnresponsive(gateway))
+			.forEach((gateway) -> connected.put(gateway.peer().instance(), gateway));
 		List<GatewayTree.Member> members = connected.values()
 			.stream()
 			.map((gateway) -> member(gateway.peer()))
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/PieceCacheTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/PieceCacheTests.java
@@ -20,6 +20,7 @@
 import org.catkingate.model.ModelName;
 import org.catkingate.model.registry.PieceDigests;
 import org.catkingate.runtime.http.IoThreads;
+import org.catkingate.runtime.MonotonicClock;
 import org.catkingate.runtime.staging.PeerPieceClient;
 import org.catkingate.runtime.staging.PieceOrigin;
 
@@ -45,8 +46,8 @@
 	@BeforeEach
 	void start() throws Exception {
 		this.worker = IoThreads.start("pieces", 1);
-		this.cache = new PieceCache(PeerPieceClient.create(this.worker.getIoThread()), (piece) -> List.of(),
-				(gateway) -> true, () -> Optional.of(this.origin), this.worker.getIoThread());
+		this.cache = new PieceCache(PeerPieceClient.create(this.worker.getIoThread(), MonotonicClock.system()),
+				(piece) -> List.of(), (gateway) -> true, () -> Optional.of(this.origin), this.worker.getIoThread());
 	}
 
 	@AfterEach
--- a/catkingate-loader/src/main/java/org/catkingate/loader/LoaderProcess.java
+++ b/catkingate-loader/src/main/java/org/catkingate/loader/LoaderProcess.java
@@ -130,7 +130,7 @@
 		this.origins = origins;
 		this.worker = IoThreads.start("calls", 1);
 		this.httpClient = BufferedHttpClient.create(this.worker);
-		this.pieceClient = PeerPieceClient.create(this.worker.getIoThread());
+		this.pieceClient = PeerPieceClient.create(this.worker.getIoThread(), clock);
 		ProcessIdentity self = ProcessIdentities.of(settings.process());
 		FrameTransport transport = FrameTransport.createOn(this.worker, settings.peers().sharedKey(),
 				ProcessIdentities.toPeerIdentity(self));
@@ -273,6 +273,7 @@
 		RegionName region = this.settings.process().region();
 		List<FrameConnection> sources = new ArrayList<>(this.listedConnections.nearestFirst());
 		sources.addAll(this.seedConnections.nearestFirst());
+		sources.removeIf(this.pieceClient::isUnresponsive);
 		String prefix = this.settings.process().instance() + "/" + piece + "/";
 		sources
 			.sort(Comparator.<FrameConnection, Boolean>comparing((gateway) -> !gateway.peer().region().equals(region))
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/staging/PeerPieceClient.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/staging/PeerPieceClient.java
@@ -11,6 +11,7 @@
 import org.catkingate.model.Digest;
 import org.catkingate.model.ModelName;
 import org.catkingate.model.registry.PieceDigests;
+import org.catkingate.runtime.MonotonicClock;
 import org.catkingate.wire.FrameConnection;
 import org.catkingate.wire.WeightsMessage;
 
@@ -29,21 +30,56 @@
 	 */
 	private static final long RESPONSE_TIMEOUT_MILLIS = 1500;
 
+	/**
+	 * The time for which a process that has not responded in time counts as unresponsive.
+	 * A process that is cut off closes no connection.
+	 */
+	private static final long UNRESPONSIVE_MILLIS = 4000;
+
+	private final Map<FrameConnection, Long> unresponsiveUntilMillis = new HashMap<>();
+
 	private final Map<RequestKey, CompletableFuture<Object>> pending = new HashMap<>();
 
 	private final XnioIoThread thread;
 
-	private PeerPieceClient(XnioIoThread thread) {
+	private final MonotonicClock clock;
+
+	private final long timeoutMillis;
+
+	private PeerPieceClient(XnioIoThread thread, MonotonicClock clock, long timeoutMillis) {
 		this.thread = thread;
+		this.clock = clock;
+		this.timeoutMillis = timeoutMillis;
 	}
 
 	/**
 	 * Creates a client.
 	 * @param thread the I/O thread
+	 * @param clock the clock
+	 * @return the client, never null
+	 */
+	public static PeerPieceClient create(XnioIoThread thread, MonotonicClock clock) {
+		return create(thread, clock, RESPONSE_TIMEOUT_MILLIS);
+	}
+
+	/**
+	 * Creates a client with a timeout.
+	 * @param thread the I/O thread
+	 * @param clock the clock
+	 * @param timeoutMillis the timeout for a response, in milliseconds
 	 * @return the client, never null
 	 */
-	public static PeerPieceClient create(XnioIoThread thread) {
-		return new PeerPieceClient(thread);
+	public static PeerPieceClient create(XnioIoThread thread, MonotonicClock clock, long timeoutMillis) {
+		return new PeerPieceClient(thread, clock, timeoutMillis);
+	}
+
+	/**
+	 * Returns whether a process has not responded in time and not since.
+	 * @param connection the connection to the process
+	 * @return whether others should be preferred
+	 */
+	public boolean isUnresponsive(FrameConnection connection) {
+		return this.clock.millis() < this.unresponsiveUntilMillis.getOrDefault(connection, Long.MIN_VALUE);
 	}
 
 	/**
@@ -92,14 +128,20 @@
 		if (existing != null) {
 			return existing;
 		}
-		this.thread.executeAfter(() -> fail(key, response, "timed out waiting for a response"), RESPONSE_TIMEOUT_MILLIS,
-				TimeUnit.MILLISECONDS);
+		this.thread.executeAfter(() -> timeOut(key, response), this.timeoutMillis, TimeUnit.MILLISECONDS);
 		if (!connection.send(message)) {
 			fail(key, response, "is closed");
 		}
 		return response;
 	}
 
+	private void timeOut(RequestKey key, CompletableFuture<Object> response) {
+		if (this.pending.get(key) == response) {
+			this.unresponsiveUntilMillis.put(key.connection(), this.clock.millis() + UNRESPONSIVE_MILLIS);
+			fail(key, response, "timed out waiting for a response");
+		}
+	}
+
 	private void fail(RequestKey key, CompletableFuture<Object> response, String problem) {
 		if (this.pending.remove(key, response)) {
 			response
@@ -113,6 +155,7 @@
 	 * @param message the message
 	 */
 	public void onReceived(FrameConnection connection, WeightsMessage message) {
+		this.unresponsiveUntilMillis.remove(connection);
 		if (message instanceof WeightsMessage.VersionDigests digests) {
 			CompletableFuture<Object> response = this.pending
 				.remove(new RequestKey(connection, digests.model() + "/" + digests.version()));
@@ -151,6 +194,7 @@
 	 * @param connection the connection
 	 */
 	public void connectionLost(FrameConnection connection) {
+		this.unresponsiveUntilMillis.remove(connection);
 		Map.copyOf(this.pending).forEach((key, response) -> {
 			if (key.connection() == connection) {
 				fail(key, response, "is lost");
