--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/distribution/GatewayTreeTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/distribution/GatewayTreeTests.java
@@ -108,6 +108,13 @@
 			assertThat(busiest).isLessThan(2 * mean);
 		}
 
+		// Guards against a region that lacks the pieces of a gateway that is cut off.
+		@Test
+		void isStillTransferredIntoEachRegionOnceWithoutAGatewayThatDoesNotRespond() {
+			GatewayTreeTests.this.gateways.remove(GATEWAYS_PER_REGION);
+			isTransferredIntoEachRegionOnceAndReadFromTheOriginOnce();
+		}
+
 		// Guards against gateways that wait for each other.
 		@Test
 		void reachesEveryGatewayWithoutACycle() {
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/PieceCacheTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/PieceCacheTests.java
@@ -19,8 +19,8 @@
 import org.catkingate.model.Digest;
 import org.catkingate.model.ModelName;
 import org.catkingate.model.registry.PieceDigests;
-import org.catkingate.runtime.http.IoThreads;
 import org.catkingate.runtime.MonotonicClock;
+import org.catkingate.runtime.http.IoThreads;
 import org.catkingate.runtime.staging.PeerPieceClient;
 import org.catkingate.runtime.staging.PieceOrigin;
 
--- a/catkingate-loader/src/main/java/org/catkingate/loader/LoaderProcess.java
+++ b/catkingate-loader/src/main/java/org/catkingate/loader/LoaderProcess.java
@@ -267,17 +267,16 @@
 
 	/*
 	 * The gateways of the region come first, in an order that differs by loader and piece
-	 * and thus spreads the load over them.
+	 * and thus spreads the load over them. Those that do not respond come last.
 	 */
 	private List<FrameConnection> pieceSources(String piece) {
 		RegionName region = this.settings.process().region();
 		List<FrameConnection> sources = new ArrayList<>(this.listedConnections.nearestFirst());
 		sources.addAll(this.seedConnections.nearestFirst());
-		sources.removeIf(this.pieceClient::isUnresponsive);
 		String prefix = this.settings.process().instance() + "/" + piece + "/";
-		sources
-			.sort(Comparator.<FrameConnection, Boolean>comparing((gateway) -> !gateway.peer().region().equals(region))
-				.thenComparingLong((gateway) -> RendezvousHashing.hash(prefix + gateway.peer().instance())));
+		sources.sort(Comparator.<FrameConnection, Boolean>comparing(this.pieceClient::isUnresponsive)
+			.thenComparing((gateway) -> !gateway.peer().region().equals(region))
+			.thenComparingLong((gateway) -> RendezvousHashing.hash(prefix + gateway.peer().instance())));
 		return sources;
 	}
 
