Reject at once while no configuration is known, with a time that fits

Cause: accepting was delayed until a configuration was known.

Change: connections are accepted when the process has started. Callers are told to come back when runners are expected to have loaded (150 to 300 ms in the first 150 ms after the start, when the others may hand over the configuration).

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
@@ -82,6 +82,12 @@
 	 */
 	private static final long MIN_SERVING_MILLIS = 1000;
 
+	/**
+	 * The time in which a gateway that starts beside others receives the configuration,
+	 * in milliseconds.
+	 */
+	private static final long LONE_START_MILLIS = 150;
+
 	/**
 	 * The time over which callers return to a service whose runners have just loaded, in
 	 * milliseconds.
@@ -91,6 +97,19 @@
 	private AdmissionPolicies() {
 	}
 
+	/**
+	 * Returns when a caller should come back to a gateway that knows no configuration
+	 * yet. One that starts beside others receives it from them at once. If it does not,
+	 * all machines have probably failed, and the runners must load weights as well.
+	 * @param elapsedMillis the time since the gateway started, in milliseconds
+	 * @param draw a random number from 0 to 1
+	 * @return the delay in milliseconds
+	 */
+	public static long startupRetryAfterMillis(long elapsedMillis, double draw) {
+		return (elapsedMillis < LONE_START_MILLIS) ? (long) (LONE_START_MILLIS * (1 + draw))
+				: EXPECTED_LOAD_MILLIS + (long) (draw * LOAD_RETRY_SPREAD_MILLIS);
+	}
+
 	/**
 	 * Decides on a call to a service most of whose runners are without weights and load
 	 * them. It waits if they are expected to serve well before its deadline; many callers
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/admission/AdmissionPoliciesTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/admission/AdmissionPoliciesTests.java
@@ -290,6 +290,21 @@
 				.isGreaterThanOrEqualTo(LOADED_AT_MILLIS);
 		}
 
+		// Guards against callers that spend their only retry before any runner has
+		// weights.
+		@Test
+		void comeBackToAGatewayWithoutConfigurationWhenRunnersAreExpectedToServe() {
+			assertThat(AdmissionPolicies.startupRetryAfterMillis(500, 0)).isEqualTo(LOADED_AT_MILLIS);
+			assertThat(AdmissionPolicies.startupRetryAfterMillis(500, 1)).isLessThan(2 * LOADED_AT_MILLIS);
+		}
+
+		// Guards against callers that are kept away from the other gateways when only one
+		// has restarted.
+		@Test
+		void comeBackSoonToAGatewayThatHasJustStarted() {
+			assertThat(AdmissionPolicies.startupRetryAfterMillis(0, 1)).isLessThanOrEqualTo(300);
+		}
+
 		// Guards against runners that are flooded the moment they have loaded.
 		@Test
 		void doNotReturnAtTheSameMoment() {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/CallerServer.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/CallerServer.java
@@ -36,8 +36,6 @@
 
 	private volatile CallerLimits limits;
 
-	private boolean accepting;
-
 	private CallerServer(HttpOpenListener listener, AcceptingChannel<StreamConnection> channel) {
 		this.listener = listener;
 		this.channel = channel;
@@ -56,15 +54,12 @@
 	}
 
 	/**
-	 * Starts to accept connections. Calls after the first one have no effect.
+	 * Starts to accept connections.
 	 * @param handler handles the requests
 	 */
-	synchronized void startAccepting(HttpHandler handler) {
-		if (!this.accepting) {
-			this.accepting = true;
-			this.listener.setRootHandler(handler);
-			this.channel.resumeAccepts();
-		}
+	void startAccepting(HttpHandler handler) {
+		this.listener.setRootHandler(handler);
+		this.channel.resumeAccepts();
 	}
 
 	private static OptionMap options(CallerLimits limits) {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -5,13 +5,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import java.util.concurrent.TimeUnit;
 
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
-import io.undertow.server.HttpHandler;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.XnioWorker;
@@ -87,13 +85,6 @@
 	 */
 	private static final long REGISTRY_AGE_MARGIN_MILLIS = 250;
 
-	/**
-	 * The time after its start at which a gateway accepts connections even if it knows no
-	 * configuration. It is shorter than the time for which callers wait until a request
-	 * is read.
-	 */
-	private static final long MAX_ACCEPT_DELAY_MILLIS = 600;
-
 	private final Readiness readiness = Readiness.startingWhile(this::canAcceptKeys);
 
 	private final PrometheusRegistry metrics = new PrometheusRegistry();
@@ -122,8 +113,6 @@
 
 	private final CallerServer callerServer;
 
-	private final HttpHandler requestHandler;
-
 	private final GatewayPeers peers;
 
 	private final OperatorsEndpoint operators;
@@ -155,13 +144,13 @@
 		this.peers = GatewayPeers.start(ProcessIdentities.toPeerIdentity(ProcessIdentities.of(settings.process())),
 				settings.peers(), this.worker, this::publishedOrigin, this::openOrigin, settings.regions()::get,
 				this.runners, this.versions, copies, clock);
-		this.requestHandler = new RequestHandler(sharedCallState, this.registry, this.connections);
 		registerMetrics();
 		this.operators = OperatorsEndpoint.start(settings.operators().addresses(), this.readiness, this.metrics,
 				this::state);
 		this.gracefulShutdown = GracefulShutdown.create(settings.shutdown(), this.readiness, clock);
 		this.follower.start();
-		this.worker.getIoThread().executeAfter(this::startAccepting, MAX_ACCEPT_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+		this.callerServer
+			.startAccepting(new RequestHandler(sharedCallState, this.registry, this.connections, clock.millis()));
 	}
 
 	/**
@@ -193,10 +182,6 @@
 		return process;
 	}
 
-	private void startAccepting() {
-		this.callerServer.startAccepting(this.requestHandler);
-	}
-
 	private boolean canAcceptKeys() {
 		return this.registry.canAcceptKeys();
 	}
@@ -238,9 +223,6 @@
 			this.runners.update(view, this.clock.millis());
 			this.peers.update(view);
 			this.callerServer.updateLimits(view.configuration().map(ServingConfiguration::limits));
-			if (view.configuration().isPresent()) {
-				startAccepting();
-			}
 		});
 		if (view.configuration().isPresent() && this.readiness.phase() == Readiness.Phase.STARTING) {
 			this.readiness.markReady();
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestHandler.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestHandler.java
@@ -12,6 +12,7 @@
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 
+import org.catkingate.decisions.admission.AdmissionPolicies;
 import org.catkingate.model.AccountName;
 import org.catkingate.model.registry.Route;
 import org.catkingate.model.registry.ServingConfiguration;
@@ -26,15 +27,24 @@
  */
 final class RequestHandler implements HttpHandler {
 
-	private static final long REGISTRY_RETRY_AFTER_MILLIS = 1000;
-
 	private final SharedCallState sharedState;
 
 	private final RegistryCopy registry;
 
 	private final CallerConnections connections;
 
-	RequestHandler(SharedCallState sharedState, RegistryCopy registry, CallerConnections connections) {
+	private final long startedAtMillis;
+
+	/**
+	 * Creates a handler.
+	 * @param sharedState the state that all calls share
+	 * @param registry the copy of the registry
+	 * @param connections tracks the connections of callers
+	 * @param startedAtMillis when the process started, in monotonic milliseconds
+	 */
+	RequestHandler(SharedCallState sharedState, RegistryCopy registry, CallerConnections connections,
+			long startedAtMillis) {
+		this.startedAtMillis = startedAtMillis;
 		this.sharedState = sharedState;
 		this.registry = registry;
 		this.connections = connections;
@@ -59,7 +69,7 @@
 	private void admit(HttpServerExchange exchange, CallerHead head) {
 		ServingConfiguration configuration = this.registry.configuration().orElse(null);
 		if (configuration == null) {
-			reject(exchange, head, Rejection.notRun(REGISTRY_RETRY_AFTER_MILLIS, "no configuration is known yet"));
+			reject(exchange, head, Rejection.notRun(startupRetryAfterMillis(), "no configuration is known yet"));
 			return;
 		}
 		String host = exchange.getRequestHeaders().getFirst(Headers.HOST);
@@ -84,6 +94,11 @@
 		readBody(exchange, configuration, createAdmittedRequest(exchange, head, route, account));
 	}
 
+	private long startupRetryAfterMillis() {
+		return AdmissionPolicies.startupRetryAfterMillis(this.sharedState.clock().millis() - this.startedAtMillis,
+				ThreadLocalRandom.current().nextDouble());
+	}
+
 	private AdmittedRequest createAdmittedRequest(HttpServerExchange exchange, CallerHead head, Route route,
 			AccountName account) {
 		long now = this.sharedState.clock().millis();
