Let only calls of services with weights wait; log malformed addresses of gateways

Found when reading the diff: a plain service whose runners were all marked as misdirected would have let calls wait as if weights were being loaded (test red before), and a malformed address in a list of gateways was left out without a log line.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
@@ -226,16 +226,21 @@
 		this.view = next;
 		if (versionsChanged) {
 			if (started) {
-				// requesting the digests starts to fetch the pieces; a gateway that has
-				// just
-				// started does not know the others yet and would read them from the
-				// origin
-				next.versions().forEach(this.cache::digests);
+				prefetchPieces(next);
 			}
 			this.acceptedConnections.forEach(this::sendDeclarations);
 		}
 	}
 
+	/*
+	 * Requesting the digests starts to fetch the pieces. A gateway that has just started
+	 * waits until it is asked, since it knows no other gateways yet and would read all
+	 * pieces from the origin.
+	 */
+	private void prefetchPieces(RegistryView declared) {
+		declared.versions().forEach(this.cache::digests);
+	}
+
 	/**
 	 * Requests the copy of the registry that another gateway has. Only gateways that the
 	 * settings name are asked, since this process has chosen their addresses.
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -96,10 +96,11 @@
 			}
 		}
 		AdmissionDecision decision = this.policy.decide(options, requirements, engine, draw);
-		return (decision instanceof AdmissionDecision.Reject && areMostLoading(service, models, nowMillis))
-				? AdmissionPolicies.whileLoading(recordLoading(service, nowMillis), requirements.remainingMillis(),
-						draw)
-				: decision;
+		return (decision instanceof AdmissionDecision.Reject && !models.isEmpty()
+				&& areMostLoading(service, models, nowMillis))
+						? AdmissionPolicies.whileLoading(recordLoading(service, nowMillis),
+								requirements.remainingMillis(), draw)
+						: decision;
 	}
 
 	/*
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
@@ -241,6 +241,19 @@
 		assertThat(decide(1100)).isInstanceOf(AdmissionDecision.Reject.class);
 	}
 
+	// Guards against calls of a service without weights that wait for nothing.
+	@Test
+	void callsOfAServiceWithoutEnginesDoNotWait() {
+		ServiceName plain = new ServiceName("plain");
+		this.table.update(new RegistryView(1, view(Map.of()).configuration(),
+				Map.of(new RunnerId("p"), new RegisteredRunner(new RunnerId("p"), 1, plain, ADDRESS,
+						new DataCentreName("a"), 4, false, Map.of())),
+				Map.of()), 500);
+		this.table.state(new RunnerId("p")).recordMisdirected(1000);
+		assertThat(this.table.decide(plain, new CallRequirements(0, 600, 6000, 1), Set.of(), 3, 0.5, 1100))
+			.isInstanceOf(AdmissionDecision.Reject.class);
+	}
+
 	// Guards against sending to runners whose registration dates from before a loss of
 	// power, which costs callers their retries.
 	@Test
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/peers/ListedGateways.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/peers/ListedGateways.java
@@ -8,6 +8,9 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
 import org.catkingate.decisions.RendezvousHashing;
 import org.catkingate.model.AddressFormatter;
 import org.catkingate.model.InstanceId;
@@ -22,6 +25,8 @@
  */
 public final class ListedGateways {
 
+	private static final Logger logger = LoggerFactory.getLogger(ListedGateways.class);
+
 	private final Map<FrameConnection, Set<InetSocketAddress>> lists = new HashMap<>();
 
 	private final Set<InetSocketAddress> knownAddresses;
@@ -61,8 +66,11 @@
 				listed.add(AddressFormatter.parse(address));
 			}
 			catch (IllegalArgumentException ex) {
-				// the seed, which is of another release, is still of use for the others
-				continue;
+				logger.atWarn()
+					.addKeyValue("event", "gateway-address-malformed")
+					.addKeyValue("address", address)
+					.addKeyValue("peer", seed.peer().instance())
+					.log("leaving out a gateway with a malformed address; run the same release everywhere");
 			}
 		}
 		listed.removeAll(this.knownAddresses);
