--- /dev/null
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/StreamContinuationTests.java
@@ -0,0 +1,166 @@
+package org.catkingate.tests.gateway;
+
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import org.catkingate.model.registry.CallKind;
+import org.catkingate.standins.raw.RawServer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of streams that a runner breaks off after the caller has received a part of them.
+ * The caller must either receive the rest of the events or detect that they are missing.
+ */
+class StreamContinuationTests {
+
+	private static final String SIGNED = "X-Request-Id: " + RawServer.REQUEST_ID_PLACEHOLDER
+			+ "\r\nX-Server-Seal: a.b\r\n";
+
+	private static final String EVENT_STREAM = SIGNED + "Content-Type: text/event-stream\r\n";
+
+	private static final String STREAM_HEAD = "HTTP/1.1 200 OK\r\n" + EVENT_STREAM
+			+ "Transfer-Encoding: chunked\r\n\r\n";
+
+	private static final String LAST_CHUNK = "0\r\n\r\n";
+
+	private static String httpChunk(String text) {
+		return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+	}
+
+	private static String event(int id) {
+		return "id: " + id + "\ndata: x\n\n";
+	}
+
+	private static RawServer.Response brokenOff(String... parts) {
+		return new RawServer.Response(List.of(parts), true);
+	}
+
+	/**
+	 * Sends one request to a gateway whose two runners take the responses from one queue.
+	 */
+	private static String request(RawServer.Response first, RawServer.Response second) throws Exception {
+		Queue<RawServer.Response> responses = new ConcurrentLinkedQueue<>(List.of(first, second));
+		try (RawServer one = RawServer.respondingWith(responses::poll);
+				RawServer other = RawServer.respondingWith(responses::poll);
+				TestGateway gateway = TestGateway.start(CallKind.STREAM, one.address(), other.address());
+				RawCaller caller = gateway.connect()) {
+			String response = caller.post("r1", "/songs/1", "hello").readResponse();
+			assertThat(responses).as("responses that no runner was asked for").isEmpty();
+			return response;
+		}
+	}
+
+	private static void assertBrokenOffAfterTwoEvents(String response) {
+		assertThat(response).startsWith("HTTP/1.1 200 ")
+			.containsOnlyOnce("id: 1\n")
+			.containsOnlyOnce("id: 2\n")
+			.doesNotContain("id: 4\n")
+			.doesNotContain("unusable")
+			.doesNotContain("\r\n" + LAST_CHUNK)
+			.endsWith("<closed>");
+	}
+
+	@Nested
+	class AStartedStream {
+
+		// Guards against a stream that ends as complete because the runner that should
+		// have resumed it responded with a failure or with something else than its rest.
+		@ParameterizedTest
+		@EnumSource(Unusable.class)
+		void isNotContinuedByAResponseThatIsNotItsRest(Unusable unusable) throws Exception {
+			RawServer.Response first = brokenOff(STREAM_HEAD + httpChunk(event(1)) + httpChunk(event(2)),
+					"20\r\nid: 3\nda");
+			assertBrokenOffAfterTwoEvents(request(first, unusable.response));
+		}
+
+		// Guards against events that the caller receives twice: without an id, a runner
+		// cannot be told where to resume.
+		@Test
+		void isNotContinuedIfItsEventsHaveNoIds() throws Exception {
+			String event = httpChunk("data: x\n\n");
+			RawServer.Response first = brokenOff(STREAM_HEAD + event + event, "20\r\ndata");
+			try (RawServer runner = RawServer.respondingWith(() -> first);
+					RawServer other = RawServer.respondingWith(() -> first);
+					TestGateway gateway = TestGateway.start(CallKind.STREAM, runner.address(), other.address());
+					RawCaller caller = gateway.connect()) {
+				String response = caller.post("r1", "/songs/1", "hello").readResponse();
+				assertThat(response.split("data: x", -1)).hasSize(3);
+				assertThat(response).endsWith("<closed>");
+			}
+		}
+
+		@Test
+		void isContinuedByARunnerThatRepeatsItsStart() throws Exception {
+			RawServer.Response first = brokenOff(STREAM_HEAD + httpChunk(event(1)) + httpChunk(event(2)), "20\r\nid: ");
+			RawServer.Response second = new RawServer.Response(
+					List.of(STREAM_HEAD + httpChunk(event(1) + event(2) + event(3)) + LAST_CHUNK), false);
+			assertThat(request(first, second)).containsOnlyOnce("id: 1\n")
+				.containsOnlyOnce("id: 2\n")
+				.containsOnlyOnce("id: 3\n")
+				.endsWith("\r\n" + LAST_CHUNK);
+		}
+
+		@Test
+		void isCompleteIfNothingFollowsItsLastEvent() throws Exception {
+			RawServer.Response first = brokenOff(STREAM_HEAD + httpChunk(event(1)) + httpChunk(event(2)));
+			RawServer.Response second = new RawServer.Response(List.of(STREAM_HEAD + LAST_CHUNK), false);
+			assertThat(request(first, second)).containsOnlyOnce("id: 2\n").endsWith("\r\n" + LAST_CHUNK);
+		}
+
+	}
+
+	/**
+	 * The responses to a resumption that do not continue the stream.
+	 */
+	enum Unusable {
+
+		SERVER_ERROR("HTTP/1.1 500 Error\r\n" + SIGNED + "Content-Length: 8\r\n\r\nunusable"),
+
+		SERVER_ERROR_WITHOUT_BODY("HTTP/1.1 500 Error\r\n" + SIGNED + "Content-Length: 0\r\n\r\n"),
+
+		SERVER_ERROR_AS_STREAM("HTTP/1.1 500 Error\r\n" + EVENT_STREAM + "Transfer-Encoding: chunked\r\n\r\n"
+				+ httpChunk(event(3)) + LAST_CHUNK),
+
+		NOT_FOUND("HTTP/1.1 404 Not Found\r\n" + SIGNED + "Content-Length: 8\r\n\r\nunusable"),
+
+		REDIRECT("HTTP/1.1 302 Found\r\n" + SIGNED + "Location: /elsewhere\r\nContent-Length: 0\r\n\r\n"),
+
+		NO_CONTENT("HTTP/1.1 204 No Content\r\n" + SIGNED + "\r\n"),
+
+		PARTIAL_CONTENT("HTTP/1.1 206 Partial Content\r\n" + EVENT_STREAM + "Transfer-Encoding: chunked\r\n\r\n"
+				+ httpChunk(event(3)) + LAST_CHUNK),
+
+		OTHER_CONTENT_TYPE(
+				"HTTP/1.1 200 OK\r\n" + SIGNED + "Content-Type: application/json\r\nContent-Length: 8\r\n\r\nunusable"),
+
+		NO_CONTENT_TYPE("HTTP/1.1 200 OK\r\n" + SIGNED + "Content-Length: 0\r\n\r\n"),
+
+		COMPRESSED("HTTP/1.1 200 OK\r\n" + EVENT_STREAM + "Content-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n"
+				+ httpChunk(event(3)) + LAST_CHUNK),
+
+		LEAPING_ID(STREAM_HEAD + httpChunk(event(4)) + httpChunk(event(5)) + LAST_CHUNK),
+
+		NO_ID(STREAM_HEAD + httpChunk("data: unusable\n\n") + LAST_CHUNK),
+
+		NEITHER_LENGTH_NOR_EVENT("HTTP/1.1 200 OK\r\n" + EVENT_STREAM + "Connection: close\r\n\r\n", true);
+
+		private final RawServer.Response response;
+
+		Unusable(String text) {
+			this(text, false);
+		}
+
+		Unusable(String text, boolean closes) {
+			this.response = new RawServer.Response(List.of(text), closes);
+		}
+
+	}
+
+}
