Continue a started stream only with a response that is its rest (ORDER)

What callers saw: a stream whose runner had broken off ended with its last chunk, as if it were complete, after the runner that should have resumed it responded with a failure.

Cause: a response could reach its end without a check that it continues what the caller had received. GatewayCall passed any signed head to ResponseRelay, also when the response to the caller had started; the relay then left streaming mode, appended the body of the failure, and GatewayCall.onEnd completed the response because it was started.

Change: a continuation must have the status and the content type of the started stream, and its first event must follow the last one that was forwarded, by the step of the ids before; StreamProgress decides this, without network. Anything else is a failed attempt, after which another runner may continue the stream or the caller's connection is closed without the last chunk. A stream whose last event has no id is not resumed, since no runner can be told where to begin; events without data, such as comments, have no place in the order.

StreamProgressTests hold the decision.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/EventSplitter.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/EventSplitter.java
@@ -12,6 +12,8 @@
 
 	private static final String ID_FIELD = "id:";
 
+	private static final String DATA_FIELD = "data";
+
 	private byte[] remainder = new byte[0];
 
 	private int scannedBytes;
@@ -27,7 +29,7 @@
 		for (int i = this.scannedBytes; i < all.length; i++) {
 			if (isEventEnd(all, i, start)) {
 				byte[] complete = Arrays.copyOfRange(all, start, i + 1);
-				consumer.accept(new Event(complete, id(complete)));
+				consumer.accept(parse(complete));
 				start = i + 1;
 			}
 		}
@@ -77,18 +79,23 @@
 		this.scannedBytes = 0;
 	}
 
-	private static Long id(byte[] event) {
+	private static Event parse(byte[] event) {
+		Long id = null;
+		boolean hasData = false;
 		for (String line : new String(event, StandardCharsets.UTF_8).split("\r?\n")) {
-			if (line.startsWith(ID_FIELD)) {
-				try {
-					return Long.valueOf(line.substring(ID_FIELD.length()).strip());
-				}
-				catch (NumberFormatException ex) {
-					return null;
-				}
-			}
+			id = (id == null && line.startsWith(ID_FIELD)) ? parseId(line) : id;
+			hasData = hasData || line.startsWith(DATA_FIELD);
+		}
+		return new Event(event, id, hasData);
+	}
+
+	private static Long parseId(String line) {
+		try {
+			return Long.valueOf(line.substring(ID_FIELD.length()).strip());
+		}
+		catch (NumberFormatException ex) {
+			return null;
 		}
-		return null;
 	}
 
 	/**
@@ -96,8 +103,10 @@
 	 *
 	 * @param bytes the bytes, including the empty line at the end
 	 * @param id the id, null if there is none or it is not a number
+	 * @param hasData whether the event has data; one without, such as a comment that
+	 * keeps the connection alive, has no place in the order of the stream
 	 */
-	record Event(byte[] bytes, Long id) {
+	record Event(byte[] bytes, Long id, boolean hasData) {
 
 	}
 
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -263,8 +263,12 @@
 			failAttempt(from, "unsigned", "the answer bears no code of a runner");
 			return false;
 		}
-		this.relay.receiveHead(head,
-				this.route.kind() == CallKind.STREAM && head.getResponseCode() < MIN_FAILURE_STATUS);
+		boolean eventStream = this.route.kind() == CallKind.STREAM && head.getResponseCode() < MIN_FAILURE_STATUS;
+		if (!this.relay.receiveHead(head, eventStream)) {
+			failAttempt(from, "no-continuation",
+					"status " + head.getResponseCode() + " is not the rest of the stream that has started");
+			return false;
+		}
 		return true;
 	}
 
@@ -318,6 +322,10 @@
 			this.firstByteMillis = this.sharedState.clock().millis() - this.admitted.arrivedAtMillis();
 		}
 		this.relay.receiveData(bytes);
+		if (this.relay.hasUnplaceableEvent()) {
+			failAttempt(from, "no-continuation", "an event does not follow those that were forwarded");
+			return;
+		}
 		this.relay.exceededLimit().ifPresent((limit) -> {
 			from.runner().recordFailure(this.sharedState.clock().millis());
 			failAttempt(from, "too-long", limit);
@@ -364,8 +372,7 @@
 		from.cancel();
 		this.attempt = null;
 		this.relay.discardBuffered();
-		boolean canContinue = !this.relay.isStarted() || (this.relay.isStreaming() && this.route.resumable());
-		if (this.route.canRunAgain() && canContinue) {
+		if (this.route.canRunAgain() && this.relay.canBeContinued()) {
 			retryOrElse(() -> rejectOrAbort(0, reason));
 			return;
 		}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/ResponseRelay.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/ResponseRelay.java
@@ -14,8 +14,9 @@
 /**
  * A relay that forwards the response of one or more runners to a caller. An event stream
  * is forwarded in complete events, each of them once, even if another runner continues
- * the stream. Any other response is buffered until it is complete or exceeds
- * {@link #MAX_BUFFERED_BYTES}. Used by the traffic thread only.
+ * the stream; only a response that is provably its rest does. Any other response is
+ * buffered until it is complete or exceeds {@link #MAX_BUFFERED_BYTES}. Used by the
+ * traffic thread only.
  */
 final class ResponseRelay {
 
@@ -43,7 +44,9 @@
 
 	private boolean streaming;
 
-	private Long lastEventId;
+	private final StreamProgress progress = new StreamProgress();
+
+	private boolean unplaceableEvent;
 
 	private long plainBytes;
 
@@ -59,14 +62,20 @@
 
 	/**
 	 * Receives the head of a runner's response and discards what is buffered of a
-	 * previous one.
+	 * previous one. The head of a continuation is checked, but not forwarded.
 	 * @param head the status and the headers
 	 * @param eventStream whether the body is a stream of events
+	 * @return whether the response can be forwarded; not so if the response to the caller
+	 * has started and this one does not continue it
 	 */
-	void receiveHead(ClientResponse head, boolean eventStream) {
+	boolean receiveHead(ClientResponse head, boolean eventStream) {
+		discardBuffered();
+		if (isStarted()) {
+			return this.streaming && eventStream && this.progress.acceptContinuation(head);
+		}
 		this.runnerResponse = head;
 		this.streaming = eventStream;
-		discardBuffered();
+		return true;
 	}
 
 	/**
@@ -76,6 +85,7 @@
 		this.events.clear();
 		this.buffer.reset();
 		this.plainBytes = 0;
+		this.unplaceableEvent = false;
 	}
 
 	/**
@@ -86,8 +96,12 @@
 		return this.callerResponse.isStarted();
 	}
 
-	boolean isStreaming() {
-		return this.streaming;
+	/**
+	 * Returns whether another runner can respond in place of the one that failed.
+	 * @return whether nothing has been forwarded, or a stream whose last event has an id
+	 */
+	boolean canBeContinued() {
+		return !isStarted() || (this.streaming && this.progress.canBeResumed());
 	}
 
 	/**
@@ -111,7 +125,16 @@
 	 * @return the id, null if no event with a numeric id was forwarded
 	 */
 	Long lastEventId() {
-		return this.lastEventId;
+		return this.progress.lastEventId();
+	}
+
+	/**
+	 * Returns whether the response contains an event that cannot follow those that were
+	 * forwarded. Neither it nor what came after it has been forwarded.
+	 * @return whether the response does not continue the stream
+	 */
+	boolean hasUnplaceableEvent() {
+		return this.unplaceableEvent;
 	}
 
 	/**
@@ -151,14 +174,16 @@
 	}
 
 	private void forward(EventSplitter.Event event) {
-		if (event.id() != null) {
-			if (this.lastEventId != null && event.id() <= this.lastEventId) {
-				return;
-			}
-			this.lastEventId = event.id();
+		if (this.unplaceableEvent) {
+			return;
+		}
+		StreamProgress.Placement placement = event.hasData() ? this.progress.place(event.id())
+				: StreamProgress.Placement.NEXT;
+		this.unplaceableEvent = placement == StreamProgress.Placement.UNPLACEABLE;
+		if (placement == StreamProgress.Placement.NEXT) {
+			startIfNeeded();
+			this.callerResponse.add(ByteBuffer.wrap(event.bytes()));
 		}
-		startIfNeeded();
-		this.callerResponse.add(ByteBuffer.wrap(event.bytes()));
 	}
 
 	private void forwardBuffered() {
@@ -171,6 +196,7 @@
 
 	private void startIfNeeded() {
 		if (!this.callerResponse.isStarted()) {
+			this.progress.start(this.runnerResponse);
 			this.callerResponse.start(status(), headers());
 		}
 	}
