--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -333,10 +333,14 @@
 	}
 
 	@Override
-	public void onEnd(RunnerAttempt from) {
+	public void onEnd(RunnerAttempt from, boolean delimited) {
 		if (isStale(from)) {
 			return;
 		}
+		if (!delimited && this.relay.lacksEvents()) {
+			onFailure(from, "the connection ended before an event of the stream");
+			return;
+		}
 		if (this.relay.isInsideEvent()) {
 			onFailure(from, "the stream ended inside an event");
 			return;
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/ResponseRelay.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/ResponseRelay.java
@@ -145,6 +145,15 @@
 		return this.streaming && this.events.hasIncompleteEvent();
 	}
 
+	/**
+	 * Returns whether the current runner has sent no event of the stream that the caller
+	 * did not have before.
+	 * @return whether the response is a stream to which this runner has added nothing
+	 */
+	boolean lacksEvents() {
+		return this.streaming && (!isStarted() || this.progress.isContinuing());
+	}
+
 	void receiveData(byte[] bytes) {
 		if (this.streaming) {
 			this.events.add(bytes, this::forward);
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
@@ -210,7 +210,7 @@
 		}
 		if (!this.finished) {
 			finish();
-			this.listener.onEnd(this);
+			this.listener.onEnd(this, end.delimited());
 		}
 	}
 
@@ -283,10 +283,12 @@
 		boolean canAccept();
 
 		/**
-		 * Called when the response is complete.
+		 * Called when the response has ended.
 		 * @param attempt the attempt
+		 * @param delimited whether its length or encoding marked the end; otherwise the
+		 * connection has ended, which does not prove that the response is complete
 		 */
-		void onEnd(RunnerAttempt attempt);
+		void onEnd(RunnerAttempt attempt, boolean delimited);
 
 		/**
 		 * Called when the connection failed before the response was complete.
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/StreamProgress.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/StreamProgress.java
@@ -57,6 +57,14 @@
 		return this.continuing;
 	}
 
+	/**
+	 * Returns whether a continuation has been accepted of which no event was placed yet.
+	 * @return whether the current runner has added nothing to the stream
+	 */
+	boolean isContinuing() {
+		return this.continuing;
+	}
+
 	private static String contentType(ClientResponse head) {
 		HeaderMap headers = head.getResponseHeaders();
 		String value = headers.getFirst(Headers.CONTENT_TYPE);
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/StreamContinuationTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/StreamContinuationTests.java
@@ -116,6 +116,43 @@
 
 	}
 
+	@Nested
+	class AStreamWithNeitherALengthNorChunks {
+
+		private static final String UNDELIMITED_HEAD = "HTTP/1.1 200 OK\r\n" + EVENT_STREAM
+				+ "Connection: close\r\n\r\n";
+
+		// Guards against a stream that is empty because its runner ended behind the head,
+		// and reaches the caller as complete.
+		@Test
+		void isNotCompleteBeforeItsFirstEvent() throws Exception {
+			RawServer.Response second = new RawServer.Response(List.of(STREAM_HEAD + httpChunk(event(1)) + LAST_CHUNK),
+					false);
+			assertThat(request(brokenOff(UNDELIMITED_HEAD), second)).containsOnlyOnce("id: 1\n")
+				.endsWith("\r\n" + LAST_CHUNK);
+		}
+
+		@Test
+		void isNotCompleteInsideAnEvent() throws Exception {
+			RawServer.Response first = brokenOff(UNDELIMITED_HEAD + event(1), "id: 2\nda");
+			RawServer.Response second = brokenOff(UNDELIMITED_HEAD + event(2));
+			assertThat(request(first, second)).containsOnlyOnce("id: 1\n")
+				.containsOnlyOnce("id: 2\n")
+				.endsWith("\r\n" + LAST_CHUNK);
+		}
+
+		@Test
+		void isCompleteIfItsConnectionEndsBetweenEvents() throws Exception {
+			try (RawServer runner = RawServer.respondingAndClosing(UNDELIMITED_HEAD + event(1), event(2));
+					TestGateway gateway = TestGateway.start(CallKind.STREAM, runner.address());
+					RawCaller caller = gateway.connect()) {
+				assertThat(caller.post("r1", "/songs/1", "hello").readResponse()).containsOnlyOnce("id: 2\n")
+					.endsWith("\r\n" + LAST_CHUNK);
+			}
+		}
+
+	}
+
 	/**
 	 * The responses to a resumption that do not continue the stream.
 	 */
