Name the platform's variable for the settings file in the adapter

PlatformBoundaryTests now looks for it, and for the headers that the new rules bring, outside of the adapter; the variable was found there before this change.

--- a/catkingate-cli/src/main/java/org/catkingate/cli/ProcessCommand.java
+++ b/catkingate-cli/src/main/java/org/catkingate/cli/ProcessCommand.java
@@ -10,6 +10,7 @@
 
 import org.catkingate.model.ini.ConfigurationProblem;
 import org.catkingate.model.ini.InvalidConfigurationException;
+import org.catkingate.platform.PlatformEnvironment;
 import org.catkingate.runtime.logging.Logging;
 import org.catkingate.runtime.process.HangUpSignal;
 import org.catkingate.runtime.process.RunningProcess;
@@ -22,15 +23,12 @@
  */
 abstract class ProcessCommand<S extends RoleSettings> extends Command {
 
-	/** The environment variable that names the settings file if no argument does. */
-	static final String SETTINGS_VARIABLE = "CATKINGATE_SETTINGS";
-
 	private static final Logger logger = LoggerFactory.getLogger(ProcessCommand.class);
 
 	private final String name;
 
-	@Parameter(description = "FILE, the settings of the process; if it is missing, the file that " + SETTINGS_VARIABLE
-			+ " names")
+	@Parameter(description = "FILE, the settings of the process; if it is missing, the file that "
+			+ PlatformEnvironment.SETTINGS_FILE + " names")
 	private String file;
 
 	ProcessCommand(String name) {
@@ -44,7 +42,7 @@
 
 	@Override
 	final int run() throws CommandException {
-		String path = (this.file != null) ? this.file : System.getenv(SETTINGS_VARIABLE);
+		String path = (this.file != null) ? this.file : System.getenv(PlatformEnvironment.SETTINGS_FILE);
 		if (path == null) {
 			throw new CommandException(ExitCodes.USAGE,
 					"catkingate: no settings file given; run 'catkingate " + this.name + " --help'");
--- a/catkingate-cli/src/test/java/org/catkingate/cli/PlatformBoundaryTests.java
+++ b/catkingate-cli/src/test/java/org/catkingate/cli/PlatformBoundaryTests.java
@@ -26,7 +26,8 @@
 
 	private static final List<String> EXTERNAL_PLATFORM_NAMES = List.of("X-Server-Seal", "X-Expect-Instance",
 			"X-Not-Executed", "X-Token-Counts", "X-Instance-Load", "X-Tenant", "X-Deadline-Ms", "kv-range", "kv-watch",
-			"stage-put", "stage-get", "SwitchMode", "CurrentRev", "PathPrefix", "ColdLeftMs", "op/config");
+			"stage-put", "stage-get", "SwitchMode", "CurrentRev", "PathPrefix", "ColdLeftMs", "op/config",
+			"X-Prefix-Hash", "Store-Era", "Server-Leaving", "At-Server", "CATKINGATE_SETTINGS");
 
 	@Test
 	void adapterDoesNotDependOnDecisionsGatewayOrLoader() {
