Fail on responses whose headers do not tell where the body ends

What callers may see: a body that is cut to the shorter of two lengths and framed as complete; chunk sizes as part of a body; an empty stream that is complete.

Change: one reading of the framing, ResponseFraming, for streamed and buffered calls. Several lengths, a length beside an encoding, or an encoding other than chunked fail the call.

--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/BufferedHttpClient.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/BufferedHttpClient.java
@@ -301,6 +301,11 @@
 
 				@Override
 				public void completed(ClientExchange result) {
+					if (ResponseFraming.isAmbiguous(result.getResponse())) {
+						fail(new IOException("the headers of the response of " + Call.this.base
+								+ " do not tell where its body ends"));
+						return;
+					}
 					ReceiveLimit.of(Call.this.connection).expectData();
 					read(result, result.getResponseChannel());
 				}
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/StreamedCall.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/StreamedCall.java
@@ -12,7 +12,6 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
-import io.undertow.util.StatusCodes;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSourceChannel;
 
@@ -131,7 +130,11 @@
 			return;
 		}
 		ClientResponse response = exchange.getResponse();
-		this.delimited = isDelimited(exchange.getRequest(), response);
+		if (ResponseFraming.isAmbiguous(response)) {
+			fail("the headers of the response do not tell where its body ends");
+			return;
+		}
+		this.delimited = ResponseFraming.isDelimited(exchange.getRequest(), response);
 		if (!this.listener.onHead(response)) {
 			this.finished = true;
 			closeSocket();
@@ -146,13 +149,6 @@
 		read();
 	}
 
-	private static boolean isDelimited(ClientRequest request, ClientResponse response) {
-		return response.getResponseHeaders().contains(Headers.CONTENT_LENGTH)
-				|| response.getResponseHeaders().contains(Headers.TRANSFER_ENCODING)
-				|| request.getMethod().equals(Methods.HEAD) || response.getResponseCode() == StatusCodes.NO_CONTENT
-				|| response.getResponseCode() == StatusCodes.NOT_MODIFIED;
-	}
-
 	private void read() {
 		ByteBuffer buffer = READ_BUFFER.get();
 		try {
--- a/catkingate-runtime/src/test/java/org/catkingate/runtime/http/BufferedHttpClientTests.java
+++ b/catkingate-runtime/src/test/java/org/catkingate/runtime/http/BufferedHttpClientTests.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.xnio.XnioWorker;
 
 import org.catkingate.standins.raw.RawServer;
@@ -147,4 +148,20 @@
 
 	}
 
+	@Nested
+	class AResponseWithContradictoryFraming {
+
+		// Guards against a registry page or a piece that is cut to the wrong length.
+		@ParameterizedTest
+		@ValueSource(strings = { "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+				"Content-Length: 5\r\nContent-Length: 3\r\n\r\nwhole", "Transfer-Encoding: identity\r\n\r\nwhole" })
+		void fails(String rest) throws Exception {
+			try (RawServer server = RawServer.respondingAndClosing("HTTP/1.1 200 OK\r\n" + rest)) {
+				assertThatThrownBy(() -> call(server)).isInstanceOf(ExecutionException.class)
+					.hasMessageContaining("do not tell where its body ends");
+			}
+		}
+
+	}
+
 }
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/GatewayResponseTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/GatewayResponseTests.java
@@ -6,6 +6,8 @@
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.catkingate.model.registry.CallKind;
 import org.catkingate.standins.raw.RawServer;
@@ -118,6 +120,21 @@
 			}
 		}
 
+		// Guards against a body that is cut to a length which the rest of the response
+		// contradicts, and against chunk sizes that become part of a body.
+		@ParameterizedTest
+		@ValueSource(strings = { "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+				"Content-Length: 5\r\nContent-Length: 3\r\n\r\nwhole",
+				"Transfer-Encoding: gzip, chunked\r\n\r\n5\r\nwhole\r\n", "Transfer-Encoding: identity\r\n\r\nwhole" })
+		void withAnAmbiguousLengthIsNotForwarded(String rest) throws Exception {
+			try (RawServer runner = RawServer.respondingAndClosing(HEAD + rest);
+					TestGateway gateway = TestGateway.start(CallKind.NON_IDEMPOTENT, runner.address());
+					RawCaller caller = gateway.connect()) {
+				assertThat(caller.post("r1", "/songs/1", "hello").readResponse()).startsWith("HTTP/1.1 502 ")
+					.doesNotContain("who");
+			}
+		}
+
 		// Guards against a body that the caller cannot read, passed on as the runner's
 		// own.
 		@Test
