--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/EventSplitter.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/EventSplitter.java
@@ -57,10 +57,15 @@
 
 	/**
 	 * Returns whether an event has started and is not complete.
-	 * @return whether bytes of an incomplete event are buffered
+	 * @return whether bytes of an incomplete event are buffered, other than empty lines
 	 */
 	boolean hasIncompleteEvent() {
-		return this.remainder.length > 0;
+		for (byte character : this.remainder) {
+			if (character != '\r' && character != '\n') {
+				return true;
+			}
+		}
+		return false;
 	}
 
 	/**
@@ -83,7 +88,7 @@
 		Long id = null;
 		boolean hasData = false;
 		for (String line : new String(event, StandardCharsets.UTF_8).split("\r?\n")) {
-			id = (id == null && line.startsWith(ID_FIELD)) ? parseId(line) : id;
+			id = line.startsWith(ID_FIELD) ? parseId(line) : id;
 			hasData = hasData || line.startsWith(DATA_FIELD);
 		}
 		return new Event(event, id, hasData);
@@ -102,12 +107,20 @@
 	 * A complete event.
 	 *
 	 * @param bytes the bytes, including the empty line at the end
-	 * @param id the id, null if there is none or it is not a number
-	 * @param hasData whether the event has data; one without, such as a comment that
-	 * keeps the connection alive, has no place in the order of the stream
+	 * @param id the last id in it, null if there is none or it is not a number
+	 * @param hasData whether the event has data
 	 */
 	record Event(byte[] bytes, Long id, boolean hasData) {
 
+		/**
+		 * Returns whether the event has a place in the order of the stream, unlike a
+		 * comment that keeps the connection alive.
+		 * @return whether it has data or an id
+		 */
+		boolean hasPosition() {
+			return this.hasData || this.id != null;
+		}
+
 	}
 
 }
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/ResponseRelay.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/ResponseRelay.java
@@ -48,6 +48,9 @@
 
 	private boolean unplaceableEvent;
 
+	/** Whether an event of the current runner has been placed in the stream. */
+	private boolean eventPlaced;
+
 	private long plainBytes;
 
 	/**
@@ -70,6 +73,7 @@
 	 */
 	boolean receiveHead(ClientResponse head, boolean eventStream) {
 		discardBuffered();
+		this.eventPlaced = false;
 		if (isStarted()) {
 			return this.streaming && eventStream && this.progress.acceptContinuation(head);
 		}
@@ -98,7 +102,8 @@
 
 	/**
 	 * Returns whether another runner can respond in place of the one that failed.
-	 * @return whether nothing has been forwarded, or a stream whose last event has an id
+	 * @return whether nothing has been forwarded, or a stream whose events have
+	 * increasing ids
 	 */
 	boolean canBeContinued() {
 		return !isStarted() || (this.streaming && this.progress.canBeResumed());
@@ -146,12 +151,11 @@
 	}
 
 	/**
-	 * Returns whether the current runner has sent no event of the stream that the caller
-	 * did not have before.
+	 * Returns whether the current runner has sent no event of the stream.
 	 * @return whether the response is a stream to which this runner has added nothing
 	 */
 	boolean lacksEvents() {
-		return this.streaming && (!isStarted() || this.progress.isContinuing());
+		return this.streaming && !this.eventPlaced;
 	}
 
 	void receiveData(byte[] bytes) {
@@ -186,13 +190,15 @@
 		if (this.unplaceableEvent) {
 			return;
 		}
-		StreamProgress.Placement placement = event.hasData() ? this.progress.place(event.id())
-				: StreamProgress.Placement.NEXT;
-		this.unplaceableEvent = placement == StreamProgress.Placement.UNPLACEABLE;
-		if (placement == StreamProgress.Placement.NEXT) {
-			startIfNeeded();
-			this.callerResponse.add(ByteBuffer.wrap(event.bytes()));
+		if (event.hasPosition()) {
+			this.unplaceableEvent = !this.progress.place(event.id());
+			if (this.unplaceableEvent) {
+				return;
+			}
+			this.eventPlaced = true;
 		}
+		startIfNeeded();
+		this.callerResponse.add(ByteBuffer.wrap(event.bytes()));
 	}
 
 	private void forwardBuffered() {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/StreamProgress.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/StreamProgress.java
@@ -24,6 +24,7 @@
 
 	private long step = UNKNOWN_STEP;
 
+	/** Whether the last id tells which events were forwarded. */
 	private boolean positionKnown = true;
 
 	/** Whether a continuation has been accepted of which no event was placed yet. */
@@ -39,7 +40,7 @@
 
 	/**
 	 * Returns whether another runner can be told where to continue the stream.
-	 * @return whether the last event of the started stream has an id
+	 * @return whether all events of the started stream have increasing ids
 	 */
 	boolean canBeResumed() {
 		return this.lastEventId != null && this.positionKnown;
@@ -57,14 +58,6 @@
 		return this.continuing;
 	}
 
-	/**
-	 * Returns whether a continuation has been accepted of which no event was placed yet.
-	 * @return whether the current runner has added nothing to the stream
-	 */
-	boolean isContinuing() {
-		return this.continuing;
-	}
-
 	private static String contentType(ClientResponse head) {
 		HeaderMap headers = head.getResponseHeaders();
 		String value = headers.getFirst(Headers.CONTENT_TYPE);
@@ -72,31 +65,36 @@
 	}
 
 	/**
-	 * Places the next event with data of the current runner in the stream.
+	 * Places the next event of the current runner in the stream.
 	 * @param id the id of the event, null if it has none
-	 * @return what to do with the event
+	 * @return whether the event follows those that were forwarded; if not, the runner
+	 * does not continue the stream
 	 */
-	Placement place(Long id) {
-		if (id == null) {
-			if (this.continuing) {
-				return Placement.UNPLACEABLE;
-			}
-			this.positionKnown = false;
-			return Placement.NEXT;
-		}
-		if (this.lastEventId != null && id <= this.lastEventId) {
-			return Placement.REPEATED;
+	boolean place(Long id) {
+		if (this.continuing && (id == null || !follows(id))) {
+			return false;
 		}
-		if (this.continuing && this.step > UNKNOWN_STEP && id != this.lastEventId + this.step) {
-			return Placement.UNPLACEABLE;
+		if (id == null || (this.lastEventId != null && id <= this.lastEventId)) {
+			// one runner's events are forwarded in any case, but no other can resume them
+			this.positionKnown = false;
+			return true;
 		}
 		if (this.lastEventId != null) {
 			recordStep(id - this.lastEventId);
 		}
 		this.lastEventId = id;
-		this.positionKnown = true;
 		this.continuing = false;
-		return Placement.NEXT;
+		return true;
+	}
+
+	/*
+	 * Consecutive ids are assumed until two events have shown the step.
+	 */
+	private boolean follows(long id) {
+		if (this.step == VARYING_STEP) {
+			return id > this.lastEventId;
+		}
+		return id == this.lastEventId + ((this.step == UNKNOWN_STEP) ? 1 : this.step);
 	}
 
 	private void recordStep(long next) {
@@ -111,22 +109,4 @@
 		return this.lastEventId;
 	}
 
-	/**
-	 * What to do with an event of a runner.
-	 */
-	enum Placement {
-
-		/** The event is the next one; it is forwarded. */
-		NEXT,
-
-		/** The caller has received the event already; it is discarded. */
-		REPEATED,
-
-		/**
-		 * The event cannot be the next one, so the runner does not continue the stream.
-		 */
-		UNPLACEABLE
-
-	}
-
 }
