Treat interim responses of runners as failed attempts

What callers may see: a 103 of a runner as the response to their request, and then nothing.

Cause: the HTTP client passes on interim responses other than 100 as if they were final, and onHead took any status.

Change: a status below 200 is a failed attempt. Beside it, onData returns if the relay has found, while it wrote, that the caller is gone; it went on with a call that had ended (found by reading).

Evidence: afterAnInterimResponseIsNotReplacedByIt failed before (no response within 10 s).

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -55,6 +55,8 @@
 	/** The number of unreachable runners after which the request is rejected. */
 	private static final int MAX_UNREACHABLE_RUNNERS = 3;
 
+	private static final int MIN_FINAL_STATUS = 200;
+
 	private static final int MIN_FAILURE_STATUS = 300;
 
 	/** The status that is logged if the caller disconnects before there is one. */
@@ -264,6 +266,10 @@
 			failAttempt(from, "unsigned", "the answer bears no code of a runner");
 			return false;
 		}
+		if (head.getResponseCode() < MIN_FINAL_STATUS) {
+			failAttempt(from, "interim", "status " + head.getResponseCode() + " is no final response");
+			return false;
+		}
 		if (isUnexpectedlyEncoded(head)) {
 			failAttempt(from, "encoded", "the response has a content encoding that was not asked for");
 			return false;
@@ -285,7 +291,7 @@
 		String encoding = head.getResponseHeaders().getFirst(Headers.CONTENT_ENCODING);
 		String accepted = this.exchange.getRequestHeaders().getFirst(Headers.ACCEPT_ENCODING);
 		boolean asked = accepted != null && !isIdentity(accepted) && this.route.kind() != CallKind.STREAM;
-		return encoding != null && !isIdentity(encoding) && !asked;
+		return encoding != null && !encoding.isBlank() && !isIdentity(encoding) && !asked;
 	}
 
 	private static boolean isIdentity(String encoding) {
@@ -342,6 +348,10 @@
 			this.firstByteMillis = this.sharedState.clock().millis() - this.admitted.arrivedAtMillis();
 		}
 		this.relay.receiveData(bytes);
+		if (isStale(from)) {
+			// writing has shown that the caller is gone
+			return;
+		}
 		if (this.relay.hasUnplaceableEvent()) {
 			failAttempt(from, "no-continuation", "an event does not follow those that were forwarded");
 			return;
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/GatewayResponseTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/GatewayResponseTests.java
@@ -135,6 +135,18 @@
 			}
 		}
 
+		// Guards against an interim response that the caller receives as the final one.
+		@Test
+		void afterAnInterimResponseIsNotReplacedByIt() throws Exception {
+			String interim = "HTTP/1.1 103 Early Hints\r\nX-Request-Id: " + RawServer.REQUEST_ID_PLACEHOLDER
+					+ "\r\nX-Server-Seal: a.b\r\n\r\n";
+			try (RawServer runner = RawServer.respondingWith(interim + HEAD + "Content-Length: 2\r\n\r\nok");
+					TestGateway gateway = TestGateway.start(CallKind.NON_IDEMPOTENT, runner.address());
+					RawCaller caller = gateway.connect()) {
+				assertThat(caller.post("r1", "/songs/1", "hello").readResponse()).startsWith("HTTP/1.1 502 ");
+			}
+		}
+
 		// Guards against a body that the caller cannot read, passed on as the runner's
 		// own.
 		@Test
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/StreamContinuationTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/StreamContinuationTests.java
@@ -259,6 +259,9 @@
 
 		NO_ID(STREAM_HEAD + httpChunk("data: unusable\n\n") + LAST_CHUNK),
 
+		INTERIM("HTTP/1.1 103 Early Hints\r\n" + EVENT_STREAM + "\r\n" + STREAM_HEAD + httpChunk(event(4))
+				+ LAST_CHUNK),
+
 		UNKNOWN_ENCODING("HTTP/1.1 200 OK\r\n" + EVENT_STREAM + "Transfer-Encoding: identity\r\n\r\n", true),
 
 		LENGTH_AND_CHUNKS("HTTP/1.1 200 OK\r\n" + EVENT_STREAM
