Send nothing new to a runner that states in a response that it leaves (DRAIN)

Callers see: while a runner shuts down, requests went to it until its registration said so, and failed or were answered late when it ended.

Cause: nothing read Server-Leaving.

Change: the codec decodes it from the head of any response, and the state of that start of the runner keeps it: a response that is forwarded, rejected, discarded or a stray one counts; one to a misdirected request (421) does not, since another runner may have the address. The runner is no option from then on, for first sends, waiting calls, retries and resumptions, and the state is checked again immediately before a request is written, so that one whose connection was being opened is sent to another runner. A request under way goes to its end. A registration does not revoke it, whether it still says ready or is removed and listed again, since it may be older than the runner's word; only a registration of another start (id, address or start time) does.

One line, runner-leaving, and one count for each start that says so.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
@@ -19,6 +19,8 @@
 
 	private final Counter malformed;
 
+	private final Counter leavingRunners;
+
 	private final Gauge inProgress;
 
 	private final Histogram timeToFirstByte;
@@ -39,6 +41,10 @@
 			.name("catkingate_gateway_malformed")
 			.help("Requests that could not be understood")
 			.register(registry);
+		this.leavingRunners = Counter.builder()
+			.name("catkingate_gateway_runners_leaving")
+			.help("Starts of runners that stated in a response that they leave")
+			.register(registry);
 		this.inProgress = Gauge.builder()
 			.name("catkingate_gateway_requests_in_progress")
 			.help("Requests in progress")
@@ -74,6 +80,10 @@
 		this.malformed.inc();
 	}
 
+	void countRunnerLeaving() {
+		this.leavingRunners.inc();
+	}
+
 	void countRejected(String outcome) {
 		this.requests.labelValues(outcome).inc();
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -103,6 +103,8 @@
 
 	private final GatewayMetrics gatewayMetrics;
 
+	private final RunnerIntakeLog intakeLog;
+
 	private final DeclaredVersions versions;
 
 	private final RunnerTable runners;
@@ -129,6 +131,7 @@
 		this.callerServer = CallerServer.bind(settings.callers(), this.worker, this.buffers);
 		this.origins = origins;
 		this.gatewayMetrics = GatewayMetrics.registerIn(this.metrics);
+		this.intakeLog = new RunnerIntakeLog(this.gatewayMetrics);
 		this.versions = new DeclaredVersions(settings.weights().changeMillis() - CHANGE_MARGIN_MILLIS,
 				clock.millis() + settings.weights().settlingMillis() - SETTLING_MARGIN_MILLIS);
 		this.runners = new RunnerTable(this::createRunnerState, AdmissionPolicies.earliestFirstEvent(), this.versions);
@@ -215,7 +218,7 @@
 		Distance distance = new Location(this.settings.process().dataCentre(), this.settings.process().region())
 			.distanceTo(runner.dataCentre(), this.settings.regions().get(runner.dataCentre()));
 		return new RunnerState(runner, distance, ConnectionPool.to(runner.address(), this.worker, this.buffers,
-				Math.max(1, Math.min(MAX_IDLE_CONNECTIONS, idleConnections)), this.clock));
+				Math.max(1, Math.min(MAX_IDLE_CONNECTIONS, idleConnections)), this.clock), this.intakeLog);
 	}
 
 	private void applyView(RegistryView view) {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
@@ -98,6 +98,12 @@
 			this.runner.connections().release(connection);
 			return;
 		}
+		if (!this.runner.accepts()) {
+			this.runner.connections().release(connection);
+			finish();
+			this.listener.onNotSent(this, "the runner takes no new requests");
+			return;
+		}
 		this.listener.onSend(this);
 		this.call = StreamedCall.start(connection, this.outgoing.request(), this.outgoing.body(), this);
 	}
@@ -170,11 +176,13 @@
 
 	@Override
 	public boolean onHead(ClientResponse response) {
+		int status = response.getResponseCode();
+		this.responseHead = this.codec.readResponseHead(status, response.getResponseHeaders());
+		// also if the response itself is not used any more
+		this.runner.recordResponseHead(status, this.responseHead, this.clock.millis());
 		if (this.finished) {
 			return false;
 		}
-		this.responseHead = this.codec.readResponseHead(response.getResponseCode(), response.getResponseHeaders());
-		this.responseHead.load().ifPresent((load) -> this.runner.recordLoad(load, this.clock.millis()));
 		return this.listener.onHead(this, response);
 	}
 
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
@@ -4,18 +4,20 @@
 import java.util.Deque;
 import java.util.Map;
 
+import org.catkingate.decisions.admission.RunnerIntake;
 import org.catkingate.decisions.admission.RunnerOption;
 import org.catkingate.decisions.routing.Distance;
 import org.catkingate.model.ModelName;
 import org.catkingate.model.registry.RegisteredRunner;
 import org.catkingate.runtime.calls.RunnerLoad;
+import org.catkingate.runtime.calls.RunnerResponseHead;
 import org.catkingate.runtime.http.ConnectionPool;
 import org.catkingate.wire.RunnerMessage;
 
 /**
  * The state of one runner as seen by this process: its registration, the requests sent to
- * it, the load that the runner and its loader report, and failures. Used by the traffic
- * thread only.
+ * it, the load that the runner and its loader report, failures, and whether it takes new
+ * requests. Used by the traffic thread only.
  */
 final class RunnerState {
 
@@ -85,6 +87,10 @@
 
 	private final Distance distance;
 
+	private final RunnerIntakeLog intakeLog;
+
+	private RunnerIntake intake;
+
 	private RegisteredRunner runner;
 
 	private Map<ModelName, Long> reportedVersions = Map.of();
@@ -117,7 +123,16 @@
 
 	private double responseStartMillis = DEFAULT_RESPONSE_START_MILLIS;
 
-	RunnerState(RegisteredRunner runner, Distance distance, ConnectionPool connections) {
+	/**
+	 * Creates the state of a runner without any requests.
+	 * @param runner the registration
+	 * @param distance the distance from this process
+	 * @param connections the connections to the runner
+	 * @param intakeLog logs the statements of the runner
+	 */
+	RunnerState(RegisteredRunner runner, Distance distance, ConnectionPool connections, RunnerIntakeLog intakeLog) {
+		this.intakeLog = intakeLog;
+		this.intake = RunnerIntake.open();
 		this.runner = runner;
 		this.distance = distance;
 		this.connections = connections;
@@ -138,6 +153,52 @@
 		return this.connections;
 	}
 
+	/**
+	 * Returns what the runner has stated about taking new requests.
+	 * @return the intake, never null
+	 */
+	RunnerIntake intake() {
+		return this.intake;
+	}
+
+	void restoreIntake(RunnerIntake known) {
+		this.intake = known;
+	}
+
+	/**
+	 * Returns whether the runner leaves, by its registration or its own statement. A
+	 * registration does not revoke the statement, since it may be older.
+	 * @return whether it gets no new requests for as long as it runs
+	 */
+	boolean isLeaving() {
+		return this.runner.draining() || this.intake.leaving();
+	}
+
+	/**
+	 * Returns whether a request may be sent now. Must also be checked immediately before
+	 * a request is written, since the runner may have made a statement after the choice.
+	 * @return whether neither the runner nor its registration states otherwise
+	 */
+	boolean accepts() {
+		return !isLeaving();
+	}
+
+	/**
+	 * Records what the head of a response states about the runner.
+	 * @param status the status of the response
+	 * @param response the head of the response
+	 * @param nowMillis the time now, in monotonic milliseconds
+	 */
+	void recordResponseHead(int status, RunnerResponseHead response, long nowMillis) {
+		response.load().ifPresent((load) -> recordLoad(load, nowMillis));
+		// a misdirected request may have reached another runner at the same address
+		if (response.leaving() && !response.misdirected() && !this.intake.leaving()) {
+			this.intake = this.intake.withLeaving();
+			this.connections.close();
+			this.intakeLog.recordLeaving(this.runner, status, response);
+		}
+	}
+
 	boolean isFull(long nowMillis) {
 		return nowMillis < this.fullUntilMillis;
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -24,7 +24,8 @@
 
 /**
  * The registered runners and their states. A runner that restarts or moves to another
- * address gets a new state. Used by the traffic thread only.
+ * address gets a new state; one that is listed again without a restart keeps what it has
+ * stated. Used by the traffic thread only.
  */
 final class RunnerTable {
 
@@ -36,6 +37,8 @@
 
 	private final Map<RunnerId, RunnerState> runners = new HashMap<>();
 
+	private final RememberedIntakes rememberedIntakes = new RememberedIntakes();
+
 	private Map<String, List<RunnerState>> runnersByAddress = Map.of();
 
 	private final Function<RegisteredRunner, RunnerState> stateFactory;
@@ -65,18 +68,25 @@
 			RegisteredRunner registered = next.runners().get(entry.getKey());
 			boolean removed = registered == null || !isSameProcess(registered, entry.getValue().runner());
 			if (removed) {
+				this.rememberedIntakes.add(entry.getValue());
 				entry.getValue().close();
 			}
 			return removed;
 		});
 		next.runners()
-			.forEach((id, runner) -> this.runners.computeIfAbsent(id, (key) -> this.stateFactory.apply(runner))
+			.forEach((id, runner) -> this.runners.computeIfAbsent(id, (key) -> createState(runner))
 				.updateRegistration(runner));
 		this.runnersByAddress = this.runners.values()
 			.stream()
 			.collect(Collectors.groupingBy((state) -> state.runner().addressText()));
 	}
 
+	private RunnerState createState(RegisteredRunner runner) {
+		RunnerState state = this.stateFactory.apply(runner);
+		this.rememberedIntakes.restoreTo(state);
+		return state;
+	}
+
 	private static boolean isSameProcess(RegisteredRunner first, RegisteredRunner second) {
 		return first.address().equals(second.address()) && first.startedAtEpochMillis() == second.startedAtEpochMillis()
 				&& first.service().equals(second.service());
@@ -124,7 +134,7 @@
 		int loading = 0;
 		for (RunnerState state : this.runners.values()) {
 			RegisteredRunner runner = state.runner();
-			if (runner.service().equals(service) && !runner.draining()) {
+			if (runner.service().equals(service) && !state.isLeaving()) {
 				boolean holds = canServe(state, service, models, nowMillis)
 						|| (runner.models().keySet().containsAll(models) && !state.isMisdirected(nowMillis));
 				holding += holds ? 1 : 0;
@@ -144,7 +154,7 @@
 
 	private static boolean canServe(RunnerState state, ServiceName service, List<ModelName> models, long nowMillis) {
 		RegisteredRunner runner = state.runner();
-		return runner.service().equals(service) && !runner.draining() && !state.isMisdirected(nowMillis)
+		return runner.service().equals(service) && !state.isLeaving() && !state.isMisdirected(nowMillis)
 				&& state.servedVersions(nowMillis).keySet().containsAll(models);
 	}
 
--- /dev/null
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerAttemptTests.java
@@ -0,0 +1,152 @@
+package org.catkingate.gateway;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.util.Methods;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.xnio.XnioWorker;
+
+import org.catkingate.decisions.routing.Distance;
+import org.catkingate.model.DataCentreName;
+import org.catkingate.model.RunnerId;
+import org.catkingate.model.ServiceName;
+import org.catkingate.model.registry.RegisteredRunner;
+import org.catkingate.runtime.MonotonicClock;
+import org.catkingate.runtime.calls.RunnerResponseHead;
+import org.catkingate.runtime.http.ConnectionPool;
+import org.catkingate.runtime.http.IoThreads;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link RunnerAttempt}.
+ */
+class RunnerAttemptTests {
+
+	private static final int TIMEOUT_MILLIS = 10_000;
+
+	private final RunnerIntakeLog intakeLog = new RunnerIntakeLog(GatewayMetrics.registerIn(new PrometheusRegistry()));
+
+	private XnioWorker worker;
+
+	private ServerSocket server;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.worker = IoThreads.start("traffic", 1);
+		this.server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+		this.server.setSoTimeout(TIMEOUT_MILLIS);
+	}
+
+	@AfterEach
+	void stop() throws Exception {
+		this.worker.shutdownNow();
+		this.server.close();
+	}
+
+	private RunnerState createRunner() {
+		InetSocketAddress address = (InetSocketAddress) this.server.getLocalSocketAddress();
+		RegisteredRunner registered = new RegisteredRunner(new RunnerId("a"), 1, new ServiceName("songs"), address,
+				new DataCentreName("a"), 16, false, Map.of());
+		return new RunnerState(registered, Distance.DATA_CENTRE, ConnectionPool.to(address, this.worker,
+				new DefaultByteBufferPool(false, 1024), 1, MonotonicClock.system()), this.intakeLog);
+	}
+
+	private void startAttempt(RunnerState runner, RunnerAttempt.Listener listener) {
+		ClientRequest request = new ClientRequest().setMethod(Methods.GET).setPath("/songs/1");
+		RunnerAttempt.start(runner, new RunnerAttempt.OutgoingRequest(request, new byte[0], 0, true), null,
+				this.worker.getIoThread(), MonotonicClock.system(), listener);
+	}
+
+	private static RunnerResponseHead leaving() {
+		return new RunnerResponseHead("r1", true, false, false, Optional.empty(), Long.MAX_VALUE, true);
+	}
+
+	// Guards against a request that is sent after the runner's statement because it was
+	// chosen before and its connection was not open yet.
+	@Test
+	void isNotSentIfItsRunnerStatesThatItLeavesWhileTheConnectionIsOpened() throws Exception {
+		Outcome outcome = new Outcome();
+		RunnerState runner = createRunner();
+		this.worker.getIoThread().execute(() -> {
+			startAttempt(runner, outcome);
+			runner.recordResponseHead(200, leaving(), MonotonicClock.system().millis());
+		});
+		assertThat(outcome.end.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).startsWith("not sent: ");
+		try (Socket accepted = this.server.accept()) {
+			accepted.setSoTimeout(TIMEOUT_MILLIS);
+			assertThat(accepted.getInputStream().read()).as("the connection is closed without a byte").isEqualTo(-1);
+		}
+	}
+
+	@Test
+	void isSentIfItsRunnerTakesRequests() throws Exception {
+		Outcome outcome = new Outcome();
+		RunnerState runner = createRunner();
+		this.worker.getIoThread().execute(() -> startAttempt(runner, outcome));
+		assertThat(outcome.end.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isEqualTo("sent");
+		try (Socket accepted = this.server.accept()) {
+			accepted.setSoTimeout(TIMEOUT_MILLIS);
+			assertThat(accepted.getInputStream().read()).isEqualTo('G');
+		}
+	}
+
+	/**
+	 * A listener that records whether the request was sent.
+	 */
+	private static final class Outcome implements RunnerAttempt.Listener {
+
+		private final CompletableFuture<String> end = new CompletableFuture<>();
+
+		@Override
+		public void onSend(RunnerAttempt attempt) {
+			this.end.complete("sent");
+		}
+
+		@Override
+		public void onNotSent(RunnerAttempt attempt, String reason) {
+			this.end.complete("not sent: " + reason);
+		}
+
+		@Override
+		public boolean onHead(RunnerAttempt attempt, ClientResponse response) {
+			return false;
+		}
+
+		@Override
+		public void onResponseStart(RunnerAttempt attempt, long elapsedMillis) {
+		}
+
+		@Override
+		public void onData(RunnerAttempt attempt, byte[] bytes) {
+		}
+
+		@Override
+		public boolean canAccept() {
+			return true;
+		}
+
+		@Override
+		public void onEnd(RunnerAttempt attempt, boolean delimited) {
+		}
+
+		@Override
+		public void onFailure(RunnerAttempt attempt, String reason) {
+		}
+
+	}
+
+}
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.junit.jupiter.api.Test;
 
 import org.catkingate.decisions.admission.AdmissionDecision;
@@ -24,6 +25,9 @@
 import org.catkingate.model.registry.RegisteredService;
 import org.catkingate.model.registry.RouteTable;
 import org.catkingate.model.registry.ServingConfiguration;
+import org.catkingate.runtime.MonotonicClock;
+import org.catkingate.runtime.calls.RunnerResponseHead;
+import org.catkingate.runtime.http.ConnectionPool;
 import org.catkingate.wire.RunnerMessage;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -44,7 +48,11 @@
 
 	private final DeclaredVersions versions = new DeclaredVersions(7000, 3000);
 
-	private final RunnerTable table = new RunnerTable((runner) -> new RunnerState(runner, Distance.DATA_CENTRE, null),
+	private final RunnerIntakeLog intakeLog = new RunnerIntakeLog(GatewayMetrics.registerIn(new PrometheusRegistry()));
+
+	private final RunnerTable table = new RunnerTable(
+			(runner) -> new RunnerState(runner, Distance.DATA_CENTRE,
+					ConnectionPool.to(runner.address(), null, null, 1, MonotonicClock.system()), this.intakeLog),
 			AdmissionPolicies.earliestFirstEvent(), this.versions);
 
 	private static RegistryView view(Map<ModelName, Long> versions, RegisteredRunner... runners) {
@@ -272,4 +280,37 @@
 		assertThat(canServe(4600)).isTrue();
 	}
 
+	private void receive(String id, int status, boolean misdirected, boolean leaving, long nowMillis) {
+		this.table.state(new RunnerId(id))
+			.recordResponseHead(status,
+					new RunnerResponseHead("r1", true, false, misdirected, Optional.empty(), 0, leaving), nowMillis);
+	}
+
+	// Guards against new requests to a runner that leaves while its registration still
+	// says that it is ready, or is lost and listed again.
+	@Test
+	void aRunnerThatStatesThatItLeavesGetsNoRequestUntilItsNextStart() {
+		RegisteredRunner runner = runner("a", false, Map.of(MODEL, 1L));
+		this.table.update(view(Map.of(), runner), 500);
+		receive("a", 200, false, true, 1000);
+		assertThat(canServe(1001)).isFalse();
+		this.table.update(view(Map.of(), runner), 1100);
+		assertThat(canServe(1101)).isFalse();
+		this.table.update(view(Map.of()), 1200);
+		this.table.update(view(Map.of(), runner), 1300);
+		assertThat(canServe(1_000_000)).isFalse();
+		this.table.update(view(Map.of(), new RegisteredRunner(new RunnerId("a"), 2, SERVICE, ADDRESS,
+				new DataCentreName("a"), 16, false, Map.of(MODEL, 1L))), 1_000_100);
+		assertThat(canServe(1_000_101)).isTrue();
+		this.table.update(view(Map.of(), runner), 1_000_200);
+		assertThat(canServe(1_000_201)).as("an old registration of the start that left").isFalse();
+	}
+
+	@Test
+	void aMisdirectedRequestDoesNotShowThatTheRunnerLeaves() {
+		this.table.update(view(Map.of(), runner("a", false, Map.of(MODEL, 1L))), 500);
+		receive("a", 421, true, true, 1000);
+		assertThat(canServe(1001)).isTrue();
+	}
+
 }
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/calls/RunnerResponseHead.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/calls/RunnerResponseHead.java
@@ -14,9 +14,11 @@
  * @param load the load of the runner, empty if it is not sent
  * @param keepAliveMillis how long the runner keeps the idle connection open, in
  * milliseconds; 0 if it closes the connection, {@link Long#MAX_VALUE} if this is not sent
+ * @param leaving whether the sender of the response states that it leaves and wants no
+ * new requests
  * @since 0.1
  */
 public record RunnerResponseHead(String requestId, boolean signed, boolean notRun, boolean misdirected,
-		Optional<RunnerLoad> load, long keepAliveMillis) {
+		Optional<RunnerLoad> load, long keepAliveMillis, boolean leaving) {
 
 }
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/RawCaller.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/RawCaller.java
@@ -69,6 +69,19 @@
 		return text(received);
 	}
 
+	/**
+	 * Reads until a text has been received, the connection ends or the read times out.
+	 * @param expected the text
+	 */
+	RawCaller readUntil(String expected) throws IOException {
+		StringBuilder received = new StringBuilder();
+		int next = this.socket.getInputStream().read();
+		while (next >= 0 && received.append((char) next).indexOf(expected) < 0) {
+			next = this.socket.getInputStream().read();
+		}
+		return this;
+	}
+
 	private static String text(ByteArrayOutputStream bytes) {
 		return bytes.toString(StandardCharsets.ISO_8859_1);
 	}
