Order what is known of the registry by its era first

Cause: FollowReducer compared revisions only. After a restore the revision goes back and is assigned again, so that a full read was taken as older than what was known and dropped for ever, pages and copies of two eras were mixed, and changes in the new era were dropped as older than the known item.

Change: a response of a later era starts a full read; one of an era that has ended is dropped and the call repeated; a full read whose pages differ in era starts again. A copy of a later era replaces the items as a whole, also with a lower revision, and the watch in progress is abandoned. A copy of an older era contributes only configurations and declared versions that are higher. Values that the registry lacks are kept under its revision (ItemMerge), so that the next write replaces them, and are part of each copy passed on. A runner known to be draining stays so until it is written again. Runners in their grace period are no longer passed on: a receiver had no deadline for them and would have kept them for ever.

The registry itself confirms the first content of an era only after the time in which what was lost is written again: 2 s after a restore, 1 s after the start of a process, which cannot know of one. Until then the age of the view goes on from before the restore, and copies of other gateways confirm it as of their own age. Otherwise a gateway that starts in the gap, or was cut off at the revocation, accepts a revoked key. Without eras nothing is awaited. 2 s is the time in which the platform's pages promise entries back; 1 s is what a start of all gateways at once can bear. Both are not measured.

One log line (registry-restored) and the counter catkingate_registry_restores for each restore.

FollowReducerTests and the architecture tests pass.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowEffect.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowEffect.java
@@ -53,6 +53,22 @@
 
 	}
 
+	/**
+	 * An instruction to report that the registry was restored from a copy.
+	 *
+	 * @param before the last position known of the earlier era
+	 * @param after the first position known of the new era
+	 * @param byCopy whether another process has passed on the new era
+	 * @param retained the number of items that stay in force although the registry holds
+	 * a lower version or none
+	 * @param missing the number of runners that the registry lacks and that are kept for
+	 * the grace period
+	 */
+	record ReportRestored(RegistryPosition before, RegistryPosition after, boolean byCopy, int retained,
+			int missing) implements FollowEffect {
+
+	}
+
 	/**
 	 * An instruction to publish the current view.
 	 *
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowReducer.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowReducer.java
@@ -1,9 +1,7 @@
 package org.catkingate.decisions.registry;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
 
@@ -19,8 +17,9 @@
 
 /**
  * A reducer that follows a registry: it reads all items page by page, then watches for
- * changes, and starts a new full read when the registry no longer keeps the history. At
- * most one call is in progress, failed calls are retried at growing intervals, and a
+ * changes, and starts a new full read when the registry no longer keeps the history or
+ * has been restored from a copy. At most one call is in progress, failed calls are
+ * retried at growing intervals, responses of an era that has ended are dropped, and a
  * configuration is never replaced by a lower version. Stateless and safe for use by any
  * thread.
  *
@@ -51,7 +50,8 @@
 			return handleTick(state, nowMillis);
 		}
 		if (event instanceof FollowEvent.RereadDue) {
-			return state.fullRead().isPresent() ? ReductionResult.of(state) : restartFullRead(state, nowMillis);
+			return state.fullRead().isPresent() ? ReductionResult.of(state)
+					: restartFullRead(state, nowMillis, new ArrayList<>());
 		}
 		if (event instanceof FollowEvent.PageReceived page && isAwaited(state, page.call())) {
 			return handlePage(state, nowMillis, page);
@@ -60,7 +60,7 @@
 			return handleChanges(state, nowMillis, changes);
 		}
 		if (event instanceof FollowEvent.CopyReceived copy) {
-			return handleCopy(state, copy);
+			return handleCopy(state, nowMillis, copy);
 		}
 		if (event instanceof FollowEvent.CallFailed failed && isAwaited(state, failed.call())) {
 			return handleFailure(state, nowMillis, failed);
@@ -78,7 +78,7 @@
 		if (current != state) {
 			effects.add(new FollowEffect.Publish(current.view()));
 		}
-		current = requestCopyIfDue(current, nowMillis, effects);
+		current = requestCopyIfDue(confirmIfSettled(current, nowMillis, effects), nowMillis, effects);
 		if (!current.calls().waiting() && nowMillis >= current.calls().nextCallAtMillis()) {
 			return startCall(current, effects);
 		}
@@ -87,8 +87,9 @@
 
 	private static FollowState requestCopyIfDue(FollowState state, long nowMillis, List<Effect> effects) {
 		FollowState.Confirmation confirmation = state.confirmation();
-		if (nowMillis - confirmation.atMillis() < state.times().copyRequestAgeMillis()
-				|| nowMillis < confirmation.nextCopyRequestAtMillis()) {
+		boolean due = nowMillis - confirmation.atMillis() >= state.times().copyRequestAgeMillis()
+				|| nowMillis < state.settlement().askUntilMillis();
+		if (!due || nowMillis < confirmation.nextCopyRequestAtMillis()) {
 			return state;
 		}
 		effects.add(new FollowEffect.RequestCopy(state.position()));
@@ -97,57 +98,132 @@
 			.withConfirmation(confirmation.withCopyRequested(nowMillis + state.times().copyRequestDelayMillis(draw)));
 	}
 
-	/*
-	 * The other copy had all changes up to the time at which it was confirmed. It thus
-	 * confirms this one too, unless this one lacks changes that it does not contain.
-	 */
-	private static ReductionResult<FollowState> handleCopy(FollowState state, FollowEvent.CopyReceived event) {
+	private static FollowState confirmIfSettled(FollowState state, long nowMillis, List<Effect> effects) {
+		Moment awaiting = state.settlement().awaiting();
+		if (awaiting.equals(Moment.NEVER) || nowMillis < state.settlement().confirmFromMillis()) {
+			return state;
+		}
+		effects.add(new FollowEffect.Confirm(awaiting));
+		return state.withSettlement(state.settlement().withAwaiting(Moment.NEVER))
+			.withConfirmation(state.confirmation().withResponse(awaiting.monotonicMillis()));
+	}
+
+	private static FollowState confirm(FollowState state, long nowMillis, Moment requestedAt, List<Effect> effects) {
+		return confirmIfSettled(state.withSettlement(state.settlement().withAwaiting(requestedAt)), nowMillis, effects);
+	}
+
+	private static ReductionResult<FollowState> handleCopy(FollowState state, long nowMillis,
+			FollowEvent.CopyReceived event) {
 		RegistryDelta delta = event.delta();
-		if (delta.after().revision() > state.position().revision()) {
+		RegistryPosition known = state.position();
+		boolean restored = delta.position().isOfLaterEraThan(known);
+		boolean older = known.isOfLaterEraThan(delta.position());
+		boolean applicable = restored ? delta.after().equals(delta.position().startOfEra())
+				: older || delta.after().compareTo(known) <= 0;
+		if (!applicable) {
 			return ReductionResult.of(state);
 		}
 		List<Effect> effects = new ArrayList<>();
 		FollowState next = state;
-		if (delta.position().revision() > state.position().revision()) {
-			next = applyDelta(state, delta, effects);
+		if (restored) {
+			next = applyRestoredCopy(state, nowMillis, delta, effects);
+		}
+		else if (delta.position().compareTo(known) > 0) {
+			next = applyDelta(state, nowMillis, delta, effects);
+		}
+		else {
+			next = applyHigherVersions(state, delta);
+		}
+		if (!next.view().equals(state.view())) {
 			effects.add(new FollowEffect.Publish(next.view()));
 		}
-		if (!state.confirmation().byCopy()) {
+		next = older ? next : confirmByCopy(next, event.confirmedAt(), delta, effects);
+		if (state.times().isRecent(nowMillis - event.confirmedAt().monotonicMillis())) {
+			next = next.withSettlement(next.settlement().withRequestsEnded());
+		}
+		if (restored && next.calls().waiting() && next.fullRead().isEmpty()) {
+			// the watch in progress refers to a revision of the earlier era
+			return startCall(next, effects);
+		}
+		return new ReductionResult<>(next, effects);
+	}
+
+	/*
+	 * The other copy had all changes up to the time at which it was confirmed. It thus
+	 * confirms this one too, unless this one lacks changes that it does not contain.
+	 */
+	private static FollowState confirmByCopy(FollowState state, Moment confirmedAt, RegistryDelta delta,
+			List<Effect> effects) {
+		FollowState.Confirmation confirmation = state.confirmation();
+		if (confirmedAt.monotonicMillis() <= confirmation.atMillis()) {
+			return state;
+		}
+		if (!confirmation.byCopy()) {
 			effects.add(new FollowEffect.ReportCopyUsed(delta.position()));
 		}
-		effects.add(new FollowEffect.Confirm(event.confirmedAt()));
-		return new ReductionResult<>(
-				next.withConfirmation(state.confirmation().withCopy(event.confirmedAt().monotonicMillis())), effects);
+		effects.add(new FollowEffect.Confirm(confirmedAt));
+		return state.withConfirmation(confirmation.withCopy(confirmedAt.monotonicMillis()));
 	}
 
-	private static FollowState applyDelta(FollowState state, RegistryDelta delta, List<Effect> effects) {
-		SortedMap<String, RegistryItem> items = new TreeMap<>(state.items());
-		items.keySet().retainAll(delta.keys());
+	private static FollowState applyDelta(FollowState state, long nowMillis, RegistryDelta delta,
+			List<Effect> effects) {
+		ItemMerge merge = ItemMerge.ofChanges(state, effects);
+		state.items().values().forEach((known) -> {
+			if (!delta.keys().contains(known.key())) {
+				merge.keepMissing(known, nowMillis, false);
+			}
+		});
 		delta.changes().forEach((change) -> {
-			RegistryItem known = items.get(change.key());
+			RegistryItem known = merge.item(change.key());
 			if (known == null || known.revision() < change.revision()) {
-				items.put(change.key(), resolveItem(known, change, effects));
+				merge.put(known, change, false);
+			}
+			else {
+				merge.putIfHigher(change);
 			}
 		});
-		Map<String, Long> graceDeadlines = new HashMap<>(state.graceDeadlines());
-		graceDeadlines.keySet().retainAll(items.keySet());
-		return state.withCopy(items, delta.position(), graceDeadlines);
+		return state.withCopy(merge.result(), delta.position());
+	}
+
+	private static FollowState applyHigherVersions(FollowState state, RegistryDelta delta) {
+		ItemMerge merge = ItemMerge.ofChanges(state, new ArrayList<>());
+		delta.changes().forEach(merge::putIfHigher);
+		return state.withCopy(merge.result(), state.position());
+	}
+
+	private static FollowState applyRestoredCopy(FollowState state, long nowMillis, RegistryDelta delta,
+			List<Effect> effects) {
+		FollowState graced = state
+			.withCalls(state.calls().withGraceUntil(nowMillis + state.times().expiryGraceMillis()));
+		FollowState next = graced.withCopy(
+				ItemMerge.withContent(graced, nowMillis, delta.changes(), delta.position(), effects).result(),
+				delta.position());
+		reportRestored(state, next, true, effects);
+		return next.withSettlement(settlement(state, nowMillis));
+	}
+
+	private static FollowState.Settlement settlement(FollowState before, long nowMillis) {
+		return before.times().settlement(nowMillis, before.position().equals(RegistryPosition.START));
+	}
+
+	private static void reportRestored(FollowState before, FollowState after, boolean byCopy, List<Effect> effects) {
+		if (!before.position().equals(RegistryPosition.START)) {
+			effects.add(new FollowEffect.ReportRestored(before.position(), after.position(), byCopy,
+					after.retained().size(), after.graceDeadlines().size()));
+		}
 	}
 
 	private static FollowState removeItemsPastGrace(FollowState state, long nowMillis) {
 		if (state.graceDeadlines().values().stream().noneMatch((until) -> nowMillis >= until)) {
 			return state;
 		}
-		SortedMap<String, RegistryItem> items = new TreeMap<>(state.items());
-		Map<String, Long> graceDeadlines = new HashMap<>(state.graceDeadlines());
-		graceDeadlines.entrySet().removeIf((entry) -> {
-			boolean overdue = nowMillis >= entry.getValue();
-			if (overdue) {
-				items.remove(entry.getKey());
+		ItemMerge merge = ItemMerge.ofChanges(state, new ArrayList<>());
+		state.graceDeadlines().forEach((key, until) -> {
+			if (nowMillis >= until) {
+				merge.remove(key);
 			}
-			return overdue;
 		});
-		return state.withCopy(items, state.position(), graceDeadlines);
+		return state.withCopy(merge.result(), state.position());
 	}
 
 	private static ReductionResult<FollowState> startCall(FollowState state, List<Effect> effects) {
@@ -170,115 +246,111 @@
 	/*
 	 * The response to the call in progress will be ignored.
 	 */
-	private static ReductionResult<FollowState> restartFullRead(FollowState state, long nowMillis) {
+	private static ReductionResult<FollowState> restartFullRead(FollowState state, long nowMillis,
+			List<Effect> effects) {
 		FollowState restarted = state.withCalls(state.calls().withResponse(state.calls().graceUntilMillis(), nowMillis))
 			.withFullRead(FollowState.FullRead.start());
-		return startCall(restarted, new ArrayList<>());
+		return startCall(restarted, effects);
 	}
 
 	private static ReductionResult<FollowState> handlePage(FollowState state, long nowMillis,
 			FollowEvent.PageReceived event) {
+		RegistryPage page = event.page();
+		FollowState.FullRead previous = state.fullRead().orElseGet(FollowState.FullRead::start);
+		boolean first = previous.lastKey().isEmpty();
+		if (state.position().isOfLaterEraThan(page.position())
+				|| previous.position().isOfLaterEraThan(page.position())) {
+			return handleOlderEra(state, nowMillis, page.position());
+		}
 		List<Effect> effects = new ArrayList<>();
 		FollowState updated = recordResponse(state, nowMillis, nowMillis, effects);
-		FollowState.FullRead previous = state.fullRead().orElseGet(FollowState.FullRead::start);
-		RegistryPage page = event.page();
+		if (!first && page.position().isOfLaterEraThan(previous.position())) {
+			return restartFullRead(updated, nowMillis, effects);
+		}
+		if (first && page.position().isOfLaterEraThan(state.position())) {
+			updated = updated.withCalls(updated.calls().withGraceUntil(nowMillis + state.times().expiryGraceMillis()));
+		}
 		SortedMap<String, RegistryItem> items = new TreeMap<>(previous.items());
 		page.items().forEach((item) -> items.put(item.key(), item));
-		Moment requestedAt = previous.lastKey().isEmpty() ? event.requestedAt() : previous.requestedAt();
+		Moment requestedAt = first ? event.requestedAt() : previous.requestedAt();
 		String lastKey = page.items().isEmpty() ? previous.lastKey() : page.items().get(page.items().size() - 1).key();
-		RegistryPosition position = (previous.lastKey().isEmpty()
-				|| page.position().revision() < previous.position().revision()) ? page.position() : previous.position();
+		RegistryPosition position = (first || page.position().compareTo(previous.position()) < 0) ? page.position()
+				: previous.position();
 		FollowState.FullRead fullRead = new FollowState.FullRead(items, lastKey, position, requestedAt);
 		if (page.hasMore() && !page.items().isEmpty()) {
 			return startCall(updated.withFullRead(fullRead), effects);
 		}
-		FollowState complete = applyFullRead(updated, nowMillis, fullRead, effects)
-			.withConfirmation(updated.confirmation().withResponse(fullRead.requestedAt().monotonicMillis()));
+		FollowState complete = applyFullRead(updated, nowMillis, fullRead, effects);
 		effects.add(new FollowEffect.Publish(complete.view()));
-		effects.add(new FollowEffect.Confirm(fullRead.requestedAt()));
-		return startCall(complete, effects);
+		return startCall(confirm(complete, nowMillis, fullRead.requestedAt(), effects), effects);
 	}
 
 	private static FollowState applyFullRead(FollowState state, long nowMillis, FollowState.FullRead fullRead,
 			List<Effect> effects) {
-		if (fullRead.position().revision() < state.position().revision()) {
+		if (fullRead.position().compareTo(state.position()) < 0) {
 			// a copy of another process is newer than the pages
 			return state.withFullReadEnded();
 		}
-		SortedMap<String, RegistryItem> items = new TreeMap<>();
-		fullRead.items().values().forEach((item) -> {
-			RegistryItem known = state.items().get(item.key());
-			items.put(item.key(), resolveItem(known, item, effects));
-		});
-		Map<String, Long> graceDeadlines = new HashMap<>();
-		state.items().values().forEach((item) -> {
-			if (!items.containsKey(item.key()) && mayHaveExpiredInOutage(state, nowMillis, item)) {
-				items.put(item.key(), item);
-				graceDeadlines.put(item.key(), state.calls().graceUntilMillis());
-			}
-		});
-		return state.withItems(items, fullRead.position(), graceDeadlines);
+		FollowState next = state
+			.withItems(ItemMerge.withContent(state, nowMillis, fullRead.items().values(), fullRead.position(), effects)
+				.result(), fullRead.position());
+		if (!fullRead.position().isOfLaterEraThan(state.position())) {
+			return next;
+		}
+		reportRestored(state, next, false, effects);
+		return next.withSettlement(settlement(state, nowMillis));
 	}
 
 	private static ReductionResult<FollowState> handleChanges(FollowState state, long nowMillis,
 			FollowEvent.ChangesReceived event) {
-		List<Effect> effects = new ArrayList<>();
 		RegistryPage changes = event.changes();
+		if (state.position().isOfLaterEraThan(changes.position())) {
+			return handleOlderEra(state, nowMillis, changes.position());
+		}
+		List<Effect> effects = new ArrayList<>();
+		if (changes.position().isOfLaterEraThan(state.position())) {
+			return restartFullRead(recordResponse(state, nowMillis, nowMillis, effects), nowMillis, effects);
+		}
 		long delay = changes.items().isEmpty() ? 0 : state.times().batchDelayMillis();
 		FollowState updated = recordResponse(state, nowMillis, nowMillis + delay, effects);
-		SortedMap<String, RegistryItem> items = new TreeMap<>(state.items());
-		Map<String, Long> graceDeadlines = new HashMap<>(state.graceDeadlines());
+		ItemMerge merge = ItemMerge.ofChanges(updated, effects);
 		for (RegistryItem change : changes.items()) {
-			RegistryItem known = items.get(change.key());
-			if (known != null && known.revision() > change.revision()) {
-				continue;
-			}
-			graceDeadlines.remove(change.key());
-			if (!change.isRemoved()) {
-				items.put(change.key(), resolveItem(known, change, effects));
-			}
-			else if (known != null && mayHaveExpiredInOutage(updated, nowMillis, known)) {
-				graceDeadlines.put(change.key(), updated.calls().graceUntilMillis());
-			}
-			else {
-				items.remove(change.key());
-			}
+			applyChange(updated, nowMillis, change, merge);
 		}
-		RegistryPosition position = (changes.position().revision() > state.position().revision()) ? changes.position()
+		RegistryPosition position = (changes.position().compareTo(state.position()) > 0) ? changes.position()
 				: state.position();
-		FollowState next = updated.withItems(items, position, graceDeadlines)
-			.withConfirmation(updated.confirmation().withResponse(event.requestedAt().monotonicMillis()));
+		FollowState next = updated.withItems(merge.result(), position);
 		if (!changes.items().isEmpty()) {
 			effects.add(new FollowEffect.Publish(next.view()));
 		}
-		effects.add(new FollowEffect.Confirm(event.requestedAt()));
+		next = confirm(next, nowMillis, event.requestedAt(), effects);
 		return (delay > 0) ? new ReductionResult<>(next, effects) : startCall(next, effects);
 	}
 
-	/*
-	 * A configuration is replaced neither by an unreadable item nor by a lower version.
-	 */
-	private static RegistryItem resolveItem(RegistryItem known, RegistryItem item, List<Effect> effects) {
-		RegistryValue before = (known != null) ? known.value() : null;
-		if (item.value() instanceof RegistryValue.Unreadable unreadable) {
-			if (!unreadable.equals(before)) {
-				effects.add(new FollowEffect.ReportUnusable(item.key(), unreadable.reason()));
-			}
-			return (before instanceof RegistryValue.Configuration) ? known : item;
+	private static void applyChange(FollowState state, long nowMillis, RegistryItem change, ItemMerge merge) {
+		RegistryItem known = merge.item(change.key());
+		if (known != null && known.revision() > change.revision()) {
+			return;
 		}
-		if (before instanceof RegistryValue.Configuration current
-				&& item.value() instanceof RegistryValue.Configuration offered
-				&& offered.configuration().version() < current.configuration().version()) {
-			effects.add(new FollowEffect.ReportUnusable(item.key(),
-					"version " + offered.configuration().version() + " is lower than the version in force"));
-			return known;
+		if (!change.isRemoved()) {
+			merge.put(known, change, false);
+		}
+		else if (known != null && ItemMerge.mayHaveExpired(state, nowMillis, known)) {
+			merge.keepUntil(change.key(), state.calls().graceUntilMillis());
+		}
+		else {
+			merge.remove(change.key());
 		}
-		return item;
 	}
 
-	private static boolean mayHaveExpiredInOutage(FollowState state, long nowMillis, RegistryItem item) {
-		return nowMillis < state.calls().graceUntilMillis() && item.value() instanceof RegistryValue.Runner runner
-				&& !runner.runner().draining();
+	/*
+	 * A response that was delayed, for example on a pooled connection, shows nothing that
+	 * is still true.
+	 */
+	private static ReductionResult<FollowState> handleOlderEra(FollowState state, long nowMillis,
+			RegistryPosition position) {
+		return handleFailure(state, nowMillis, new FollowEvent.CallFailed(state.calls().lastCall(), false,
+				"the response is of era " + position.era() + ", which has ended"));
 	}
 
 	private static FollowState recordResponse(FollowState state, long nowMillis, long nextAtMillis,
@@ -298,7 +370,7 @@
 	private static ReductionResult<FollowState> handleFailure(FollowState state, long nowMillis,
 			FollowEvent.CallFailed event) {
 		if (event.historyGone()) {
-			return restartFullRead(state, nowMillis);
+			return restartFullRead(state, nowMillis, new ArrayList<>());
 		}
 		FollowState.Calls calls = state.calls();
 		double draw = RendezvousHashing.uniform(RendezvousHashing.mix(state.seed() + calls.lastCall()));
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowState.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowState.java
@@ -1,11 +1,13 @@
 package org.catkingate.decisions.registry;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 
 import org.catkingate.model.registry.RegistryItem;
 import org.catkingate.model.registry.RegistryPosition;
@@ -16,17 +18,15 @@
  * @param times the timing parameters
  * @param seed the seed that makes delays differ between processes
  * @param calls the calls made and their outcome
- * @param items the known items, by key
+ * @param content the known items
  * @param fullRead the full read in progress, empty while watching for changes
  * @param position the last known position of the registry
- * @param graceDeadlines the times until which items removed during an outage of the
- * registry are kept, by key, in milliseconds of the monotonic clock
  * @param confirmation when the items were last known to be current
+ * @param settlement what is awaited before the first content of an era is confirmed
  * @since 0.1
  */
-public record FollowState(FollowTimes times, long seed, Calls calls, SortedMap<String, RegistryItem> items,
-		Optional<FullRead> fullRead, RegistryPosition position, Map<String, Long> graceDeadlines,
-		Confirmation confirmation) {
+public record FollowState(FollowTimes times, long seed, Calls calls, Items content, Optional<FullRead> fullRead,
+		RegistryPosition position, Confirmation confirmation, Settlement settlement) {
 
 	/**
 	 * Returns the state before the first call.
@@ -35,61 +35,115 @@
 	 * @return the state, never null
 	 */
 	public static FollowState initial(FollowTimes times, long seed) {
-		return new FollowState(times, seed, Calls.none(), new TreeMap<>(), Optional.of(FullRead.start()),
-				RegistryPosition.START, Map.of(), Confirmation.none());
+		return new FollowState(times, seed, Calls.none(), Items.none(), Optional.of(FullRead.start()),
+				RegistryPosition.START, Confirmation.none(), Settlement.none());
+	}
+
+	/**
+	 * Returns the known items.
+	 * @return the items, by key
+	 */
+	public SortedMap<String, RegistryItem> items() {
+		return this.content.byKey();
+	}
+
+	Set<String> retained() {
+		return this.content.retained();
+	}
+
+	Map<String, Long> graceDeadlines() {
+		return this.content.graceDeadlines();
 	}
 
 	FollowState withCalls(Calls next) {
-		return new FollowState(this.times, this.seed, next, this.items, this.fullRead, this.position,
-				this.graceDeadlines, this.confirmation);
+		return new FollowState(this.times, this.seed, next, this.content, this.fullRead, this.position,
+				this.confirmation, this.settlement);
 	}
 
 	FollowState withFullRead(FullRead next) {
-		return new FollowState(this.times, this.seed, this.calls, this.items, Optional.of(next), this.position,
-				this.graceDeadlines, this.confirmation);
+		return new FollowState(this.times, this.seed, this.calls, this.content, Optional.of(next), this.position,
+				this.confirmation, this.settlement);
 	}
 
-	FollowState withItems(SortedMap<String, RegistryItem> known, RegistryPosition at, Map<String, Long> deadlines) {
-		return new FollowState(this.times, this.seed, this.calls, known, Optional.empty(), at, deadlines,
-				this.confirmation);
+	FollowState withItems(Items known, RegistryPosition at) {
+		return new FollowState(this.times, this.seed, this.calls, known, Optional.empty(), at, this.confirmation,
+				this.settlement);
 	}
 
 	FollowState withFullReadEnded() {
-		return withItems(this.items, this.position, this.graceDeadlines);
+		return withItems(this.content, this.position);
 	}
 
 	/*
 	 * Keeps a full read in progress, unlike the items that result from it.
 	 */
-	FollowState withCopy(SortedMap<String, RegistryItem> copied, RegistryPosition at, Map<String, Long> deadlines) {
-		return new FollowState(this.times, this.seed, this.calls, copied, this.fullRead, at, deadlines,
-				this.confirmation);
+	FollowState withCopy(Items copied, RegistryPosition at) {
+		return new FollowState(this.times, this.seed, this.calls, copied, this.fullRead, at, this.confirmation,
+				this.settlement);
 	}
 
 	FollowState withConfirmation(Confirmation next) {
-		return new FollowState(this.times, this.seed, this.calls, this.items, this.fullRead, this.position,
-				this.graceDeadlines, next);
+		return new FollowState(this.times, this.seed, this.calls, this.content, this.fullRead, this.position, next,
+				this.settlement);
+	}
+
+	FollowState withSettlement(Settlement next) {
+		return new FollowState(this.times, this.seed, this.calls, this.content, this.fullRead, this.position,
+				this.confirmation, next);
 	}
 
 	/**
-	 * Compares these items with those that another process holds.
+	 * Compares these items with those that another process holds. A process that knows an
+	 * older era receives all items as changes after the start of this era; one that knows
+	 * a later era receives configurations and declared versions only. Runners that the
+	 * registry no longer lists are left out.
 	 * @param after the position of the other process's copy
 	 * @return what the other process lacks, without items whose published content is
 	 * unknown
 	 */
 	public RegistryDelta deltaSince(RegistryPosition after) {
-		if (this.position.revision() <= after.revision()) {
-			return new RegistryDelta(after, this.position, Set.of(), List.of());
+		if (after.isOfLaterEraThan(this.position)) {
+			return new RegistryDelta(after, this.position, Set.of(),
+					passedOn((item) -> ItemMerge.isVersioned(item.value())));
+		}
+		RegistryPosition start = this.position.isOfLaterEraThan(after) ? this.position.startOfEra() : after;
+		List<RegistryItem> changes = passedOn(
+				(item) -> item.revision() > start.revision() || retained().contains(item.key()));
+		if (this.position.compareTo(start) <= 0) {
+			return new RegistryDelta(start, this.position, Set.of(), changes);
 		}
-		List<RegistryItem> changes = this.items.values()
+		Set<String> keys = new HashSet<>(items().keySet());
+		keys.removeAll(graceDeadlines().keySet());
+		return new RegistryDelta(start, this.position, keys, changes);
+	}
+
+	private List<RegistryItem> passedOn(Predicate<RegistryItem> condition) {
+		return items().values()
 			.stream()
-			.filter((item) -> item.revision() > after.revision() && item.content() != null)
+			.filter((item) -> item.content() != null && !graceDeadlines().containsKey(item.key()))
+			.filter(condition)
 			.toList();
-		return new RegistryDelta(after, this.position, this.items.keySet(), changes);
 	}
 
 	RegistryView view() {
-		return RegistryView.of(this.position, this.items.values());
+		return RegistryView.of(this.position, items().values());
+	}
+
+	/**
+	 * The known items. Immutable.
+	 *
+	 * @param byKey the items, by key
+	 * @param retained the keys of the items whose value is in force although the registry
+	 * holds a lower version or none
+	 * @param graceDeadlines the times until which runners are kept that the registry no
+	 * longer lists, by key, in milliseconds of the monotonic clock
+	 */
+	public record Items(SortedMap<String, RegistryItem> byKey, Set<String> retained, Map<String, Long> graceDeadlines) {
+
+		static Items none() {
+			return new Items(new TreeMap<>(), Set.of(), Map.of());
+		}
+
 	}
 
 	/**
@@ -121,6 +175,11 @@
 					nowMillis + backoffMillis);
 		}
 
+		Calls withGraceUntil(long graceUntil) {
+			return new Calls(this.lastCall, this.waiting, this.failures, this.firstFailureAtMillis, graceUntil,
+					this.nextCallAtMillis);
+		}
+
 		Calls withResponse(long graceUntil, long nextAt) {
 			return new Calls(this.lastCall, false, 0, 0, graceUntil, nextAt);
 		}
@@ -173,4 +232,30 @@
 
 	}
 
+	/**
+	 * What is awaited before the first content of an era is confirmed. The registry may
+	 * have been restored from a copy that lacks a configuration which other processes
+	 * hold, so that they are asked. Their copies confirm the content as of their own age.
+	 *
+	 * @param confirmFromMillis the time from which the registry itself confirms it
+	 * @param askUntilMillis the time until which they are asked
+	 * @param awaiting when the unconfirmed content was current, {@link Moment#NEVER} if
+	 * there is none
+	 */
+	public record Settlement(long confirmFromMillis, long askUntilMillis, Moment awaiting) {
+
+		static Settlement none() {
+			return new Settlement(Long.MIN_VALUE, Long.MIN_VALUE, Moment.NEVER);
+		}
+
+		Settlement withRequestsEnded() {
+			return new Settlement(this.confirmFromMillis, Long.MIN_VALUE, this.awaiting);
+		}
+
+		Settlement withAwaiting(Moment next) {
+			return new Settlement(this.confirmFromMillis, this.askUntilMillis, next);
+		}
+
+	}
+
 }
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowTimes.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowTimes.java
@@ -32,6 +32,24 @@
 	 */
 	private static final long USUAL_RESPONSE_MILLIS = 300;
 
+	/**
+	 * The time after a restore of the registry within which what was lost is written
+	 * again. Until then the registry itself confirms nothing.
+	 */
+	private static final long REWRITE_MILLIS = 2000;
+
+	/**
+	 * The time after the first full read of a process, which cannot know whether the
+	 * registry has just been restored.
+	 */
+	private static final long REWRITE_AT_START_MILLIS = 1000;
+
+	/** The time for which other processes are asked after the first content of an era. */
+	private static final long SETTLING_REQUESTS_MILLIS = 10_000;
+
+	/** The age up to which the copy of another process ends these requests. */
+	private static final long MAX_RECENT_COPY_AGE_MILLIS = 5000;
+
 	private static final long DEFAULT_BATCH_DELAY_MILLIS = 40;
 
 	private static final long DEFAULT_INITIAL_BACKOFF_MILLIS = 100;
@@ -83,6 +101,22 @@
 		return (long) (bounded * (0.5 + 0.5 * draw));
 	}
 
+	/**
+	 * Returns what is awaited after the first content of an era.
+	 * @param nowMillis the time now
+	 * @param atStart whether this is the first content at all
+	 * @return nothing for a process that requests no copies
+	 */
+	FollowState.Settlement settlement(long nowMillis, boolean atStart) {
+		return (this.copyRequestAgeMillis == NO_COPY_REQUESTS) ? FollowState.Settlement.none()
+				: new FollowState.Settlement(nowMillis + (atStart ? REWRITE_AT_START_MILLIS : REWRITE_MILLIS),
+						nowMillis + SETTLING_REQUESTS_MILLIS, Moment.NEVER);
+	}
+
+	boolean isRecent(long copyAgeMillis) {
+		return copyAgeMillis <= MAX_RECENT_COPY_AGE_MILLIS;
+	}
+
 	/**
 	 * Returns the delay until the next request for a copy, spread so that processes that
 	 * have lost the registry together do not request copies together.
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RegistryCopyExchange.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RegistryCopyExchange.java
@@ -112,7 +112,6 @@
 		this.reported = new ReportedAge(now, confirmedAt);
 		if (confirmedAt.ageMillis(now) >= this.follower.ageMillis()) {
 			this.choice++;
-			return;
 		}
 		List<RegistryItem> changes = copy.changes()
 			.stream()
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/registry/RegistryFollower.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/registry/RegistryFollower.java
@@ -4,9 +4,11 @@
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.slf4j.Logger;
@@ -53,6 +55,8 @@
 
 	private final ControlLoop<FollowState> loop;
 
+	private final AtomicLong restores = new AtomicLong();
+
 	private volatile RegistryView view = RegistryView.empty();
 
 	private volatile Moment confirmedAt = Moment.NEVER;
@@ -136,7 +140,7 @@
 	}
 
 	/**
-	 * Registers a metric for the age of the view.
+	 * Registers metrics for the age of the view and the restores of the registry.
 	 * @param metrics the metrics
 	 */
 	public void registerMetrics(PrometheusRegistry metrics) {
@@ -145,6 +149,11 @@
 			.help("For how long the view of the registry has not been confirmed")
 			.callback((callback) -> callback.call(ageMillis() / 1000.0))
 			.register(metrics);
+		CounterWithCallback.builder()
+			.name("catkingate_registry_restores")
+			.help("How often the registry was found restored from a copy")
+			.callback((callback) -> callback.call(this.restores.get()))
+			.register(metrics);
 	}
 
 	/**
@@ -214,7 +223,7 @@
 		RegistryChangeLogger.log(previous, next);
 	}
 
-	private static void logEffect(Effect effect) {
+	private void logEffect(Effect effect) {
 		if (effect instanceof FollowEffect.ReportUnavailable unavailable) {
 			logger.atWarn()
 				.addKeyValue("event", "registry-lost")
@@ -235,6 +244,20 @@
 				.addKeyValue("revision", copy.position().revision())
 				.log("the registry does not confirm the view; another gateway does");
 		}
+		else if (effect instanceof FollowEffect.ReportRestored restored) {
+			this.restores.incrementAndGet();
+			logger.atWarn()
+				.addKeyValue("event", "registry-restored")
+				.addKeyValue("era-before", restored.before().era())
+				.addKeyValue("revision-before", restored.before().revision())
+				.addKeyValue("era", restored.after().era())
+				.addKeyValue("revision", restored.after().revision())
+				.addKeyValue("source", restored.byCopy() ? "gateway" : "registry")
+				.addKeyValue("retained", restored.retained())
+				.addKeyValue("missing-runners", restored.missing())
+				.addKeyValue("age-ms", ageMillis())
+				.log("the registry was restored from a copy; what it lacks is kept until it is written again");
+		}
 		else if (effect instanceof FollowEffect.ReportUnusable unusable) {
 			logger.atWarn()
 				.addKeyValue("event", "registry-item-left-out")
