Do not apply changes that a copy of another gateway already reflects

Callers saw requests sent to a runner that is gone for as long as the gateway ran.

Cause: a watch that had been answered before a copy of a higher revision and arrived after it was still applied item by item. A registration in it whose removal the copy reflected was added again, and since the copy's revision was kept, the removal was never seen.

Change: changes at an earlier position than that of the items are dropped. The response still confirms the items.

Evidence: FollowReducerTests.isNotFollowedByOlderChanges failed before and passes now.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowReducer.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowReducer.java
@@ -311,15 +311,19 @@
 		if (changes.position().isOfLaterEraThan(state.position())) {
 			return restartFullRead(recordResponse(state, nowMillis, nowMillis, effects), nowMillis, effects);
 		}
+		if (changes.position().compareTo(state.position()) < 0) {
+			// a copy of another process already reflects these changes
+			FollowState current = confirm(recordResponse(state, nowMillis, nowMillis, effects), nowMillis,
+					event.requestedAt(), effects);
+			return startCall(current, effects);
+		}
 		long delay = changes.items().isEmpty() ? 0 : state.times().batchDelayMillis();
 		FollowState updated = recordResponse(state, nowMillis, nowMillis + delay, effects);
 		ItemMerge merge = ItemMerge.ofChanges(updated, effects);
 		for (RegistryItem change : changes.items()) {
 			applyChange(updated, nowMillis, change, merge);
 		}
-		RegistryPosition position = (changes.position().compareTo(state.position()) > 0) ? changes.position()
-				: state.position();
-		FollowState next = updated.withItems(merge.result(), position);
+		FollowState next = updated.withItems(merge.result(), changes.position());
 		if (!changes.items().isEmpty()) {
 			effects.add(new FollowEffect.Publish(next.view()));
 		}
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/registry/FollowReducerTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/registry/FollowReducerTests.java
@@ -406,6 +406,17 @@
 			assertThat(FollowReducerTests.this.effects).isEmpty();
 		}
 
+		// Guards against a runner that is used for ever since its registration arrives
+		// after the copy that reflects its removal.
+		@Test
+		void isNotFollowedByOlderChanges() {
+			completeFullRead(configuration(1, 5));
+			receiveCopy(100, 10, 14, configuration(1, 5));
+			receiveChanges(12, runner("a", 11, false));
+			assertThat(FollowReducerTests.this.state.view().runners()).isEmpty();
+			assertThat(onlyEffect(FollowEffect.Watch.class).afterRevision()).isEqualTo(14);
+		}
+
 		// Guards against pages that were requested before the copy and arrive after it.
 		@Test
 		void isNotReplacedByAnOlderFullRead() {
