Confirm a restored registry only by responses requested after the rewrite

A gateway that started just after a restore accepted a revoked key for as long as the response with the rewritten configuration was late: the first read was confirmed after the fact.

Cause: the time of the first full read was kept and confirmed a second later, although it had been read before the rewrite.

Change: only a response that was requested after that time confirms; watches in between are shortened so that it comes at once.

Evidence: RegistryRestoreTests (waits and confirmations one by one).

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowReducer.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowReducer.java
@@ -78,9 +78,9 @@
 		if (current != state) {
 			effects.add(new FollowEffect.Publish(current.view()));
 		}
-		current = requestCopyIfDue(confirmIfSettled(current, nowMillis, effects), nowMillis, effects);
+		current = requestCopyIfDue(current, nowMillis, effects);
 		if (!current.calls().waiting() && nowMillis >= current.calls().nextCallAtMillis()) {
-			return startCall(current, effects);
+			return startCall(current, nowMillis, effects);
 		}
 		return new ReductionResult<>(current, effects);
 	}
@@ -98,18 +98,13 @@
 			.withConfirmation(confirmation.withCopyRequested(nowMillis + state.times().copyRequestDelayMillis(draw)));
 	}
 
-	private static FollowState confirmIfSettled(FollowState state, long nowMillis, List<Effect> effects) {
-		Moment awaiting = state.settlement().awaiting();
-		if (awaiting.equals(Moment.NEVER) || nowMillis < state.settlement().confirmFromMillis()) {
+	private static FollowState confirm(FollowState state, Moment requestedAt, List<Effect> effects) {
+		if (requestedAt.monotonicMillis() < state.settlement().confirmFromMillis()) {
 			return state;
 		}
-		effects.add(new FollowEffect.Confirm(awaiting));
-		return state.withSettlement(state.settlement().withAwaiting(Moment.NEVER))
-			.withConfirmation(state.confirmation().withResponse(awaiting.monotonicMillis()));
-	}
-
-	private static FollowState confirm(FollowState state, long nowMillis, Moment requestedAt, List<Effect> effects) {
-		return confirmIfSettled(state.withSettlement(state.settlement().withAwaiting(requestedAt)), nowMillis, effects);
+		effects.add(new FollowEffect.Confirm(requestedAt));
+		return state.withSettlement(state.settlement().withConfirmation())
+			.withConfirmation(state.confirmation().withResponse(requestedAt.monotonicMillis()));
 	}
 
 	private static ReductionResult<FollowState> handleCopy(FollowState state, long nowMillis,
@@ -143,7 +138,7 @@
 		}
 		if (restored && next.calls().waiting() && next.fullRead().isEmpty()) {
 			// the watch in progress refers to a revision of the earlier era
-			return startCall(next, effects);
+			return startCall(next, nowMillis, effects);
 		}
 		return new ReductionResult<>(next, effects);
 	}
@@ -226,12 +221,13 @@
 		return state.withCopy(merge.result(), state.position());
 	}
 
-	private static ReductionResult<FollowState> startCall(FollowState state, List<Effect> effects) {
+	private static ReductionResult<FollowState> startCall(FollowState state, long nowMillis, List<Effect> effects) {
 		FollowState.Calls calls = state.calls().withCallStarted();
 		Effect call = state.fullRead()
 			.<Effect>map((fullRead) -> new FollowEffect.ReadPage(calls.lastCall(), fullRead.lastKey()))
 			.orElseGet(() -> new FollowEffect.Watch(calls.lastCall(), state.position().revision(),
-					state.times().watchMillis(), watchesVersionsOnly(state)));
+					state.settlement().watchMillis(nowMillis, state.times().watchMillis()),
+					watchesVersionsOnly(state)));
 		effects.add(call);
 		return new ReductionResult<>(state.withCalls(calls), effects);
 	}
@@ -250,7 +246,7 @@
 			List<Effect> effects) {
 		FollowState restarted = state.withCalls(state.calls().withResponse(state.calls().graceUntilMillis(), nowMillis))
 			.withFullRead(FollowState.FullRead.start());
-		return startCall(restarted, effects);
+		return startCall(restarted, nowMillis, effects);
 	}
 
 	private static ReductionResult<FollowState> handlePage(FollowState state, long nowMillis,
@@ -278,11 +274,11 @@
 				: previous.position();
 		FollowState.FullRead fullRead = new FollowState.FullRead(items, lastKey, position, requestedAt);
 		if (page.hasMore() && !page.items().isEmpty()) {
-			return startCall(updated.withFullRead(fullRead), effects);
+			return startCall(updated.withFullRead(fullRead), nowMillis, effects);
 		}
 		FollowState complete = applyFullRead(updated, nowMillis, fullRead, effects);
 		effects.add(new FollowEffect.Publish(complete.view()));
-		return startCall(confirm(complete, nowMillis, fullRead.requestedAt(), effects), effects);
+		return startCall(confirm(complete, fullRead.requestedAt(), effects), nowMillis, effects);
 	}
 
 	private static FollowState applyFullRead(FollowState state, long nowMillis, FollowState.FullRead fullRead,
@@ -313,9 +309,9 @@
 		}
 		if (changes.position().compareTo(state.position()) < 0) {
 			// a copy of another process already reflects these changes
-			FollowState current = confirm(recordResponse(state, nowMillis, nowMillis, effects), nowMillis,
-					event.requestedAt(), effects);
-			return startCall(current, effects);
+			FollowState current = confirm(recordResponse(state, nowMillis, nowMillis, effects), event.requestedAt(),
+					effects);
+			return startCall(current, nowMillis, effects);
 		}
 		long delay = changes.items().isEmpty() ? 0 : state.times().batchDelayMillis();
 		FollowState updated = recordResponse(state, nowMillis, nowMillis + delay, effects);
@@ -327,8 +323,8 @@
 		if (!changes.items().isEmpty()) {
 			effects.add(new FollowEffect.Publish(next.view()));
 		}
-		next = confirm(next, nowMillis, event.requestedAt(), effects);
-		return (delay > 0) ? new ReductionResult<>(next, effects) : startCall(next, effects);
+		next = confirm(next, event.requestedAt(), effects);
+		return (delay > 0) ? new ReductionResult<>(next, effects) : startCall(next, nowMillis, effects);
 	}
 
 	private static void applyChange(FollowState state, long nowMillis, RegistryItem change, ItemMerge merge) {
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowState.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowState.java
@@ -237,23 +237,31 @@
 	 * have been restored from a copy that lacks a configuration which other processes
 	 * hold, so that they are asked. Their copies confirm the content as of their own age.
 	 *
-	 * @param confirmFromMillis the time from which the registry itself confirms it
-	 * @param askUntilMillis the time until which they are asked
-	 * @param awaiting when the unconfirmed content was current, {@link Moment#NEVER} if
-	 * there is none
+	 * @param confirmFromMillis the time from which a response confirms it that was
+	 * requested then
+	 * @param askUntilMillis the time until which other processes are asked
+	 * @param pending whether no such response was received yet
 	 */
-	public record Settlement(long confirmFromMillis, long askUntilMillis, Moment awaiting) {
+	public record Settlement(long confirmFromMillis, long askUntilMillis, boolean pending) {
 
 		static Settlement none() {
-			return new Settlement(Long.MIN_VALUE, Long.MIN_VALUE, Moment.NEVER);
+			return new Settlement(Long.MIN_VALUE, Long.MIN_VALUE, false);
 		}
 
 		Settlement withRequestsEnded() {
-			return new Settlement(this.confirmFromMillis, Long.MIN_VALUE, this.awaiting);
+			return new Settlement(this.confirmFromMillis, Long.MIN_VALUE, this.pending);
 		}
 
-		Settlement withAwaiting(Moment next) {
-			return new Settlement(this.confirmFromMillis, this.askUntilMillis, next);
+		Settlement withConfirmation() {
+			return new Settlement(this.confirmFromMillis, this.askUntilMillis, false);
+		}
+
+		/*
+		 * A watch is shortened so that the registry confirms the content as early as
+		 * possible.
+		 */
+		long watchMillis(long nowMillis, long usualMillis) {
+			return this.pending ? Math.min(usualMillis, Math.max(1, this.confirmFromMillis - nowMillis)) : usualMillis;
 		}
 
 	}
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowTimes.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowTimes.java
@@ -110,7 +110,7 @@
 	FollowState.Settlement settlement(long nowMillis, boolean atStart) {
 		return (this.copyRequestAgeMillis == NO_COPY_REQUESTS) ? FollowState.Settlement.none()
 				: new FollowState.Settlement(nowMillis + (atStart ? REWRITE_AT_START_MILLIS : REWRITE_MILLIS),
-						nowMillis + SETTLING_REQUESTS_MILLIS, Moment.NEVER);
+						nowMillis + SETTLING_REQUESTS_MILLIS, true);
 	}
 
 	boolean isRecent(long copyAgeMillis) {
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/registry/RegistryRestorePropertiesTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/registry/RegistryRestorePropertiesTests.java
@@ -47,7 +47,7 @@
 	private static final long END_MILLIS = FAULTS_END_MILLIS + 12_000;
 
 	/** The time after its revocation up to which a key may be accepted. */
-	private static final long REVOCATION_BOUND_MILLIS = 6000;
+	private static final long REVOCATION_BOUND_MILLIS = 5000;
 
 	private static final KeyAcceptance KEYS = new KeyAcceptance(REVOCATION_BOUND_MILLIS - 250);
 
@@ -123,8 +123,9 @@
 		}
 
 		void restore(long latest, long eras) {
-			Backup backup = this.backups.get(this.backups.headMap(latest + 1).lastKey());
-			this.backups.tailMap(latest + 1).clear();
+			long newest = Math.max(latest, this.backups.firstKey());
+			Backup backup = this.backups.get(this.backups.headMap(newest + 1).lastKey());
+			this.backups.tailMap(newest + 1).clear();
 			this.items = new TreeMap<>(backup.items());
 			this.history = new ArrayList<>(backup.history());
 			this.revision = backup.revision();
@@ -302,12 +303,15 @@
 			if (isDown()) {
 				return;
 			}
-			this.store.restore(this.now - this.random.nextInt(2500), 1 + this.random.nextInt(3));
-			this.store.downUntil = this.now + this.random.nextInt(1000);
+			this.store.restore(this.now - this.random.nextInt(4000), 1 + this.random.nextInt(3));
+			this.store.downUntil = this.now + this.random.nextInt(1500);
 			long back = this.store.downUntil;
 			if (this.random.nextBoolean()) {
 				this.followers.subList(0, 2).forEach((follower) -> follower.cutUntil = back + 3000);
 			}
+			if (this.random.nextBoolean()) {
+				plan(back + this.random.nextInt(30) * STEP_MILLIS, this::restartAFollower);
+			}
 			plan(back + this.random.nextInt(80) * STEP_MILLIS, this::writeConfigurationAgain);
 			for (int i = 0; i < RUNNERS; i++) {
 				int number = i;
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/registry/RegistryRestoreTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/registry/RegistryRestoreTests.java
@@ -460,14 +460,22 @@
 		}
 
 		@Test
-		void isConfirmedByTheRegistryAfterASecondIfTheProcessHasJustStarted() {
+		void isConfirmedByAResponseRequestedASecondLaterIfTheProcessHasJustStarted() {
 			tickAfter(0);
 			receivePage(false, 2, 40, configuration(7, 30));
+			assertThat(onlyEffect(FollowEffect.Watch.class).waitMillis()).isEqualTo(1000);
+			RegistryRestoreTests.this.now += 900;
+			Moment requestedAt = moment();
 			receiveChanges(2, 40);
-			tickAfter(900);
 			assertThat(has(FollowEffect.Confirm.class)).isFalse();
-			tickAfter(200);
+			assertThat(onlyEffect(FollowEffect.Watch.class).waitMillis()).isEqualTo(100);
+			RegistryRestoreTests.this.now += 100;
+			reduce(new FollowEvent.ChangesReceived(call(), requestedAt, new RegistryPage(List.of(), false, at(2, 40))));
+			assertThat(has(FollowEffect.Confirm.class)).isFalse();
+			assertThat(onlyEffect(FollowEffect.Watch.class).waitMillis()).isEqualTo(1);
+			receiveChanges(2, 40);
 			onlyEffect(FollowEffect.Confirm.class);
+			assertThat(onlyEffect(FollowEffect.Watch.class).waitMillis()).isEqualTo(1500);
 		}
 
 		// Guards against a gateway that was cut off when a key was revoked, reads the
@@ -477,20 +485,22 @@
 			completeFullRead(1, 90, configuration(7, 80));
 			receiveChanges(2, 40);
 			receivePage(false, 2, 40, configuration(7, 30));
-			receiveChanges(2, 40);
-			tickAfter(1900);
-			assertThat(has(FollowEffect.Confirm.class)).isFalse();
-			tickAfter(200);
-			onlyEffect(FollowEffect.Confirm.class);
+			confirmAfterTwoSeconds();
 		}
 
 		@Test
 		void thatAnotherProcessPassesOnIsConfirmedByTheRegistryAfterTwoSecondsToo() {
 			completeFullRead(1, 90, configuration(7, 80));
 			receiveCopy(100, at(2, 0), at(2, 40), configuration(7, 30));
+			confirmAfterTwoSeconds();
+		}
+
+		private void confirmAfterTwoSeconds() {
+			RegistryRestoreTests.this.now += 1900;
 			receiveChanges(2, 40);
 			assertThat(has(FollowEffect.Confirm.class)).isFalse();
-			tickAfter(2100);
+			RegistryRestoreTests.this.now += 200;
+			receiveChanges(2, 40);
 			onlyEffect(FollowEffect.Confirm.class);
 		}
 
