--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowEffect.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowEffect.java
@@ -1,6 +1,7 @@
 package org.catkingate.decisions.registry;
 
 import org.catkingate.decisions.Effect;
+import org.catkingate.model.registry.RegistryPosition;
 
 /**
  * The effects of following a registry.
@@ -36,9 +37,9 @@
 	 * An instruction to request the copy of another process, since the registry has not
 	 * confirmed this one for longer than usual.
 	 *
-	 * @param afterRevision the revision of this process's copy
+	 * @param after the position of this process's copy
 	 */
-	record RequestCopy(long afterRevision) implements FollowEffect {
+	record RequestCopy(RegistryPosition after) implements FollowEffect {
 
 	}
 
@@ -46,9 +47,25 @@
 	 * An instruction to report that copies of other processes confirm the view while the
 	 * registry does not respond.
 	 *
-	 * @param revision the revision of the copy
+	 * @param position the position of the copy
 	 */
-	record ReportCopyUsed(long revision) implements FollowEffect {
+	record ReportCopyUsed(RegistryPosition position) implements FollowEffect {
+
+	}
+
+	/**
+	 * An instruction to report that the registry was restored from a copy.
+	 *
+	 * @param before the last position known of the earlier era
+	 * @param after the first position known of the new era
+	 * @param byCopy whether another process has passed on the new era
+	 * @param retained the number of items that stay in force although the registry holds
+	 * a lower version or none
+	 * @param missing the number of runners that the registry lacks and that are kept for
+	 * the grace period
+	 */
+	record ReportRestored(RegistryPosition before, RegistryPosition after, boolean byCopy, int retained,
+			int missing) implements FollowEffect {
 
 	}
 
