--- /dev/null
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakFault.java
@@ -0,0 +1,274 @@
+package org.catkingate.soak;
+
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.catkingate.standins.proxy.FaultInjectingProxy;
+
+/**
+ * A fault of a soak, injected from outside the processes.
+ */
+enum SoakFault {
+
+	/** The link to a runner is slow. */
+	RUNNER_LINK_DELAYED(
+			(soak, random) -> runnerLink(soak, random, "--delay-ms 300 --jitter-ms 200", "--delay-ms 0 --jitter-ms 0")),
+
+	/** The connections to a runner are reset. */
+	RUNNER_LINK_RESET((soak, random) -> {
+		SoakRunner runner = pick(soak.fleet().runners(), random);
+		runner.reportDisturbance(soak.nowMillis());
+		runner.proxy().resetConnections();
+		return SoakFault::doNothing;
+	}),
+
+	/** Requests reach a runner and its responses are lost. */
+	RUNNER_LINK_ONE_WAY(
+			(soak, random) -> runnerLink(soak, random, "--discard-responses true", "--discard-responses false")),
+
+	/** The open connections to a runner go silent. */
+	RUNNER_LINK_SILENT((soak, random) -> {
+		SoakRunner runner = pick(soak.fleet().runners(), random);
+		runner.reportDisturbance(Long.MAX_VALUE);
+		runner.proxy().silenceConnections();
+		return () -> runner.reportDisturbance(soak.nowMillis());
+	}),
+
+	/** A runner is cut off. */
+	RUNNER_LINK_CUT((soak, random) -> runnerLink(soak, random, "--blackhole true", "--blackhole false")),
+
+	/** A process reaches the registry late. */
+	REGISTRY_LINK_DELAYED(
+			(soak, random) -> configure(pick(soak.fleet().registryLinks(), random), "--delay-ms 400", "--delay-ms 0")),
+
+	/** A process is cut off from the registry. */
+	REGISTRY_LINK_CUT((soak, random) -> configure(pick(soak.fleet().registryLinks(), random), "--blackhole true",
+			"--blackhole false")),
+
+	/** The registry refuses a process. */
+	REGISTRY_LINK_REFUSED((soak, random) -> {
+		FaultInjectingProxy link = pick(soak.fleet().registryLinks(), random);
+		Recovery recovery = configure(link, "--refuse true", "--refuse false");
+		link.resetConnections();
+		return recovery;
+	}),
+
+	/** The responses of the registry to a process are lost. */
+	REGISTRY_LINK_ONE_WAY((soak, random) -> configure(pick(soak.fleet().registryLinks(), random),
+			"--discard-responses true", "--discard-responses false")),
+
+	/** The registry refuses all calls. */
+	REGISTRY_DOWN((soak, random) -> registry(soak, RegistryStandIn.Availability.DOWN)),
+
+	/** The registry is slow. */
+	REGISTRY_SLOW((soak, random) -> registry(soak, RegistryStandIn.Availability.SLOW)),
+
+	/** Responses of the registry are lost. */
+	REGISTRY_LOSING_RESPONSES((soak, random) -> registry(soak, RegistryStandIn.Availability.LOSING_RESPONSES)),
+
+	/** The registry forgets its history. */
+	REGISTRY_WITHOUT_HISTORY((soak, random) -> {
+		soak.fleet().registry().forgetHistory();
+		return SoakFault::doNothing;
+	}),
+
+	/** The registry goes down and comes back from the copy made when it went. */
+	REGISTRY_OLDER_COPY((soak, random) -> {
+		RegistryStandIn.Copy copy = soak.fleet().registry().copy();
+		return () -> {
+			Recovery recovery = registry(soak, RegistryStandIn.Availability.DOWN);
+			soak.fleet().operator().restore(copy);
+			recovery.recover();
+			soak.fleet().runners().forEach(SoakRunner::register);
+		};
+	}),
+
+	/** A gateway is shut down in an orderly way and started again. */
+	GATEWAY_TERMINATED((soak, random) -> terminate(pick(soak.fleet().gateways(), random))),
+
+	/** A gateway is killed and started again. */
+	GATEWAY_KILLED((soak, random) -> kill(pick(soak.fleet().gateways(), random))),
+
+	/** A gateway is suspended. */
+	GATEWAY_SUSPENDED((soak, random) -> {
+		SoakProcess gateway = pick(soak.fleet().gateways(), random);
+		String boot = gateway.boot();
+		soak.judge().gatewaySuspended(boot, Long.MAX_VALUE);
+		gateway.suspend();
+		return () -> {
+			gateway.resume();
+			soak.judge().gatewaySuspended(boot, soak.nowMillis());
+		};
+	}),
+
+	/** The settings file of a gateway changes, and it is told so by a signal. */
+	GATEWAY_SETTINGS_CHANGED((soak, random) -> {
+		int index = random.nextInt(soak.fleet().gateways().size());
+		SoakProcess gateway = soak.fleet().gateways().get(index);
+		gateway.writeSettings(soak.fleet().gatewaySettings(index, 50 + random.nextInt(100)));
+		gateway.hangUp();
+		return SoakFault::doNothing;
+	}),
+
+	/** A loader is shut down in an orderly way and started again. */
+	LOADER_TERMINATED((soak, random) -> terminate(pick(soak.fleet().loaders(), random))),
+
+	/** A loader is killed and started again. */
+	LOADER_KILLED((soak, random) -> kill(pick(soak.fleet().loaders(), random))),
+
+	/** A loader is suspended. */
+	LOADER_SUSPENDED((soak, random) -> {
+		SoakProcess loader = pick(soak.fleet().loaders(), random);
+		loader.suspend();
+		return loader::resume;
+	}),
+
+	/** A runner crashes, and another starts in its place. */
+	RUNNER_CRASHED((soak, random) -> {
+		SoakRunner runner = pick(soak.fleet().runners(), random);
+		runner.crash();
+		return runner::restart;
+	}),
+
+	/** A runner leaves as announced, and another starts in its place. */
+	RUNNER_LEAVES((soak, random) -> {
+		SoakRunner runner = pick(soak.fleet().runners(), random);
+		RunnerStandIn leaving = runner.runner();
+		runner.leave();
+		return () -> {
+			if (runner.runner() == leaving) {
+				runner.crash();
+				runner.restart();
+			}
+		};
+	}),
+
+	/** A runner misbehaves. */
+	RUNNER_MISBEHAVES((soak, random) -> {
+		SoakRunner runner = pick(soak.fleet().runners(), random);
+		runner.behave(pick(List.of(RunnerBehaviour.values()), random));
+		return () -> runner.behave(RunnerBehaviour.SOUND);
+	}),
+
+	/** A runner asks to be left alone. */
+	RUNNER_BUSY((soak, random) -> {
+		SoakRunner runner = pick(soak.fleet().runners(), random);
+		runner.behave(RunnerBehaviour.BUSY);
+		return () -> runner.behave(RunnerBehaviour.SOUND);
+	}),
+
+	/** A staged piece of the weights goes bad. */
+	STAGED_PIECE_SPOILT((soak, random) -> {
+		ModelWeights weights = pick(soak.fleet().runners(), random).weights();
+		if (weights != null) {
+			weights.spoil(random.nextInt(ModelWeights.PIECE_COUNT));
+		}
+		return SoakFault::doNothing;
+	}),
+
+	/** The origin sends wrong pieces and breaks off. */
+	ORIGIN_FAULTY((soak, random) -> {
+		soak.fleet().origin().beFaulty(true);
+		return () -> soak.fleet().origin().beFaulty(false);
+	}),
+
+	/** New weights are declared. */
+	WEIGHTS_DECLARED((soak, random) -> {
+		soak.fleet().operator().declareNextWeights();
+		return SoakFault::doNothing;
+	}),
+
+	/** The configuration changes. */
+	CONFIGURATION_CHANGED((soak, random) -> {
+		soak.fleet().operator().publish();
+		return SoakFault::doNothing;
+	}),
+
+	/** Configurations follow each other quickly. */
+	CONFIGURATION_STORM((soak, random) -> {
+		for (int i = 0; i < 5; i++) {
+			soak.fleet().operator().publish();
+		}
+		return SoakFault::doNothing;
+	}),
+
+	/** A key is withdrawn. */
+	KEY_WITHDRAWN((soak, random) -> {
+		soak.fleet().operator().replaceKey(random.nextInt(100));
+		return SoakFault::doNothing;
+	});
+
+	private final Injection injection;
+
+	SoakFault(Injection injection) {
+		this.injection = injection;
+	}
+
+	/**
+	 * Injects the fault.
+	 * @return the recovery from it
+	 */
+	Recovery inject(Soak soak, SplittableRandom random) throws Exception {
+		return this.injection.inject(soak, random);
+	}
+
+	private static <T> T pick(List<T> candidates, SplittableRandom random) {
+		return candidates.get(random.nextInt(candidates.size()));
+	}
+
+	private static void doNothing() {
+	}
+
+	private static Recovery configure(FaultInjectingProxy proxy, String faultOptions, String recoveryOptions) {
+		proxy.configure(faultOptions.split(" "));
+		return () -> proxy.configure(recoveryOptions.split(" "));
+	}
+
+	private static Recovery runnerLink(Soak soak, SplittableRandom random, String faultOptions,
+			String recoveryOptions) {
+		SoakRunner runner = pick(soak.fleet().runners(), random);
+		runner.reportDisturbance(Long.MAX_VALUE);
+		Recovery recovery = configure(runner.proxy(), faultOptions, recoveryOptions);
+		return () -> {
+			recovery.recover();
+			runner.reportDisturbance(soak.nowMillis());
+		};
+	}
+
+	private static Recovery registry(Soak soak, RegistryStandIn.Availability availability) {
+		soak.fleet().registry().changeAvailability(availability);
+		return () -> soak.fleet().registry().changeAvailability(RegistryStandIn.Availability.UP);
+	}
+
+	private static Recovery kill(SoakProcess process) {
+		process.kill();
+		return process::startUnlessAlive;
+	}
+
+	private static Recovery terminate(SoakProcess process) {
+		int boot = process.boots();
+		process.terminate();
+		return () -> process.awaitEndAndStart(boot);
+	}
+
+	/**
+	 * The injection of a fault.
+	 */
+	@FunctionalInterface
+	interface Injection {
+
+		Recovery inject(Soak soak, SplittableRandom random) throws Exception;
+
+	}
+
+	/**
+	 * The recovery from a fault.
+	 */
+	@FunctionalInterface
+	interface Recovery {
+
+		void recover() throws Exception;
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakOperator.java
@@ -0,0 +1,180 @@
+package org.catkingate.soak;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import org.catkingate.standins.Addresses;
+import org.catkingate.standins.HttpService;
+
+/**
+ * The operator of the platform, who writes configurations and versions of the weights to
+ * the registry. Safe for use by any thread.
+ */
+final class SoakOperator {
+
+	static final String HOST = "songs.example";
+
+	static final String DATA_CENTRE = "a";
+
+	private static final String CONFIGURATION_KEY = "op/config";
+
+	private static final String VERSION_KEY = "op/version/" + ModelWeights.MODEL;
+
+	private static final long TIMEOUT_MILLIS = 3000;
+
+	private final Map<String, List<String>> keysByAccount = new LinkedHashMap<>();
+
+	private final List<String> allKeys = new ArrayList<>();
+
+	private final RegistryStandIn registry;
+
+	private final InetSocketAddress origin;
+
+	private final Judge judge;
+
+	private final SoakClock clock;
+
+	private long version = 6;
+
+	private long weightsVersion;
+
+	private int nextKey = 1;
+
+	SoakOperator(RegistryStandIn registry, InetSocketAddress origin, Judge judge, SoakClock clock) {
+		this.registry = registry;
+		this.origin = origin;
+		this.judge = judge;
+		this.clock = clock;
+		issueKey("bar-1");
+		issueKey("bar-2");
+		issueKey("bar-3");
+	}
+
+	private void issueKey(String account) {
+		String key = "key" + this.nextKey;
+		this.nextKey++;
+		this.judge.keyIssued(key, account);
+		this.keysByAccount.computeIfAbsent(account, (name) -> new ArrayList<>()).add(key);
+		this.allKeys.add(key);
+	}
+
+	/**
+	 * Returns the keys issued so far, including those withdrawn.
+	 */
+	synchronized List<String> allKeys() {
+		return List.copyOf(this.allKeys);
+	}
+
+	/**
+	 * Returns the newest version of the configuration.
+	 */
+	synchronized long version() {
+		return this.version;
+	}
+
+	/**
+	 * Publishes the next configuration.
+	 */
+	synchronized void publish() {
+		this.version += 1 + this.version % 3;
+		this.registry.put(CONFIGURATION_KEY, configuration());
+	}
+
+	/**
+	 * Publishes a configuration in which one account has a new key instead of its old
+	 * one.
+	 */
+	synchronized void replaceKey(int accountIndex) {
+		String account = "bar-" + (1 + accountIndex % this.keysByAccount.size());
+		String withdrawn = this.keysByAccount.get(account).remove(0);
+		issueKey(account);
+		publish();
+		this.judge.keyWithdrawn(withdrawn, this.clock.millis());
+	}
+
+	synchronized void declareNextWeights() {
+		this.weightsVersion++;
+		this.registry.put(VERSION_KEY, weights());
+	}
+
+	/**
+	 * Returns to an older copy of the registry and writes what the operator has written
+	 * since then.
+	 */
+	synchronized void restore(RegistryStandIn.Copy copy) {
+		this.registry.restore(copy, Map.of(CONFIGURATION_KEY, configuration(), VERSION_KEY, weights()));
+	}
+
+	private ObjectNode weights() {
+		return HttpService.JSON.createObjectNode().put("Model", ModelWeights.MODEL).put("Version", this.weightsVersion);
+	}
+
+	private JsonNode configuration() {
+		ObjectNode json = HttpService.JSON.createObjectNode().put("Version", this.version);
+		ArrayNode routes = json.putArray("Routes");
+		for (RequestKind kind : RequestKind.values()) {
+			String prefix = kind.pathPrefix() + ((kind == RequestKind.PROBE) ? this.version + "/" : "");
+			routes.addObject()
+				.put("Name", "r-" + kind)
+				.put("Host", HOST)
+				.put("PathPrefix", prefix)
+				.put("Type", kind.type())
+				.put("TimeoutMs", TIMEOUT_MILLIS)
+				.put("GoalMs", 500)
+				.put("Priority", 1)
+				.put("Service", kind.service())
+				.put("Attempts", 2)
+				.put("Public", false)
+				.put("Sticky", kind == RequestKind.GENERATION)
+				.put("Resumable", kind.isResumable());
+		}
+		ArrayNode services = json.putArray("Services");
+		services.addObject().put("Name", RequestKind.READ.service()).put("MaxConns", 96).put("HealthPath", "/healthz");
+		services.addObject().put("Name", RequestKind.SONG.service()).put("MaxConns", 96).put("HealthPath", "/healthz");
+		services.addObject()
+			.put("Name", RequestKind.GENERATION.service())
+			.put("MaxConns", 96)
+			.put("HealthPath", "/healthz")
+			.set("Engine", engine());
+		services.addObject()
+			.put("Name", "weights")
+			.put("MaxConns", 48)
+			.put("Zone", DATA_CENTRE)
+			.put("Origin", Addresses.format(this.origin));
+		json.putObject("Limits")
+			.put("MaxHeaderBytes", 16_384)
+			.put("MaxBodyBytes", 100_000)
+			.put("HeaderTimeoutMs", 3000)
+			.put("IdleTimeoutMs", 15_000);
+		ArrayNode accounts = json.putArray("Tenants");
+		this.keysByAccount.forEach((account, keys) -> {
+			ArrayNode list = accounts.addObject().put("Name", account).putArray("ApiKeys");
+			keys.forEach(list::add);
+		});
+		return json;
+	}
+
+	private static ObjectNode engine() {
+		ObjectNode json = HttpService.JSON.createObjectNode()
+			.put("Slots", RunnerStandIn.SLOTS)
+			.put("Stride", 5)
+			.put("step_ms", 9.27)
+			.put("per_seq_ms", 0.0232)
+			.put("read_per_s", 20_700.0)
+			.put("chunk", 2048)
+			.put("layers", ModelWeights.PIECE_COUNT)
+			.put("Chunks", ModelWeights.PIECE_COUNT)
+			.put("ChunkBytes", ModelWeights.PIECE_BYTES);
+		json.putObject("usual").put("prompt", 100).put("answer", 30);
+		json.putArray("Models").addObject().put("Name", ModelWeights.MODEL).put("WarmupS", 0.3);
+		return json;
+	}
+
+}
--- /dev/null
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakProcess.java
@@ -0,0 +1,190 @@
+package org.catkingate.soak;
+
+import java.io.IOException;
+import java.net.HttpURLConnection;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import org.catkingate.standins.Addresses;
+import org.catkingate.tests.harness.ChildProcess;
+
+/**
+ * A gateway or loader in a process of its own, with the command line of the deploy file.
+ * Each signal goes to the process that this object started last. Safe for use by any
+ * thread; a shutdown delays later calls until the process has ended.
+ */
+final class SoakProcess implements AutoCloseable {
+
+	private static final Duration SHUTDOWN_LIMIT = Duration.ofSeconds(8);
+
+	private static final int PROBE_TIMEOUT_MILLIS = 2000;
+
+	private final Path directory;
+
+	private final String role;
+
+	private final String name;
+
+	private final InetSocketAddress address;
+
+	private final InetSocketAddress operators;
+
+	private ChildProcess process;
+
+	private volatile int boots;
+
+	private boolean suspended;
+
+	SoakProcess(Path directory, String role, String name, InetSocketAddress address, InetSocketAddress operators) {
+		this.directory = directory;
+		this.role = role;
+		this.name = name;
+		this.address = address;
+		this.operators = operators;
+	}
+
+	/**
+	 * Returns the address for callers.
+	 */
+	InetSocketAddress address() {
+		return this.address;
+	}
+
+	/**
+	 * Returns the name of the current boot.
+	 */
+	String boot() {
+		return this.name + "#" + this.boots;
+	}
+
+	void writeSettings(String settings) throws IOException {
+		Files.writeString(settingsFile(), settings);
+	}
+
+	private Path settingsFile() {
+		return this.directory.resolve(this.name + ".ini");
+	}
+
+	synchronized void start() throws IOException {
+		this.boots++;
+		this.suspended = false;
+		this.process = ChildProcess.start(this.directory, this.name, commandLine());
+	}
+
+	private List<String> commandLine() throws IOException {
+		Path root = Path.of(System.getProperty("catkingate.root"));
+		Matcher matcher = Pattern.compile("run = \"(java [^\"]* " + this.role + ")\"")
+			.matcher(Files.readString(root.resolve("deploy").resolve("system.toml")));
+		if (!matcher.find()) {
+			throw new IllegalStateException("the deploy file runs no " + this.role);
+		}
+		String command = matcher.group(1).replace("target/", root.resolve("target") + "/") + " " + settingsFile();
+		return Arrays.asList(command.split(" "));
+	}
+
+	/**
+	 * Suspends the process.
+	 * @return whether it was running
+	 */
+	synchronized boolean suspend() {
+		if (this.suspended || !this.process.isAlive()) {
+			return false;
+		}
+		this.process.freeze();
+		this.suspended = true;
+		return true;
+	}
+
+	synchronized void resume() {
+		if (this.suspended && this.process.isAlive()) {
+			this.process.thaw();
+		}
+		this.suspended = false;
+	}
+
+	/**
+	 * Kills the process and starts the next one after a time.
+	 */
+	synchronized void kill() {
+		this.process.kill();
+	}
+
+	synchronized void startUnlessAlive() throws IOException {
+		if (!this.process.isAlive()) {
+			start();
+		}
+	}
+
+	synchronized void terminate() {
+		if (this.process.isAlive()) {
+			this.process.terminate();
+		}
+	}
+
+	/**
+	 * Waits for the end of a process that was told to terminate, kills it if it does not
+	 * end in time, and starts the next one.
+	 */
+	synchronized void awaitEndAndStart(int terminatedBoot) throws IOException {
+		if (this.boots != terminatedBoot) {
+			return;
+		}
+		resume();
+		try {
+			this.process.awaitExit(SHUTDOWN_LIMIT);
+		}
+		catch (IllegalStateException ex) {
+			this.process.kill();
+		}
+		start();
+	}
+
+	int boots() {
+		return this.boots;
+	}
+
+	synchronized void hangUp() {
+		if (this.process.isAlive()) {
+			this.process.hangUp();
+		}
+	}
+
+	synchronized boolean isAlive() {
+		return this.process.isAlive();
+	}
+
+	boolean isReady() {
+		try {
+			HttpURLConnection connection = (HttpURLConnection) URI
+				.create("http://" + Addresses.format(this.operators) + "/readyz")
+				.toURL()
+				.openConnection();
+			connection.setConnectTimeout(PROBE_TIMEOUT_MILLIS);
+			connection.setReadTimeout(PROBE_TIMEOUT_MILLIS);
+			try {
+				return connection.getResponseCode() == HttpURLConnection.HTTP_OK;
+			}
+			finally {
+				connection.disconnect();
+			}
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
+	@Override
+	public synchronized void close() {
+		if (this.process != null) {
+			this.process.kill();
+		}
+	}
+
+}
--- /dev/null
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakRunner.java
@@ -0,0 +1,167 @@
+package org.catkingate.soak;
+
+import java.io.IOException;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import org.catkingate.standins.Addresses;
+import org.catkingate.standins.HttpService;
+import org.catkingate.standins.proxy.FaultInjectingProxy;
+
+/**
+ * A place for a runner: the address of a proxy behind which boots of runners follow each
+ * other, and their registration. Safe for use by any thread.
+ */
+final class SoakRunner implements AutoCloseable {
+
+	private static final String RUNNERS_PREFIX = "servers/";
+
+	private final String name;
+
+	private final String service;
+
+	private final RegistryStandIn registry;
+
+	private final Judge judge;
+
+	private final SoakClock clock;
+
+	private final FaultInjectingProxy proxy;
+
+	private RunnerStandIn runner;
+
+	private ModelWeights weights;
+
+	private boolean leaving;
+
+	private boolean registered;
+
+	private int boots;
+
+	private long bornAtEpochMillis;
+
+	private long heartbeats;
+
+	SoakRunner(String name, String service, RegistryStandIn registry, Judge judge, SoakClock clock) throws IOException {
+		this.name = name;
+		this.service = service;
+		this.registry = registry;
+		this.judge = judge;
+		this.clock = clock;
+		this.proxy = FaultInjectingProxy.start("--target", Addresses.format(registry.address()), "--refuse", "true");
+		restart();
+	}
+
+	FaultInjectingProxy proxy() {
+		return this.proxy;
+	}
+
+	String service() {
+		return this.service;
+	}
+
+	synchronized RunnerStandIn runner() {
+		return this.runner;
+	}
+
+	/**
+	 * Returns the weights of the current boot, null if it is not a model runner.
+	 */
+	synchronized ModelWeights weights() {
+		return this.weights;
+	}
+
+	/**
+	 * Resets all connections and ends the runner, which says nothing about it.
+	 */
+	synchronized void crash() {
+		if (this.runner != null) {
+			this.proxy.configure("--refuse", "true");
+			this.proxy.resetConnections();
+			this.runner.close();
+			this.runner = null;
+		}
+	}
+
+	/**
+	 * Starts a runner under a new identifier, which registers itself, unless one runs.
+	 */
+	synchronized void restart() throws IOException {
+		if (this.runner != null) {
+			return;
+		}
+		if (this.registered) {
+			this.registry.delete(key());
+		}
+		this.boots++;
+		this.weights = this.service.equals(RequestKind.GENERATION.service()) ? new ModelWeights(this.clock) : null;
+		this.leaving = false;
+		this.bornAtEpochMillis = System.currentTimeMillis();
+		this.runner = new RunnerStandIn(this.name + "-" + this.boots, this.service, this.weights, this.judge,
+				this.clock);
+		this.proxy.changeTarget(this.runner.address());
+		this.proxy.configure("--refuse", "false");
+		register();
+	}
+
+	private String key() {
+		return RUNNERS_PREFIX + this.name + "-" + this.boots;
+	}
+
+	/**
+	 * Writes the registration again, as runners do at an interval.
+	 */
+	synchronized void register() {
+		if (this.runner == null) {
+			return;
+		}
+		this.heartbeats++;
+		ObjectNode json = HttpService.JSON.createObjectNode()
+			.put("Service", this.service)
+			.put("Address", Addresses.format(this.proxy.address()))
+			.put("Zone", SoakOperator.DATA_CENTRE)
+			.put("Version", "v1")
+			.put("Slots", RunnerStandIn.SLOTS)
+			.put("State", this.leaving ? "draining" : "ready")
+			.put("ColdLeftMs", 0)
+			.put("Phase", "both")
+			.put("born", this.bornAtEpochMillis)
+			.put("Seq", this.heartbeats);
+		if (this.weights != null) {
+			json.set("Models", this.weights.models());
+		}
+		this.registry.put(key(), json);
+		this.registered = true;
+	}
+
+	/**
+	 * Announces that the runner leaves, in its responses and in the registry.
+	 */
+	synchronized void leave() {
+		if (this.runner != null) {
+			this.leaving = true;
+			this.runner.leave();
+			register();
+		}
+	}
+
+	synchronized void behave(RunnerBehaviour behaviour) {
+		if (this.runner != null) {
+			this.runner.behave(behaviour);
+		}
+	}
+
+	/**
+	 * Reports to the judge that the link to the current boot is disturbed.
+	 */
+	synchronized void reportDisturbance(long untilMillis) {
+		this.judge.runnerLinkDisturbed(this.name + "-" + this.boots, untilMillis);
+	}
+
+	@Override
+	public void close() {
+		crash();
+		this.proxy.close();
+	}
+
+}
--- a/catkingate-standins/src/main/java/org/catkingate/standins/proxy/ProxiedConnection.java
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/proxy/ProxiedConnection.java
@@ -25,6 +25,8 @@
 
 	private volatile boolean silent;
 
+	private volatile boolean responsesSilent;
+
 	private ProxiedConnection(Socket caller, Socket target, ProxyOptions options) {
 		this.caller = caller;
 		this.target = target;
@@ -40,7 +42,7 @@
 		StreamForwarder forward = new StreamForwarder(caller, target, options, toTarget,
 				connection::silenceIfBlackholed, random.split(), connection::reset);
 		StreamForwarder backward = new StreamForwarder(target, caller, options, toCaller,
-				connection::silenceIfBlackholed, random.split(), connection::reset);
+				connection::silenceResponsesIfDiscarded, random.split(), connection::reset);
 		connection.threads = List.of(thread(forward::read), thread(forward::write), thread(backward::read),
 				thread(backward::write));
 		connection.threads.forEach(Thread::start);
@@ -64,6 +66,18 @@
 		return this.silent;
 	}
 
+	/**
+	 * Does the same for the direction to the caller, which may also be silenced alone: a
+	 * connection that has lost bytes cannot deliver later ones.
+	 * @return whether the direction is silent
+	 */
+	private boolean silenceResponsesIfDiscarded() {
+		if (this.options.discardResponses) {
+			this.responsesSilent = true;
+		}
+		return silenceIfBlackholed() || this.responsesSilent;
+	}
+
 	boolean hasEnded() {
 		return this.threads.stream().noneMatch(Thread::isAlive);
 	}
--- a/catkingate-standins/src/main/java/org/catkingate/standins/proxy/ProxyOptions.java
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/proxy/ProxyOptions.java
@@ -45,6 +45,10 @@
 			description = "discard all bytes, also of new connections; connections open meanwhile stay silent")
 	volatile boolean blackhole;
 
+	@Parameter(names = "--discard-responses", arity = 1,
+			description = "discard the bytes from the target, also of new connections; those of the caller arrive")
+	volatile boolean discardResponses;
+
 	@Parameter(names = "--refuse", arity = 1, description = "reset new connections immediately")
 	volatile boolean refuse;
 
--- a/catkingate-standins/src/main/java/org/catkingate/standins/raw/RawServer.java
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/raw/RawServer.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -36,6 +37,8 @@
 
 	private static final long PAUSE_BETWEEN_PARTS_MILLIS = 60;
 
+	private static final int BACKLOG = 512;
+
 	private final List<String> requestHeads = new CopyOnWriteArrayList<>();
 
 	private final List<Socket> sockets = new CopyOnWriteArrayList<>();
@@ -46,10 +49,13 @@
 
 	private final ServerSocket socket;
 
-	private final Supplier<Response> responses;
+	private final Function<Request, Response> responses;
+
+	private final boolean keepsHeads;
 
-	private RawServer(Supplier<Response> responses) throws IOException {
-		this.socket = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+	private RawServer(Function<Request, Response> responses, boolean keepsHeads) throws IOException {
+		this.keepsHeads = keepsHeads;
+		this.socket = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
 		this.responses = responses;
 		Thread thread = new Thread(this::accept, "raw-server");
 		thread.setDaemon(true);
@@ -65,7 +71,7 @@
 	 */
 	public static RawServer respondingWith(String... parts) throws IOException {
 		Response response = new Response(List.of(parts), false);
-		return new RawServer(() -> response);
+		return new RawServer((request) -> response, true);
 	}
 
 	/**
@@ -77,7 +83,7 @@
 	 */
 	public static RawServer respondingAndClosing(String... parts) throws IOException {
 		Response response = new Response(List.of(parts), true);
-		return new RawServer(() -> response);
+		return new RawServer((request) -> response, true);
 	}
 
 	/**
@@ -88,7 +94,19 @@
 	 * @throws IOException if no port is free
 	 */
 	public static RawServer respondingWith(Supplier<Response> responses) throws IOException {
-		return new RawServer(responses);
+		return new RawServer((request) -> responses.get(), true);
+	}
+
+	/**
+	 * Starts a server whose response depends on the request. It keeps no heads of
+	 * requests.
+	 * @param responses returns the response to each request; called on the thread of the
+	 * connection, which it may block
+	 * @return the server, never null
+	 * @throws IOException if no port is free
+	 */
+	public static RawServer respondingTo(Function<Request, Response> responses) throws IOException {
+		return new RawServer(responses, false);
 	}
 
 	/**
@@ -143,21 +161,26 @@
 		try {
 			InputStream input = accepted.getInputStream();
 			OutputStream output = accepted.getOutputStream();
-			while (readHead(input)) {
-				String id = requestId();
-				Response response = this.responses.get();
+			Request request = readRequest(input);
+			while (request != null) {
+				Response response = this.responses.apply(request);
+				String id = requestId(request);
 				for (String part : response.parts()) {
 					output.write(part.replace(REQUEST_ID_PLACEHOLDER, id).getBytes(StandardCharsets.ISO_8859_1));
 					output.flush();
-					Thread.sleep(PAUSE_BETWEEN_PARTS_MILLIS);
+					Thread.sleep(response.pauseMillis());
 				}
 				if (!response.filler().isEmpty()) {
 					writeWithoutEnd(output, response);
 				}
-				if (response.closes()) {
+				if (response.ending() != Ending.KEEP_OPEN) {
+					if (response.ending() == Ending.RESET) {
+						accepted.setSoLinger(true, 0);
+					}
 					accepted.close();
 					return;
 				}
+				request = readRequest(input);
 			}
 			this.peerClosedConnections.incrementAndGet();
 		}
@@ -189,26 +212,26 @@
 		return this.fillerBytes.get();
 	}
 
-	private String requestId() {
-		Matcher matcher = REQUEST_ID.matcher(this.requestHeads.get(this.requestHeads.size() - 1));
+	private static String requestId(Request request) {
+		Matcher matcher = REQUEST_ID.matcher(request.head());
 		return matcher.find() ? matcher.group(1) : "";
 	}
 
-	private boolean readHead(InputStream input) throws IOException {
+	private Request readRequest(InputStream input) throws IOException {
 		StringBuilder head = new StringBuilder();
 		while (head.indexOf("\r\n\r\n") < 0) {
 			int next = input.read();
 			if (next < 0) {
-				return false;
+				return null;
 			}
 			head.append((char) next);
 		}
 		Matcher length = CONTENT_LENGTH.matcher(head);
-		if (length.find()) {
-			input.readNBytes(Integer.parseInt(length.group(1)));
+		byte[] body = length.find() ? input.readNBytes(Integer.parseInt(length.group(1))) : new byte[0];
+		if (this.keepsHeads) {
+			this.requestHeads.add(head.toString());
 		}
-		this.requestHeads.add(head.toString());
-		return true;
+		return new Request(head.toString(), new String(body, StandardCharsets.ISO_8859_1));
 	}
 
 	@Override
@@ -224,16 +247,43 @@
 		}
 	}
 
+	/**
+	 * What happens to the connection after a response.
+	 */
+	public enum Ending {
+
+		/** The next request may follow. */
+		KEEP_OPEN,
+
+		/** The connection is closed. */
+		CLOSE,
+
+		/** The connection is reset. */
+		RESET
+
+	}
+
+	/**
+	 * A request.
+	 *
+	 * @param head the request line and the headers
+	 * @param body the body, one character for each byte
+	 */
+	public record Request(String head, String body) {
+
+	}
+
 	/**
 	 * The response to one request.
 	 *
 	 * @param parts the parts of the response, written with pauses between them
-	 * @param closes whether the connection is closed after the last part
+	 * @param ending what happens to the connection after the last part
+	 * @param pauseMillis the pause after each part, in milliseconds
 	 * @param filler written again and again after the last part until the peer closes the
 	 * connection; empty to write nothing
 	 * @param fillerPauseMillis the pause after each filler, in milliseconds
 	 */
-	public record Response(List<String> parts, boolean closes, String filler, long fillerPauseMillis) {
+	public record Response(List<String> parts, Ending ending, long pauseMillis, String filler, long fillerPauseMillis) {
 
 		public Response {
 			parts = List.copyOf(parts);
@@ -245,7 +295,17 @@
 		 * @param closes whether the connection is closed after the last part
 		 */
 		public Response(List<String> parts, boolean closes) {
-			this(parts, closes, "", 0);
+			this(parts, closes ? Ending.CLOSE : Ending.KEEP_OPEN, PAUSE_BETWEEN_PARTS_MILLIS);
+		}
+
+		/**
+		 * Creates a response that ends.
+		 * @param parts the parts of the response
+		 * @param ending what happens to the connection after the last part
+		 * @param pauseMillis the pause after each part, in milliseconds
+		 */
+		public Response(List<String> parts, Ending ending, long pauseMillis) {
+			this(parts, ending, pauseMillis, "", 0);
 		}
 
 		/**
@@ -256,7 +316,7 @@
 		 */
 		public static Response withoutEnd(String start, String filler) {
 			int repetitions = Math.max(1, BLOCK_CHARS / filler.length());
-			return new Response(List.of(start), false, filler.repeat(repetitions), 0);
+			return trickling(start, filler.repeat(repetitions), 0);
 		}
 
 		/**
@@ -267,7 +327,7 @@
 		 * @return the response, never null
 		 */
 		public static Response trickling(String start, String filler, long pauseMillis) {
-			return new Response(List.of(start), false, filler, pauseMillis);
+			return new Response(List.of(start), Ending.KEEP_OPEN, PAUSE_BETWEEN_PARTS_MILLIS, filler, pauseMillis);
 		}
 
 	}
--- a/catkingate-tests/src/test/java/org/catkingate/tests/harness/ChildProcess.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/harness/ChildProcess.java
@@ -123,6 +123,13 @@
 		signal("TERM");
 	}
 
+	/**
+	 * Requests the process to read its settings again.
+	 */
+	public void hangUp() {
+		signal("HUP");
+	}
+
 	/**
 	 * Kills the process and waits for its end.
 	 */
