--- a/catkingate-soak/src/test/java/org/catkingate/soak/RunnerStandIn.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/RunnerStandIn.java
@@ -28,7 +28,7 @@
 
 	private static final long EVENT_PAUSE_MILLIS = 25;
 
-	private static final Pattern HEADER = Pattern.compile("(?m)^([^:\r\n]+): *([^\r\n]*)\r$");
+	private static final Pattern HEADER = Pattern.compile("(?m)^([^:\r\n]+): *([^\r\n]*)");
 
 	private static final AtomicLong NEXT_RUN = new AtomicLong();
 
