--- a/catkingate-soak/src/test/java/org/catkingate/soak/Soak.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/Soak.java
@@ -37,6 +37,9 @@
 
 	private final ScheduledThreadPoolExecutor faultExecutor = new ScheduledThreadPoolExecutor(FAULT_THREADS);
 
+	/** Ends the processes if this JVM is terminated. */
+	private final Thread shutdownHook = new Thread(this::closeFleet, "soak-shutdown");
+
 	private final SoakFleet.Size size;
 
 	private final SoakFleet fleet;
@@ -44,6 +47,7 @@
 	private Soak(SoakFleet.Size size, Path directory) throws IOException {
 		this.size = size;
 		this.fleet = SoakFleet.start(size, directory, this.judge, this.clock);
+		Runtime.getRuntime().addShutdownHook(this.shutdownHook);
 	}
 
 	/**
@@ -139,6 +143,11 @@
 
 	@Override
 	public void close() {
+		Runtime.getRuntime().removeShutdownHook(this.shutdownHook);
+		closeFleet();
+	}
+
+	private void closeFleet() {
 		this.faultExecutor.shutdownNow();
 		this.fleet.close();
 	}
--- a/catkingate-soak/src/test/java/org/catkingate/soak/SoakFault.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakFault.java
@@ -89,6 +89,24 @@
 	/** A gateway is killed and started again. */
 	GATEWAY_KILLED((soak, random) -> kill(pick(soak.fleet().gateways(), random))),
 
+	/** All gateways are killed at the same moment and started again. */
+	ALL_GATEWAYS_KILLED((soak, random) -> {
+		soak.fleet().gateways().forEach(SoakProcess::kill);
+		return () -> {
+			for (SoakProcess gateway : soak.fleet().gateways()) {
+				gateway.startUnlessAlive();
+			}
+		};
+	}),
+
+	/** All gateways are shut down one after the other. */
+	ALL_GATEWAYS_TERMINATED((soak, random) -> {
+		for (SoakProcess gateway : soak.fleet().gateways()) {
+			terminate(gateway).recover();
+		}
+		return SoakFault::doNothing;
+	}),
+
 	/** A gateway is suspended. */
 	GATEWAY_SUSPENDED((soak, random) -> {
 		SoakProcess gateway = pick(soak.fleet().gateways(), random);
