--- a/catkingate-soak/src/test/java/org/catkingate/soak/FaultSchedule.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/FaultSchedule.java
@@ -1,8 +1,10 @@
 package org.catkingate.soak;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.stream.Stream;
 
 /**
  * The faults of a soak. They come in series, and they overlap. The same seed gives the
@@ -36,7 +38,7 @@
 		List<Step> steps = new ArrayList<>();
 		long startMillis = random.nextInt(MAX_GAP_MILLIS);
 		while (startMillis < durationMillis) {
-			SoakFault fault = SoakFault.values()[random.nextInt(SoakFault.values().length)];
+			SoakFault fault = pickFault(random.nextLong());
 			int repetitions = (random.nextInt(100) < SERIES_PERCENT) ? 1 + random.nextInt(MAX_SERIES) : 1;
 			for (int i = 0; i < repetitions; i++) {
 				long length = (random.nextInt(100) < LONG_DURATION_PERCENT) ? LONG_DURATION_MILLIS
@@ -48,6 +50,17 @@
 		return new FaultSchedule(steps);
 	}
 
+	/*
+	 * Each fault has its own random number, so that a new fault changes only the steps
+	 * for which it is picked, and old seeds stay of use.
+	 */
+	private static SoakFault pickFault(long stepSeed) {
+		return Stream.of(SoakFault.values())
+			.max(Comparator
+				.comparingLong((fault) -> new SplittableRandom(stepSeed ^ fault.name().hashCode()).nextLong()))
+			.orElseThrow();
+	}
+
 	/**
 	 * One fault.
 	 *
--- a/catkingate-soak/src/test/java/org/catkingate/soak/SoakFault.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakFault.java
@@ -149,17 +149,10 @@
 	}),
 
 	/** A runner leaves as announced, and another starts in its place. */
-	RUNNER_LEAVES((soak, random) -> {
-		SoakRunner runner = pick(soak.fleet().runners(), random);
-		RunnerStandIn leaving = runner.runner();
-		runner.leave();
-		return () -> {
-			if (runner.runner() == leaving) {
-				runner.crash();
-				runner.restart();
-			}
-		};
-	}),
+	RUNNER_LEAVES((soak, random) -> leave(pick(soak.fleet().runners(), random), true)),
+
+	/** A runner leaves and announces it in its responses only. */
+	RUNNER_LEAVES_UNREGISTERED((soak, random) -> leave(pick(soak.fleet().runners(), random), false)),
 
 	/** A runner misbehaves. */
 	RUNNER_MISBEHAVES((soak, random) -> {
@@ -258,6 +251,17 @@
 		return () -> soak.fleet().registry().changeAvailability(RegistryStandIn.Availability.UP);
 	}
 
+	private static Recovery leave(SoakRunner runner, boolean inRegistry) {
+		RunnerStandIn leaving = runner.runner();
+		runner.leave(inRegistry);
+		return () -> {
+			if (runner.runner() == leaving) {
+				runner.crash();
+				runner.restart();
+			}
+		};
+	}
+
 	private static Recovery kill(SoakProcess process) {
 		process.kill();
 		return process::startUnlessAlive;
--- a/catkingate-soak/src/test/java/org/catkingate/soak/SoakRunner.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakRunner.java
@@ -135,11 +135,12 @@
 	}
 
 	/**
-	 * Announces that the runner leaves, in its responses and in the registry.
+	 * Announces that the runner leaves.
+	 * @param inRegistry whether the registry shows it as well as its responses
 	 */
-	synchronized void leave() {
+	synchronized void leave(boolean inRegistry) {
 		if (this.runner != null) {
-			this.leaving = true;
+			this.leaving = inRegistry;
 			this.runner.leave();
 			register();
 		}
