--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/prompts/PromptQuarantineTests.java
@@ -0,0 +1,215 @@
+package org.catkingate.decisions.prompts;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.catkingate.model.RunnerId;
+import org.catkingate.model.ServiceName;
+import org.catkingate.model.prompts.PartReport;
+import org.catkingate.model.prompts.RunnerStart;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link PromptQuarantine}.
+ */
+class PromptQuarantineTests {
+
+	private static final ServiceName SERVICE = new ServiceName("model");
+
+	private static final int RUNNERS = 20;
+
+	private static final long LONG_MILLIS = 125_000;
+
+	private final PromptQuarantine quarantine = PromptQuarantine.create();
+
+	private long now = 1_000_000;
+
+	private int ended;
+
+	private static RunnerEnd.AffectedRequest request(RequestProgress progress, String... parts) {
+		return new RunnerEnd.AffectedRequest("r", List.of(parts), progress);
+	}
+
+	private void endRunners(int count, RunnerEnd.AffectedRequest... requests) {
+		for (int i = 0; i < count; i++) {
+			this.quarantine.recordEnd(new RunnerEnd(new RunnerStart(new RunnerId("i-" + this.ended++), 7), SERVICE,
+					RUNNERS, List.of(requests), this.now));
+		}
+		this.now += PromptQuarantine.SETTLING_MILLIS;
+		this.quarantine.settle(this.now);
+		this.now += 500;
+	}
+
+	private PromptVerdict.Kind verdict(String... parts) {
+		return this.quarantine.verdict(List.of(parts), this.now).kind();
+	}
+
+	@Nested
+	class AnEndOfARunner {
+
+		@Test
+		void makesThePartSuspectedThatHadJustBegun() {
+			endRunners(1, request(RequestProgress.STARTED, "a"), request(RequestProgress.QUEUED, "b"));
+			assertThat(verdict("a")).isEqualTo(PromptVerdict.Kind.SUSPECTED);
+			assertThat(verdict("b")).isEqualTo(PromptVerdict.Kind.HARMLESS);
+		}
+
+		@Test
+		void doesNotBlamePartsOfARequestThatWasBeingWritten() {
+			endRunners(1, request(RequestProgress.STARTED, "shared", "a"), request(RequestProgress.WRITING, "shared"));
+			assertThat(verdict("shared")).isEqualTo(PromptVerdict.Kind.HARMLESS);
+			assertThat(verdict("shared", "a")).isEqualTo(PromptVerdict.Kind.SUSPECTED);
+		}
+
+		@Test
+		void blamesNothingIfManyRunnersEndTogether() {
+			for (int i = 0; i < 5; i++) {
+				endRunners(5, request(RequestProgress.STARTED, "a"));
+			}
+			assertThat(verdict("a")).isEqualTo(PromptVerdict.Kind.HARMLESS);
+		}
+
+		@Test
+		void countsOnceHoweverOftenItIsReported() {
+			endRunners(1, request(RequestProgress.STARTED, "a"));
+			List<PartReport> reports = PromptQuarantineTests.this.quarantine.snapshot(PromptQuarantineTests.this.now);
+			for (int i = 0; i < 10; i++) {
+				PromptQuarantineTests.this.quarantine.merge(reports, PromptQuarantineTests.this.now);
+			}
+			assertThat(verdict("a")).isEqualTo(PromptVerdict.Kind.SUSPECTED);
+			assertThat(PromptQuarantineTests.this.quarantine.takeChanges(0)).hasSize(1);
+			assertThat(PromptQuarantineTests.this.quarantine.takeChanges(0)).isEmpty();
+		}
+
+		@Test
+		void isForgottenAfterLong() {
+			endRunners(1, request(RequestProgress.STARTED, "a"));
+			PromptQuarantineTests.this.now += LONG_MILLIS;
+			assertThat(verdict("a")).isEqualTo(PromptVerdict.Kind.HARMLESS);
+		}
+
+	}
+
+	@Nested
+	class APartIsQuarantined {
+
+		@Test
+		void afterTwoRunnersThatHadJustBegunToWriteOnIt() {
+			endRunners(1, request(RequestProgress.STARTED, "a"));
+			endRunners(1, request(RequestProgress.STARTED, "a"));
+			assertThat(verdict("a", "b")).isEqualTo(PromptVerdict.Kind.QUARANTINED);
+			assertThat(verdict("b")).isEqualTo(PromptVerdict.Kind.HARMLESS);
+		}
+
+		@Test
+		void afterThreeRunnersIfNoResponseHadBegun() {
+			endRunners(1, request(RequestProgress.QUEUED, "a"));
+			endRunners(1, request(RequestProgress.QUEUED, "a"));
+			assertThat(verdict("a")).isEqualTo(PromptVerdict.Kind.SUSPECTED);
+			endRunners(1, request(RequestProgress.QUEUED, "a"));
+			assertThat(verdict("a")).isEqualTo(PromptVerdict.Kind.QUARANTINED);
+		}
+
+		@Test
+		void afterFourIfItWasHarmlessBefore() {
+			PromptQuarantineTests.this.quarantine.recordWriting(List.of("a"), PromptQuarantineTests.this.now++);
+			for (int i = 0; i < 3; i++) {
+				endRunners(1, request(RequestProgress.STARTED, "a"));
+			}
+			assertThat(verdict("a")).isEqualTo(PromptVerdict.Kind.SUSPECTED);
+			endRunners(1, request(RequestProgress.STARTED, "a"));
+			assertThat(verdict("a")).isEqualTo(PromptVerdict.Kind.QUARANTINED);
+		}
+
+		@Test
+		void untilARunnerContinuesToWriteOnIt() {
+			for (int i = 0; i < 3; i++) {
+				endRunners(1, request(RequestProgress.STARTED, "a"));
+			}
+			PromptQuarantineTests.this.quarantine.recordWriting(List.of("a"), PromptQuarantineTests.this.now);
+			assertThat(verdict("a")).isEqualTo(PromptVerdict.Kind.HARMLESS);
+		}
+
+		@Test
+		void untilATrialIsDueAndForLongerIfTheTrialEndsARunner() {
+			for (int i = 0; i < 3; i++) {
+				endRunners(1, request(RequestProgress.STARTED, "a"));
+			}
+			PromptQuarantineTests.this.now += LONG_MILLIS;
+			assertThat(verdict("a")).isEqualTo(PromptVerdict.Kind.TRIAL_DUE);
+			PromptQuarantineTests.this.quarantine.startTrial("a", "r", PromptQuarantineTests.this.now);
+			assertThat(verdict("a")).isEqualTo(PromptVerdict.Kind.QUARANTINED);
+			endRunners(1, request(RequestProgress.STARTED, "a"));
+			PromptQuarantineTests.this.now += LONG_MILLIS;
+			assertThat(verdict("a")).isEqualTo(PromptVerdict.Kind.QUARANTINED);
+		}
+
+	}
+
+	@Nested
+	class Reports {
+
+		// Guards against gateways that disagree since reports arrived in another order.
+		@Test
+		void giveTheSameVerdictInAnyOrder() {
+			List<PartReport> reports = new ArrayList<>();
+			for (int i = 0; i < 6; i++) {
+				RunnerStart runner = new RunnerStart(new RunnerId("i-" + i), i);
+				reports.add(new PartReport("a", i == 4,
+						List.of(new PartReport.RunnerEndReport(runner, 1000L * i, 1 + i % 3, i == 5))));
+			}
+			for (int seed = 0; seed < 100; seed++) {
+				Collections.shuffle(reports, new Random(seed));
+				PromptQuarantine other = PromptQuarantine.create();
+				for (PartReport report : reports) {
+					other.merge(List.of(report), PromptQuarantineTests.this.now);
+				}
+				assertThat(other.verdict(List.of("a"), PromptQuarantineTests.this.now).kind()).as("seed " + seed)
+					.isEqualTo(PromptVerdict.Kind.QUARANTINED);
+			}
+		}
+
+		@Test
+		void bringAGatewayToTheSameVerdict() {
+			for (int i = 0; i < 3; i++) {
+				endRunners(1, request(RequestProgress.STARTED, "a"));
+			}
+			PromptQuarantine other = PromptQuarantine.create();
+			other.merge(PromptQuarantineTests.this.quarantine.snapshot(PromptQuarantineTests.this.now), 5);
+			assertThat(other.verdict(List.of("a"), 5).kind()).isEqualTo(PromptVerdict.Kind.QUARANTINED);
+		}
+
+	}
+
+	@Nested
+	class TheMemory {
+
+		// Guards against a caller that displaces what is known by naming many parts.
+		@Test
+		void isBoundedAndKeepsQuarantinesAndPartsInGeneralUse() {
+			for (int i = 0; i < 3; i++) {
+				endRunners(1, request(RequestProgress.STARTED, "bad"));
+				PromptQuarantineTests.this.quarantine.recordWriting(List.of("popular"),
+						PromptQuarantineTests.this.now++);
+			}
+			for (int i = 0; i < 100_000; i++) {
+				PromptQuarantineTests.this.quarantine.recordWriting(List.of("new" + i), PromptQuarantineTests.this.now);
+			}
+			for (int i = 0; i < 1000; i++) {
+				endRunners(1, request(RequestProgress.STARTED, "x" + i, "y" + i));
+			}
+			assertThat(PromptQuarantineTests.this.quarantine.size()).isLessThan(10_000);
+			assertThat(verdict("bad")).isNotIn(PromptVerdict.Kind.HARMLESS, PromptVerdict.Kind.SUSPECTED);
+			endRunners(1, request(RequestProgress.STARTED, "popular"));
+			assertThat(verdict("popular")).isEqualTo(PromptVerdict.Kind.HARMLESS);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/prompts/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the decisions on parts of prompts.
+ */
+package org.catkingate.decisions.prompts;
