--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/prompts/PartEvidence.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/prompts/PartEvidence.java
@@ -3,6 +3,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.catkingate.model.prompts.PartReport;
 import org.catkingate.model.prompts.RunnerStart;
@@ -203,6 +205,25 @@
 		this.trialUntilMillis = untilMillis;
 	}
 
+	/*
+	 * Whether the same ends blame both parts, so that nothing tells them apart.
+	 */
+	boolean isIndistinguishableFrom(PartEvidence other) {
+		return other != this && other.quarantined && unclearedRunners().equals(other.unclearedRunners());
+	}
+
+	private Set<RunnerStart> unclearedRunners() {
+		return this.ends.entrySet()
+			.stream()
+			.filter((entry) -> !entry.getValue().cleared())
+			.map(Map.Entry::getKey)
+			.collect(Collectors.toSet());
+	}
+
+	boolean isInTrial(long nowMillis) {
+		return nowMillis < this.trialUntilMillis;
+	}
+
 	boolean isQuarantined() {
 		return this.quarantined;
 	}
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/prompts/PromptQuarantine.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/prompts/PromptQuarantine.java
@@ -231,7 +231,7 @@
 		for (String part : parts) {
 			PartEvidence evidence = this.blamed.get(part);
 			if (evidence != null && !evidence.prune(nowMillis)) {
-				PromptVerdict verdict = evidence.verdict(part, this.strongest, nowMillis);
+				PromptVerdict verdict = verdict(part, evidence, parts, nowMillis);
 				if (verdict.kind().compareTo(worst.kind()) > 0) {
 					worst = verdict;
 				}
@@ -240,6 +240,21 @@
 		return worst;
 	}
 
+	/*
+	 * A request with only one of several parts that nothing tells apart is tried at once,
+	 * since its outcome decides between them.
+	 */
+	private PromptVerdict verdict(String part, PartEvidence evidence, List<String> parts, long nowMillis) {
+		PromptVerdict verdict = evidence.verdict(part, this.strongest, nowMillis);
+		if (verdict.kind() == PromptVerdict.Kind.QUARANTINED && !evidence.isInTrial(nowMillis) && this.blamed.entrySet()
+			.stream()
+			.anyMatch(
+					(other) -> !parts.contains(other.getKey()) && evidence.isIndistinguishableFrom(other.getValue()))) {
+			return new PromptVerdict(PromptVerdict.Kind.TRIAL_DUE, part, evidence.lastEndMillis() - nowMillis);
+		}
+		return verdict;
+	}
+
 	/**
 	 * Starts a trial of a part whose quarantine has expired. Until it has a result, the
 	 * part counts as quarantined again.
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/prompts/PromptQuarantineTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/prompts/PromptQuarantineTests.java
@@ -152,6 +152,28 @@
 
 	}
 
+	@Nested
+	class PartsThatNothingTellsApart {
+
+		// Guards against rejecting the sound requests that share a part with those that
+		// crash runners, if none of them had been served before.
+		@Test
+		void areTriedOneByOneByRequestsThatHaveOnlyOneOfThem() {
+			for (int i = 0; i < 3; i++) {
+				endRunners(1, request(RequestProgress.STARTED, "shared", "bad"));
+			}
+			assertThat(verdict("shared", "bad")).isEqualTo(PromptVerdict.Kind.QUARANTINED);
+			assertThat(verdict("shared", "other")).isEqualTo(PromptVerdict.Kind.TRIAL_DUE);
+			PromptQuarantineTests.this.quarantine.startTrial("shared", "r", PromptQuarantineTests.this.now);
+			assertThat(verdict("shared", "other")).isEqualTo(PromptVerdict.Kind.QUARANTINED);
+			PromptQuarantineTests.this.quarantine.recordWriting(List.of("shared", "other"),
+					PromptQuarantineTests.this.now);
+			assertThat(verdict("shared", "other")).isEqualTo(PromptVerdict.Kind.HARMLESS);
+			assertThat(verdict("bad", "other")).isEqualTo(PromptVerdict.Kind.QUARANTINED);
+		}
+
+	}
+
 	@Nested
 	class Reports {
 
