--- a/catkingate-wire/src/main/java/org/catkingate/wire/MessageCodec.java
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/MessageCodec.java
@@ -44,7 +44,8 @@
 			WeightsMessage.VersionDigests.class, RunnerMessage.RunnerUpdate.class,
 			RunnerMessage.VersionDeclaration.class, RunnerMessage.RolloutPosition.class,
 			RegistryMessage.CopyRequest.class, RegistryMessage.CopyContent.class, RunnerMessage.ForwardedUpdate.class,
-			RunnerMessage.RunnerUpdates.class, GatewayMessage.GatewayAddress.class, GatewayMessage.GatewayList.class);
+			RunnerMessage.RunnerUpdates.class, GatewayMessage.GatewayAddress.class, GatewayMessage.GatewayList.class,
+			PromptMessage.PartReports.class);
 
 	private static final int RESPONSE_DATA_KIND = KINDS.indexOf(RequestMessage.ResponseData.class);
 
--- a/catkingate-wire/src/test/java/org/catkingate/wire/MessageCodecTests.java
+++ b/catkingate-wire/src/test/java/org/catkingate/wire/MessageCodecTests.java
@@ -1,5 +1,6 @@
 package org.catkingate.wire;
 
+import java.util.Collections;
 import java.util.List;
 
 import org.junit.jupiter.api.Nested;
@@ -14,9 +15,12 @@
 import org.catkingate.model.RunnerStatus;
 import org.catkingate.model.ServiceName;
 import org.catkingate.model.VersionId;
+import org.catkingate.model.prompts.PartReport;
+import org.catkingate.model.prompts.RunnerStart;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+import static org.assertj.core.api.Assertions.assertThatIllegalArgumentException;
 
 /**
  * Tests for {@link MessageCodec}.
@@ -69,6 +73,13 @@
 			assertThat(roundTrip(response)).isEqualTo(response);
 		}
 
+		@Test
+		void ofReportsOnPartsOfPrompts() throws WireException {
+			Message reports = new PromptMessage.PartReports(List.of(new PartReport("5c1e07a2", true, List
+				.of(new PartReport.RunnerEndReport(new RunnerStart(new RunnerId("i-1"), 1L << 40), 250, 3, false)))));
+			assertThat(roundTrip(reports)).isEqualTo(reports);
+		}
+
 		@Test
 		void ofIssueKeyResponses() throws WireException {
 			Message issued = new IdempotencyKeyMessage.IssueKeyResponse(REQUEST, "ckt1~a~1", 900_000);
@@ -83,6 +94,20 @@
 
 	}
 
+	@Nested
+	class ReportsOnPartsOfPrompts {
+
+		@Test
+		void areLimitedInNumberAndLength() {
+			PartReport report = new PartReport("a", false, List.of());
+			assertThatIllegalArgumentException().isThrownBy(() -> new PromptMessage.PartReports(
+					Collections.nCopies(PromptMessage.PartReports.MAX_REPORTS + 1, report)));
+			assertThatIllegalArgumentException()
+				.isThrownBy(() -> new PartReport("a".repeat(PartReport.MAX_PART_LENGTH + 1), false, List.of()));
+		}
+
+	}
+
 	@Nested
 	class MalformedBytes {
 
