--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
@@ -21,6 +21,8 @@
 
 	private final Counter leavingRunners;
 
+	private final Counter quarantined;
+
 	private final Gauge inProgress;
 
 	private final Histogram timeToFirstByte;
@@ -45,6 +47,10 @@
 			.name("catkingate_gateway_runners_leaving")
 			.help("Starts of runners that stated in a response that they leave")
 			.register(registry);
+		this.quarantined = Counter.builder()
+			.name("catkingate_gateway_quarantined")
+			.help("Requests that were not sent, or not sent again, because of a part of their prompt")
+			.register(registry);
 		this.inProgress = Gauge.builder()
 			.name("catkingate_gateway_requests_in_progress")
 			.help("Requests in progress")
@@ -84,6 +90,10 @@
 		this.leavingRunners.inc();
 	}
 
+	void countQuarantined() {
+		this.quarantined.inc();
+	}
+
 	void countRejected(String outcome) {
 		this.requests.labelValues(outcome).inc();
 	}
