--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/registry/RegistryFollower.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/registry/RegistryFollower.java
@@ -255,7 +255,7 @@
 				.addKeyValue("source", restored.byCopy() ? "gateway" : "registry")
 				.addKeyValue("retained", restored.retained())
 				.addKeyValue("missing-runners", restored.missing())
-				.addKeyValue("age-ms", ageMillis())
+				.addKeyValue("age-ms", this.confirmedAt.equals(Moment.NEVER) ? "unknown" : ageMillis())
 				.log("the registry was restored from a copy; what it lacks is kept until it is written again");
 		}
 		else if (effect instanceof FollowEffect.ReportUnusable unusable) {
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/RegistryCopyTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/RegistryCopyTests.java
@@ -3,10 +3,13 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.Test;
@@ -14,7 +17,9 @@
 import org.catkingate.model.registry.CallKind;
 import org.catkingate.model.registry.RegistryItem;
 import org.catkingate.model.registry.RegistryPage;
+import org.catkingate.model.registry.RegistryPosition;
 import org.catkingate.model.registry.RegistryValue;
+import org.catkingate.model.registry.ServingConfiguration;
 import org.catkingate.runtime.platform.PlatformException;
 import org.catkingate.runtime.registry.Registry;
 import org.catkingate.standins.raw.RawServer;
@@ -61,6 +66,40 @@
 		}
 	}
 
+	// Guards against a revoked key that is accepted again by a gateway that starts after
+	// a restore of the registry, before the revocation is written again.
+	@Test
+	void aGatewayThatReadsARestoredRegistryTakesTheHigherConfigurationOfAnother() throws Exception {
+		InetSocketAddress seed = FreePorts.next();
+		try (RawServer runner = RawServer.respondingWith(RESPONSE)) {
+			List<RegistryItem> restored = publishedItems(runner.address());
+			List<RegistryItem> current = restored.stream().map(RegistryCopyTests::withKeysRevoked).toList();
+			List<RegistryItem> published = Stream.concat(restored.stream(), current.stream()).toList();
+			try (TestGateway first = TestGateway.start(
+					new FixedRegistry(current, new RegistryPosition(1, 100), published), seed,
+					(client, address) -> null, 8000);
+					TestGateway second = TestGateway.start(
+							new FixedRegistry(restored, new RegistryPosition(2, 40), published), FreePorts.next(),
+							(client, address) -> null, 8000, "127.0.0.1:" + seed.getPort());
+					RawCaller caller = second.connect()) {
+				assertThat(first.isReady()).isTrue();
+				assertThat(caller.post("r1", "/songs/1", "hello").readResponse()).startsWith("HTTP/1.1 401 ");
+				assertThat(runner.requestHeads()).isEmpty();
+			}
+		}
+	}
+
+	private static RegistryItem withKeysRevoked(RegistryItem item) {
+		if (!(item.value() instanceof RegistryValue.Configuration before)) {
+			return item;
+		}
+		ServingConfiguration configuration = before.configuration();
+		return new RegistryItem(item.key(), 90,
+				new RegistryValue.Configuration(new ServingConfiguration(configuration.version() + 1,
+						configuration.routes(), configuration.services(), Map.of(), configuration.limits())),
+				"revoked".getBytes(StandardCharsets.UTF_8));
+	}
+
 	// Guards against a gateway that accepts keys which may have been revoked, and against
 	// callers that are sent to a gateway that must reject them.
 	@Test
@@ -112,6 +151,38 @@
 		}
 	}
 
+	/**
+	 * A registry that never changes.
+	 *
+	 * @param items the content
+	 * @param position the position
+	 * @param published all items that were ever published, which differ in content
+	 */
+	private record FixedRegistry(List<RegistryItem> items, RegistryPosition position,
+			List<RegistryItem> published) implements Registry {
+
+		@Override
+		public CompletableFuture<RegistryPage> read(String afterKey) {
+			return CompletableFuture.completedFuture(new RegistryPage(this.items, false, this.position));
+		}
+
+		@Override
+		public CompletableFuture<RegistryPage> watch(long afterRevision, long waitMillis) {
+			return CompletableFuture.supplyAsync(() -> new RegistryPage(List.of(), false, this.position),
+					CompletableFuture.delayedExecutor(Math.min(200, waitMillis), TimeUnit.MILLISECONDS));
+		}
+
+		@Override
+		public RegistryValue decode(String key, byte[] content) {
+			return this.published.stream()
+				.filter((item) -> Arrays.equals(item.content(), content))
+				.findFirst()
+				.orElseThrow()
+				.value();
+		}
+
+	}
+
 	/**
 	 * A registry that never changes and fails at times.
 	 *
