End late responses with the faults in the property test of restores

A trial of 3,000 schedules failed at the last check (): the view was older than 4,750 ms, since the simulation went on to delay responses by up to 2.5 s while it expects calm.

--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/registry/RegistryRestorePropertiesTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/registry/RegistryRestorePropertiesTests.java
@@ -367,7 +367,8 @@
 				if (response != null) {
 					follower.calls.remove(pending);
 					// some responses are late, at times until after the next restore
-					long delay = (this.random.nextInt(20) == 0) ? this.random.nextInt(2500) : this.random.nextInt(30);
+					boolean late = this.now < FAULTS_END_MILLIS && this.random.nextInt(20) == 0;
+					long delay = late ? this.random.nextInt(2500) : this.random.nextInt(30);
 					follower.arrivals.add(new Arrival(this.now + delay, response));
 				}
 			}
