Keep runners that expired in an outage also if the history is gone

Callers were rejected after an outage of the registry: all runners whose registration had expired meanwhile were dropped at once.

Cause: the response that the history is gone restarted the full read without being recorded as the end of the outage, so that no grace period began and the outage was never logged as over.

Change: it is recorded like any other response.

Evidence: FollowReducerTests.keepRunnersThatExpiredMeanwhileAlsoIfTheHistoryIsGone failed before and passes now.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowReducer.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowReducer.java
@@ -370,7 +370,8 @@
 	private static ReductionResult<FollowState> handleFailure(FollowState state, long nowMillis,
 			FollowEvent.CallFailed event) {
 		if (event.historyGone()) {
-			return restartFullRead(state, nowMillis, new ArrayList<>());
+			List<Effect> effects = new ArrayList<>();
+			return restartFullRead(recordResponse(state, nowMillis, nowMillis, effects), nowMillis, effects);
 		}
 		FollowState.Calls calls = state.calls();
 		double draw = RendezvousHashing.uniform(RendezvousHashing.mix(state.seed() + calls.lastCall()));
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/registry/FollowReducerTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/registry/FollowReducerTests.java
@@ -247,6 +247,22 @@
 			assertThat(published().runners()).isEmpty();
 		}
 
+		// Guards against runners that are dropped at once since the registry, back from
+		// an
+		// outage, no longer keeps the history.
+		@Test
+		void keepRunnersThatExpiredMeanwhileAlsoIfTheHistoryIsGone() {
+			completeFullRead(runner("a", 3, false));
+			failCall(false);
+			tickAfter(900);
+			failCall(true);
+			onlyEffect(FollowEffect.ReportAvailable.class);
+			receivePage(false, 20);
+			assertThat(published().runners()).hasSize(1);
+			tickAfter(2100);
+			assertThat(published().runners()).isEmpty();
+		}
+
 		@Test
 		void doNotKeepARunnerThatWasDraining() {
 			completeFullRead(runner("a", 3, true));
