Send nothing to a runner for the time that it asks for with Retry-After (BUDGET)

Callers see: a runner that turned requests away with 503 and Retry-After got the next ones after 100 ms, and callers were told to return before it took requests.

Cause: a runner's Retry-After was not read; each rejection counted for 100 ms.

Change: the codec decodes it from 503 and 429, and the state of that start of the runner keeps it beside what it says of leaving (RunnerIntake). Until the time is over the runner is no option, and a request whose connection was being opened is not written. A shorter time does not shorten a longer one; a registration does not end it, another start does. Readings: fractions, rounded up to milliseconds; 0 is none; a date counts from the Date of the response, and is unreadable without one; a negative number or another text is ignored; of several values the longest that can be read; at most 300 s, since a longer time is likelier a mistake than meant. If all runners of a service have asked for a pause, callers are rejected at once with the time after which the first of them takes requests, spread over half of it, 0.8 to 2 s: over a fixed 0.8 s, those who were rejected during 4 s would come back at five times their usual rate. Without Retry-After the 100 ms stay.

Lines: runner-paused, at most one a second and runner; runner-pause-unusable, at most one a minute and runner. Counter catkingate_gateway_runner_pauses.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
@@ -94,6 +94,17 @@
 	 */
 	private static final long LOAD_RETRY_SPREAD_MILLIS = 800;
 
+	/**
+	 * The minimum time over which callers return to a service whose runners had all asked
+	 * for a pause, in milliseconds.
+	 */
+	private static final long MIN_PAUSE_RETRY_SPREAD_MILLIS = 800;
+
+	/**
+	 * The maximum time over which they return, in milliseconds.
+	 */
+	private static final long MAX_PAUSE_RETRY_SPREAD_MILLIS = 2000;
+
 	private AdmissionPolicies() {
 	}
 
@@ -132,6 +143,22 @@
 				Double.NaN, "most runners that serve this are loading weights");
 	}
 
+	/**
+	 * Decides on a call to a service all of whose runners have asked for a pause. It is
+	 * rejected, with a retry delay after which the first of them takes requests again. A
+	 * longer pause rejects more callers, so they return over a longer time.
+	 * @param shortestPauseMillis the time until then, in milliseconds
+	 * @param draw a random number from 0 to 1
+	 * @return the decision, never null
+	 */
+	public static AdmissionDecision whilePaused(long shortestPauseMillis, double draw) {
+		long spreadMillis = Math.max(MIN_PAUSE_RETRY_SPREAD_MILLIS,
+				Math.min(MAX_PAUSE_RETRY_SPREAD_MILLIS, shortestPauseMillis / 2));
+		return new AdmissionDecision.Reject(
+				Math.max(MIN_RETRY_AFTER_MILLIS, shortestPauseMillis) + (long) (draw * spreadMillis), Double.NaN,
+				"all runners that serve this have asked for a pause");
+	}
+
 	/**
 	 * Returns a policy that sends a call to the runner with the earliest predicted first
 	 * event. A call whose response is not predicted to start within its goal is rejected
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -233,7 +233,7 @@
 		}
 		this.log.addAttemptEnd(from, "not-sent", reason);
 		this.attempt = null;
-		this.unreachableRunners += (from.runner().accepts()) ? 1 : 0;
+		this.unreachableRunners += from.runner().accepts(this.sharedState.clock().millis()) ? 1 : 0;
 		if (this.unreachableRunners < MAX_UNREACHABLE_RUNNERS && remainingMillis() > 0) {
 			tryNextRunner();
 			return;
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
@@ -21,6 +21,8 @@
 
 	private final Counter leavingRunners;
 
+	private final Counter runnerPauses;
+
 	private final Gauge inProgress;
 
 	private final Histogram timeToFirstByte;
@@ -45,6 +47,10 @@
 			.name("catkingate_gateway_runners_leaving")
 			.help("Starts of runners that stated in a response that they leave")
 			.register(registry);
+		this.runnerPauses = Counter.builder()
+			.name("catkingate_gateway_runner_pauses")
+			.help("Times that runners asked for no requests for a while")
+			.register(registry);
 		this.inProgress = Gauge.builder()
 			.name("catkingate_gateway_requests_in_progress")
 			.help("Requests in progress")
@@ -84,6 +90,10 @@
 		this.leavingRunners.inc();
 	}
 
+	void countRunnerPause() {
+		this.runnerPauses.inc();
+	}
+
 	void countRejected(String outcome) {
 		this.requests.labelValues(outcome).inc();
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
@@ -98,7 +98,7 @@
 			this.runner.connections().release(connection);
 			return;
 		}
-		if (!this.runner.accepts()) {
+		if (!this.runner.accepts(this.clock.millis())) {
 			this.runner.connections().release(connection);
 			finish();
 			this.listener.onNotSent(this, "the runner takes no new requests");
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerIntakeLog.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerIntakeLog.java
@@ -3,6 +3,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import org.catkingate.decisions.admission.RunnerIntake;
 import org.catkingate.model.registry.RegisteredRunner;
 import org.catkingate.runtime.calls.RunnerResponseHead;
 
@@ -14,6 +15,9 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(RunnerIntakeLog.class);
 
+	/** The length up to which a value that cannot be read is logged. */
+	private static final int MAX_VALUE_LENGTH = 80;
+
 	private final GatewayMetrics metrics;
 
 	RunnerIntakeLog(GatewayMetrics metrics) {
@@ -40,4 +44,51 @@
 			.log("a runner states that it leaves; it gets no new requests");
 	}
 
+	/**
+	 * Records that a runner that took requests has asked for a pause.
+	 * @param runner the runner
+	 * @param status the status of the response with the request for a pause
+	 * @param response the head of that response
+	 * @param pauseMillis the pause that it is granted, in milliseconds
+	 * @param logged whether to log it, besides counting it
+	 */
+	void recordPause(RegisteredRunner runner, int status, RunnerResponseHead response, long pauseMillis,
+			boolean logged) {
+		this.metrics.countRunnerPause();
+		if (logged) {
+			logger.atInfo()
+				.addKeyValue("event", "runner-paused")
+				.addKeyValue("runner", runner.id())
+				.addKeyValue("started", runner.startedAtEpochMillis())
+				.addKeyValue("service", runner.service())
+				.addKeyValue("address", runner.addressText())
+				.addKeyValue("requested-ms", response.pause().millis())
+				.addKeyValue("granted-ms", pauseMillis)
+				.addKeyValue("id", response.requestId())
+				.addKeyValue("status", status)
+				.log("a runner asks for a pause; it gets no requests until it is over");
+		}
+	}
+
+	/**
+	 * Records that a runner has asked for a pause that cannot be granted as requested.
+	 * @param runner the runner
+	 * @param status the status of the response
+	 * @param response the head of that response
+	 */
+	void recordUnusablePause(RegisteredRunner runner, int status, RunnerResponseHead response) {
+		String value = response.pause().unreadable().orElseGet(() -> response.pause().millis() + " ms");
+		logger.atWarn()
+			.addKeyValue("event", "runner-pause-unusable")
+			.addKeyValue("runner", runner.id())
+			.addKeyValue("started", runner.startedAtEpochMillis())
+			.addKeyValue("service", runner.service())
+			.addKeyValue("address", runner.addressText())
+			.addKeyValue("value", value.substring(0, Math.min(MAX_VALUE_LENGTH, value.length())))
+			.addKeyValue("used-ms", Math.min(response.pause().millis(), RunnerIntake.MAX_PAUSE_MILLIS))
+			.addKeyValue("id", response.requestId())
+			.addKeyValue("status", status)
+			.log("a runner asks for a pause that is unreadable or too long; the stated time is used");
+	}
+
 }
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
@@ -9,6 +9,7 @@
 import org.catkingate.decisions.routing.Distance;
 import org.catkingate.model.ModelName;
 import org.catkingate.model.registry.RegisteredRunner;
+import org.catkingate.runtime.calls.RequestedPause;
 import org.catkingate.runtime.calls.RunnerLoad;
 import org.catkingate.runtime.calls.RunnerResponseHead;
 import org.catkingate.runtime.http.ConnectionPool;
@@ -57,6 +58,18 @@
 	 */
 	private static final int MIN_SUSPECT_FAILURES = 2;
 
+	/**
+	 * The minimum interval between two lines in the log about pauses that the runner asks
+	 * for. A pause may be shorter.
+	 */
+	private static final long PAUSE_LOG_INTERVAL_MILLIS = 1000;
+
+	/**
+	 * The minimum interval between two lines in the log about requested pauses that
+	 * cannot be granted as requested.
+	 */
+	private static final long UNUSABLE_PAUSE_LOG_INTERVAL_MILLIS = 60_000;
+
 	/**
 	 * The age of the oldest pending request from which a runner counts as stalled: it is
 	 * slow, unresponsive, or behind a congested network link. The value is twice the
@@ -91,6 +104,10 @@
 
 	private RunnerIntake intake;
 
+	private long pauseLoggableAtMillis = Long.MIN_VALUE;
+
+	private long unusablePauseLoggableAtMillis = Long.MIN_VALUE;
+
 	private RegisteredRunner runner;
 
 	private Map<ModelName, Long> reportedVersions = Map.of();
@@ -177,10 +194,11 @@
 	/**
 	 * Returns whether a request may be sent now. Must also be checked immediately before
 	 * a request is written, since the runner may have made a statement after the choice.
+	 * @param nowMillis the time now, in monotonic milliseconds
 	 * @return whether neither the runner nor its registration states otherwise
 	 */
-	boolean accepts() {
-		return !isLeaving();
+	boolean accepts(long nowMillis) {
+		return !isLeaving() && this.intake.accepts(nowMillis);
 	}
 
 	/**
@@ -197,6 +215,23 @@
 			this.connections.close();
 			this.intakeLog.recordLeaving(this.runner, status, response);
 		}
+		recordPause(status, response, nowMillis);
+	}
+
+	private void recordPause(int status, RunnerResponseHead response, long nowMillis) {
+		RequestedPause pause = response.pause();
+		boolean begins = pause.millis() > 0 && this.intake.pauseLeftMillis(nowMillis) == 0;
+		this.intake = this.intake.withPause(pause.millis(), nowMillis);
+		if (begins) {
+			boolean logged = nowMillis >= this.pauseLoggableAtMillis;
+			this.intakeLog.recordPause(this.runner, status, response, this.intake.pauseLeftMillis(nowMillis), logged);
+			this.pauseLoggableAtMillis = logged ? nowMillis + PAUSE_LOG_INTERVAL_MILLIS : this.pauseLoggableAtMillis;
+		}
+		boolean unusable = pause.unreadable().isPresent() || pause.millis() > RunnerIntake.MAX_PAUSE_MILLIS;
+		if (unusable && nowMillis >= this.unusablePauseLoggableAtMillis) {
+			this.intakeLog.recordUnusablePause(this.runner, status, response);
+			this.unusablePauseLoggableAtMillis = nowMillis + UNUSABLE_PAUSE_LOG_INTERVAL_MILLIS;
+		}
 	}
 
 	boolean isFull(long nowMillis) {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -100,17 +100,34 @@
 		List<RunnerOption> options = new ArrayList<>();
 		for (RunnerState state : this.runners.values()) {
 			if (canServe(state, service, models, nowMillis) && !triedRunners.contains(state.runner().id())
-					&& !state.isFull(nowMillis)) {
+					&& !state.isFull(nowMillis) && state.accepts(nowMillis)) {
 				options.add(state.createOption(meanPromptTokens, otherGateways,
 						startLimitMillis(models, state.servedVersions(nowMillis)) - nowMillis, nowMillis));
 			}
 		}
 		AdmissionDecision decision = this.policy.decide(options, requirements, engine, draw);
-		return (decision instanceof AdmissionDecision.Reject && !models.isEmpty()
-				&& areMostLoading(service, models, nowMillis))
-						? AdmissionPolicies.whileLoading(recordLoading(service, nowMillis),
-								requirements.remainingMillis(), draw)
-						: decision;
+		if (!(decision instanceof AdmissionDecision.Reject)) {
+			return decision;
+		}
+		if (!models.isEmpty() && areMostLoading(service, models, nowMillis)) {
+			return AdmissionPolicies.whileLoading(recordLoading(service, nowMillis), requirements.remainingMillis(),
+					draw);
+		}
+		long pauseMillis = shortestPauseMillis(service, models, nowMillis);
+		return (pauseMillis > 0) ? AdmissionPolicies.whilePaused(pauseMillis, draw) : decision;
+	}
+
+	/*
+	 * Returns the time until the first runner of a service takes requests again, 0 if one
+	 * takes requests now or none will.
+	 */
+	private long shortestPauseMillis(ServiceName service, List<ModelName> models, long nowMillis) {
+		return this.runners.values()
+			.stream()
+			.filter((state) -> canServe(state, service, models, nowMillis))
+			.mapToLong((state) -> state.intake().pauseLeftMillis(nowMillis))
+			.min()
+			.orElse(0);
 	}
 
 	/*
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/calls/RunnerResponseHead.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/calls/RunnerResponseHead.java
@@ -16,9 +16,10 @@
  * milliseconds; 0 if it closes the connection, {@link Long#MAX_VALUE} if this is not sent
  * @param leaving whether the sender of the response states that it leaves and wants no
  * new requests
+ * @param pause the time for which the sender wants no requests
  * @since 0.1
  */
 public record RunnerResponseHead(String requestId, boolean signed, boolean notRun, boolean misdirected,
-		Optional<RunnerLoad> load, long keepAliveMillis, boolean leaving) {
+		Optional<RunnerLoad> load, long keepAliveMillis, boolean leaving, RequestedPause pause) {
 
 }
