--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
@@ -23,6 +23,8 @@
 
 	private final Counter quarantined;
 
+	private final Counter runnerPauses;
+
 	private final Gauge inProgress;
 
 	private final Histogram timeToFirstByte;
@@ -51,6 +53,10 @@
 			.name("catkingate_gateway_quarantined")
 			.help("Requests that were not sent, or not sent again, because of a part of their prompt")
 			.register(registry);
+		this.runnerPauses = Counter.builder()
+			.name("catkingate_gateway_runner_pauses")
+			.help("Times that runners asked for no requests for a while")
+			.register(registry);
 		this.inProgress = Gauge.builder()
 			.name("catkingate_gateway_requests_in_progress")
 			.help("Requests in progress")
@@ -94,6 +100,10 @@
 		this.quarantined.inc();
 	}
 
+	void countRunnerPause() {
+		this.runnerPauses.inc();
+	}
+
 	void countRejected(String outcome) {
 		this.requests.labelValues(outcome).inc();
 	}
