--- a/catkingate-soak/src/test/java/org/catkingate/soak/RunnerStandIn.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/RunnerStandIn.java
@@ -18,7 +18,7 @@
  */
 final class RunnerStandIn implements AutoCloseable {
 
-	/** The number of requests that run at the same time. */
+	/** The number of requests that it begins to run at the same time. */
 	static final int SLOTS = 8;
 
 	/** How long a busy runner asks to be left alone, in seconds. */
@@ -100,8 +100,11 @@
 			this.judge.pauseRequested(requestId, this.id, this.clock.millis(), PAUSE_SECONDS * 1000L);
 			return reject(requestId, "Retry-After: " + PAUSE_SECONDS + "\r\n");
 		}
-		if (this.weights != null && !this.weights.areLoaded() || this.running.incrementAndGet() > SLOTS) {
-			this.running.updateAndGet((count) -> Math.max(0, count - 1));
+		if (this.weights != null && !this.weights.areLoaded()) {
+			return reject(requestId, "");
+		}
+		if (this.running.incrementAndGet() > SLOTS) {
+			this.running.decrementAndGet();
 			return reject(requestId, "");
 		}
 		try {
--- a/catkingate-soak/src/test/java/org/catkingate/soak/SoakProcess.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakProcess.java
@@ -110,7 +110,7 @@
 	}
 
 	/**
-	 * Kills the process and starts the next one after a time.
+	 * Kills the process and waits for its end.
 	 */
 	synchronized void kill() {
 		this.process.kill();
--- a/catkingate-soak/src/test/java/org/catkingate/soak/SoakRunner.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakRunner.java
@@ -34,8 +34,6 @@
 
 	private boolean leaving;
 
-	private boolean registered;
-
 	private int boots;
 
 	private long bornAtEpochMillis;
@@ -90,9 +88,6 @@
 		if (this.runner != null) {
 			return;
 		}
-		if (this.registered) {
-			this.registry.delete(key());
-		}
 		this.boots++;
 		this.weights = this.service.equals(RequestKind.GENERATION.service()) ? new ModelWeights(this.clock) : null;
 		this.leaving = false;
@@ -104,8 +99,8 @@
 		register();
 	}
 
-	private String key() {
-		return RUNNERS_PREFIX + this.name + "-" + this.boots;
+	private String key(int boot) {
+		return RUNNERS_PREFIX + this.name + "-" + boot;
 	}
 
 	/**
@@ -130,8 +125,11 @@
 		if (this.weights != null) {
 			json.set("Models", this.weights.models());
 		}
-		this.registry.put(key(), json);
-		this.registered = true;
+		this.registry.put(key(this.boots), json);
+		// an older copy of the registry may contain earlier boots
+		for (int boot = 1; boot < this.boots; boot++) {
+			this.registry.delete(key(boot));
+		}
 	}
 
 	/**
--- a/catkingate-soak/src/test/java/org/catkingate/soak/SoakTests.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakTests.java
@@ -91,7 +91,7 @@
 		});
 	}
 
-	@ParameterizedTest
+	@ParameterizedTest(name = "{0}")
 	@EnumSource(Promise.class)
 	void promiseIsKept(Promise promise) {
 		assertThat(breaches.getOrDefault(promise, List.of())).isEmpty();
@@ -102,7 +102,7 @@
 		assertThat(failures).isEmpty();
 	}
 
-	@ParameterizedTest
+	@ParameterizedTest(name = "{0}")
 	@EnumSource(RequestKind.class)
 	void requestsOfEachKindAreServed(RequestKind kind) {
 		assertThat(served.get(kind)).isPositive();
