--- a/catkingate-soak/src/test/java/org/catkingate/soak/SoakFault.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakFault.java
@@ -268,8 +268,7 @@
 	}
 
 	private static Recovery terminate(SoakProcess process) {
-		int boot = process.boots();
-		process.terminate();
+		int boot = process.terminate();
 		return () -> process.awaitEndAndStart(boot);
 	}
 
--- a/catkingate-soak/src/test/java/org/catkingate/soak/SoakProcess.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakProcess.java
@@ -122,10 +122,15 @@
 		}
 	}
 
-	synchronized void terminate() {
+	/**
+	 * Requests a graceful shutdown.
+	 * @return the number of the boot that was told to end
+	 */
+	synchronized int terminate() {
 		if (this.process.isAlive()) {
 			this.process.terminate();
 		}
+		return this.boots;
 	}
 
 	/**
@@ -146,10 +151,6 @@
 		start();
 	}
 
-	int boots() {
-		return this.boots;
-	}
-
 	synchronized void hangUp() {
 		if (this.process.isAlive()) {
 			this.process.hangUp();
