--- a/catkingate-soak/src/test/java/org/catkingate/soak/SoakProcess.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakProcess.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -24,6 +25,9 @@
 
 	private static final Duration SHUTDOWN_LIMIT = Duration.ofSeconds(8);
 
+	/** The time until the end of a process that is gone is known. */
+	private static final Duration GONE_LIMIT = Duration.ofSeconds(1);
+
 	private static final int PROBE_TIMEOUT_MILLIS = 2000;
 
 	private final Path directory;
@@ -89,6 +93,21 @@
 		return Arrays.asList(command.split(" "));
 	}
 
+	/*
+	 * A process that was told to end may be gone just before the signal. Returns whether
+	 * it was there.
+	 */
+	private boolean signal(Consumer<ChildProcess> signal) {
+		try {
+			signal.accept(this.process);
+			return true;
+		}
+		catch (IllegalStateException ex) {
+			this.process.awaitExit(GONE_LIMIT);
+			return false;
+		}
+	}
+
 	/**
 	 * Suspends the process.
 	 * @return whether it was running
@@ -97,14 +116,13 @@
 		if (this.suspended || !this.process.isAlive()) {
 			return false;
 		}
-		this.process.freeze();
-		this.suspended = true;
-		return true;
+		this.suspended = signal(ChildProcess::freeze);
+		return this.suspended;
 	}
 
 	synchronized void resume() {
 		if (this.suspended && this.process.isAlive()) {
-			this.process.thaw();
+			signal(ChildProcess::thaw);
 		}
 		this.suspended = false;
 	}
@@ -128,7 +146,7 @@
 	 */
 	synchronized int terminate() {
 		if (this.process.isAlive()) {
-			this.process.terminate();
+			signal(ChildProcess::terminate);
 		}
 		return this.boots;
 	}
@@ -153,7 +171,7 @@
 
 	synchronized void hangUp() {
 		if (this.process.isAlive()) {
-			this.process.hangUp();
+			signal(ChildProcess::hangUp);
 		}
 	}
 
