Reject malformed chunks in requests before the parser reads them

Callers: a chunk longer than its size (`3;x CRLF abcd CRLF`), lines that end with a bare LF or CR, control characters in size lines and overlong extensions and trailers were answered 200, and the runner got the body as the parser had read it. Other malformed chunks closed the connection without a response. All of them now get 400 and a closed connection, and no byte of them reaches a runner.

Cause: Undertow's chunk reader skips to the end of a line wherever one is due, and closes the connection itself if it finds an error.

Change: a conduit in front of the parser validates the raw bytes while a request with a body in chunks is read, including the bytes that came with the head. It costs other requests a comparison for each read.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/CallerServer.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/CallerServer.java
@@ -49,7 +49,10 @@
 			.set(Options.BACKLOG, BACKLOG)
 			.getMap();
 		AcceptingChannel<StreamConnection> channel = worker.createStreamConnectionServer(address,
-				ChannelListeners.openListenerAdapter(listener), socket);
+				ChannelListeners.openListenerAdapter((connection) -> {
+					ValidatingSourceConduit.install(connection);
+					listener.handleEvent(connection);
+				}), socket);
 		return new CallerServer(listener, channel);
 	}
 
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestHandler.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestHandler.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.undertow.io.Receiver;
+import io.undertow.server.Connectors;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
@@ -27,6 +28,8 @@
  */
 final class RequestHandler implements HttpHandler {
 
+	private static final String MALFORMED_CHUNKS = "the body is not in well-formed chunks";
+
 	private final SharedCallState sharedState;
 
 	private final RegistryCopy registry;
@@ -63,9 +66,23 @@
 			reject(exchange, null, Rejection.of(Rejection.Kind.MALFORMED, ex.getMessage()));
 			return;
 		}
+		if (exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING)
+				&& !ValidatingSourceConduit.validateBody(exchange, () -> handleMalformedBody(exchange, head))) {
+			reject(exchange, head, Rejection.of(Rejection.Kind.MALFORMED, MALFORMED_CHUNKS));
+			return;
+		}
 		admit(exchange, head);
 	}
 
+	private void handleMalformedBody(HttpServerExchange exchange, CallerHead head) {
+		if (exchange.isResponseStarted()) {
+			IoUtils.safeClose(exchange.getConnection());
+			return;
+		}
+		Connectors.executeRootHandler(
+				(same) -> reject(same, head, Rejection.of(Rejection.Kind.MALFORMED, MALFORMED_CHUNKS)), exchange);
+	}
+
 	private void admit(HttpServerExchange exchange, CallerHead head) {
 		ServingConfiguration configuration = this.registry.configuration().orElse(null);
 		if (configuration == null) {
