Send each response to a pipelined request when it is there

Callers: a request that had run got 400 in place of its response if the head behind it on the same connection could not be read.

Cause: with BUFFER_PIPELINED_DATA, Undertow held the response back to send it with the next one, and its 400 for an unreadable head bypasses that buffer and closes the connection.

Change: the option is not set. Responses to requests that are not pipelined were never held back.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/CallerServer.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/CallerServer.java
@@ -67,7 +67,6 @@
 
 	private static OptionMap options(CallerLimits limits) {
 		OptionMap.Builder options = OptionMap.builder()
-			.set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
 			.set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
 			.set(UndertowOptions.ALWAYS_SET_DATE, false)
 			.set(UndertowOptions.MAX_HEADERS, MAX_HEADERS);
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/CallerInputTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/CallerInputTests.java
@@ -1,6 +1,7 @@
 package org.catkingate.tests.gateway;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -19,6 +20,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.catkingate.model.registry.CallKind;
 import org.catkingate.tests.gateway.CallerInput.Result;
@@ -29,10 +31,22 @@
 /**
  * Tests of what a gateway makes of the bytes of callers, over real sockets. They compare
  * what the runner reads and what callers receive with what was sent. A request that ever
- * had the wrong result is kept as one of {@link CallerInput#irregular}.
+ * had the wrong result is kept as one of {@link CallerInput#irregular} or as a test; the
+ * seed of generated requests is printed, and can be set with the property
+ * {@value #SEED_PROPERTY}.
  */
 class CallerInputTests {
 
+	private static final String SEED_PROPERTY = "caller-input.seed";
+
+	private static final int GENERATED_CONNECTIONS = 300;
+
+	private static final int MAX_REQUESTS_PER_CONNECTION = 4;
+
+	private static final int MAX_PARTS = 4;
+
+	private static final int MAX_HEAD_BYTES = 16_384;
+
 	private static final Pattern REJECTION = Pattern.compile("(?s)HTTP/1\\.1 (400|408|413|431) .*");
 
 	private static final AtomicInteger ids = new AtomicInteger();
@@ -142,6 +156,18 @@
 		assertThat(request.head()).doesNotContain("hidden");
 	}
 
+	private static List<String> split(String bytes, SplittableRandom random) {
+		List<Integer> cuts = random.ints(random.nextInt(MAX_PARTS), 0, bytes.length()).sorted().boxed().toList();
+		List<String> parts = new ArrayList<>();
+		int start = 0;
+		for (int cut : cuts) {
+			parts.add(bytes.substring(start, cut));
+			start = cut;
+		}
+		parts.add(bytes.substring(start));
+		return parts;
+	}
+
 	private static String join(List<CallerInput> inputs) {
 		return inputs.stream().map(CallerInput::bytes).collect(Collectors.joining());
 	}
@@ -152,6 +178,34 @@
 		exchange(List.of(input), List.of(input.bytes().split("")));
 	}
 
+	@Nested
+	class GeneratedRequests {
+
+		@Test
+		void areServedUnchangedOrRejectedAndDisconnected() throws Exception {
+			long seed = Long.getLong(SEED_PROPERTY, System.nanoTime());
+			System.out.println("CallerInputTests: -D" + SEED_PROPERTY + "=" + seed);
+			SplittableRandom random = new SplittableRandom(seed);
+			for (int i = 0; i < GENERATED_CONNECTIONS; i++) {
+				List<CallerInput> inputs = new ArrayList<>();
+				int requests = 1 + random.nextInt(MAX_REQUESTS_PER_CONNECTION);
+				int irregular = random.nextInt(2 * requests);
+				for (int j = 0; j < requests; j++) {
+					List<CallerInput> forms = CallerInput.irregular(nextId());
+					inputs.add((j == irregular) ? forms.get(random.nextInt(forms.size()))
+							: CallerInput.wellFormed(random, nextId()));
+				}
+				try {
+					exchange(inputs, split(join(inputs), random));
+				}
+				catch (AssertionError ex) {
+					throw new AssertionError("seed " + seed + ", connection " + i + ": " + inputs, ex);
+				}
+			}
+		}
+
+	}
+
 	@Nested
 	class AnIrregularRequest {
 
@@ -175,6 +229,42 @@
 
 	}
 
+	@Nested
+	class PipelinedRequests {
+
+		// Guards against a response of 400 in place of the response to a request that has
+		// run, because the head behind it on the same connection cannot be read.
+		@ParameterizedTest
+		@ValueSource(strings = { "LENGTH", "CHUNKS", "LATE" })
+		void inFrontOfAnUnreadableHeadGetTheirResponses(String form) throws Exception {
+			for (int unreadBytes = 0; unreadBytes <= MAX_HEAD_BYTES; unreadBytes += MAX_HEAD_BYTES / 8) {
+				String first = nextId();
+				String bytes = head(first) + RecordingRunner.RESPONSE_HEADER + ": " + form + "\r\n\r\n";
+				String unreadable = head("second") + "X-A: " + "x".repeat(MAX_HEAD_BYTES + 4000) + "\r\n\r\n";
+				List<CallerInput> inputs = List.of(
+						new CallerInput("first", first, "POST", "/songs/1", "", bytes, Result.SERVED),
+						new CallerInput("unreadable", nextId(), "", "", "", unreadable, Result.REJECTED));
+				int place = bytes.length() + unreadBytes;
+				exchange(inputs, List.of(join(inputs).substring(0, place), join(inputs).substring(place)));
+			}
+		}
+
+		@Test
+		void getTheirResponsesWithoutWaitingForTheNext() throws Exception {
+			try (RawCaller caller = gateway.connect()) {
+				caller.send(head("first") + "Content-Length: 0\r\n\r\n" + head("second") + "Content-Length: 5\r\n\r\n");
+				assertThat(caller.readResponse()).contains(RecordingRunner.responseBody("first"));
+				assertThat(caller.send("hello").readResponse()).contains(RecordingRunner.responseBody("second"));
+			}
+		}
+
+		private static String head(String id) {
+			return "POST /songs/1 HTTP/1.1\r\nHost: " + TestGateway.HOST + "\r\nX-Request-Id: " + id
+					+ "\r\nX-Deadline-Ms: 2500\r\nAuthorization: Bearer " + TestGateway.API_KEY + "\r\n";
+		}
+
+	}
+
 	@Nested
 	class ARequestInTwoParts {
 
