--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -12,6 +12,8 @@
 
 import org.catkingate.decisions.admission.AdmissionDecision;
 import org.catkingate.decisions.admission.CallRequirements;
+import org.catkingate.decisions.prompts.PromptQuarantine;
+import org.catkingate.decisions.prompts.PromptVerdict;
 import org.catkingate.model.ModelName;
 import org.catkingate.model.RunnerId;
 import org.catkingate.model.registry.CallKind;
@@ -121,6 +123,14 @@
 	}
 
 	private void tryNextRunner() {
+		PromptVerdict verdict = this.sharedState.prompts()
+			.admit(this.admitted.head().requestId(), this.admitted.head().sharedParts());
+		if (verdict.kind() == PromptVerdict.Kind.QUARANTINED) {
+			this.log.addQuarantine(verdict);
+			this.sharedState.metrics().countQuarantined();
+			rejectOrAbort(verdict.remainingMillis(), "a part of its prompt has crashed several runners");
+			return;
+		}
 		follow(this.sharedState.decide(this.admitted.service(), requirements(), this.triedRunners));
 	}
 
@@ -224,6 +234,15 @@
 	@Override
 	public void onSend(RunnerAttempt from) {
 		this.sends++;
+		this.sharedState.prompts()
+			.recordSend(from, this.admitted.head().requestId(), this.admitted.head().sharedParts(),
+					() -> withdraw(from));
+	}
+
+	private void withdraw(RunnerAttempt from) {
+		if (!isStale(from)) {
+			failAttempt(from, "withdrawn", "a part of its prompt has been quarantined");
+		}
 	}
 
 	@Override
@@ -252,6 +271,7 @@
 			return false;
 		}
 		if (response.notRun()) {
+			this.sharedState.prompts().recordEnd(from, false);
 			recordRejection(from.runner(), response);
 			from.discard();
 			this.log.addAttemptEnd(from, "refused", "status " + head.getResponseCode());
@@ -341,6 +361,9 @@
 		if (this.firstByteMillis < 0) {
 			this.firstByteMillis = this.sharedState.clock().millis() - this.admitted.arrivedAtMillis();
 		}
+		if (this.relay.status() < MIN_FAILURE_STATUS) {
+			this.sharedState.prompts().recordData(from);
+		}
 		this.relay.receiveData(bytes);
 		if (this.relay.hasUnplaceableEvent()) {
 			failAttempt(from, "no-continuation", "an event does not follow those that were forwarded");
@@ -366,6 +389,7 @@
 			return;
 		}
 		int status = this.relay.status();
+		this.sharedState.prompts().recordEnd(from, status < MIN_FAILURE_STATUS);
 		if (status >= MIN_FAILURE_STATUS && this.route.canRunAgain() && !this.relay.isStarted()) {
 			this.log.addAttemptEnd(from, "failed", "status " + status);
 			retryOrElse(() -> completeResponse(from));
@@ -387,12 +411,47 @@
 			return;
 		}
 		this.mayHaveRun = true;
-		failAttempt(from, "broken", reason);
+		this.sharedState.prompts().recordBreak(from);
+		boolean harmless = this.admitted.head().sharedParts().isEmpty()
+				|| from.respondingMillis(this.sharedState.clock().millis()) >= PromptQuarantine.CLEARING_MILLIS;
+		if (harmless || !this.route.canRunAgain()) {
+			failAttempt(from, "broken", reason);
+			return;
+		}
+		this.log.addAttemptEnd(from, "broken", progress(from) + ": " + reason);
+		this.attempt = null;
+		this.relay.discardBuffered();
+		this.exchange.getIoThread()
+			.executeAfter(() -> retryUnlessSuspected(reason), PromptGuard.EVALUATION_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private static String progress(RunnerAttempt attempt) {
+		if (attempt.isResponseStarted()) {
+			return "body begun";
+		}
+		return (attempt.responseHead() != null) ? "head received, no body" : "no head received";
+	}
+
+	private void retryUnlessSuspected(String reason) {
+		if (this.finished) {
+			return;
+		}
+		if (!this.sharedState.prompts().canRetry(this.admitted.head().sharedParts())) {
+			this.sharedState.metrics().countQuarantined();
+			rejectOrAbort(0, "a part of its prompt may have ended its runner: " + reason);
+		}
+		else if (this.relay.canBeContinued()) {
+			retryOrElse(() -> rejectOrAbort(0, reason));
+		}
+		else {
+			rejectOrAbort(0, reason);
+		}
 	}
 
 	private void failAttempt(RunnerAttempt from, String outcome, String reason) {
 		this.mayHaveRun = true;
 		this.log.addAttemptEnd(from, outcome, reason);
+		this.sharedState.prompts().recordEnd(from, false);
 		from.cancel();
 		this.attempt = null;
 		this.relay.discardBuffered();
@@ -470,6 +529,7 @@
 	private void cancelAttempt(String outcome) {
 		if (this.attempt != null) {
 			this.log.addAttemptEnd(this.attempt, outcome, "");
+			this.sharedState.prompts().recordEnd(this.attempt, false);
 			this.attempt.cancel();
 			this.attempt = null;
 		}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
@@ -19,6 +19,8 @@
 
 	private final Counter malformed;
 
+	private final Counter quarantined;
+
 	private final Gauge inProgress;
 
 	private final Histogram timeToFirstByte;
@@ -39,6 +41,10 @@
 			.name("catkingate_gateway_malformed")
 			.help("Requests that could not be understood")
 			.register(registry);
+		this.quarantined = Counter.builder()
+			.name("catkingate_gateway_quarantined")
+			.help("Requests that were not sent, or not sent again, because of a part of their prompt")
+			.register(registry);
 		this.inProgress = Gauge.builder()
 			.name("catkingate_gateway_requests_in_progress")
 			.help("Requests in progress")
@@ -74,6 +80,10 @@
 		this.malformed.inc();
 	}
 
+	void countQuarantined() {
+		this.quarantined.inc();
+	}
+
 	void countRejected(String outcome) {
 		this.requests.labelValues(outcome).inc();
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
@@ -27,6 +27,7 @@
 import org.catkingate.model.ModelName;
 import org.catkingate.model.RegionName;
 import org.catkingate.model.Role;
+import org.catkingate.model.prompts.PartReport;
 import org.catkingate.model.registry.RegisteredRunner;
 import org.catkingate.model.registry.WeightsOrigin;
 import org.catkingate.runtime.MonotonicClock;
@@ -41,6 +42,7 @@
 import org.catkingate.wire.GatewayMessage;
 import org.catkingate.wire.HandshakeMessage;
 import org.catkingate.wire.Message;
+import org.catkingate.wire.PromptMessage;
 import org.catkingate.wire.RegistryMessage;
 import org.catkingate.wire.RunnerMessage;
 import org.catkingate.wire.WeightsMessage;
@@ -95,6 +97,8 @@
 
 	private final RegistryCopyExchange copies;
 
+	private final PromptGuard prompts;
+
 	private final GatewayDirectory directory;
 
 	private final ListedGateways listedGateways;
@@ -116,8 +120,9 @@
 	private GatewayPeers(HandshakeMessage.PeerIdentity self, PeerSettings settings, XnioWorker worker,
 			Supplier<Optional<WeightsOrigin>> publishedOrigin, Supplier<Optional<PieceOrigin>> origin,
 			Function<DataCentreName, RegionName> regions, RunnerTable table, DeclaredVersions versions,
-			RegistryCopyExchange copies, MonotonicClock clock) {
+			RegistryCopyExchange copies, PromptGuard prompts, MonotonicClock clock) {
 		this.copies = copies;
+		this.prompts = prompts;
 		this.self = self;
 		this.publishedOrigin = publishedOrigin;
 		this.regions = regions;
@@ -157,6 +162,7 @@
 	 * @param versions receives the versions that others report, and provides those to
 	 * send
 	 * @param copies exchanges copies of the registry
+	 * @param prompts receives and provides reports on parts of prompts
 	 * @param clock the clock
 	 * @return the connections, never null
 	 * @throws IOException if the address cannot be used
@@ -164,9 +170,10 @@
 	static GatewayPeers start(HandshakeMessage.PeerIdentity self, PeerSettings settings, XnioWorker worker,
 			Supplier<Optional<WeightsOrigin>> publishedOrigin, Supplier<Optional<PieceOrigin>> origin,
 			Function<DataCentreName, RegionName> regions, RunnerTable table, DeclaredVersions versions,
-			RegistryCopyExchange copies, MonotonicClock clock) throws IOException {
+			RegistryCopyExchange copies, PromptGuard prompts, MonotonicClock clock) throws IOException {
 		GatewayPeers peers = new GatewayPeers(self, settings, worker, publishedOrigin, origin, regions, table, versions,
-				copies, clock);
+				copies, prompts, clock);
+		prompts.connect(peers::knownGateways, peers::broadcastReports);
 		peers.transport.listen(settings.listen(), peers);
 		worker.getIoThread()
 			.executeAtInterval(peers::broadcastDeclarations, DECLARATIONS_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
@@ -180,11 +187,15 @@
 	 * @return the number, including this one
 	 */
 	int gatewayCount() {
+		return knownGateways().size();
+	}
+
+	private Set<InstanceId> knownGateways() {
 		Set<InstanceId> known = new HashSet<>();
 		known.add(this.self.instance());
 		outboundGateways().forEach((gateway) -> known.add(gateway.peer().instance()));
 		inboundGateways().forEach((gateway) -> known.add(gateway.peer().instance()));
-		return known.size();
+		return known;
 	}
 
 	private List<FrameConnection> upstreams(String piece) {
@@ -264,6 +275,24 @@
 		this.seedConnections.nearestFirst().forEach(this::sendDeclarations);
 	}
 
+	/*
+	 * Reports that change nothing at a receiver are not forwarded by it, so that they do
+	 * not circulate.
+	 */
+	private void broadcastReports(List<PartReport> reports) {
+		Map<InstanceId, FrameConnection> connected = new HashMap<>();
+		inboundGateways().forEach((gateway) -> connected.put(gateway.peer().instance(), gateway));
+		outboundGateways().forEach((gateway) -> connected.put(gateway.peer().instance(), gateway));
+		connected.values().forEach((gateway) -> sendReports(gateway, reports));
+	}
+
+	private static void sendReports(FrameConnection gateway, List<PartReport> reports) {
+		for (int from = 0; from < reports.size(); from += PromptMessage.PartReports.MAX_REPORTS) {
+			int to = Math.min(reports.size(), from + PromptMessage.PartReports.MAX_REPORTS);
+			gateway.send(new PromptMessage.PartReports(reports.subList(from, to)));
+		}
+	}
+
 	private void forwardUpdates() {
 		if (this.seed) {
 			this.directory.sendChangedLists(originRegion());
@@ -293,6 +322,9 @@
 		this.acceptedConnections.add(connection);
 		this.directory.addReceiver(connection);
 		sendDeclarations(connection);
+		if (connection.peer().role() == Role.ENTRY) {
+			sendReports(connection, this.prompts.snapshot());
+		}
 	}
 
 	@Override
@@ -329,6 +361,9 @@
 		else if (message instanceof RegistryMessage.CopyRequest request && connection.peer().role() == Role.ENTRY) {
 			this.copies.respond(connection, request);
 		}
+		else if (message instanceof PromptMessage.PartReports reports && connection.peer().role() == Role.ENTRY) {
+			this.prompts.receive(reports.reports());
+		}
 	}
 
 	/*
@@ -386,6 +421,7 @@
 		@Override
 		public void onOpened(FrameConnection connection) {
 			connection.send(new GatewayMessage.GatewayAddress(GatewayPeers.this.ownAddress));
+			sendReports(connection, GatewayPeers.this.prompts.snapshot());
 		}
 
 		@Override
@@ -403,6 +439,9 @@
 			else if (message instanceof RegistryMessage.CopyContent copy) {
 				GatewayPeers.this.copies.receive(connection, copy);
 			}
+			else if (message instanceof PromptMessage.PartReports reports && connection.peer().role() == Role.ENTRY) {
+				GatewayPeers.this.prompts.receive(reports.reports());
+			}
 			else if (message instanceof WeightsMessage response) {
 				GatewayPeers.this.pieceClient.onReceived(connection, response);
 			}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -39,6 +39,7 @@
 import org.catkingate.runtime.settings.GatewaySettings;
 import org.catkingate.runtime.staging.PieceOrigin;
 import org.catkingate.runtime.staging.PieceOriginFactory;
+import org.catkingate.wire.HandshakeMessage;
 
 /**
  * A gateway process. One I/O thread handles all traffic and owns the state of the
@@ -139,11 +140,15 @@
 		RegistryCopyExchange copies = new RegistryCopyExchange(this.follower, MomentSource.system());
 		this.registry = new RegistryCopy(this.follower,
 				new KeyAcceptance(settings.keyValidityMillis() - REGISTRY_AGE_MARGIN_MILLIS), copies::othersAgeMillis);
+		HandshakeMessage.PeerIdentity identity = ProcessIdentities
+			.toPeerIdentity(ProcessIdentities.of(settings.process()));
+		PromptGuard prompts = new PromptGuard(identity.instance(), this.worker.getIoThread(), clock,
+				this.runners::count);
+		this.runners.onRemoval(prompts::recordRemoval);
 		SharedCallState sharedCallState = new SharedCallState(this.runners, codec, settings.retries(),
-				this::gatewayCount, this::assumedGatewayCount, clock, this.gatewayMetrics);
-		this.peers = GatewayPeers.start(ProcessIdentities.toPeerIdentity(ProcessIdentities.of(settings.process())),
-				settings.peers(), this.worker, this::publishedOrigin, this::openOrigin, settings.regions()::get,
-				this.runners, this.versions, copies, clock);
+				this::gatewayCount, this::assumedGatewayCount, clock, this.gatewayMetrics, prompts);
+		this.peers = GatewayPeers.start(identity, settings.peers(), this.worker, this::publishedOrigin,
+				this::openOrigin, settings.regions()::get, this.runners, this.versions, copies, prompts, clock);
 		registerMetrics();
 		this.operators = OperatorsEndpoint.start(settings.operators().addresses(), this.readiness, this.metrics,
 				this::state);
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestLog.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestLog.java
@@ -8,6 +8,7 @@
 import org.slf4j.LoggerFactory;
 
 import org.catkingate.decisions.admission.AdmissionDecision;
+import org.catkingate.decisions.prompts.PromptVerdict;
 import org.catkingate.model.ModelName;
 
 /**
@@ -51,6 +52,11 @@
 				+ reject.reason());
 	}
 
+	void addQuarantine(PromptVerdict verdict) {
+		this.decisions
+			.add("quarantined part=" + verdict.part() + " remaining-ms=" + Math.max(0, verdict.remainingMillis()));
+	}
+
 	void addAttemptEnd(RunnerAttempt attempt, String outcome, String reason) {
 		this.decisions.add(attempt.runner().runner().id() + " " + outcome + (reason.isEmpty() ? "" : ": " + reason));
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
@@ -46,6 +46,8 @@
 
 	private boolean responseStarted;
 
+	private long responseStartedAtMillis;
+
 	private boolean finished;
 
 	private RunnerAttempt(RunnerState runner, OutgoingRequest outgoing, HeaderCodec codec, MonotonicClock clock,
@@ -142,6 +144,15 @@
 		return this.responseStarted;
 	}
 
+	/**
+	 * Returns the time since the body of the response has started.
+	 * @param nowMillis the time now, in monotonic milliseconds
+	 * @return the time in milliseconds, 0 if it has not started
+	 */
+	long respondingMillis(long nowMillis) {
+		return this.responseStarted ? (nowMillis - this.responseStartedAtMillis) : 0;
+	}
+
 	/**
 	 * Discards the response, which is still read to its end so that the connection can be
 	 * reused. The listener is not notified any more.
@@ -190,7 +201,8 @@
 		}
 		if (!this.responseStarted) {
 			this.responseStarted = true;
-			long elapsedMillis = this.clock.millis() - this.startedAtMillis;
+			this.responseStartedAtMillis = this.clock.millis();
+			long elapsedMillis = this.responseStartedAtMillis - this.startedAtMillis;
 			this.runner.startResponse(this.outgoing.promptTokens(), elapsedMillis);
 			this.listener.onResponseStart(this, elapsedMillis);
 		}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 
@@ -46,6 +47,9 @@
 
 	private final Map<ServiceName, LoadingPeriod> loadingPeriods = new HashMap<>();
 
+	private Consumer<RunnerState> removalListener = (runner) -> {
+	};
+
 	private RegistryView view = RegistryView.empty();
 
 	RunnerTable(Function<RegisteredRunner, RunnerState> stateFactory, AdmissionPolicy policy,
@@ -55,6 +59,18 @@
 		this.policy = policy;
 	}
 
+	/**
+	 * Sets the listener to removed and replaced runners.
+	 * @param listener receives the state of each one
+	 */
+	void onRemoval(Consumer<RunnerState> listener) {
+		this.removalListener = listener;
+	}
+
+	int count(ServiceName service) {
+		return (int) this.runners.values().stream().filter((state) -> state.runner().service().equals(service)).count();
+	}
+
 	void update(RegistryView next, long nowMillis) {
 		if (this.view.configuration().isEmpty()) {
 			this.versions.addInitial(next.versions());
@@ -65,6 +81,7 @@
 			RegisteredRunner registered = next.runners().get(entry.getKey());
 			boolean removed = registered == null || !isSameProcess(registered, entry.getValue().runner());
 			if (removed) {
+				this.removalListener.accept(entry.getValue());
 				entry.getValue().close();
 			}
 			return removed;
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/SharedCallState.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/SharedCallState.java
@@ -41,6 +41,8 @@
 
 	private final GatewayMetrics metrics;
 
+	private final PromptGuard prompts;
+
 	private final WaitingCalls waitingCalls = new WaitingCalls();
 
 	/**
@@ -53,9 +55,10 @@
 	 * estimate that errs on the high side
 	 * @param clock the clock
 	 * @param metrics the metrics
+	 * @param prompts detects parts of prompts that crash runners
 	 */
 	SharedCallState(RunnerTable runners, HeaderCodec codec, RetryAllowance retryAllowance, IntSupplier gatewayCount,
-			IntSupplier assumedGatewayCount, MonotonicClock clock, GatewayMetrics metrics) {
+			IntSupplier assumedGatewayCount, MonotonicClock clock, GatewayMetrics metrics, PromptGuard prompts) {
 		this.runners = runners;
 		this.codec = codec;
 		this.retryAllowance = retryAllowance;
@@ -63,6 +66,7 @@
 		this.assumedGatewayCount = assumedGatewayCount;
 		this.clock = clock;
 		this.metrics = metrics;
+		this.prompts = prompts;
 	}
 
 	HeaderCodec codec() {
@@ -77,6 +81,10 @@
 		return this.metrics;
 	}
 
+	PromptGuard prompts() {
+		return this.prompts;
+	}
+
 	RunnerTable runners() {
 		return this.runners;
 	}
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/CrashingPromptTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/CrashingPromptTests.java
@@ -1,6 +1,7 @@
 package org.catkingate.tests.gateway;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -40,6 +41,16 @@
 
 	private static final int MAX_LATER_ARRIVALS = 3;
 
+	/** More than a gateway takes to connect to another one. */
+	private static final long CONNECTING_MILLIS = 3000;
+
+	/** More than a runner takes to start again. */
+	private static final long RESTART_MILLIS = 1000;
+
+	private static final int MAX_REQUESTS = 10;
+
+	private static final String NOT_RUN = "HTTP/1.1 503 ";
+
 	private final AtomicInteger requests = new AtomicInteger();
 
 	private String post(TestGateway gateway, String part) throws Exception {
@@ -107,6 +118,8 @@
 			for (Future<List<Boolean>> results : sound) {
 				served.addAll(results.get(30, TimeUnit.SECONDS));
 			}
+			System.out.println("runners that ended: " + runners.crashNanos().size()
+					+ ", requests with the part that arrived: " + runners.arrivalNanos().size());
 			assertThat(laterArrivals(runners)).as("requests after %d ends", runners.crashNanos().size())
 				.isLessThanOrEqualTo(MAX_LATER_ARRIVALS);
 			assertThat(served.stream().filter((complete) -> complete).count()).as("of %d sound requests", served.size())
@@ -117,6 +130,36 @@
 		}
 	}
 
+	// Guards against each gateway of a fleet ending runners anew before it rejects a
+	// part,
+	// and against gateways that forget or never learn of it when they start.
+	@Test
+	void areRejectedByGatewaysThatHaveSeenNoRunnerEnd() throws Exception {
+		InetSocketAddress seed = FreePorts.next();
+		String seedAddress = seed.getAddress().getHostAddress() + ":" + seed.getPort();
+		try (CrashingRunners runners = CrashingRunners.start(RUNNERS, CRASHING_PART);
+				TestGateway first = TestGateway.start(runners, seed, (client, address) -> null, 8000);
+				TestGateway second = TestGateway.start(runners, FreePorts.next(), (client, address) -> null, 8000,
+						seedAddress)) {
+			Thread.sleep(CONNECTING_MILLIS);
+			int sent = 0;
+			while (!post(second, CRASHING_PART).startsWith(NOT_RUN) && sent < MAX_REQUESTS) {
+				sent++;
+				Thread.sleep(RESTART_MILLIS);
+			}
+			assertThat(runners.crashNanos()).hasSizeLessThanOrEqualTo(CRASHES_BEFORE_SETTLING);
+			int arrived = runners.arrivalNanos().size();
+			assertThat(post(first, CRASHING_PART)).startsWith(NOT_RUN);
+			try (TestGateway third = TestGateway.start(runners, FreePorts.next(), (client, address) -> null, 8000,
+					seedAddress)) {
+				Thread.sleep(CONNECTING_MILLIS);
+				assertThat(post(third, CRASHING_PART)).startsWith(NOT_RUN);
+				assertThat(isComplete(third, "900d0000")).isTrue();
+			}
+			assertThat(runners.arrivalNanos()).hasSize(arrived);
+		}
+	}
+
 	private void sendCrashing(TestGateway gateway) {
 		try {
 			post(gateway, CRASHING_PART);
