Limit the length of bodies in chunks

Callers: a body in chunks that was longer than allowed was read whole into memory and forwarded (200 KB where 100 KB are allowed). It now gets 413 and a closed connection, as a body with a length does, and reaches no runner.

Cause: Undertow compares only a declared length with the limit that is set while the request is handled.

Change: the validator of chunks adds up their sizes and stops at the first that exceeds the limit. Without a configuration there is no limit, since the body is discarded and the response is 503.

Evidence: the form "chunks of 200 KB" of CallerInputTests got 200 without the change, and is rejected with it.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/ChunkedBodyValidator.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/ChunkedBodyValidator.java
@@ -5,7 +5,8 @@
 /**
  * A validator of the bytes of one body in chunks. It accepts only what each HTTP
  * implementation reads the same way: lines end with CR LF, a chunk is as long as its
- * size, and lines hold no control characters. Not thread-safe.
+ * size, and lines hold no control characters. All chunks together hold at most as many
+ * bytes as a body may have. Not thread-safe.
  */
 final class ChunkedBodyValidator {
 
@@ -18,8 +19,12 @@
 
 	private static final int HEXADECIMAL = 16;
 
+	private final long maxBodyBytes;
+
 	private State state = State.SIZE;
 
+	private long bodyBytes;
+
 	private long remainingBytes;
 
 	private int sizeDigits;
@@ -30,13 +35,23 @@
 
 	private boolean colonSeen;
 
+	/**
+	 * Creates a validator.
+	 * @param maxBodyBytes the maximum length of the body without sizes and trailers, in
+	 * bytes
+	 */
+	ChunkedBodyValidator(long maxBodyBytes) {
+		this.maxBodyBytes = maxBodyBytes;
+	}
+
 	/**
 	 * Reads bytes up to the end of the body; bytes behind it are left in the buffer.
 	 * @param bytes the next bytes
-	 * @return the result so far; once it is malformed or complete it does not change
+	 * @return the result so far; once it is not {@link Result#INCOMPLETE} it does not
+	 * change
 	 */
 	Result read(ByteBuffer bytes) {
-		while (bytes.hasRemaining() && this.state != State.COMPLETE && this.state != State.MALFORMED) {
+		while (bytes.hasRemaining() && !this.state.isEnd()) {
 			if (this.state == State.DATA) {
 				skipData(bytes);
 			}
@@ -47,6 +62,7 @@
 		return switch (this.state) {
 			case COMPLETE -> Result.COMPLETE;
 			case MALFORMED -> Result.MALFORMED;
+			case TOO_LONG -> Result.TOO_LONG;
 			default -> Result.INCOMPLETE;
 		};
 	}
@@ -116,7 +132,11 @@
 	}
 
 	private State startData() {
-		return (this.remainingBytes > 0) ? State.DATA : State.TRAILER_START;
+		if (this.remainingBytes == 0) {
+			return State.TRAILER_START;
+		}
+		this.bodyBytes += this.remainingBytes;
+		return (this.bodyBytes <= this.maxBodyBytes) ? State.DATA : State.TOO_LONG;
 	}
 
 	private State nextInTrailerStart(int character) {
@@ -152,14 +172,21 @@
 		COMPLETE,
 
 		/** The bytes are not a body in chunks. */
-		MALFORMED
+		MALFORMED,
+
+		/** The body is longer than allowed. */
+		TOO_LONG
 
 	}
 
 	private enum State {
 
 		SIZE, SPACE_BEHIND_SIZE, EXTENSION, LF_BEHIND_SIZE, DATA, CR_BEHIND_DATA, LF_BEHIND_DATA, TRAILER_START,
-		TRAILER, LF_BEHIND_TRAILER, LAST_LF, COMPLETE, MALFORMED
+		TRAILER, LF_BEHIND_TRAILER, LAST_LF, COMPLETE, MALFORMED, TOO_LONG;
+
+		boolean isEnd() {
+			return this == COMPLETE || this == MALFORMED || this == TOO_LONG;
+		}
 
 	}
 
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestHandler.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestHandler.java
@@ -28,8 +28,6 @@
  */
 final class RequestHandler implements HttpHandler {
 
-	private static final String MALFORMED_CHUNKS = "the body is not in well-formed chunks";
-
 	private final SharedCallState sharedState;
 
 	private final RegistryCopy registry;
@@ -66,21 +64,39 @@
 			reject(exchange, null, Rejection.of(Rejection.Kind.MALFORMED, ex.getMessage()));
 			return;
 		}
-		if (exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING)
-				&& !ValidatingSourceConduit.validateBody(exchange, () -> handleMalformedBody(exchange, head))) {
-			reject(exchange, head, Rejection.of(Rejection.Kind.MALFORMED, MALFORMED_CHUNKS));
-			return;
+		if (exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING)) {
+			ChunkedBodyValidator.Result arrived = ValidatingSourceConduit.validateBody(exchange, maxBodyBytes(),
+					(result) -> handleInvalidBody(exchange, head, result));
+			if (arrived == ChunkedBodyValidator.Result.MALFORMED || arrived == ChunkedBodyValidator.Result.TOO_LONG) {
+				reject(exchange, head, bodyRejection(arrived));
+				return;
+			}
 		}
 		admit(exchange, head);
 	}
 
-	private void handleMalformedBody(HttpServerExchange exchange, CallerHead head) {
+	/*
+	 * Without a configuration the body is discarded, and the response is that the request
+	 * has not run, whatever its length.
+	 */
+	private long maxBodyBytes() {
+		return this.registry.configuration()
+			.map((configuration) -> configuration.limits().maxBodyBytes())
+			.orElse(Long.MAX_VALUE);
+	}
+
+	private void handleInvalidBody(HttpServerExchange exchange, CallerHead head, ChunkedBodyValidator.Result result) {
 		if (exchange.isResponseStarted()) {
 			IoUtils.safeClose(exchange.getConnection());
 			return;
 		}
-		Connectors.executeRootHandler(
-				(same) -> reject(same, head, Rejection.of(Rejection.Kind.MALFORMED, MALFORMED_CHUNKS)), exchange);
+		Connectors.executeRootHandler((same) -> reject(same, head, bodyRejection(result)), exchange);
+	}
+
+	private static Rejection bodyRejection(ChunkedBodyValidator.Result result) {
+		return (result == ChunkedBodyValidator.Result.TOO_LONG)
+				? Rejection.of(Rejection.Kind.BODY_TOO_LONG, "the body is longer than allowed")
+				: Rejection.of(Rejection.Kind.MALFORMED, "the body is not in well-formed chunks");
 	}
 
 	private void admit(HttpServerExchange exchange, CallerHead head) {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/ValidatingSourceConduit.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/ValidatingSourceConduit.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
+import java.util.function.Consumer;
 
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.AbstractServerConnection;
@@ -25,9 +26,9 @@
 	/** Null while no body in chunks is read. */
 	private ChunkedBodyValidator validator;
 
-	private Runnable onMalformed;
+	private Consumer<ChunkedBodyValidator.Result> onInvalid;
 
-	private boolean malformed;
+	private ChunkedBodyValidator.Result result = ChunkedBodyValidator.Result.COMPLETE;
 
 	private boolean ended;
 
@@ -47,54 +48,63 @@
 	/**
 	 * Validates the body of a request in chunks, whose reading has not begun.
 	 * @param exchange the exchange of the request
-	 * @param onMalformed called at most once, after this method has returned
-	 * @return whether the bytes that have arrived with the head are valid
+	 * @param maxBodyBytes the maximum length of the body, in bytes
+	 * @param onInvalid called at most once, after this method has returned, with
+	 * {@code MALFORMED} or {@code TOO_LONG}
+	 * @return the result of the bytes that have arrived with the head
 	 */
-	static boolean validateBody(HttpServerExchange exchange, Runnable onMalformed) {
+	static ChunkedBodyValidator.Result validateBody(HttpServerExchange exchange, long maxBodyBytes,
+			Consumer<ChunkedBodyValidator.Result> onInvalid) {
 		AbstractServerConnection connection = (AbstractServerConnection) exchange.getConnection();
 		return ((ValidatingSourceConduit) connection.getOriginalSourceConduit()).start(connection.getExtraBytes(),
-				onMalformed);
+				maxBodyBytes, onInvalid);
 	}
 
-	private boolean start(PooledByteBuffer arrived, Runnable nextOnMalformed) {
-		this.validator = new ChunkedBodyValidator();
-		this.onMalformed = nextOnMalformed;
+	private ChunkedBodyValidator.Result start(PooledByteBuffer arrived, long maxBodyBytes,
+			Consumer<ChunkedBodyValidator.Result> nextOnInvalid) {
+		this.validator = new ChunkedBodyValidator(maxBodyBytes);
+		this.result = ChunkedBodyValidator.Result.INCOMPLETE;
+		this.onInvalid = nextOnInvalid;
 		if (arrived != null) {
 			validate(arrived.getBuffer().duplicate());
 		}
-		this.ended = this.malformed;
-		return !this.malformed;
+		this.ended = isInvalid();
+		return this.result;
 	}
 
 	private void validate(ByteBuffer bytes) {
-		ChunkedBodyValidator.Result result = this.validator.read(bytes);
-		if (result != ChunkedBodyValidator.Result.INCOMPLETE) {
+		this.result = this.validator.read(bytes);
+		if (this.result != ChunkedBodyValidator.Result.INCOMPLETE) {
 			this.validator = null;
 		}
-		this.malformed = result == ChunkedBodyValidator.Result.MALFORMED;
+	}
+
+	private boolean isInvalid() {
+		return this.result == ChunkedBodyValidator.Result.MALFORMED
+				|| this.result == ChunkedBodyValidator.Result.TOO_LONG;
 	}
 
 	@Override
 	public int read(ByteBuffer target) throws IOException {
-		if (this.malformed) {
+		if (isInvalid()) {
 			return this.ended ? -1 : 0;
 		}
 		int start = target.position();
 		int count = super.read(target);
 		if (count > 0 && this.validator != null) {
 			validate(target.duplicate().flip().position(start));
-			if (this.malformed) {
+			if (isInvalid()) {
 				target.position(start);
-				getReadThread().execute(this::handleMalformed);
+				getReadThread().execute(this::handleInvalid);
 				return 0;
 			}
 		}
 		return count;
 	}
 
-	private void handleMalformed() {
+	private void handleInvalid() {
 		this.ended = true;
-		this.onMalformed.run();
+		this.onInvalid.accept(this.result);
 	}
 
 	@Override
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/CallerInput.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/CallerInput.java
@@ -146,6 +146,7 @@
 		inputs.add(chunked("last chunk with LF behind the trailer", id, "3\r\nabc\r\n0\r\nX-A: b\n\n........"));
 		inputs.add(chunked("trailer with a bare CR", id, "3\r\nabc\r\n0\r\nX-A: b\rc\r\n\r\n"));
 		inputs.add(chunked("trailer of 200 KB", id, "3\r\nabc\r\n0\r\nX-A: " + "x".repeat(200_000) + "\r\n\r\n"));
+		inputs.add(chunked("chunks of 200 KB", id, ("1000\r\n" + "x".repeat(0x1000) + "\r\n").repeat(50) + end));
 	}
 
 	private static void addIrregularLengths(List<CallerInput> inputs, String id) {
