Reject chunks in HTTP/1.0

Callers: a request of HTTP/1.0 with Transfer-Encoding was read as chunks and forwarded. A sender of HTTP/1.0 does not know chunks, so that another implementation on the way reads the same bytes as the next request. It now gets 400 and a closed connection.

Change: RequestHeadValidator checks the version.

Evidence: the form "chunks in HTTP/1.0" of CallerInputTests got 200 without the change, and is rejected with it.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestHeadValidator.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestHeadValidator.java
@@ -31,6 +31,9 @@
 			throw new MalformedHeadException("send one Host header");
 		}
 		checkLength(headers);
+		if (exchange.isHttp10() && headers.contains(Headers.TRANSFER_ENCODING)) {
+			throw new MalformedHeadException("send chunks with HTTP/1.1 only");
+		}
 		if (!exchange.getRequestURI().startsWith("/") || exchange.isHostIncludedInRequestURI()) {
 			throw new MalformedHeadException("the request target must be a path");
 		}
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/CallerInput.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/CallerInput.java
@@ -176,6 +176,8 @@
 		inputs.add(headed("folded header that hides a coding", id,
 				"Content-Length: 3\r\nX-Folded: a\r\n Transfer-Encoding: chunked", body, Result.EITHER));
 		inputs.add(headed("body of 200 KB", id, "Content-Length: 200000", "x".repeat(200_000), Result.REJECTED));
+		inputs.add(raw("chunks in HTTP/1.0", id,
+				head("POST /songs/1 HTTP/1.0", id, "Transfer-Encoding: chunked") + chunks, Result.REJECTED));
 	}
 
 	private static void addIrregularHeads(List<CallerInput> inputs, String id) {
