--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/CallerInputTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/CallerInputTests.java
@@ -229,6 +229,29 @@
 
 	}
 
+	@Nested
+	class ARequestLine {
+
+		@Test
+		void withAnEmptyQueryIsForwardedWithIt() throws Exception {
+			exchange("/songs/1?", "HTTP/1.1", Result.SERVED);
+		}
+
+		@Test
+		void withAnUnknownMajorVersionIsRejected() throws Exception {
+			exchange("/songs/1", "HTTP/9.9", Result.REJECTED);
+		}
+
+		private static void exchange(String target, String version, Result result) throws Exception {
+			String id = nextId();
+			String bytes = "GET " + target + " " + version + "\r\nHost: " + TestGateway.HOST + "\r\nX-Request-Id: " + id
+					+ "\r\nAuthorization: Bearer " + TestGateway.API_KEY + "\r\n\r\n";
+			CallerInputTests.exchange(List.of(new CallerInput(target, id, "GET", target, "", bytes, result)),
+					List.of(bytes));
+		}
+
+	}
+
 	@Nested
 	class PipelinedRequests {
 
