Handle the hang-up signal from the beginning of the start

Cause: the handler was registered after the start; until then the signal's default action ends the process.

Change: it is the first thing that a process does. What remains is the time in which the Java virtual machine itself starts.

Evidence: HangUpSignalTests holds a gateway in the middle of its start by a pipe as its settings; exit code 129 before, 2 (wrong settings) now.

--- a/catkingate-cli/src/main/java/org/catkingate/cli/ProcessCommand.java
+++ b/catkingate-cli/src/main/java/org/catkingate/cli/ProcessCommand.java
@@ -47,12 +47,13 @@
 			throw new CommandException(ExitCodes.USAGE,
 					"catkingate: no settings file given; run 'catkingate " + this.name + " --help'");
 		}
+		// without a handler the signal ends the process, also while it starts
+		HangUpSignal.onSignal(() -> revalidateSettings(path));
 		NoMBeanServerBuilder.install();
 		S settings = readSettings(path);
 		Logging.toStandardOutput(settings.process().logLevel());
 		try {
 			RunningProcess process = start(settings);
-			HangUpSignal.onSignal(() -> revalidateSettings(path));
 			CountDownLatch stopped = new CountDownLatch(1);
 			Runtime.getRuntime().addShutdownHook(new Thread(() -> {
 				process.stop();
