Wait for the recording of requests that were answered early

The generated requests failed, connection 66: the runner had answered before it read the body, and the test compared what it had recorded before it had read to the end. The comparison is the same; it now waits up to 10 s until each request with a response is recorded.

--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/CallerInputTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/CallerInputTests.java
@@ -1,6 +1,7 @@
 package org.catkingate.tests.gateway;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -14,6 +15,7 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
+import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Nested;
@@ -47,6 +49,8 @@
 
 	private static final int MAX_HEAD_BYTES = 16_384;
 
+	private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
 	private static final Pattern REJECTION = Pattern.compile("(?s)HTTP/1\\.[01] (400|408|413|431) .*");
 
 	private static final AtomicInteger ids = new AtomicInteger();
@@ -99,7 +103,13 @@
 				}
 			}
 		}
-		List<RecordedRequest> recorded = runner.requests().subList(before, runner.requests().size());
+		// A runner that responds early may still be reading the body.
+		Awaitility.await()
+			.atMost(TIMEOUT)
+			.pollDelay(Duration.ZERO)
+			.pollInterval(Duration.ofMillis(2))
+			.until(() -> recordedSince(before).stream().map(RecordedRequest::id).toList().containsAll(served));
+		List<RecordedRequest> recorded = recordedSince(before);
 		assertThat(runner.unreadable()).as("what is no request").isEmpty();
 		assertThat(recorded.stream().map(RecordedRequest::id).collect(Collectors.toSet())).isEqualTo(served);
 		Map<String, CallerInput> sent = inputs.stream().collect(Collectors.toMap(CallerInput::id, Function.identity()));
@@ -110,6 +120,11 @@
 		}
 	}
 
+	private static List<RecordedRequest> recordedSince(int count) {
+		List<RecordedRequest> requests = runner.requests();
+		return requests.subList(count, requests.size());
+	}
+
 	private static void write(RawCaller caller, List<String> parts) throws InterruptedException {
 		try {
 			for (String part : parts) {
