--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -57,8 +58,6 @@
 	/** The number of unreachable runners after which the request is rejected. */
 	private static final int MAX_UNREACHABLE_RUNNERS = 3;
 
-	private static final int MIN_FINAL_STATUS = 200;
-
 	private static final int MIN_FAILURE_STATUS = 300;
 
 	/** The status that is logged if the caller disconnects before there is one. */
@@ -72,6 +71,8 @@
 
 	private final SharedCallState sharedState;
 
+	private final ResponseCheck responseCheck;
+
 	private final ResponseRelay relay;
 
 	private final RequestLog log;
@@ -102,6 +103,8 @@
 		this.route = admitted.route();
 		this.exchange = exchange;
 		this.sharedState = sharedState;
+		this.responseCheck = new ResponseCheck(admitted.head().requestId(),
+				exchange.getRequestHeaders().getFirst(Headers.ACCEPT_ENCODING), this.route.kind() == CallKind.STREAM);
 		this.relay = new ResponseRelay(exchange, this::handleCallerWritable, this::handleCallerDisconnect);
 		this.log = RequestLog.of(admitted);
 	}
@@ -268,10 +271,6 @@
 			return false;
 		}
 		RunnerResponseHead response = from.responseHead();
-		if (!this.admitted.head().requestId().equals(response.requestId()) && !response.notRun()) {
-			failAttempt(from, "stray", "the runner answered another request");
-			return false;
-		}
 		if (response.notRun()) {
 			this.sharedState.prompts().recordEnd(from, false);
 			recordRejection(from.runner(), response);
@@ -281,19 +280,12 @@
 			retryOrElse(() -> rejectOrAbort(retryAfterMillis(), "every runner that was asked has no place"));
 			return true;
 		}
-		this.mayHaveRun = true;
-		if (!response.signed()) {
-			failAttempt(from, "unsigned", "the answer bears no code of a runner");
-			return false;
-		}
-		if (head.getResponseCode() < MIN_FINAL_STATUS) {
-			failAttempt(from, "interim", "status " + head.getResponseCode() + " is no final response");
-			return false;
-		}
-		if (isUnexpectedlyEncoded(head)) {
-			failAttempt(from, "encoded", "the response has a content encoding that was not asked for");
+		Optional<ResponseCheck.Flaw> flaw = this.responseCheck.find(response, head);
+		if (flaw.isPresent()) {
+			failAttempt(from, flaw.get().outcome(), flaw.get().reason());
 			return false;
 		}
+		this.mayHaveRun = true;
 		boolean eventStream = this.route.kind() == CallKind.STREAM && head.getResponseCode() < MIN_FAILURE_STATUS;
 		if (!this.relay.receiveHead(head, eventStream)) {
 			failAttempt(from, "no-continuation",
@@ -303,21 +295,6 @@
 		return true;
 	}
 
-	/*
-	 * The events of an encoded stream cannot be told apart, and a caller that asked for
-	 * no encoding cannot decode one.
-	 */
-	private boolean isUnexpectedlyEncoded(ClientResponse head) {
-		String encoding = head.getResponseHeaders().getFirst(Headers.CONTENT_ENCODING);
-		String accepted = this.exchange.getRequestHeaders().getFirst(Headers.ACCEPT_ENCODING);
-		boolean asked = accepted != null && !isIdentity(accepted) && this.route.kind() != CallKind.STREAM;
-		return encoding != null && !encoding.isBlank() && !isIdentity(encoding) && !asked;
-	}
-
-	private static boolean isIdentity(String encoding) {
-		return encoding.strip().equalsIgnoreCase(Headers.IDENTITY.toString());
-	}
-
 	private void recordRejection(RunnerState runner, RunnerResponseHead response) {
 		long now = this.sharedState.clock().millis();
 		if (response.misdirected()) {
