Keep parts in quarantine whatever the origin of the clock (BUDGET)

What callers may see: a part in quarantine that new parts displace, so that it ends runners again.

Cause, found when reading the whole change: the part to forget was chosen by halving the time of its last end, which reverses the order for negative times; the origin of the monotonic clock is arbitrary.

Change: parts in quarantine are removed last, then those whose end is oldest.

Evidence: keepsQuarantinesWhateverTheOriginOfTheClock failed before. Modules platform, decisions and gateway: all tests pass.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/prompts/PromptQuarantine.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/prompts/PromptQuarantine.java
@@ -1,6 +1,7 @@
 package org.catkingate.decisions.prompts;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -159,18 +160,19 @@
 		}
 	}
 
+	/*
+	 * Parts in quarantine are removed last, and those first whose last end is oldest.
+	 */
 	private void evict() {
-		String evicted = null;
-		long oldest = Long.MAX_VALUE;
-		for (Map.Entry<String, PartEvidence> entry : this.blamed.entrySet()) {
-			long used = entry.getValue().lastEndMillis() / (entry.getValue().isQuarantined() ? 1 : 2);
-			if (used < oldest) {
-				oldest = used;
-				evicted = entry.getKey();
-			}
-		}
-		this.blamed.remove(evicted);
-		this.changed.remove(evicted);
+		this.blamed.entrySet()
+			.stream()
+			.min(Comparator.comparing((Map.Entry<String, PartEvidence> entry) -> entry.getValue().isQuarantined())
+				.thenComparingLong((entry) -> entry.getValue().lastEndMillis()))
+			.map(Map.Entry::getKey)
+			.ifPresent((part) -> {
+				this.blamed.remove(part);
+				this.changed.remove(part);
+			});
 	}
 
 	/*
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/prompts/PromptQuarantineTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/prompts/PromptQuarantineTests.java
@@ -4,6 +4,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -212,6 +213,19 @@
 	@Nested
 	class TheMemory {
 
+		// Guards against a quarantine that new parts displace where the clock is
+		// negative.
+		@Test
+		void keepsQuarantinesWhateverTheOriginOfTheClock() {
+			PromptQuarantineTests.this.now = -1_000_000;
+			endRunners(1, request(RequestProgress.STARTED, "bad"));
+			endRunners(1, request(RequestProgress.STARTED, "bad"));
+			assertThat(verdict("bad")).isEqualTo(PromptVerdict.Kind.QUARANTINED);
+			String[] parts = IntStream.range(0, 600).mapToObj((id) -> "part-" + id).toArray(String[]::new);
+			endRunners(1, request(RequestProgress.QUEUED, parts));
+			assertThat(verdict("bad")).isEqualTo(PromptVerdict.Kind.QUARANTINED);
+		}
+
 		// Guards against a caller that displaces what is known by naming many parts.
 		@Test
 		void isBoundedAndKeepsQuarantinesAndPartsInGeneralUse() {
