Keep to the limits that runners state for all gateways together (LIMIT)

What callers and runners saw: a runner that stated a limit of 1.2 requests a second got 20 in 4 s, and 4 to 6 a second for as long as it said so.

The class of fault: what one gateway knows of a runner is not asked before the next send.

Statements are ordered by the times of request and response; the lower one is in force if their order is unknown. Gateways report changes to each other at once. A request to a limited runner takes a permit, at the choice and, if the limit was stated in the meantime, immediately before the write. Permits are issued by the seeds, each of which issues a fixed part of each limit, so that the sum is bounded whatever gateways believe of each other. If all runners of a service are limited, as many calls wait for 250 ms as permits are expected; the others are rejected at once, with a delay that follows from the limits.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionDecision.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionDecision.java
@@ -28,9 +28,30 @@
 	/**
 	 * The call waits, since a runner is expected to be able to serve it soon.
 	 *
+	 * @param cause what it waits for
 	 * @param maxMillis the time after which it must be rejected, in milliseconds
+	 * @param maxCalls the number of calls to the service that may wait at the same time
+	 * @param otherwise the rejection if it cannot wait, or has waited in vain
 	 */
-	record Wait(long maxMillis) implements AdmissionDecision {
+	record Wait(Cause cause, long maxMillis, int maxCalls, Reject otherwise) implements AdmissionDecision {
+
+		public Wait {
+			Objects.requireNonNull(cause, "cause must not be null");
+			Objects.requireNonNull(otherwise, "otherwise must not be null");
+		}
+
+		/**
+		 * What a call waits for.
+		 */
+		public enum Cause {
+
+			/** Runners that load weights. */
+			LOADING,
+
+			/** A permit to send a request to a runner that has stated a limit. */
+			PERMIT
+
+		}
 
 	}
 
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
@@ -105,6 +105,26 @@
 	 */
 	private static final long MAX_PAUSE_RETRY_SPREAD_MILLIS = 2000;
 
+	/**
+	 * The maximum number of calls to a service that wait for its runners to load, which
+	 * bounds the memory for them.
+	 */
+	private static final int MAX_CALLS_WAITING_FOR_LOADING = 500;
+
+	/**
+	 * The time for which a call waits for a permit, well below the usual goals, in
+	 * milliseconds.
+	 */
+	private static final long PERMIT_WAIT_MILLIS = 250;
+
+	/**
+	 * The maximum retry delay sent to callers of a service whose runners have all stated
+	 * limits before jitter, in milliseconds.
+	 */
+	private static final long MAX_LIMITED_RETRY_AFTER_MILLIS = 2000;
+
+	private static final double MILLIS_PER_SECOND = 1000;
+
 	private AdmissionPolicies() {
 	}
 
@@ -136,7 +156,9 @@
 		long untilLoadedMillis = EXPECTED_LOAD_MILLIS - elapsedMillis;
 		long maxWaitMillis = untilLoadedMillis + LOAD_WAIT_MARGIN_MILLIS;
 		if (untilLoadedMillis > 0 && maxWaitMillis + MIN_SERVING_MILLIS <= remainingMillis) {
-			return new AdmissionDecision.Wait(maxWaitMillis);
+			return new AdmissionDecision.Wait(AdmissionDecision.Wait.Cause.LOADING, maxWaitMillis,
+					MAX_CALLS_WAITING_FOR_LOADING, new AdmissionDecision.Reject(maxWaitMillis, Double.NaN,
+							"its runners have not loaded weights in time"));
 		}
 		return new AdmissionDecision.Reject(
 				Math.max(MIN_RETRY_AFTER_MILLIS, untilLoadedMillis) + (long) (draw * LOAD_RETRY_SPREAD_MILLIS),
@@ -159,6 +181,26 @@
 				"all runners that serve this have asked for a pause");
 	}
 
+	/**
+	 * Decides on a call to a service all of whose runners have stated limits that are
+	 * used up for now. As many calls wait as permits are expected in the meantime; the
+	 * others are rejected, with a retry delay that follows from the limits.
+	 * @param callsPerSecond the calls a second that this gateway may expect to send to
+	 * these runners
+	 * @param remainingMillis the time left until the call's deadline, in milliseconds
+	 * @param draw a random number from 0 to 1
+	 * @return the decision, never null
+	 */
+	public static AdmissionDecision whileLimited(double callsPerSecond, long remainingMillis, double draw) {
+		double intervalMillis = Math.max(MIN_RETRY_AFTER_MILLIS,
+				Math.min(MAX_LIMITED_RETRY_AFTER_MILLIS, MILLIS_PER_SECOND / callsPerSecond));
+		AdmissionDecision.Reject rejection = new AdmissionDecision.Reject((long) (intervalMillis * (1 + draw)),
+				Double.NaN, "the runners that serve this have stated limits, which are used up for now");
+		int maxCalls = (int) Math.ceil(callsPerSecond * PERMIT_WAIT_MILLIS / MILLIS_PER_SECOND);
+		return (remainingMillis > PERMIT_WAIT_MILLIS) ? new AdmissionDecision.Wait(AdmissionDecision.Wait.Cause.PERMIT,
+				PERMIT_WAIT_MILLIS, Math.max(1, maxCalls), rejection) : rejection;
+	}
+
 	/**
 	 * Returns a policy that sends a call to the runner with the earliest predicted first
 	 * event. A call whose response is not predicted to start within its goal is rejected
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -98,6 +98,8 @@
 	/** The time until which the call waits for a runner, 0 if it has not waited. */
 	private long waitUntilMillis;
 
+	private AdmissionDecision.Wait.Cause waitingFor;
+
 	GatewayCall(AdmittedRequest admitted, HttpServerExchange exchange, SharedCallState sharedState) {
 		this.admitted = admitted;
 		this.route = admitted.route();
@@ -155,15 +157,19 @@
 			rejectOrAbort(reject.retryAfterMillis(), reject.reason());
 		}
 		else if (decision instanceof AdmissionDecision.Wait wait && !startWaiting(wait)) {
-			rejectOrAbort(wait.maxMillis(), "its runners have not loaded weights in time");
+			if (wait.cause() == AdmissionDecision.Wait.Cause.PERMIT) {
+				this.sharedState.metrics().countLimited();
+			}
+			follow(wait.otherwise());
 		}
 	}
 
 	private boolean startWaiting(AdmissionDecision.Wait wait) {
 		if (this.waitUntilMillis != 0 || !this.sharedState.waitingCalls()
-			.add(this.admitted.service(), this::tryToEndWaiting, this.exchange.getIoThread())) {
+			.add(this.admitted.service(), wait.maxCalls(), this::tryToEndWaiting, this.exchange.getIoThread())) {
 			return false;
 		}
+		this.waitingFor = wait.cause();
 		this.waitUntilMillis = this.sharedState.clock().millis() + wait.maxMillis();
 		this.log.addWait(wait);
 		return true;
@@ -173,8 +179,9 @@
 		if (this.finished) {
 			return true;
 		}
-		AdmissionDecision decision = this.sharedState.decide(this.admitted.service(), requirements().afterWaiting(),
-				this.triedRunners);
+		CallRequirements requirements = (this.waitingFor == AdmissionDecision.Wait.Cause.LOADING)
+				? requirements().afterWaiting() : requirements();
+		AdmissionDecision decision = this.sharedState.decide(this.admitted.service(), requirements, this.triedRunners);
 		if (!(decision instanceof AdmissionDecision.Send) && this.sharedState.clock().millis() < this.waitUntilMillis) {
 			return false;
 		}
@@ -257,7 +264,7 @@
 		}
 		this.log.addAttemptEnd(from, "not-sent", reason);
 		this.attempt = null;
-		this.unreachableRunners += from.runner().accepts(this.sharedState.clock().millis()) ? 1 : 0;
+		this.unreachableRunners += from.runner().canSend(this.sharedState.clock().millis()) ? 1 : 0;
 		if (this.unreachableRunners < MAX_UNREACHABLE_RUNNERS && remainingMillis() > 0) {
 			tryNextRunner();
 			return;
@@ -314,7 +321,7 @@
 
 	private static long retryAfterMillis(AdmissionDecision decision) {
 		if (decision instanceof AdmissionDecision.Wait wait) {
-			return wait.maxMillis();
+			return wait.otherwise().retryAfterMillis();
 		}
 		return (decision instanceof AdmissionDecision.Reject reject) ? reject.retryAfterMillis() : 0;
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
@@ -25,6 +25,8 @@
 
 	private final Counter runnerPauses;
 
+	private final Counter limited;
+
 	private final Gauge inProgress;
 
 	private final Histogram timeToFirstByte;
@@ -57,6 +59,10 @@
 			.name("catkingate_gateway_runner_pauses")
 			.help("Times that runners asked for no requests for a while")
 			.register(registry);
+		this.limited = Counter.builder()
+			.name("catkingate_gateway_limited")
+			.help("Requests that were not sent because the limits of all runners were used up")
+			.register(registry);
 		this.inProgress = Gauge.builder()
 			.name("catkingate_gateway_requests_in_progress")
 			.help("Requests in progress")
@@ -104,6 +110,10 @@
 		this.runnerPauses.inc();
 	}
 
+	void countLimited() {
+		this.limited.inc();
+	}
+
 	void countRejected(String outcome) {
 		this.requests.labelValues(outcome).inc();
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -27,6 +28,7 @@
 import org.catkingate.model.ModelName;
 import org.catkingate.model.RegionName;
 import org.catkingate.model.Role;
+import org.catkingate.model.permits.LimitReport;
 import org.catkingate.model.prompts.PartReport;
 import org.catkingate.model.registry.RegisteredRunner;
 import org.catkingate.model.registry.RegistryPosition;
@@ -42,6 +44,7 @@
 import org.catkingate.wire.FrameTransport;
 import org.catkingate.wire.GatewayMessage;
 import org.catkingate.wire.HandshakeMessage;
+import org.catkingate.wire.LimitMessage;
 import org.catkingate.wire.Message;
 import org.catkingate.wire.PromptMessage;
 import org.catkingate.wire.RegistryMessage;
@@ -100,6 +103,8 @@
 
 	private final PromptGuard prompts;
 
+	private final RunnerPermits permits;
+
 	private final GatewayDirectory directory;
 
 	private final ListedGateways listedGateways;
@@ -121,7 +126,8 @@
 	private GatewayPeers(HandshakeMessage.PeerIdentity self, PeerSettings settings, XnioWorker worker,
 			Supplier<Optional<WeightsOrigin>> publishedOrigin, Supplier<Optional<PieceOrigin>> origin,
 			Function<DataCentreName, RegionName> regions, RunnerTable table, DeclaredVersions versions,
-			RegistryCopyExchange copies, PromptGuard prompts, MonotonicClock clock) {
+			RegistryCopyExchange copies, PromptGuard prompts, RunnerPermits permits, MonotonicClock clock) {
+		this.permits = permits;
 		this.copies = copies;
 		this.prompts = prompts;
 		this.self = self;
@@ -164,6 +170,7 @@
 	 * send
 	 * @param copies exchanges copies of the registry
 	 * @param prompts receives and provides reports on parts of prompts
+	 * @param permits receives and sends messages on the limits of runners
 	 * @param clock the clock
 	 * @return the connections, never null
 	 * @throws IOException if the address cannot be used
@@ -171,9 +178,11 @@
 	static GatewayPeers start(HandshakeMessage.PeerIdentity self, PeerSettings settings, XnioWorker worker,
 			Supplier<Optional<WeightsOrigin>> publishedOrigin, Supplier<Optional<PieceOrigin>> origin,
 			Function<DataCentreName, RegionName> regions, RunnerTable table, DeclaredVersions versions,
-			RegistryCopyExchange copies, PromptGuard prompts, MonotonicClock clock) throws IOException {
+			RegistryCopyExchange copies, PromptGuard prompts, RunnerPermits permits, MonotonicClock clock)
+			throws IOException {
 		GatewayPeers peers = new GatewayPeers(self, settings, worker, publishedOrigin, origin, regions, table, versions,
-				copies, prompts, clock);
+				copies, prompts, permits, clock);
+		permits.connect(worker.getIoThread(), peers.new PermitPeers());
 		prompts.connect(peers::knownGateways, peers::broadcastReports);
 		peers.transport.listen(settings.listen(), peers);
 		worker.getIoThread()
@@ -281,10 +290,23 @@
 	 * not circulate.
 	 */
 	private void broadcastReports(List<PartReport> reports) {
+		connectedGateways().values().forEach((gateway) -> sendReports(gateway, reports));
+	}
+
+	private Map<InstanceId, FrameConnection> connectedGateways() {
 		Map<InstanceId, FrameConnection> connected = new HashMap<>();
 		inboundGateways().forEach((gateway) -> connected.put(gateway.peer().instance(), gateway));
 		outboundGateways().forEach((gateway) -> connected.put(gateway.peer().instance(), gateway));
-		connected.values().forEach((gateway) -> sendReports(gateway, reports));
+		return connected;
+	}
+
+	private void sendSnapshots(FrameConnection gateway) {
+		sendReports(gateway, this.prompts.snapshot());
+		List<LimitReport> limits = this.permits.snapshot();
+		for (int from = 0; from < limits.size(); from += LimitMessage.LimitReports.MAX_REPORTS) {
+			int to = Math.min(limits.size(), from + LimitMessage.LimitReports.MAX_REPORTS);
+			gateway.send(new LimitMessage.LimitReports(limits.subList(from, to)));
+		}
 	}
 
 	private static void sendReports(FrameConnection gateway, List<PartReport> reports) {
@@ -324,7 +346,7 @@
 		this.directory.addReceiver(connection);
 		sendDeclarations(connection);
 		if (connection.peer().role() == Role.ENTRY) {
-			sendReports(connection, this.prompts.snapshot());
+			sendSnapshots(connection);
 		}
 	}
 
@@ -365,6 +387,9 @@
 		else if (message instanceof PromptMessage.PartReports reports && connection.peer().role() == Role.ENTRY) {
 			this.prompts.receive(reports.reports());
 		}
+		else if (message instanceof LimitMessage limit && connection.peer().role() == Role.ENTRY) {
+			this.permits.receive(connection.peer().instance(), limit);
+		}
 	}
 
 	/*
@@ -414,6 +439,39 @@
 		this.listedConnections.close();
 	}
 
+	/**
+	 * The other gateways, of which the seeds issue permits.
+	 */
+	private final class PermitPeers implements RunnerPermits.Peers {
+
+		@Override
+		public Collection<InstanceId> issuers() {
+			return GatewayPeers.this.seedConnections.nearestFirst()
+				.stream()
+				.map((gateway) -> gateway.peer().instance())
+				.toList();
+		}
+
+		@Override
+		public int gatewayCount() {
+			return GatewayPeers.this.gatewayCount();
+		}
+
+		@Override
+		public void send(InstanceId gateway, LimitMessage message) {
+			FrameConnection connection = connectedGateways().get(gateway);
+			if (connection != null) {
+				connection.send(message);
+			}
+		}
+
+		@Override
+		public void broadcast(LimitMessage message) {
+			connectedGateways().values().forEach((gateway) -> gateway.send(message));
+		}
+
+	}
+
 	/**
 	 * A listener for messages on the connections that this gateway has opened.
 	 */
@@ -422,7 +480,7 @@
 		@Override
 		public void onOpened(FrameConnection connection) {
 			connection.send(new GatewayMessage.GatewayAddress(GatewayPeers.this.ownAddress));
-			sendReports(connection, GatewayPeers.this.prompts.snapshot());
+			sendSnapshots(connection);
 		}
 
 		@Override
@@ -443,6 +501,9 @@
 			else if (message instanceof PromptMessage.PartReports reports && connection.peer().role() == Role.ENTRY) {
 				GatewayPeers.this.prompts.receive(reports.reports());
 			}
+			else if (message instanceof LimitMessage limit && connection.peer().role() == Role.ENTRY) {
+				GatewayPeers.this.permits.receive(connection.peer().instance(), limit);
+			}
 			else if (message instanceof WeightsMessage response) {
 				GatewayPeers.this.pieceClient.onReceived(connection, response);
 			}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.security.SecureRandom;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -15,11 +16,13 @@
 import org.xnio.XnioWorker;
 
 import org.catkingate.decisions.admission.AdmissionPolicies;
+import org.catkingate.decisions.permits.RunnerLimits;
 import org.catkingate.decisions.registry.FollowTimes;
 import org.catkingate.decisions.registry.KeyAcceptance;
 import org.catkingate.decisions.registry.RegistryView;
 import org.catkingate.decisions.routing.Distance;
 import org.catkingate.decisions.routing.Location;
+import org.catkingate.model.AddressFormatter;
 import org.catkingate.model.registry.RegisteredRunner;
 import org.catkingate.model.registry.RegistryPosition;
 import org.catkingate.model.registry.ServingConfiguration;
@@ -38,6 +41,7 @@
 import org.catkingate.runtime.registry.RegistryFactory;
 import org.catkingate.runtime.registry.RegistryFollower;
 import org.catkingate.runtime.settings.GatewaySettings;
+import org.catkingate.runtime.settings.PeerSettings;
 import org.catkingate.runtime.staging.PieceOrigin;
 import org.catkingate.runtime.staging.PieceOriginFactory;
 import org.catkingate.wire.HandshakeMessage;
@@ -107,6 +111,8 @@
 
 	private final RunnerIntakeLog intakeLog;
 
+	private final RunnerPermits permits;
+
 	private final DeclaredVersions versions;
 
 	private final RunnerTable runners;
@@ -130,10 +136,13 @@
 		this.settings = settings;
 		this.clock = clock;
 		this.worker = IoThreads.start("traffic", 1);
+		HandshakeMessage.PeerIdentity identity = ProcessIdentities
+			.toPeerIdentity(ProcessIdentities.of(settings.process()));
 		this.callerServer = CallerServer.bind(settings.callers(), this.worker, this.buffers);
 		this.origins = origins;
 		this.gatewayMetrics = GatewayMetrics.registerIn(this.metrics);
 		this.intakeLog = new RunnerIntakeLog(this.gatewayMetrics);
+		this.permits = new RunnerPermits(createLimits(identity, settings.peers()), this.intakeLog, clock);
 		this.versions = new DeclaredVersions(settings.weights().changeMillis() - CHANGE_MARGIN_MILLIS,
 				clock.millis() + settings.weights().settlingMillis() - SETTLING_MARGIN_MILLIS);
 		this.runners = new RunnerTable(this::createRunnerState, AdmissionPolicies.earliestFirstEvent(), this.versions);
@@ -144,15 +153,15 @@
 		RegistryCopyExchange copies = new RegistryCopyExchange(this.follower, MomentSource.system());
 		this.registry = new RegistryCopy(this.follower,
 				new KeyAcceptance(settings.keyValidityMillis() - REGISTRY_AGE_MARGIN_MILLIS), copies::othersAgeMillis);
-		HandshakeMessage.PeerIdentity identity = ProcessIdentities
-			.toPeerIdentity(ProcessIdentities.of(settings.process()));
 		PromptGuard prompts = new PromptGuard(identity.instance(), this.worker.getIoThread(), clock,
 				this.runners::count);
 		this.runners.onRemoval(prompts::recordRemoval);
 		SharedCallState sharedCallState = new SharedCallState(this.runners, codec, settings.retries(),
 				this::gatewayCount, this::assumedGatewayCount, clock, this.gatewayMetrics, prompts);
 		this.peers = GatewayPeers.start(identity, settings.peers(), this.worker, this::publishedOrigin,
-				this::openOrigin, settings.regions()::get, this.runners, this.versions, copies, prompts, clock);
+				this::openOrigin, settings.regions()::get, this.runners, this.versions, copies, prompts, this.permits,
+				clock);
+		this.permits.onPermit(() -> this.worker.getIoThread().execute(() -> sharedCallState.waitingCalls().check()));
 		registerMetrics();
 		this.operators = OperatorsEndpoint.start(settings.operators().addresses(), this.readiness, this.metrics,
 				this::state);
@@ -162,6 +171,16 @@
 			.startAccepting(new RequestHandler(sharedCallState, this.registry, this.connections, clock.millis()));
 	}
 
+	/*
+	 * The seeds issue permits, since all gateways name the same ones. A gateway without
+	 * seeds is alone.
+	 */
+	private static RunnerLimits createLimits(HandshakeMessage.PeerIdentity identity, PeerSettings settings) {
+		List<String> seeds = settings.seeds().stream().map(AddressFormatter::format).distinct().sorted().toList();
+		return seeds.isEmpty() ? new RunnerLimits(identity.instance(), 0, 1) : new RunnerLimits(identity.instance(),
+				seeds.indexOf(AddressFormatter.format(settings.listen())), seeds.size());
+	}
+
 	/**
 	 * Starts a gateway. It is ready once it has received a configuration.
 	 * @param settings the settings
@@ -223,8 +242,10 @@
 			.orElse(1);
 		Distance distance = new Location(this.settings.process().dataCentre(), this.settings.process().region())
 			.distanceTo(runner.dataCentre(), this.settings.regions().get(runner.dataCentre()));
-		return new RunnerState(runner, distance, ConnectionPool.to(runner.address(), this.worker, this.buffers,
-				Math.max(1, Math.min(MAX_IDLE_CONNECTIONS, idleConnections)), this.clock), this.intakeLog);
+		return new RunnerState(runner, distance,
+				ConnectionPool.to(runner.address(), this.worker, this.buffers,
+						Math.max(1, Math.min(MAX_IDLE_CONNECTIONS, idleConnections)), this.clock),
+				this.intakeLog, this.permits);
 	}
 
 	private void applyView(RegistryView view) {
@@ -265,6 +286,7 @@
 		state.put("registryAgeMillis", this.follower.ageMillis());
 		state.put("configuration", this.registry.configuration().map(String::valueOf).orElse("none"));
 		state.put("runners", this.registry.view().runners().values().stream().map(String::valueOf).sorted().toList());
+		state.put("runnerLimits", this.permits.describe());
 		state.put("requestsInProgress", this.gatewayMetrics.inProgress());
 		return state;
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestLog.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestLog.java
@@ -42,7 +42,8 @@
 	}
 
 	void addWait(AdmissionDecision.Wait wait) {
-		this.decisions.add("wait max-ms=" + wait.maxMillis() + ": most runners load weights");
+		this.decisions.add("wait max-ms=" + wait.maxMillis() + ((wait.cause() == AdmissionDecision.Wait.Cause.LOADING)
+				? ": most runners load weights" : ": the limits of the runners are used up"));
 	}
 
 	void addRejection(AdmissionDecision.Reject reject) {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
@@ -1,5 +1,6 @@
 package org.catkingate.gateway;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.undertow.client.ClientConnection;
@@ -50,6 +51,11 @@
 
 	private boolean finished;
 
+	private long sentAtMillis;
+
+	/** Gives back the permit of this attempt, empty if it has none. */
+	private Optional<Runnable> permit = Optional.empty();
+
 	private RunnerAttempt(RunnerState runner, OutgoingRequest outgoing, HeaderCodec codec, MonotonicClock clock,
 			Listener listener) {
 		this.runner = runner;
@@ -74,6 +80,7 @@
 			MonotonicClock clock, Listener listener) {
 		RunnerAttempt attempt = new RunnerAttempt(runner, outgoing, codec, clock, listener);
 		runner.addPending(outgoing.promptTokens(), clock.millis());
+		attempt.takePermit();
 		attempt.connectTimer = thread.executeAfter(() -> attempt.failUnsent("timed out opening the connection"),
 				CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
 		runner.connections()
@@ -100,16 +107,29 @@
 			this.runner.connections().release(connection);
 			return;
 		}
-		if (!this.runner.accepts(this.clock.millis())) {
+		if (!this.runner.accepts(this.clock.millis()) || !takePermit()) {
 			this.runner.connections().release(connection);
 			finish();
 			this.listener.onNotSent(this, "the runner takes no new requests");
 			return;
 		}
+		this.sentAtMillis = this.clock.millis();
 		this.listener.onSend(this);
 		this.call = StreamedCall.start(connection, this.outgoing.request(), this.outgoing.body(), this);
 	}
 
+	/*
+	 * Returns whether the request may be sent under the limit of the runner. The runner
+	 * may have stated it since it was chosen.
+	 */
+	private boolean takePermit() {
+		if (this.permit.isEmpty() && this.runner.isLimited()) {
+			this.permit = this.runner.takePermit(this.clock.millis());
+			return this.permit.isPresent();
+		}
+		return true;
+	}
+
 	private void failUnsent(String reason) {
 		if (!this.finished && this.call == null) {
 			this.connectTimer.remove();
@@ -177,6 +197,9 @@
 
 	private void finish() {
 		this.finished = true;
+		if (this.call == null) {
+			this.permit.ifPresent(Runnable::run);
+		}
 		if (this.responseStarted) {
 			this.runner.endResponse();
 		}
@@ -190,7 +213,7 @@
 		int status = response.getResponseCode();
 		this.responseHead = this.codec.readResponseHead(status, response.getResponseHeaders());
 		// also if the response itself is not used any more
-		this.runner.recordResponseHead(status, this.responseHead, this.clock.millis());
+		this.runner.recordResponseHead(status, this.responseHead, this.sentAtMillis, this.clock.millis());
 		if (this.finished) {
 			return false;
 		}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerIntakeLog.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerIntakeLog.java
@@ -4,6 +4,8 @@
 import org.slf4j.LoggerFactory;
 
 import org.catkingate.decisions.admission.RunnerIntake;
+import org.catkingate.decisions.permits.LimitChange;
+import org.catkingate.decisions.permits.LimitStatement;
 import org.catkingate.model.registry.RegisteredRunner;
 import org.catkingate.runtime.calls.RunnerResponseHead;
 
@@ -70,6 +72,46 @@
 		}
 	}
 
+	/**
+	 * Records that the limit of a runner has changed.
+	 * @param change the change
+	 * @param part the requests a second that this gateway issues permits for
+	 * @param ageMillis the time since the statement was received, in milliseconds
+	 */
+	void recordLimit(LimitChange change, double part, long ageMillis) {
+		logger.atInfo()
+			.addKeyValue("event", "runner-limit")
+			.addKeyValue("runner", change.runner().runner())
+			.addKeyValue("started", change.runner().startedAtEpochMillis())
+			.addKeyValue("limit-per-s", perSecond(change.statement().requestsPerSecond()))
+			.addKeyValue("before-per-s", perSecond(change.previousPerSecond()))
+			.addKeyValue("issued-here-per-s", perSecond(part))
+			.addKeyValue("source", change.source())
+			.addKeyValue("age-ms", ageMillis)
+			.log("a runner has changed the number of requests that it takes from all gateways");
+	}
+
+	private static String perSecond(double limit) {
+		return (limit < LimitStatement.NO_LIMIT) ? String.valueOf(limit) : "none";
+	}
+
+	/**
+	 * Records that a runner has stated a limit that cannot be read.
+	 * @param runner the runner
+	 * @param response the head of the response
+	 */
+	void recordUnreadableLimit(RegisteredRunner runner, RunnerResponseHead response) {
+		String value = response.limit().unreadable().orElse("");
+		logger.atWarn()
+			.addKeyValue("event", "runner-limit-unusable")
+			.addKeyValue("runner", runner.id())
+			.addKeyValue("started", runner.startedAtEpochMillis())
+			.addKeyValue("service", runner.service())
+			.addKeyValue("value", value.substring(0, Math.min(MAX_VALUE_LENGTH, value.length())))
+			.addKeyValue("id", response.requestId())
+			.log("a runner states a limit that is no number; the value is ignored");
+	}
+
 	/**
 	 * Records that a runner has asked for a pause that cannot be granted as requested.
 	 * @param runner the runner
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
@@ -3,11 +3,13 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
+import java.util.Optional;
 
 import org.catkingate.decisions.admission.RunnerIntake;
 import org.catkingate.decisions.admission.RunnerOption;
 import org.catkingate.decisions.routing.Distance;
 import org.catkingate.model.ModelName;
+import org.catkingate.model.prompts.RunnerStart;
 import org.catkingate.model.registry.RegisteredRunner;
 import org.catkingate.runtime.calls.RequestedPause;
 import org.catkingate.runtime.calls.RunnerLoad;
@@ -102,6 +104,8 @@
 
 	private final RunnerIntakeLog intakeLog;
 
+	private final RunnerPermits permits;
+
 	private RunnerIntake intake;
 
 	private long pauseLoggableAtMillis = Long.MIN_VALUE;
@@ -146,8 +150,11 @@
 	 * @param distance the distance from this process
 	 * @param connections the connections to the runner
 	 * @param intakeLog logs the statements of the runner
+	 * @param permits the limits of runners and the permits to send them requests
 	 */
-	RunnerState(RegisteredRunner runner, Distance distance, ConnectionPool connections, RunnerIntakeLog intakeLog) {
+	RunnerState(RegisteredRunner runner, Distance distance, ConnectionPool connections, RunnerIntakeLog intakeLog,
+			RunnerPermits permits) {
+		this.permits = permits;
 		this.intakeLog = intakeLog;
 		this.intake = RunnerIntake.open();
 		this.runner = runner;
@@ -201,13 +208,58 @@
 		return !isLeaving() && this.intake.accepts(nowMillis);
 	}
 
+	/**
+	 * Returns whether a request may be sent now, also under the runner's limit.
+	 * @param nowMillis the time now, in monotonic milliseconds
+	 * @return whether it accepts requests and there is a permit if it needs one
+	 */
+	boolean canSend(long nowMillis) {
+		return accepts(nowMillis) && this.permits.canSend(start(), nowMillis);
+	}
+
+	/**
+	 * Returns whether a call could be sent now under the runner's limit, and requests a
+	 * permit if there is none.
+	 * @param nowMillis the time now, in monotonic milliseconds
+	 * @return whether the runner has stated no limit or there is a permit
+	 */
+	boolean requestPermit(long nowMillis) {
+		return this.permits.request(start(), nowMillis);
+	}
+
+	boolean isLimited() {
+		return this.permits.isLimited(start());
+	}
+
+	/**
+	 * Returns the limit that the runner has stated.
+	 * @return the requests a second that it takes from all gateways together
+	 */
+	double limitPerSecond() {
+		return this.permits.limitPerSecond(start());
+	}
+
+	/**
+	 * Takes a permit to send a request.
+	 * @param nowMillis the time now, in monotonic milliseconds
+	 * @return gives the permit back if it is not used; empty if there is no permit
+	 */
+	Optional<Runnable> takePermit(long nowMillis) {
+		return this.permits.take(start(), nowMillis);
+	}
+
+	private RunnerStart start() {
+		return new RunnerStart(this.runner.id(), this.runner.startedAtEpochMillis());
+	}
+
 	/**
 	 * Records what the head of a response states about the runner.
 	 * @param status the status of the response
 	 * @param response the head of the response
+	 * @param sentAtMillis when the request was sent, in monotonic milliseconds
 	 * @param nowMillis the time now, in monotonic milliseconds
 	 */
-	void recordResponseHead(int status, RunnerResponseHead response, long nowMillis) {
+	void recordResponseHead(int status, RunnerResponseHead response, long sentAtMillis, long nowMillis) {
 		response.load().ifPresent((load) -> recordLoad(load, nowMillis));
 		// a misdirected request may have reached another runner at the same address
 		if (response.leaving() && !response.misdirected() && !this.intake.leaving()) {
@@ -216,6 +268,9 @@
 			this.intakeLog.recordLeaving(this.runner, status, response);
 		}
 		recordPause(status, response, nowMillis);
+		if (!response.misdirected()) {
+			this.permits.record(this.runner, response, sentAtMillis, nowMillis);
+		}
 	}
 
 	private void recordPause(int status, RunnerResponseHead response, long nowMillis) {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -115,17 +115,29 @@
 		double meanPromptTokens = engine.map(EngineProfile::meanPromptTokens).orElse(0.0);
 		List<ModelName> models = models(engine);
 		List<RunnerOption> options = new ArrayList<>();
+		double limitsPerSecond = 0;
+		boolean limitUsedUp = false;
 		for (RunnerState state : this.runners.values()) {
 			if (canServe(state, service, models, nowMillis) && !triedRunners.contains(state.runner().id())
 					&& !state.isFull(nowMillis) && state.accepts(nowMillis)) {
-				options.add(state.createOption(meanPromptTokens, otherGateways,
-						startLimitMillis(models, state.servedVersions(nowMillis)) - nowMillis, nowMillis));
+				if (state.requestPermit(nowMillis)) {
+					options.add(state.createOption(meanPromptTokens, otherGateways,
+							startLimitMillis(models, state.servedVersions(nowMillis)) - nowMillis, nowMillis));
+				}
+				else {
+					limitsPerSecond += state.limitPerSecond();
+					limitUsedUp = true;
+				}
 			}
 		}
 		AdmissionDecision decision = this.policy.decide(options, requirements, engine, draw);
 		if (!(decision instanceof AdmissionDecision.Reject)) {
 			return decision;
 		}
+		if (options.isEmpty() && limitUsedUp) {
+			return AdmissionPolicies.whileLimited(limitsPerSecond / (otherGateways + 1), requirements.remainingMillis(),
+					draw);
+		}
 		if (!models.isEmpty() && areMostLoading(service, models, nowMillis)) {
 			return AdmissionPolicies.whileLoading(recordLoading(service, nowMillis), requirements.remainingMillis(),
 					draw);
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/ResponseCheckTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/ResponseCheckTests.java
@@ -10,6 +10,7 @@
 
 import org.catkingate.runtime.calls.RequestedPause;
 import org.catkingate.runtime.calls.RunnerResponseHead;
+import org.catkingate.runtime.calls.StatedLimit;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -19,7 +20,8 @@
 class ResponseCheckTests {
 
 	private static RunnerResponseHead metadata(String requestId, boolean signed) {
-		return new RunnerResponseHead(requestId, signed, false, false, Optional.empty(), 0, false, RequestedPause.NONE);
+		return new RunnerResponseHead(requestId, signed, false, false, Optional.empty(), 0, false, RequestedPause.NONE,
+				StatedLimit.NONE);
 	}
 
 	private static ClientResponse head(int status, String encoding) {
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerAttemptTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerAttemptTests.java
@@ -19,14 +19,17 @@
 import org.junit.jupiter.api.Test;
 import org.xnio.XnioWorker;
 
+import org.catkingate.decisions.permits.RunnerLimits;
 import org.catkingate.decisions.routing.Distance;
 import org.catkingate.model.DataCentreName;
+import org.catkingate.model.InstanceId;
 import org.catkingate.model.RunnerId;
 import org.catkingate.model.ServiceName;
 import org.catkingate.model.registry.RegisteredRunner;
 import org.catkingate.runtime.MonotonicClock;
 import org.catkingate.runtime.calls.RequestedPause;
 import org.catkingate.runtime.calls.RunnerResponseHead;
+import org.catkingate.runtime.calls.StatedLimit;
 import org.catkingate.runtime.http.ConnectionPool;
 import org.catkingate.runtime.http.IoThreads;
 
@@ -62,8 +65,11 @@
 		InetSocketAddress address = (InetSocketAddress) this.server.getLocalSocketAddress();
 		RegisteredRunner registered = new RegisteredRunner(new RunnerId("a"), 1, new ServiceName("songs"), address,
 				new DataCentreName("a"), 16, false, Map.of());
-		return new RunnerState(registered, Distance.DATA_CENTRE, ConnectionPool.to(address, this.worker,
-				new DefaultByteBufferPool(false, 1024), 1, MonotonicClock.system()), this.intakeLog);
+		return new RunnerState(registered, Distance.DATA_CENTRE,
+				ConnectionPool.to(address, this.worker, new DefaultByteBufferPool(false, 1024), 1,
+						MonotonicClock.system()),
+				this.intakeLog, new RunnerPermits(new RunnerLimits(new InstanceId("gateway-1"), 0, 1), this.intakeLog,
+						MonotonicClock.system()));
 	}
 
 	private void startAttempt(RunnerState runner, RunnerAttempt.Listener listener) {
@@ -74,12 +80,12 @@
 
 	private static RunnerResponseHead leaving() {
 		return new RunnerResponseHead("r1", true, false, false, Optional.empty(), Long.MAX_VALUE, true,
-				RequestedPause.NONE);
+				RequestedPause.NONE, StatedLimit.NONE);
 	}
 
 	private static RunnerResponseHead pausing() {
 		return new RunnerResponseHead("r1", true, true, false, Optional.empty(), Long.MAX_VALUE, false,
-				new RequestedPause(TIMEOUT_MILLIS, Optional.empty()));
+				new RequestedPause(TIMEOUT_MILLIS, Optional.empty()), StatedLimit.NONE);
 	}
 
 	private void assertNotSentAfter(int status, RunnerResponseHead statement) throws Exception {
@@ -87,7 +93,8 @@
 		RunnerState runner = createRunner();
 		this.worker.getIoThread().execute(() -> {
 			startAttempt(runner, outcome);
-			runner.recordResponseHead(status, statement, MonotonicClock.system().millis());
+			long now = MonotonicClock.system().millis();
+			runner.recordResponseHead(status, statement, now, now);
 		});
 		assertThat(outcome.end.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).startsWith("not sent: ");
 		this.worker.getIoThread().execute(() -> runner.connections().close());
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
@@ -14,9 +14,11 @@
 import org.catkingate.decisions.admission.AdmissionDecision;
 import org.catkingate.decisions.admission.AdmissionPolicies;
 import org.catkingate.decisions.admission.CallRequirements;
+import org.catkingate.decisions.permits.RunnerLimits;
 import org.catkingate.decisions.registry.RegistryView;
 import org.catkingate.decisions.routing.Distance;
 import org.catkingate.model.DataCentreName;
+import org.catkingate.model.InstanceId;
 import org.catkingate.model.ModelName;
 import org.catkingate.model.RunnerId;
 import org.catkingate.model.ServiceName;
@@ -30,6 +32,7 @@
 import org.catkingate.runtime.MonotonicClock;
 import org.catkingate.runtime.calls.RequestedPause;
 import org.catkingate.runtime.calls.RunnerResponseHead;
+import org.catkingate.runtime.calls.StatedLimit;
 import org.catkingate.runtime.http.ConnectionPool;
 import org.catkingate.wire.RunnerMessage;
 
@@ -53,9 +56,11 @@
 
 	private final RunnerIntakeLog intakeLog = new RunnerIntakeLog(GatewayMetrics.registerIn(new PrometheusRegistry()));
 
-	private final RunnerTable table = new RunnerTable(
-			(runner) -> new RunnerState(runner, Distance.DATA_CENTRE,
-					ConnectionPool.to(runner.address(), null, null, 1, MonotonicClock.system()), this.intakeLog),
+	private final RunnerPermits permits = new RunnerPermits(new RunnerLimits(new InstanceId("gateway-1"), 0, 1),
+			this.intakeLog, MonotonicClock.system());
+
+	private final RunnerTable table = new RunnerTable((runner) -> new RunnerState(runner, Distance.DATA_CENTRE,
+			ConnectionPool.to(runner.address(), null, null, 1, MonotonicClock.system()), this.intakeLog, this.permits),
 			AdmissionPolicies.earliestFirstEvent(), this.versions);
 
 	private static RegistryView view(Map<ModelName, Long> versions, RegisteredRunner... runners) {
@@ -286,7 +291,7 @@
 	private void receive(String id, int status, boolean misdirected, boolean leaving, long nowMillis) {
 		this.table.state(new RunnerId(id))
 			.recordResponseHead(status, new RunnerResponseHead("r1", true, false, misdirected, Optional.empty(), 0,
-					leaving, RequestedPause.NONE), nowMillis);
+					leaving, RequestedPause.NONE, StatedLimit.NONE), nowMillis, nowMillis);
 	}
 
 	// Guards against new requests to a runner that leaves while its registration still
@@ -319,7 +324,7 @@
 	private void askForPause(String id, long pauseMillis, long nowMillis) {
 		this.table.state(new RunnerId(id))
 			.recordResponseHead(503, new RunnerResponseHead("r1", true, true, false, Optional.empty(), 0, false,
-					new RequestedPause(pauseMillis, Optional.empty())), nowMillis);
+					new RequestedPause(pauseMillis, Optional.empty()), StatedLimit.NONE), nowMillis, nowMillis);
 	}
 
 	private static RegisteredRunner runnerAt(int port, long startedAtEpochMillis) {
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/calls/RunnerResponseHead.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/calls/RunnerResponseHead.java
@@ -17,9 +17,10 @@
  * @param leaving whether the sender of the response states that it leaves and wants no
  * new requests
  * @param pause the time for which the sender wants no requests
+ * @param limit the number of requests that the sender takes from all callers together
  * @since 0.1
  */
 public record RunnerResponseHead(String requestId, boolean signed, boolean notRun, boolean misdirected,
-		Optional<RunnerLoad> load, long keepAliveMillis, boolean leaving, RequestedPause pause) {
+		Optional<RunnerLoad> load, long keepAliveMillis, boolean leaving, RequestedPause pause, StatedLimit limit) {
 
 }
--- a/catkingate-wire/src/main/java/org/catkingate/wire/MessageCodec.java
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/MessageCodec.java
@@ -45,7 +45,8 @@
 			RunnerMessage.VersionDeclaration.class, RunnerMessage.RolloutPosition.class,
 			RegistryMessage.CopyRequest.class, RegistryMessage.CopyContent.class, RunnerMessage.ForwardedUpdate.class,
 			RunnerMessage.RunnerUpdates.class, GatewayMessage.GatewayAddress.class, GatewayMessage.GatewayList.class,
-			PromptMessage.PartReports.class);
+			PromptMessage.PartReports.class, LimitMessage.LimitReports.class, LimitMessage.PermitRequest.class,
+			LimitMessage.PermitGrant.class, LimitMessage.PermitReturn.class);
 
 	private static final int RESPONSE_DATA_KIND = KINDS.indexOf(RequestMessage.ResponseData.class);
 
--- a/catkingate-wire/src/test/java/org/catkingate/wire/MessageCodecTests.java
+++ b/catkingate-wire/src/test/java/org/catkingate/wire/MessageCodecTests.java
@@ -15,6 +15,7 @@
 import org.catkingate.model.RunnerStatus;
 import org.catkingate.model.ServiceName;
 import org.catkingate.model.VersionId;
+import org.catkingate.model.permits.LimitReport;
 import org.catkingate.model.prompts.PartReport;
 import org.catkingate.model.prompts.RunnerStart;
 
@@ -80,6 +81,18 @@
 			assertThat(roundTrip(reports)).isEqualTo(reports);
 		}
 
+		@Test
+		void ofLimitsAndPermits() throws WireException {
+			RunnerStart runner = new RunnerStart(new RunnerId("i-1"), 1L << 40);
+			for (Message message : List.of(
+					new LimitMessage.LimitReports(List.of(new LimitReport(runner, 1.3, 250, 20),
+							new LimitReport(runner, Double.POSITIVE_INFINITY, 250, 20))),
+					new LimitMessage.PermitRequest(runner, 3, -5), new LimitMessage.PermitGrant(runner, 1, -5, 4),
+					new LimitMessage.PermitReturn(runner, 2))) {
+				assertThat(roundTrip(message)).isEqualTo(message);
+			}
+		}
+
 		@Test
 		void ofIssueKeyResponses() throws WireException {
 			Message issued = new IdempotencyKeyMessage.IssueKeyResponse(REQUEST, "ckt1~a~1", 900_000);
@@ -94,6 +107,24 @@
 
 	}
 
+	@Nested
+	class LimitsAndPermits {
+
+		@Test
+		void areBounded() {
+			RunnerStart runner = new RunnerStart(new RunnerId("i-1"), 1);
+			LimitReport report = new LimitReport(runner, 1, 0, 0);
+			assertThatIllegalArgumentException().isThrownBy(() -> new LimitMessage.LimitReports(
+					Collections.nCopies(LimitMessage.LimitReports.MAX_REPORTS + 1, report)));
+			assertThatIllegalArgumentException().isThrownBy(() -> new LimitReport(runner, Double.NaN, 0, 0));
+			assertThatIllegalArgumentException().isThrownBy(() -> new LimitReport(runner, 1, 0, 1));
+			assertThatIllegalArgumentException().isThrownBy(() -> new LimitMessage.PermitRequest(runner, 0, 0));
+			assertThatIllegalArgumentException()
+				.isThrownBy(() -> new LimitMessage.PermitReturn(runner, LimitMessage.MAX_PERMITS + 1));
+		}
+
+	}
+
 	@Nested
 	class ReportsOnPartsOfPrompts {
 
