--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/prompts/PartEvidence.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/prompts/PartEvidence.java
@@ -10,9 +10,9 @@
 import org.catkingate.model.prompts.RunnerStart;
 
 /**
- * The ends of runners that a part may have caused. An end is added at most once, its
- * weight only grows, and it does not become uncleared again, so that evidence merges in
- * any order. Not safe for use by several threads.
+ * The ends of runners that a part of prompts or a whole request may have caused. An end
+ * is added at most once, its weight only grows, and it does not become uncleared again,
+ * so that evidence merges in any order. Not safe for use by several threads.
  */
 final class PartEvidence {
 
@@ -37,6 +37,9 @@
 	/** The time after which ends are forgotten that have not led to a quarantine. */
 	private static final long VALID_MILLIS = 60_000;
 
+	/** The same for a whole request, which may come again after long. */
+	private static final long REQUEST_VALID_MILLIS = 3_600_000;
+
 	/** The duration of a quarantine that is based on fewer than {@link #MIN_MOMENTS}. */
 	private static final long SHORT_QUARANTINE_MILLIS = 5_000;
 
@@ -44,10 +47,33 @@
 
 	private static final int MAX_DOUBLINGS = 5;
 
+	/** The time after which a trial without a result may be repeated. */
+	private static final long TRIAL_MILLIS = 10_000;
+
 	private static final int MIN_SUSPECT_WEIGHT = 2;
 
+	/**
+	 * The number of runners without which a whole request is not quarantined. Ends at the
+	 * same moment count each, since other requests explain a common cause as well.
+	 */
+	private static final int MIN_REQUEST_ENDS = 3;
+
+	/** The same if the request was the likely cause of each end. */
+	private static final int MIN_LIKELY_REQUEST_ENDS = 2;
+
+	/**
+	 * The duration of the quarantine of a whole request before it is tried for the only
+	 * time. After another end it does not expire.
+	 */
+	private static final long REQUEST_QUARANTINE_MILLIS = 600_000;
+
+	/** The remaining time of a quarantine that does not expire, as callers see it. */
+	private static final long UNLIMITED_QUARANTINE_MILLIS = 3_600_000;
+
 	private final Map<RunnerStart, End> ends = new LinkedHashMap<>();
 
+	private final boolean wholeRequest;
+
 	private boolean clearedBefore;
 
 	private boolean quarantined;
@@ -56,6 +82,10 @@
 
 	private long trialUntilMillis = Long.MIN_VALUE;
 
+	PartEvidence(boolean wholeRequest) {
+		this.wholeRequest = wholeRequest;
+	}
+
 	boolean add(RunnerStart runner, End end) {
 		End known = this.ends.get(runner);
 		if (known == null) {
@@ -100,7 +130,8 @@
 	 */
 	boolean prune(long nowMillis) {
 		if (!this.quarantined) {
-			this.ends.values().removeIf((end) -> nowMillis - end.atMillis() > VALID_MILLIS);
+			long valid = this.wholeRequest ? REQUEST_VALID_MILLIS : VALID_MILLIS;
+			this.ends.values().removeIf((end) -> nowMillis - end.atMillis() > valid);
 		}
 		return this.ends.isEmpty();
 	}
@@ -117,8 +148,14 @@
 		});
 	}
 
+	/*
+	 * A whole request that several runners have ended under explains these ends better
+	 * than a part of its prompt that other requests have, too.
+	 */
 	private int strength() {
-		return this.ends.values().stream().filter((end) -> !end.cleared()).mapToInt(End::weight).sum();
+		List<End> uncleared = this.ends.values().stream().filter((end) -> !end.cleared()).toList();
+		int weight = uncleared.stream().mapToInt(End::weight).sum();
+		return 2 * weight + ((this.wholeRequest && uncleared.size() > 1) ? 1 : 0);
 	}
 
 	/*
@@ -164,8 +201,9 @@
 			this.suspected = true;
 			return PartStateChange.State.QUARANTINED;
 		}
-		boolean likely = !this.clearedBefore && counted.stream().anyMatch((end) -> end.weight() >= MIN_SUSPECT_WEIGHT);
-		if (!this.suspected && (likely || moments > 1)) {
+		boolean likely = this.wholeRequest ? counted.size() > 1
+				: (moments > 1 || (!this.clearedBefore && counted.stream().anyMatch(End::isLikely)));
+		if (!this.suspected && likely) {
 			this.suspected = true;
 			return PartStateChange.State.SUSPECTED;
 		}
@@ -176,6 +214,10 @@
 		if (this.clearedBefore) {
 			return moments >= MIN_MOMENTS_IF_CLEARED_BEFORE && span(counted) >= MIN_SPAN_IF_CLEARED_BEFORE_MILLIS;
 		}
+		if (this.wholeRequest) {
+			return counted.size() >= MIN_REQUEST_ENDS
+					|| counted.stream().filter(End::isLikely).count() >= MIN_LIKELY_REQUEST_ENDS;
+		}
 		return moments >= MIN_MOMENTS
 				|| moments(counted.stream().filter(End::isStarted).toList()) >= MIN_STARTED_MOMENTS;
 	}
@@ -190,19 +232,34 @@
 			return this.suspected ? new PromptVerdict(PromptVerdict.Kind.SUSPECTED, part, 0) : PromptVerdict.HARMLESS;
 		}
 		List<End> counted = counted(strongest);
+		if (this.wholeRequest && counted.size() > MIN_REQUEST_ENDS) {
+			return new PromptVerdict(PromptVerdict.Kind.QUARANTINED, part, UNLIMITED_QUARANTINE_MILLIS);
+		}
 		long last = counted.stream().mapToLong(End::atMillis).max().orElse(nowMillis);
-		long remaining = Math.max(last + durationMillis(moments(counted)), this.trialUntilMillis) - nowMillis;
+		long remaining = Math.max(last + durationMillis(counted), this.trialUntilMillis) - nowMillis;
 		return (remaining > 0) ? new PromptVerdict(PromptVerdict.Kind.QUARANTINED, part, remaining)
 				: new PromptVerdict(PromptVerdict.Kind.TRIAL_DUE, part, remaining);
 	}
 
-	private long durationMillis(int moments) {
-		int beyond = moments - (this.clearedBefore ? MIN_MOMENTS_IF_CLEARED_BEFORE : MIN_MOMENTS);
+	private long durationMillis(List<End> counted) {
+		if (this.wholeRequest && counted.size() >= MIN_REQUEST_ENDS) {
+			return REQUEST_QUARANTINE_MILLIS;
+		}
+		int beyond = moments(counted) - (this.clearedBefore ? MIN_MOMENTS_IF_CLEARED_BEFORE : MIN_MOMENTS);
 		return (beyond < 0) ? SHORT_QUARANTINE_MILLIS : (QUARANTINE_MILLIS << Math.min(MAX_DOUBLINGS, beyond));
 	}
 
-	void startTrial(long untilMillis) {
-		this.trialUntilMillis = untilMillis;
+	void startTrial(long nowMillis) {
+		this.trialUntilMillis = nowMillis + (this.wholeRequest ? REQUEST_QUARANTINE_MILLIS : TRIAL_MILLIS);
+	}
+
+	/*
+	 * Whether a request may be sent before the quarantine has expired. After another end
+	 * of a runner a whole request is never sent again.
+	 */
+	boolean allowsEarlyTrial(Map<RunnerStart, Integer> strongest, long nowMillis) {
+		return nowMillis >= this.trialUntilMillis
+				&& !(this.wholeRequest && counted(strongest).size() > MIN_REQUEST_ENDS);
 	}
 
 	/*
@@ -220,10 +277,6 @@
 			.collect(Collectors.toSet());
 	}
 
-	boolean isInTrial(long nowMillis) {
-		return nowMillis < this.trialUntilMillis;
-	}
-
 	boolean isQuarantined() {
 		return this.quarantined;
 	}
@@ -241,6 +294,10 @@
 	 */
 	record End(long atMillis, int weight, boolean cleared) {
 
+		boolean isLikely() {
+			return this.weight >= MIN_SUSPECT_WEIGHT;
+		}
+
 		boolean isStarted() {
 			return this.weight >= PartReport.RunnerEndReport.MAX_WEIGHT;
 		}
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/prompts/PromptQuarantine.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/prompts/PromptQuarantine.java
@@ -12,14 +12,17 @@
 import java.util.stream.Stream;
 
 import org.catkingate.model.prompts.PartReport;
+import org.catkingate.model.prompts.RequestFingerprint;
 import org.catkingate.model.prompts.RunnerStart;
 
 /**
- * The parts of prompts that may crash runners. A part is blamed for the end of a runner
- * that had a request with it and had not written a response for long; it is cleared when
- * a runner continues to write on it. Many runners that end at the same time blame no
- * part. Reports of other gateways merge in any order. The memory is bounded. Not safe for
- * use by several threads.
+ * The parts of prompts, and the whole requests, that may crash runners. A whole request
+ * counts as one more part, named by its {@link RequestFingerprint}. A part is blamed for
+ * the end of a runner that had a request with it and had not written a response for long;
+ * it is cleared when a runner continues to write on it. Many runners that end at the same
+ * time blame no part, but a whole request that several of them had. Reports of other
+ * gateways merge in any order. The memory is bounded. Not safe for use by several
+ * threads.
  *
  * @since 0.1
  */
@@ -43,10 +46,7 @@
 	/** The same, as a share of the runners of the service. */
 	private static final double MAX_COINCIDENT_SHARE = 0.15;
 
-	/** The time after which a trial without a result may be repeated. */
-	private static final long TRIAL_MILLIS = 10_000;
-
-	private static final int MAX_BLAMED_PARTS = 512;
+	private static final int MAX_BLAMED_PARTS = 1024;
 
 	private static final int MAX_CLEARED_PARTS = 4096;
 
@@ -58,7 +58,9 @@
 
 	private final Map<String, PartEvidence> blamed = new LinkedHashMap<>();
 
-	private final ClearedParts cleared = new ClearedParts(MAX_CLEARED_PARTS);
+	private final ClearedParts clearedParts = new ClearedParts(MAX_CLEARED_PARTS);
+
+	private final ClearedParts clearedRequests = new ClearedParts(MAX_CLEARED_PARTS);
 
 	/** The strength of the strongest evidence against any part, for each end. */
 	private final Map<RunnerStart, Integer> strongest = new HashMap<>();
@@ -97,18 +99,35 @@
 			.filter((end) -> nowMillis - end.atMillis() >= SETTLING_MILLIS)
 			.toList();
 		// an end that is evaluated twice adds nothing the second time
-		List<RunnerEnd> blaming = settled.stream().filter((end) -> !isCoincident(end)).toList();
-		blaming.forEach((end) -> blame(end, nowMillis));
+		for (RunnerEnd end : settled) {
+			blame(isCoincident(end) ? reduceToCommonRequests(end) : end, nowMillis);
+		}
 		this.unsettled.removeIf((end) -> nowMillis - end.atMillis() >= 2 * SETTLING_MILLIS);
 	}
 
-	private boolean isCoincident(RunnerEnd end) {
-		long close = this.unsettled.stream()
+	private Stream<RunnerEnd> coincidentEnds(RunnerEnd end) {
+		return this.unsettled.stream()
 			.filter((other) -> other.service().equals(end.service())
-					&& Math.abs(other.atMillis() - end.atMillis()) <= SETTLING_MILLIS)
-			.map(RunnerEnd::runner)
-			.distinct()
-			.count();
+					&& Math.abs(other.atMillis() - end.atMillis()) <= SETTLING_MILLIS);
+	}
+
+	private RunnerEnd reduceToCommonRequests(RunnerEnd end) {
+		Set<String> others = coincidentEnds(end).filter((other) -> !other.runner().equals(end.runner()))
+			.flatMap((other) -> parts(other.requests()).stream())
+			.filter(RequestFingerprint::isFingerprint)
+			.collect(Collectors.toSet());
+		return new RunnerEnd(end.runner(), end.service(), end.serviceRunners(),
+				end.requests()
+					.stream()
+					.map((request) -> new RunnerEnd.AffectedRequest(request.id(),
+							request.parts().stream().filter(others::contains).toList(), request.progress()))
+					.filter((request) -> !request.parts().isEmpty())
+					.toList(),
+				end.atMillis());
+	}
+
+	private boolean isCoincident(RunnerEnd end) {
+		long close = coincidentEnds(end).map(RunnerEnd::runner).distinct().count();
 		return close > Math.max(MAX_COINCIDENT_ENDS, MAX_COINCIDENT_SHARE * end.serviceRunners());
 	}
 
@@ -132,6 +151,10 @@
 		}
 	}
 
+	private ClearedParts cleared(String part) {
+		return RequestFingerprint.isFingerprint(part) ? this.clearedRequests : this.clearedParts;
+	}
+
 	private static Set<String> parts(List<RunnerEnd.AffectedRequest> requests) {
 		return requests.stream()
 			.flatMap((request) -> request.parts().stream())
@@ -148,10 +171,10 @@
 			if (this.blamed.size() >= MAX_BLAMED_PARTS) {
 				evict();
 			}
-			evidence = new PartEvidence();
+			evidence = new PartEvidence(RequestFingerprint.isFingerprint(part));
 			this.blamed.put(part, evidence);
 		}
-		Long clearedAt = this.cleared.lastMillis(part);
+		Long clearedAt = cleared(part).lastMillis(part);
 		boolean changedNow = clearedAt != null && evidence.markClearedBefore();
 		boolean clearedSince = end.cleared() || (clearedAt != null && clearedAt >= end.atMillis());
 		changedNow |= evidence.add(runner, new PartEvidence.End(end.atMillis(), end.weight(), clearedSince));
@@ -210,7 +233,7 @@
 	public void recordWriting(List<String> parts, long nowMillis) {
 		boolean anyBlamed = false;
 		for (String part : parts) {
-			this.cleared.add(part, nowMillis);
+			cleared(part).add(part, nowMillis);
 			PartEvidence evidence = this.blamed.get(part);
 			if (evidence != null && evidence.clear()) {
 				this.changed.add(part);
@@ -248,10 +271,11 @@
 	 */
 	private PromptVerdict verdict(String part, PartEvidence evidence, List<String> parts, long nowMillis) {
 		PromptVerdict verdict = evidence.verdict(part, this.strongest, nowMillis);
-		if (verdict.kind() == PromptVerdict.Kind.QUARANTINED && !evidence.isInTrial(nowMillis) && this.blamed.entrySet()
-			.stream()
-			.anyMatch(
-					(other) -> !parts.contains(other.getKey()) && evidence.isIndistinguishableFrom(other.getValue()))) {
+		if (verdict.kind() == PromptVerdict.Kind.QUARANTINED && evidence.allowsEarlyTrial(this.strongest, nowMillis)
+				&& this.blamed.entrySet()
+					.stream()
+					.anyMatch((other) -> !parts.contains(other.getKey())
+							&& evidence.isIndistinguishableFrom(other.getValue()))) {
 			return new PromptVerdict(PromptVerdict.Kind.TRIAL_DUE, part, evidence.lastEndMillis() - nowMillis);
 		}
 		return verdict;
@@ -267,7 +291,7 @@
 	public void startTrial(String part, String requestId, long nowMillis) {
 		PartEvidence evidence = this.blamed.get(part);
 		if (evidence != null) {
-			evidence.startTrial(nowMillis + TRIAL_MILLIS);
+			evidence.startTrial(nowMillis);
 			this.stateChanges.add(new PartStateChange(part, PartStateChange.State.TRIED, describe(evidence, nowMillis),
 					List.of(requestId)));
 		}
@@ -339,7 +363,7 @@
 	 * @return the blamed and the cleared parts
 	 */
 	public int size() {
-		return this.blamed.size() + this.cleared.size();
+		return this.blamed.size() + this.clearedParts.size() + this.clearedRequests.size();
 	}
 
 }
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/prompts/PromptVerdict.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/prompts/PromptVerdict.java
@@ -2,6 +2,8 @@
 
 import java.util.Objects;
 
+import org.catkingate.model.prompts.RequestFingerprint;
+
 /**
  * A decision on a prompt. Immutable.
  *
@@ -27,13 +29,15 @@
 
 	/**
 	 * Returns whether a gateway may make a trial now. Gateways take turns, so that one
-	 * request at a time is sent in the whole fleet.
+	 * request at a time is sent in the whole fleet. Only the first one tries a whole
+	 * request.
 	 * @param rank the position of the gateway in an order of all gateways that is the
 	 * same at all of them, from 0
 	 * @return whether a trial is due and it is the gateway's turn
 	 */
 	public boolean isTrialOf(int rank) {
-		return this.kind == Kind.TRIAL_DUE && -this.remainingMillis >= rank * TRIAL_STAGGER_MILLIS;
+		return this.kind == Kind.TRIAL_DUE && (RequestFingerprint.isFingerprint(this.part) ? (rank == 0)
+				: -this.remainingMillis >= rank * TRIAL_STAGGER_MILLIS);
 	}
 
 	/**
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/prompts/CrashSimulation.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/prompts/CrashSimulation.java
@@ -30,6 +30,8 @@
 
 	private static final int THINGS = 60;
 
+	private static final int PLAIN_RUNNERS = 3;
+
 	private final PriorityQueue<Action> actions = new PriorityQueue<>();
 
 	private final List<Gateway> gateways = new ArrayList<>();
@@ -66,7 +68,7 @@
 		for (int i = 0; i < 4; i++) {
 			this.gateways.add(new Gateway(i));
 		}
-		for (int i = 0; i < 18; i++) {
+		for (int i = 0; i < (scenario.plain() ? PLAIN_RUNNERS : 18); i++) {
 			this.runners.add(new Runner());
 		}
 	}
@@ -109,6 +111,9 @@
 	}
 
 	private List<String> soundParts() {
+		if (this.scenario.plain()) {
+			return new ArrayList<>();
+		}
 		String kind = "class" + this.random.nextInt(CLASSES);
 		double draw = this.random.nextDouble();
 		String thing = kind + "-" + (int) (THINGS * draw * draw);
@@ -119,13 +124,21 @@
 		schedule(delay(1000.0 / this.scenario.soundPerSecond()), this::arrive);
 		this.soundRequests++;
 		this.soundArrivals.add(this.now);
-		gateway().accept(new Request("s" + this.soundRequests, soundParts(), false));
+		List<String> parts = soundParts();
+		parts.add("#s" + this.soundRequests);
+		gateway().accept(new Request("s" + this.soundRequests, parts, false));
 	}
 
 	private void arriveGuilty(String guilty) {
 		schedule(delay(1000.0 / this.scenario.guiltyPerSecond()), () -> arriveGuilty(guilty));
 		List<String> parts = soundParts();
-		parts.add(this.random.nextInt(parts.size() + 1), guilty);
+		if (this.scenario.wholeRequests()) {
+			parts.add("#" + guilty);
+		}
+		else {
+			parts.add(this.random.nextInt(parts.size() + 1), guilty);
+			parts.add("#g" + this.order);
+		}
 		gateway().accept(new Request("g" + this.order, parts, true));
 	}
 
@@ -141,7 +154,7 @@
 	 * Gateways that cannot reach each other are counted as separate fleets.
 	 */
 	private Guilt guilt(Request request) {
-		String part = request.parts.stream().filter((name) -> name.startsWith("bad")).findFirst().orElseThrow();
+		String part = request.parts.stream().filter((name) -> name.contains("bad")).findFirst().orElseThrow();
 		int side = this.scenario.halfCutOff() ? (request.gateway.index / 2) : 0;
 		return this.guilt.computeIfAbsent(part + "/" + side, (key) -> new Guilt(new ArrayList<>(), new ArrayList<>()));
 	}
@@ -159,28 +172,39 @@
 	 * @param otherCrashesShare the share of the runners that crash together, again and
 	 * again, of another cause; 0 for none
 	 * @param halfCutOff whether half of the gateways cannot reach the others
+	 * @param wholeRequests whether the guilty parts are whole requests, whose other parts
+	 * are sound
+	 * @param plain whether requests have no prompts, and runners respond at the end only
 	 * @param endMillis the length of the run
 	 */
 	record Scenario(double soundPerSecond, double guiltyPerSecond, int guiltyParts, double otherCrashesShare,
-			boolean halfCutOff, long endMillis) {
+			boolean halfCutOff, boolean wholeRequests, boolean plain, long endMillis) {
 
 		static Scenario of(double guiltyPerSecond) {
-			return new Scenario(80, guiltyPerSecond, 1, 0, false, 30_000);
+			return new Scenario(80, guiltyPerSecond, 1, 0, false, false, false, 30_000);
+		}
+
+		static Scenario ofWholeRequests(double guiltyPerSecond) {
+			return new Scenario(80, guiltyPerSecond, 1, 0, false, true, false, 30_000);
+		}
+
+		static Scenario ofPlainRequests(double guiltyPerSecond) {
+			return new Scenario(20, guiltyPerSecond, 1, 0, false, true, true, 30_000);
 		}
 
 		Scenario withGuiltyParts(int count) {
 			return new Scenario(this.soundPerSecond, this.guiltyPerSecond, count, this.otherCrashesShare,
-					this.halfCutOff, this.endMillis);
+					this.halfCutOff, this.wholeRequests, this.plain, this.endMillis);
 		}
 
 		Scenario withOtherCrashes(double share) {
 			return new Scenario(this.soundPerSecond, this.guiltyPerSecond, this.guiltyParts, share, this.halfCutOff,
-					this.endMillis);
+					this.wholeRequests, this.plain, this.endMillis);
 		}
 
 		Scenario withHalfCutOff() {
 			return new Scenario(this.soundPerSecond, this.guiltyPerSecond, this.guiltyParts, this.otherCrashesShare,
-					true, this.endMillis);
+					true, this.wholeRequests, this.plain, this.endMillis);
 		}
 
 	}
@@ -241,7 +265,8 @@
 
 		void send(Request request) {
 			List<Runner> alive = CrashSimulation.this.runners.stream()
-				.filter((runner) -> runner.alive && runner != request.runner && runner.requests.size() < 16)
+				.filter((runner) -> runner.alive && runner != request.runner
+						&& runner.requests.size() < (CrashSimulation.this.scenario.plain() ? 6 : 16))
 				.toList();
 			if (alive.isEmpty()) {
 				return;
@@ -374,10 +399,10 @@
 		void receive(Request request) {
 			request.runner = this;
 			request.startedAt = -1;
-			request.headArrives = CrashSimulation.this.random.nextInt(5) > 0;
+			request.headArrives = !CrashSimulation.this.scenario.plain() && CrashSimulation.this.random.nextInt(5) > 0;
 			this.requests.add(request);
 			RunnerStart at = this.start;
-			schedule(80 + delay(150), () -> begin(request, at));
+			schedule(CrashSimulation.this.scenario.plain() ? 1 : (80 + delay(150)), () -> begin(request, at));
 		}
 
 		private boolean isGone(Request request, RunnerStart at) {
@@ -399,7 +424,7 @@
 				});
 				return;
 			}
-			long length = 150 + delay(800);
+			long length = CrashSimulation.this.scenario.plain() ? (40 + delay(60)) : (150 + delay(800));
 			schedule(Math.min(length, PromptQuarantine.CLEARING_MILLIS), () -> {
 				if (!isGone(request, at)) {
 					request.headArrives = true;
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/prompts/CrashSimulationTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/prompts/CrashSimulationTests.java
@@ -5,6 +5,8 @@
 import java.util.TreeMap;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -15,11 +17,16 @@
 
 	private static final int SEEDS = Integer.getInteger("simulation.seeds", 100);
 
-	/** The number of further sends that the platform tolerates after the fifth crash. */
+	/**
+	 * The number of further sends that the platform tolerates after the fifth crash, or
+	 * after the third one of a whole request.
+	 */
 	private static final int MAX_LATE_SENDS = 3;
 
 	private static final int FIFTH = 4;
 
+	private static final int THIRD = 2;
+
 	private static void play(String name, CrashSimulation.Scenario scenario) {
 		TreeMap<Integer, Integer> crashes = new TreeMap<>();
 		IntSummaryStatistics rejected = new IntSummaryStatistics();
@@ -45,8 +52,9 @@
 
 	private static void assertWithinRules(String name, CrashSimulation run) {
 		run.guilt.forEach((part, guilt) -> {
-			if (guilt.crashes().size() > FIFTH) {
-				assertThat(late(guilt.sends(), guilt.crashes().get(FIFTH), 1)).as(name + ", " + part)
+			int decisive = part.startsWith("#") ? THIRD : FIFTH;
+			if (guilt.crashes().size() > decisive) {
+				assertThat(late(guilt.sends(), guilt.crashes().get(decisive), 1)).as(name + ", " + part)
 					.isLessThanOrEqualTo(MAX_LATE_SENDS);
 			}
 		});
@@ -106,6 +114,40 @@
 		play("15 % crash, no part", CrashSimulation.Scenario.of(0).withOtherCrashes(0.15));
 	}
 
+	// Guards against a request that comes again and crashes one runner after the other,
+	// although all parts of its prompt are sound (BUDGET).
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 4, 10 })
+	void aWholeRequestIsQuarantined(int perSecond) {
+		play("whole request, " + perSecond + "/s", CrashSimulation.Scenario.ofWholeRequests(perSecond));
+	}
+
+	@Test
+	void aWholeRequestIsQuarantinedWhileRunnersCrashOfAnotherCause() {
+		play("whole request, 15 % crash too", CrashSimulation.Scenario.ofWholeRequests(4).withOtherCrashes(0.15));
+		play("whole request, all crash too", CrashSimulation.Scenario.ofWholeRequests(4).withOtherCrashes(1));
+	}
+
+	@Test
+	void aWholeRequestIsQuarantinedOnBothSidesOfAPartition() {
+		play("whole request, half cut off", CrashSimulation.Scenario.ofWholeRequests(4).withHalfCutOff());
+	}
+
+	// Guards against requests without a prompt, of which nothing is learned (BUDGET).
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 4, 10 })
+	void aRequestWithoutAPromptIsQuarantined(int perSecond) {
+		play("plain request, " + perSecond + "/s", CrashSimulation.Scenario.ofPlainRequests(perSecond));
+		play("two plain requests, " + perSecond + "/s",
+				CrashSimulation.Scenario.ofPlainRequests(perSecond).withGuiltyParts(2));
+	}
+
+	@Test
+	void aRequestWithoutAPromptIsQuarantinedWhileRunnersCrashOfAnotherCause() {
+		play("plain request, all crash too", CrashSimulation.Scenario.ofPlainRequests(4).withOtherCrashes(1));
+		play("all crash, no plain request", CrashSimulation.Scenario.ofPlainRequests(0).withOtherCrashes(1));
+	}
+
 	@Test
 	void onePartIsQuarantinedOnBothSidesOfAPartition() {
 		play("one part, half cut off", CrashSimulation.Scenario.of(4).withHalfCutOff());
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/prompts/PromptQuarantineTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/prompts/PromptQuarantineTests.java
@@ -153,6 +153,94 @@
 
 	}
 
+	@Nested
+	class AWholeRequest {
+
+		private static final String REQUEST = "#0123";
+
+		private static final long HOUR_MILLIS = 3_600_000;
+
+		private RunnerEnd.AffectedRequest request(RequestProgress progress) {
+			return PromptQuarantineTests.request(progress, "shared", REQUEST);
+		}
+
+		// Guards against requests without a prompt of which nothing is learned, and
+		// against
+		// ends of all runners of a small service at one moment that count once.
+		@Test
+		void isQuarantinedAfterThreeRunnersThatHadItAtOneMoment() {
+			endRunners(2, PromptQuarantineTests.request(RequestProgress.QUEUED, REQUEST),
+					PromptQuarantineTests.request(RequestProgress.QUEUED, "#other"));
+			assertThat(verdict(REQUEST)).isEqualTo(PromptVerdict.Kind.SUSPECTED);
+			endRunners(1, PromptQuarantineTests.request(RequestProgress.QUEUED, REQUEST),
+					PromptQuarantineTests.request(RequestProgress.QUEUED, "#third"));
+			assertThat(verdict(REQUEST)).isEqualTo(PromptVerdict.Kind.QUARANTINED);
+			assertThat(verdict("#other")).isEqualTo(PromptVerdict.Kind.HARMLESS);
+			assertThat(verdict("#third")).isEqualTo(PromptVerdict.Kind.HARMLESS);
+		}
+
+		@Test
+		void isBlamedIfSeveralOfManyRunnersThatEndTogetherHadIt() {
+			endRunners(5, PromptQuarantineTests.request(RequestProgress.QUEUED, REQUEST, "shared"));
+			assertThat(verdict(REQUEST)).isEqualTo(PromptVerdict.Kind.QUARANTINED);
+			assertThat(verdict("shared")).isEqualTo(PromptVerdict.Kind.HARMLESS);
+		}
+
+		// Guards against rejecting sound requests that share a part with it (BUDGET).
+		@Test
+		void explainsEndsBetterThanAPartThatSoundRequestsHave() {
+			for (int i = 0; i < 3; i++) {
+				endRunners(1, request(RequestProgress.STARTED));
+			}
+			assertThat(verdict("shared", REQUEST)).isEqualTo(PromptVerdict.Kind.QUARANTINED);
+			assertThat(verdict("shared", "#other")).isNotEqualTo(PromptVerdict.Kind.QUARANTINED);
+		}
+
+		// Guards against one further end of a runner at each trial, as long as the fleet
+		// runs (BUDGET).
+		@Test
+		void isTriedOnceAfterThreeEndsAndNeverAfterFour() {
+			for (int i = 0; i < 3; i++) {
+				endRunners(1, request(RequestProgress.QUEUED));
+			}
+			assertThat(verdict(REQUEST)).isEqualTo(PromptVerdict.Kind.QUARANTINED);
+			PromptQuarantineTests.this.now += HOUR_MILLIS;
+			assertThat(verdict(REQUEST)).isEqualTo(PromptVerdict.Kind.TRIAL_DUE);
+			PromptQuarantineTests.this.quarantine.startTrial(REQUEST, "r", PromptQuarantineTests.this.now);
+			endRunners(1, request(RequestProgress.STARTED));
+			for (int i = 0; i < 100; i++) {
+				PromptQuarantineTests.this.now += HOUR_MILLIS;
+				assertThat(verdict(REQUEST)).isEqualTo(PromptVerdict.Kind.QUARANTINED);
+			}
+		}
+
+		@Test
+		void isTriedByOneGatewayOnly() {
+			PromptVerdict due = new PromptVerdict(PromptVerdict.Kind.TRIAL_DUE, REQUEST, -HOUR_MILLIS);
+			assertThat(due.isTrialOf(0)).isTrue();
+			assertThat(due.isTrialOf(1)).isFalse();
+		}
+
+		@Test
+		void isRememberedIfItComesAgainAfterLong() {
+			for (int i = 0; i < 3; i++) {
+				endRunners(1, request(RequestProgress.QUEUED));
+				PromptQuarantineTests.this.now += LONG_MILLIS;
+			}
+			assertThat(verdict(REQUEST)).isEqualTo(PromptVerdict.Kind.QUARANTINED);
+		}
+
+		@Test
+		void isClearedByARunToItsEnd() {
+			endRunners(1, request(RequestProgress.QUEUED));
+			endRunners(1, request(RequestProgress.QUEUED));
+			PromptQuarantineTests.this.quarantine.recordWriting(List.of("shared", REQUEST),
+					PromptQuarantineTests.this.now);
+			assertThat(verdict(REQUEST)).isEqualTo(PromptVerdict.Kind.HARMLESS);
+		}
+
+	}
+
 	@Nested
 	class PartsThatNothingTellsApart {
 
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/AdmittedRequest.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/AdmittedRequest.java
@@ -1,9 +1,11 @@
 package org.catkingate.gateway;
 
+import java.util.Arrays;
 import java.util.Objects;
 
 import org.catkingate.model.AccountName;
 import org.catkingate.model.ServiceName;
+import org.catkingate.model.prompts.RequestFingerprint;
 import org.catkingate.model.registry.Route;
 import org.catkingate.runtime.calls.CallerHead;
 
@@ -37,6 +39,16 @@
 				this.account, this.arrivedAtMillis, this.deadlineMillis, this.basis);
 	}
 
+	/**
+	 * Returns what identifies this request if it comes again.
+	 * @param method the method
+	 * @return the fingerprint, never null
+	 */
+	String fingerprint(String method) {
+		return RequestFingerprint.of(Arrays.asList(method, this.host, this.target, String.valueOf(this.account)),
+				this.body);
+	}
+
 	/**
 	 * The configuration that a decision is based on, and its age.
 	 *
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -1,6 +1,8 @@
 package org.catkingate.gateway;
 
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -77,6 +79,9 @@
 
 	private final RequestLog log;
 
+	/** The shared parts of the prompt, and the fingerprint of the whole request. */
+	private final List<String> parts;
+
 	private final Set<RunnerId> triedRunners = new HashSet<>();
 
 	private RunnerAttempt attempt;
@@ -109,6 +114,8 @@
 				exchange.getRequestHeaders().getFirst(Headers.ACCEPT_ENCODING), this.route.kind() == CallKind.STREAM);
 		this.relay = new ResponseRelay(exchange, this::handleCallerWritable, this::handleCallerDisconnect);
 		this.log = RequestLog.of(admitted);
+		this.parts = new ArrayList<>(admitted.head().sharedParts());
+		this.parts.add(admitted.fingerprint(exchange.getRequestMethod().toString()));
 	}
 
 	void start() {
@@ -130,12 +137,11 @@
 	}
 
 	private void tryNextRunner() {
-		PromptVerdict verdict = this.sharedState.prompts()
-			.admit(this.admitted.head().requestId(), this.admitted.head().sharedParts());
+		PromptVerdict verdict = this.sharedState.prompts().admit(this.admitted.head().requestId(), this.parts);
 		if (verdict.kind() == PromptVerdict.Kind.QUARANTINED) {
 			this.log.addQuarantine(verdict);
 			this.sharedState.metrics().countQuarantined();
-			rejectOrAbort(verdict.remainingMillis(), "a part of its prompt has crashed several runners");
+			rejectOrAbort(verdict.remainingMillis(), "it or a part of its prompt has crashed several runners");
 			return;
 		}
 		follow(this.sharedState.decide(this.admitted.service(), requirements(), this.triedRunners));
@@ -246,14 +252,12 @@
 	@Override
 	public void onSend(RunnerAttempt from) {
 		this.sends++;
-		this.sharedState.prompts()
-			.recordSend(from, this.admitted.head().requestId(), this.admitted.head().sharedParts(),
-					() -> withdraw(from));
+		this.sharedState.prompts().recordSend(from, this.admitted.head().requestId(), this.parts, () -> withdraw(from));
 	}
 
 	private void withdraw(RunnerAttempt from) {
 		if (!isStale(from)) {
-			failAttempt(from, "withdrawn", "a part of its prompt has been quarantined");
+			failAttempt(from, "withdrawn", "it or a part of its prompt has been quarantined");
 		}
 	}
 
@@ -406,8 +410,7 @@
 		}
 		this.mayHaveRun = true;
 		this.sharedState.prompts().recordBreak(from);
-		boolean harmless = this.admitted.head().sharedParts().isEmpty()
-				|| from.respondingMillis(this.sharedState.clock().millis()) >= PromptQuarantine.CLEARING_MILLIS;
+		boolean harmless = from.respondingMillis(this.sharedState.clock().millis()) >= PromptQuarantine.CLEARING_MILLIS;
 		if (harmless || !this.route.canRunAgain()) {
 			failAttempt(from, "broken", reason);
 			return;
@@ -430,9 +433,9 @@
 		if (this.finished) {
 			return;
 		}
-		if (!this.sharedState.prompts().canRetry(this.admitted.head().sharedParts())) {
+		if (!this.sharedState.prompts().canRetry(this.parts)) {
 			this.sharedState.metrics().countQuarantined();
-			rejectOrAbort(0, "a part of its prompt may have ended its runner: " + reason);
+			rejectOrAbort(0, "it or a part of its prompt may have ended its runner: " + reason);
 		}
 		else if (this.relay.canBeContinued()) {
 			retryOrElse(() -> rejectOrAbort(0, reason));
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
@@ -53,7 +53,7 @@
 			.register(registry);
 		this.quarantined = Counter.builder()
 			.name("catkingate_gateway_quarantined")
-			.help("Requests that were not sent, or not sent again, because of a part of their prompt")
+			.help("Requests that were not sent, or not sent again, since they or a part of their prompt may end runners")
 			.register(registry);
 		this.runnerPauses = Counter.builder()
 			.name("catkingate_gateway_runner_pauses")
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/CrashingPromptTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/CrashingPromptTests.java
@@ -55,12 +55,14 @@
 
 	private String post(TestGateway gateway, String part) throws Exception {
 		int number = this.requests.incrementAndGet();
+		String body = "text " + number;
 		try (RawCaller caller = gateway.connect()) {
 			return caller
 				.send("POST /songs/1 HTTP/1.1\r\nHost: " + TestGateway.HOST + "\r\nX-Request-Id: r" + number
 						+ "\r\nX-Deadline-Ms: 2500\r\nAuthorization: Bearer " + TestGateway.API_KEY
 						+ "\r\nX-Token-Counts: 300,40\r\nX-Prefix-Hash: " + SHARED_PART + ":40," + part + ":200,"
-						+ Integer.toHexString(0x1000 + number) + ":60\r\nContent-Length: 2\r\n\r\nhi")
+						+ Integer.toHexString(0x1000 + number) + ":60\r\nContent-Length: " + body.length() + "\r\n\r\n"
+						+ body)
 				.readResponse();
 		}
 	}
