Give back the trial of a request that was not sent (BUDGET)

What callers saw: sound requests rejected for ten seconds after runners had ended, since a part that they all have was in quarantine.

Cause: a trial counted as started when the request was admitted. If no runner was left, as right after several have ended, the request was rejected and the trial used up; the next one was due ten seconds later.

Change: a trial is cancelled if its request ends without having been sent.

PromptQuarantineTests covers the decision.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/prompts/PartEvidence.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/prompts/PartEvidence.java
@@ -253,6 +253,10 @@
 		this.trialUntilMillis = nowMillis + (this.wholeRequest ? REQUEST_QUARANTINE_MILLIS : TRIAL_MILLIS);
 	}
 
+	void cancelTrial() {
+		this.trialUntilMillis = Long.MIN_VALUE;
+	}
+
 	/*
 	 * Whether a request may be sent before the quarantine has expired. After another end
 	 * of a runner a whole request is never sent again.
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/prompts/PromptQuarantine.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/prompts/PromptQuarantine.java
@@ -297,6 +297,17 @@
 		}
 	}
 
+	/**
+	 * Cancels a trial whose request was not sent, so that another one may be.
+	 * @param part the part
+	 */
+	public void cancelTrial(String part) {
+		PartEvidence evidence = this.blamed.get(part);
+		if (evidence != null) {
+			evidence.cancelTrial();
+		}
+	}
+
 	/**
 	 * Merges reports of another gateway.
 	 * @param reports the reports
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/prompts/PromptQuarantineTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/prompts/PromptQuarantineTests.java
@@ -241,6 +241,24 @@
 
 	}
 
+	@Nested
+	class ATrial {
+
+		// Guards against sound requests that are rejected for long since the one that
+		// would have cleared their part found no runner.
+		@Test
+		void canBeStartedAgainIfItsRequestWasNotSent() {
+			for (int i = 0; i < 3; i++) {
+				endRunners(1, request(RequestProgress.STARTED, "shared", "bad"));
+			}
+			PromptQuarantineTests.this.quarantine.startTrial("shared", "r", PromptQuarantineTests.this.now);
+			assertThat(verdict("shared", "other")).isEqualTo(PromptVerdict.Kind.QUARANTINED);
+			PromptQuarantineTests.this.quarantine.cancelTrial("shared");
+			assertThat(verdict("shared", "other")).isEqualTo(PromptVerdict.Kind.TRIAL_DUE);
+		}
+
+	}
+
 	@Nested
 	class PartsThatNothingTellsApart {
 
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -90,6 +90,11 @@
 
 	private int unreachableRunners;
 
+	/** The part in quarantine that this request tries, null if it is no trial. */
+	private String trialPart;
+
+	private int sendsBeforeTrial;
+
 	private boolean mayHaveRun;
 
 	private long firstByteMillis = -1;
@@ -144,6 +149,10 @@
 			rejectOrAbort(verdict.remainingMillis(), "it or a part of its prompt has crashed several runners");
 			return;
 		}
+		if (verdict.kind() == PromptVerdict.Kind.TRIAL_DUE) {
+			this.trialPart = verdict.part();
+			this.sendsBeforeTrial = this.sends;
+		}
 		follow(this.sharedState.decide(this.admitted.service(), requirements(), this.triedRunners));
 	}
 
@@ -539,6 +548,9 @@
 
 	private void finish(String outcome, int status) {
 		this.finished = true;
+		if (this.trialPart != null && this.sends == this.sendsBeforeTrial) {
+			this.sharedState.prompts().cancelTrial(this.trialPart);
+		}
 		this.attempt = null;
 		long totalMillis = this.sharedState.clock().millis() - this.admitted.arrivedAtMillis();
 		this.sharedState.metrics().recordFinished(outcome, this.firstByteMillis, totalMillis);
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/PromptGuard.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/PromptGuard.java
@@ -127,6 +127,14 @@
 		return new PromptVerdict(PromptVerdict.Kind.QUARANTINED, verdict.part(), 0);
 	}
 
+	/**
+	 * Cancels a trial whose request was not sent.
+	 * @param part the part that would have been tried
+	 */
+	void cancelTrial(String part) {
+		this.quarantine.cancelTrial(part);
+	}
+
 	private int rank(String part) {
 		long key = RendezvousHashing.hash(part);
 		Function<InstanceId, Long> score = (gateway) -> RendezvousHashing.score(key,
