--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -258,6 +258,15 @@
 		}
 	}
 
+	@Override
+	public boolean canSend(RunnerAttempt from) {
+		return isTrial() || !this.sharedState.prompts().isQuarantined(this.parts);
+	}
+
+	private boolean isTrial() {
+		return this.trialPart != null && this.sends == this.sendsBeforeTrial;
+	}
+
 	@Override
 	public void onSend(RunnerAttempt from) {
 		this.sends++;
@@ -548,7 +557,7 @@
 
 	private void finish(String outcome, int status) {
 		this.finished = true;
-		if (this.trialPart != null && this.sends == this.sendsBeforeTrial) {
+		if (isTrial()) {
 			this.sharedState.prompts().cancelTrial(this.trialPart);
 		}
 		this.attempt = null;
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/PromptGuard.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/PromptGuard.java
@@ -147,6 +147,15 @@
 			.count();
 	}
 
+	/**
+	 * Returns whether a request must not be sent.
+	 * @param parts the parts of its prompt
+	 * @return whether a part is in quarantine
+	 */
+	boolean isQuarantined(List<String> parts) {
+		return this.quarantine.verdict(parts, this.clock.millis()).kind().compareTo(PromptVerdict.Kind.TRIAL_DUE) >= 0;
+	}
+
 	/**
 	 * Returns whether a request that broke off may be sent to another runner.
 	 * @param parts the parts of its prompt
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
@@ -107,10 +107,12 @@
 			this.runner.connections().release(connection);
 			return;
 		}
-		if (!this.runner.accepts(this.clock.millis()) || !takePermit()) {
+		boolean accepted = this.runner.accepts(this.clock.millis()) && takePermit();
+		if (!accepted || !this.listener.canSend(this)) {
 			this.runner.connections().release(connection);
 			finish();
-			this.listener.onNotSent(this, "the runner takes no new requests");
+			this.listener.onNotSent(this,
+					accepted ? "the request may not be sent any more" : "the runner takes no new requests");
 			return;
 		}
 		this.sentAtMillis = this.clock.millis();
@@ -284,6 +286,15 @@
 	 */
 	interface Listener {
 
+		/**
+		 * Returns whether the request may still be sent. Called immediately before it
+		 * would be written, since something may have become known after the choice of the
+		 * runner.
+		 * @param attempt the attempt
+		 * @return whether nothing that is known of the request forbids it
+		 */
+		boolean canSend(RunnerAttempt attempt);
+
 		/**
 		 * Called before the request is written; from now on the runner may run it.
 		 * @param attempt the attempt
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerAttemptTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerAttemptTests.java
@@ -117,6 +117,17 @@
 		assertNotSentAfter(503, pausing());
 	}
 
+	// Guards against a request that is sent after a part of its prompt or it as a whole
+	// has been put into quarantine, because it was admitted before (BUDGET).
+	@Test
+	void isNotSentIfItIsQuarantinedWhileTheConnectionIsOpened() throws Exception {
+		Outcome outcome = new Outcome();
+		outcome.quarantined = true;
+		RunnerState runner = createRunner();
+		this.worker.getIoThread().execute(() -> startAttempt(runner, outcome));
+		assertThat(outcome.end.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).startsWith("not sent: ");
+	}
+
 	@Test
 	void isSentIfItsRunnerTakesRequests() throws Exception {
 		Outcome outcome = new Outcome();
@@ -136,6 +147,13 @@
 
 		private final CompletableFuture<String> end = new CompletableFuture<>();
 
+		private boolean quarantined;
+
+		@Override
+		public boolean canSend(RunnerAttempt attempt) {
+			return !this.quarantined;
+		}
+
 		@Override
 		public void onSend(RunnerAttempt attempt) {
 			this.end.complete("sent");
