Ask for permits only while a runner is limited (LIMIT)

A gateway kept the permits and issuer requests of a runner after its limit had ended, and went through them with each response. A limit that ends now removes them, and a response without a statement is ignored unless its runner is limited. Adds the test of the check immediately before the write: isNotSentIfItsRunnerStatesALimitWhileTheConnectionIsOpened.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/permits/RunnerLimits.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/permits/RunnerLimits.java
@@ -93,7 +93,7 @@
 	 * @param nowMillis the time now, in monotonic milliseconds
 	 */
 	public void record(RunnerStart runner, LimitStatement statement, String requestId, long nowMillis) {
-		if (statement.isLimit() || this.statements.containsKey(runner)) {
+		if (statement.isLimit() || isLimited(runner)) {
 			merge(runner, statement, requestId, nowMillis);
 		}
 	}
@@ -119,6 +119,9 @@
 		double before = (previous != null) ? previous.requestsPerSecond() : LimitStatement.NO_LIMIT;
 		if (merged.requestsPerSecond() != before) {
 			this.limitedRunners = (int) this.statements.values().stream().filter(LimitStatement::isLimit).count();
+			if (!merged.isLimit()) {
+				this.stocks.remove(runner);
+			}
 			this.changes.add(new LimitChange(runner, before, merged, source));
 			this.effects.add(new PermitEffect.ReportLimit(report(runner, merged, nowMillis)));
 		}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerPermits.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerPermits.java
@@ -133,11 +133,12 @@
 		if (response.limit().unreadable().isPresent() && mayLog(nowMillis)) {
 			this.log.recordUnreadableLimit(runner, response);
 		}
-		if (response.limit().requestsPerSecond().isPresent() || response.limit().unreadable().isEmpty()) {
+		RunnerStart start = new RunnerStart(runner.id(), runner.startedAtEpochMillis());
+		boolean denied = response.limit().requestsPerSecond().isEmpty() && response.limit().unreadable().isEmpty();
+		if (response.limit().requestsPerSecond().isPresent() || (denied && this.limits.isLimited(start))) {
 			double perSecond = response.limit().requestsPerSecond().orElse(LimitStatement.NO_LIMIT);
-			this.limits.record(new RunnerStart(runner.id(), runner.startedAtEpochMillis()),
-					new LimitStatement(perSecond, sentAtMillis, nowMillis), String.valueOf(response.requestId()),
-					nowMillis);
+			this.limits.record(start, new LimitStatement(perSecond, sentAtMillis, nowMillis),
+					String.valueOf(response.requestId()), nowMillis);
 			execute();
 		}
 	}
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerAttemptTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerAttemptTests.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -88,6 +89,11 @@
 				new RequestedPause(TIMEOUT_MILLIS, Optional.empty()), StatedLimit.NONE);
 	}
 
+	private static RunnerResponseHead limiting() {
+		return new RunnerResponseHead("r1", true, false, false, Optional.empty(), Long.MAX_VALUE, false,
+				RequestedPause.NONE, new StatedLimit(OptionalDouble.of(1), Optional.empty()));
+	}
+
 	private void assertNotSentAfter(int status, RunnerResponseHead statement) throws Exception {
 		Outcome outcome = new Outcome();
 		RunnerState runner = createRunner();
@@ -117,6 +123,12 @@
 		assertNotSentAfter(503, pausing());
 	}
 
+	// Guards against the same for a runner that states a limit (LIMIT).
+	@Test
+	void isNotSentIfItsRunnerStatesALimitWhileTheConnectionIsOpened() throws Exception {
+		assertNotSentAfter(200, limiting());
+	}
+
 	// Guards against a request that is sent after a part of its prompt or it as a whole
 	// has been put into quarantine, because it was admitted before (BUDGET).
 	@Test
