Count the bytes of the weights stand-in before they are written

WeightsServerTests$Ranges#areCountedInSentBytes failed once (0 bytes counted instead of 10): the stand-in counted after the write, so that a client that had read all bytes could find them uncounted. Now they are counted before, and what was not written is taken back.

--- a/catkingate-standins/src/main/java/org/catkingate/standins/weights/RateLimitedBody.java
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/weights/RateLimitedBody.java
@@ -89,13 +89,12 @@
 					this.exchange.getIoThread().executeAfter(this::write, 50, TimeUnit.MILLISECONDS);
 					return;
 				}
-				int count = this.channel.write(this.pending);
+				int count = writeAndCount();
 				if (count == 0) {
 					this.channel.resumeWrites();
 					return;
 				}
 				this.sentBytes += count;
-				this.servedCounts.dataBytes().addAndGet(count);
 				if (mustReset()) {
 					HttpService.closeConnection(this.exchange);
 					return;
@@ -109,6 +108,23 @@
 		}
 	}
 
+	/*
+	 * Counts the bytes before they are written, so that a client that has read them finds
+	 * them counted.
+	 */
+	private int writeAndCount() throws IOException {
+		int offered = this.pending.remaining();
+		this.servedCounts.dataBytes().addAndGet(offered);
+		int written = 0;
+		try {
+			written = this.channel.write(this.pending);
+			return written;
+		}
+		finally {
+			this.servedCounts.dataBytes().addAndGet(written - offered);
+		}
+	}
+
 	private boolean isStalled() {
 		return this.options.stallAfterBytes >= 0 && this.sentBytes >= this.options.stallAfterBytes;
 	}
