Send each chunk of the test of streamed calls after the one before was delivered

StreamedCallTests#chunksAfterTheHeadAreDeliveredOneByOne failed once beside other builds ("abcde" in one delivery). The stand-in sends the chunks 60 ms apart; if the reading thread is held up for longer, both are in the socket's buffer and arrive in one read, which is no fault of the call. The test now waits for each notification before it sends the next part, and asserts the same deliveries, so its verdict does not depend on the load.

--- a/catkingate-runtime/src/test/java/org/catkingate/runtime/http/StreamedCallTests.java
+++ b/catkingate-runtime/src/test/java/org/catkingate/runtime/http/StreamedCallTests.java
@@ -1,5 +1,9 @@
 package org.catkingate.runtime.http;
 
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -54,7 +58,11 @@
 	}
 
 	private ConnectionPool connectionsTo(RawServer server) {
-		return ConnectionPool.to(server.address(), this.worker, new DefaultByteBufferPool(true, 16 * 1024), 8,
+		return connectionsTo(server.address());
+	}
+
+	private ConnectionPool connectionsTo(InetSocketAddress address) {
+		return ConnectionPool.to(address, this.worker, new DefaultByteBufferPool(true, 16 * 1024), 8,
 				MonotonicClock.system());
 	}
 
@@ -82,9 +90,18 @@
 
 	@Test
 	void chunksAfterTheHeadAreDeliveredOneByOne() throws Exception {
-		try (RawServer server = RawServer.respondingWith(CHUNKED, "3\r\nabc\r\n", "2\r\nde\r\n", "0\r\n\r\n")) {
-			call(connectionsTo(server));
-			assertThat(notificationsUntil("ended reusable")).containsExactly("200", "abc", "de", "ended reusable");
+		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			call(connectionsTo((InetSocketAddress) server.getLocalSocketAddress()));
+			try (Socket socket = server.accept()) {
+				// each part is sent after the one before was delivered, so that no two
+				// arrive
+				// together
+				for (List<String> part : List.of(List.of(CHUNKED, "200"), List.of("3\r\nabc\r\n", "abc"),
+						List.of("2\r\nde\r\n", "de"), List.of("0\r\n\r\n", "ended reusable"))) {
+					socket.getOutputStream().write(part.get(0).getBytes(StandardCharsets.ISO_8859_1));
+					assertThat(notificationsUntil(part.get(1))).containsExactly(part.get(1));
+				}
+			}
 		}
 	}
 
