--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/prompts/CrashSimulationTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/prompts/CrashSimulationTests.java
@@ -133,6 +133,17 @@
 		play("whole request, half cut off", CrashSimulation.Scenario.ofWholeRequests(4).withHalfCutOff());
 	}
 
+	// Guards against gateways that start the count of ends anew after a restart, and
+	// against
+	// many gateways that each end runners before they have heard of the others (BUDGET).
+	@Test
+	void aWholeRequestIsQuarantinedByManyGatewaysThatRestart() {
+		play("whole request, 16 gateways", CrashSimulation.Scenario.ofWholeRequests(4).withGateways(16));
+		play("whole request, 4 gateways that restart", CrashSimulation.Scenario.ofWholeRequests(4).withRestarts(1500));
+		play("plain request, 16 gateways that restart",
+				CrashSimulation.Scenario.ofPlainRequests(4).withGateways(16).withRestarts(500));
+	}
+
 	// Guards against requests without a prompt, of which nothing is learned (BUDGET).
 	@ParameterizedTest
 	@ValueSource(ints = { 1, 4, 10 })
