Make the limited runner the preferred one in its test (LIMIT)

Cause: the test demands that the limited runner is used at all, but both runners responded after 5 ms, and gateways know the response time of the one better that they use more; under load they preferred the other. The other runner now responds after 150 ms, more than gateways assume of an unknown runner.

--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/RunnerLimitTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/RunnerLimitTests.java
@@ -46,6 +46,12 @@
 
 	private static final long MEASURED_MILLIS = 6000;
 
+	/**
+	 * More than a gateway assumes of a runner that it does not know, so that it prefers
+	 * the limited runner.
+	 */
+	private static final long SLOW_RESPONSE_MILLIS = 150;
+
 	/** More than a gateway takes to connect to another one. */
 	private static final long CONNECTING_MILLIS = 3000;
 
@@ -125,8 +131,8 @@
 	// stated that it takes (LIMIT).
 	@Test
 	void allGatewaysTogetherSendNoMoreThanTheLimit() throws Exception {
-		try (RawServer limited = RawServer.respondingWith(respondingAfter(5, OK_WITH_LIMIT));
-				RawServer other = RawServer.respondingWith(respondingAfter(5, OK))) {
+		try (RawServer limited = RawServer.respondingWith(OK_WITH_LIMIT);
+				RawServer other = RawServer.respondingWith(respondingAfter(SLOW_RESPONSE_MILLIS, OK))) {
 			startGateways(limited.address(), other.address());
 			startCallers();
 			Awaitility.await().atMost(TIMEOUT).until(() -> !limited.requestHeads().isEmpty());
