Grant permits only for limits that the issuer knows (LIMIT)

Cause: an issuer that has just started knows no limit, and so granted every permit that it was asked for.

Change: who requests permits knows of a limit, so an issuer that has not heard of it grants next to nothing until it has. One that knows that the limit has ended grants all.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/permits/RunnerLimits.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/permits/RunnerLimits.java
@@ -168,6 +168,15 @@
 		return this.isIssuer ? limitPerSecond(runner) / this.issuers : 0;
 	}
 
+	/*
+	 * A gateway that requests permits knows of a limit. Until this one has heard of it,
+	 * as after a start, it grants next to nothing.
+	 */
+	private double limitToIssue(RunnerStart runner) {
+		LimitStatement statement = this.statements.get(runner);
+		return (statement != null) ? statement.requestsPerSecond() : 0;
+	}
+
 	/**
 	 * Returns whether requests to a runner take permits.
 	 * @param runner the runner
@@ -267,7 +276,7 @@
 	 * @param nowMillis the time now, in monotonic milliseconds
 	 */
 	public void receive(InstanceId from, PermitEffect.RequestPermits request, long nowMillis) {
-		this.issuer.add(from, request, this::limitPerSecond, 1.0 / this.issuers, nowMillis);
+		this.issuer.add(from, request, this::limitToIssue, 1.0 / this.issuers, nowMillis);
 		issue(nowMillis);
 	}
 
@@ -283,7 +292,7 @@
 	}
 
 	private void issue(long nowMillis) {
-		for (PermitEffect.GrantPermits grant : this.issuer.issue(this::limitPerSecond, 1.0 / this.issuers,
+		for (PermitEffect.GrantPermits grant : this.issuer.issue(this::limitToIssue, 1.0 / this.issuers,
 				this.knownGateways, nowMillis)) {
 			if (grant.gateway().equals(this.self)) {
 				receive(this.self, grant, nowMillis);
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/permits/RunnerLimitsTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/permits/RunnerLimitsTests.java
@@ -103,6 +103,41 @@
 
 	}
 
+	@Nested
+	class AsAnIssuerThatHasJustStarted {
+
+		private final RunnerLimits limits = new RunnerLimits(ISSUER, 0, 3);
+
+		private List<PermitEffect> requestPermits(long nowMillis) {
+			this.limits.receive(OTHER, new PermitEffect.RequestPermits(ISSUER, RUNNER, 5, nowMillis), nowMillis);
+			this.limits.update(nowMillis + 500);
+			return this.limits.takeEffects();
+		}
+
+		// Guards against permits without end from an issuer that has not yet heard of the
+		// limit (LIMIT).
+		@Test
+		void grantsNothingBeforeItKnowsOfTheLimit() {
+			assertThat(requestPermits(0)).isEmpty();
+		}
+
+		@Test
+		void grantsItsPartOnceItKnowsTheLimit() {
+			requestPermits(0);
+			limited(this.limits, 6);
+			assertThat(requestPermits(1000)).containsExactly(new PermitEffect.GrantPermits(OTHER, RUNNER, 1, 1000, 1));
+		}
+
+		@Test
+		void grantsEverythingOnceItKnowsThatTheLimitHasEnded() {
+			limited(this.limits, 6);
+			this.limits.record(RUNNER, new LimitStatement(LimitStatement.NO_LIMIT, 100, 200), "r2", 200);
+			this.limits.takeEffects();
+			assertThat(requestPermits(1000)).containsExactly(new PermitEffect.GrantPermits(OTHER, RUNNER, 5, 1000, 1));
+		}
+
+	}
+
 	@Nested
 	class AmongOthers {
 
