Let a whole request explain ends whatever other gateways blame (BUDGET)

Cause: evidence against the request and against the part that all prompts share was compared by weight. A gateway that had nothing but one sound request at a runner blames the shared part with a higher weight than the gateway that had sent the crashing request beside others. So the part seemed the better explanation: it went into quarantine, the request did not, and nothing was sent any more that could have cleared the part.

Change: a whole request with two ends or more counts each of them with the highest weight. A part that really is to blame has more ends than any single request with it.

Evidence: explainsEndsBetterThanAPartThatOtherGatewaysBlameMore failed before.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/prompts/PartEvidence.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/prompts/PartEvidence.java
@@ -150,12 +150,15 @@
 
 	/*
 	 * A whole request that several runners have ended under explains these ends better
-	 * than a part of its prompt that other requests have, too.
+	 * than a part of its prompt. Other requests have the part, too, so that it may be
+	 * blamed more for the same ends.
 	 */
 	private int strength() {
 		List<End> uncleared = this.ends.values().stream().filter((end) -> !end.cleared()).toList();
-		int weight = uncleared.stream().mapToInt(End::weight).sum();
-		return 2 * weight + ((this.wholeRequest && uncleared.size() > 1) ? 1 : 0);
+		if (this.wholeRequest && uncleared.size() > 1) {
+			return uncleared.size() * PartReport.RunnerEndReport.MAX_WEIGHT + 1;
+		}
+		return uncleared.stream().mapToInt(End::weight).sum();
 	}
 
 	/*
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/prompts/PromptQuarantineTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/prompts/PromptQuarantineTests.java
@@ -196,6 +196,25 @@
 			assertThat(verdict("shared", "#other")).isNotEqualTo(PromptVerdict.Kind.QUARANTINED);
 		}
 
+		// Guards against the same if other gateways, which had only a sound request at
+		// these runners, blame the part more (BUDGET).
+		@Test
+		void explainsEndsBetterThanAPartThatOtherGatewaysBlameMore() {
+			for (int i = 0; i < 4; i++) {
+				RunnerStart runner = new RunnerStart(new RunnerId("i-" + i), 7);
+				PromptQuarantineTests.this.now += 1000;
+				PromptQuarantineTests.this.quarantine.merge(
+						List.of(report(runner, "shared", 2), report(runner, REQUEST, 1)),
+						PromptQuarantineTests.this.now);
+			}
+			assertThat(verdict("shared", REQUEST)).isEqualTo(PromptVerdict.Kind.QUARANTINED);
+			assertThat(verdict("shared", "#other")).isNotEqualTo(PromptVerdict.Kind.QUARANTINED);
+		}
+
+		private PartReport report(RunnerStart runner, String part, int weight) {
+			return new PartReport(part, false, List.of(new PartReport.RunnerEndReport(runner, 0, weight, false)));
+		}
+
 		// Guards against one further end of a runner at each trial, as long as the fleet
 		// runs (BUDGET).
 		@Test
