--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/admission/AdmissionPoliciesTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/admission/AdmissionPoliciesTests.java
@@ -350,4 +350,43 @@
 
 	}
 
+	@Nested
+	class CallersWhoseRunnersHaveAllStatedLimits {
+
+		private static final long REMAINING_MILLIS = 5000;
+
+		private static AdmissionDecision.Wait decide(double callsPerSecond, double draw) {
+			return (AdmissionDecision.Wait) AdmissionPolicies.whileLimited(callsPerSecond, REMAINING_MILLIS, draw);
+		}
+
+		// Load pattern: calls arrive at many times the rate that the runners take. Guards
+		// against calls that wait although no permit can come for them.
+		@Test
+		void waitOnlyIfAPermitIsExpectedInTheMeantime() {
+			assertThat(decide(0.3, 0.5).maxCalls()).isEqualTo(1);
+			assertThat(decide(20, 0.5).maxCalls()).isEqualTo(5);
+			assertThat(decide(20, 0.5).maxMillis()).isLessThan(500);
+			assertThat(AdmissionPolicies.whileLimited(20, 100, 0.5)).isInstanceOf(AdmissionDecision.Reject.class);
+		}
+
+		// Guards against callers that return before the next permit, or all at the same
+		// moment.
+		@Test
+		void returnAfterTheIntervalOfTheLimitsAtDifferentTimes() {
+			for (double callsPerSecond : new double[] { 0.5, 1.25, 4 }) {
+				long interval = (long) (1000 / callsPerSecond);
+				assertThat(decide(callsPerSecond, 0).otherwise().retryAfterMillis()).isEqualTo(interval);
+				assertThat(decide(callsPerSecond, 1).otherwise().retryAfterMillis()).isEqualTo(2 * interval);
+			}
+		}
+
+		@Test
+		void areNeverToldToReturnAtOnceOrAfterLong() {
+			for (double callsPerSecond : new double[] { 0, 1e-9, 1e9 }) {
+				assertThat(decide(callsPerSecond, 0.5).otherwise().retryAfterMillis()).isBetween(150L, 4000L);
+			}
+		}
+
+	}
+
 }
