--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/WaitingCalls.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/WaitingCalls.java
@@ -18,6 +18,12 @@
  */
 final class WaitingCalls {
 
+	/**
+	 * The maximum number of calls that wait for all services together, which bounds the
+	 * memory for them.
+	 */
+	private static final int MAX_CALLS = 500;
+
 	private static final long CHECK_INTERVAL_MILLIS = 50;
 
 	private final Map<ServiceName, Deque<BooleanSupplier>> calls = new HashMap<>();
@@ -36,7 +42,7 @@
 	 */
 	boolean add(ServiceName service, int maxCalls, BooleanSupplier attempt, XnioExecutor executor) {
 		Deque<BooleanSupplier> waiting = this.calls.computeIfAbsent(service, (key) -> new ArrayDeque<>());
-		if (waiting.size() >= maxCalls) {
+		if (this.count >= MAX_CALLS || waiting.size() >= maxCalls) {
 			return false;
 		}
 		this.count++;
