--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/LoadEvent.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/LoadEvent.java
@@ -1,5 +1,6 @@
 package org.catkingate.decisions.loading;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
@@ -115,6 +116,20 @@
 
 	}
 
+	/**
+	 * The statement of a gateway that it waits for pieces itself.
+	 *
+	 * @param digests the digests of the pieces, in hexadecimal digits; other text is
+	 * ignored
+	 */
+	record PiecesPending(List<String> digests) implements LoadEvent {
+
+		public PiecesPending {
+			digests = List.copyOf(digests);
+		}
+
+	}
+
 	/**
 	 * The end of a load command to the runner, with or without a response.
 	 *
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/LoadReducer.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/LoadReducer.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.catkingate.decisions.Effect;
 import org.catkingate.decisions.Event;
@@ -52,8 +53,18 @@
 	 */
 	private static final long STEP_TIMEOUT_MILLIS = 5000;
 
-	/** The maximum factor by which the delay grows after failures in a row. */
-	private static final int MAX_RETRY_FACTOR = 6;
+	/**
+	 * The maximum factor by which the delay grows after failures in a row. Requests stay
+	 * open while gateways wait for the origin, so that failures are rare and short.
+	 */
+	private static final int MAX_RETRY_FACTOR = 2;
+
+	/**
+	 * The maximum number of requested pieces that gateways wait for themselves. They use
+	 * no bandwidth until they arrive, so others are fetched meanwhile; the limit bounds
+	 * what may arrive at the same time ahead of requests to the runner.
+	 */
+	private static final int MAX_PENDING_PIECES = 4;
 
 	/**
 	 * The fetch duration above which the link of a piece is considered saturated, in
@@ -93,7 +104,7 @@
 	@Override
 	public ReductionResult<LoadState> reduce(LoadState state, long nowMillis, Event event) {
 		List<Effect> effects = new ArrayList<>();
-		LoadState next = startPending(apply(state, nowMillis, event));
+		LoadState next = startPending(apply(state, nowMillis, event), nowMillis);
 		for (ModelName model : next.loads().keySet()) {
 			ModelLoad before = next.loads().get(model);
 			next = next.withLoad(advance(next, before, nowMillis, effects));
@@ -138,7 +149,15 @@
 			ModelLoad load = findLoad(state, ended.model(), ended.version());
 			return (load == null || load.step() != LoadStep.FETCHING) ? state
 					: state.withLoad(load.withFetched(ended.index(), ended.staged(), nextWindow(state, load, ended),
-							nowMillis + RETRY_MILLIS * Math.min(MAX_RETRY_FACTOR, load.failures() + 1)));
+							nowMillis, nowMillis + RETRY_MILLIS * Math.min(MAX_RETRY_FACTOR, load.failures() + 1)));
+		}
+		if (event instanceof LoadEvent.PiecesPending pieces) {
+			Set<String> digests = Set.copyOf(pieces.digests());
+			LoadState next = state;
+			for (ModelLoad load : state.loads().values()) {
+				next = (load.step() == LoadStep.FETCHING) ? next.withLoad(load.withPending(digests)) : next;
+			}
+			return next;
 		}
 		if (event instanceof LoadEvent.LoadCommandResponded response && !response.accepted()) {
 			ModelLoad load = findLoad(state, response.model(), response.version());
@@ -153,7 +172,7 @@
 	 * keeps bandwidth for the requests to the runner.
 	 */
 	private static int nextWindow(LoadState state, ModelLoad load, LoadEvent.PieceFetchEnded ended) {
-		if (!ended.staged()) {
+		if (!ended.staged() || load.pending().contains(ended.index())) {
 			return load.window();
 		}
 		return (ended.durationMillis() > SLOW_PIECE_MILLIS) ? Math.max(1, load.window() - 1)
@@ -183,14 +202,16 @@
 			return state;
 		}
 		if (existing.step() == LoadStep.SETTLED) {
-			return state.withLoad(ModelLoad.declared(model, version, nowMillis));
+			return state.withLoad(ModelLoad.declared(model, version, nowMillis).withLoadTimeOf(existing.pace()));
 		}
 		if (shouldFinishOlder(state.settings(), existing, nowMillis)) {
 			ModelLoad pending = state.pending().get(model);
-			return (pending != null && pending.version() >= version) ? state
-					: state.withPending(model, ModelLoad.declared(model, version, nowMillis));
+			return (pending != null && pending.version() >= version) ? state : state.withPending(model,
+					ModelLoad.declared(model, version, nowMillis).withLoadTimeOf(existing.pace()));
 		}
-		return state.withLoad(ModelLoad.declared(model, version, existing.declaredAtMillis())).withPending(model, null);
+		return state
+			.withLoad(ModelLoad.declared(model, version, existing.declaredAtMillis()).withLoadTimeOf(existing.pace()))
+			.withPending(model, null);
 	}
 
 	/*
@@ -211,21 +232,33 @@
 		return !newerArrivesInTime && pieceMillis * load.missingCount() <= remainingMillis;
 	}
 
+	/*
+	 * Pieces of the older version that stopped to arrive make its mean time for a piece
+	 * grow, until the version is given up.
+	 */
+	private static boolean canFinish(LoadSettings settings, ModelLoad load, long nowMillis) {
+		int fetched = load.pieceCount() - load.missingCount();
+		double pieceMillis = (double) (nowMillis - load.declaredAtMillis()) / Math.max(1, fetched);
+		long remainingMillis = load.declaredAtMillis() + settings.changeMillis() - nowMillis;
+		return pieceMillis * load.missingCount() <= remainingMillis;
+	}
+
 	/*
 	 * A newer version starts once the older one is loaded, has taken over the staged
-	 * pieces, or cannot be fetched.
+	 * pieces, or cannot be fetched in time. Gateways reject the pieces of an older
+	 * version that they no longer read from the origin.
 	 */
-	private static LoadState startPending(LoadState state) {
+	private static LoadState startPending(LoadState state, long nowMillis) {
 		LoadState next = state;
 		for (ModelLoad newer : state.pending().values()) {
 			ModelLoad load = state.loads().get(newer.model());
-			boolean failsRepeatedly = load.step() == LoadStep.FETCHING && load.failures() >= MAX_FAILURES;
+			boolean givenUp = load.step() == LoadStep.FETCHING
+					&& (load.failures() > 0 || !canFinish(state.settings(), load, nowMillis));
 			// the runner took over the staged pieces when it accepted the command
 			boolean stagedPiecesTaken = load.step() == LoadStep.ORDERED
 					&& state.lastReport().map(LoadEvent.Reported::loading).orElse(false);
-			if (load.step() == LoadStep.SETTLED || load.step() == LoadStep.ASKING || failsRepeatedly
-					|| stagedPiecesTaken) {
-				next = next.withLoad(newer).withPending(newer.model(), null);
+			if (load.step() == LoadStep.SETTLED || load.step() == LoadStep.ASKING || givenUp || stagedPiecesTaken) {
+				next = next.withLoad(newer.withLoadTimeOf(load.pace())).withPending(newer.model(), null);
 			}
 		}
 		return next;
@@ -264,7 +297,9 @@
 				: RendezvousHashing.uniform(RendezvousHashing.mix(settings.seed() + load.version()));
 		ModelLoad newer = state.pending().get(load.model());
 		if (newer != null) {
-			return Math.max(nowMillis, newer.declaredAtMillis() + (long) (fraction * SHORTENED_TURNS_MILLIS));
+			long turn = newer.declaredAtMillis() + (long) (fraction * SHORTENED_TURNS_MILLIS);
+			// no runner waits longer than the versions before may serve
+			return Math.max(nowMillis, Math.min(latest, turn));
 		}
 		long earliest = load.declaredAtMillis() + (long) (FETCHING_FRACTION * settings.changeMillis());
 		return Math.max(nowMillis, earliest + (long) (fraction * Math.max(0, latest - earliest)));
@@ -318,7 +353,8 @@
 		ModelLoad next = load;
 		// all loaders request pieces in the same sequence, so that a piece that one of
 		// them waits for is already on its way to all
-		for (int index = 0; index < load.pieceCount() && next.fetching().size() < load.window(); index++) {
+		int pending = Math.min(MAX_PENDING_PIECES, load.pending().size());
+		for (int index = 0; index < load.pieceCount() && next.fetching().size() < load.window() + pending; index++) {
 			boolean wanted = !next.valid().contains(index) && !next.fetching().contains(index);
 			if (wanted && nowMillis >= load.dueAtMillis()) {
 				effects.add(new LoadEffect.FetchPiece(load.digests(), index));
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/loading/LoadReducerTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/loading/LoadReducerTests.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.junit.jupiter.api.Nested;
@@ -130,6 +131,22 @@
 		assertThat(takeEffects(LoadEffect.RequestDigests.class)).hasSize(1);
 	}
 
+	// Guards against an idle link while the first two pieces wait for the origin, and
+	// against all pieces arriving at the same time ahead of requests to the runner.
+	@Test
+	void otherPiecesAreRequestedWhileGatewaysWaitForTheFirstOnes() {
+		report(false, Map.of());
+		apply(new LoadEvent.Declared(Map.of(MODEL, 1L)));
+		apply(new LoadEvent.DigestsArrived(digests(1)));
+		apply(new LoadEvent.StagedPiecesChecked(MODEL, 1, Set.of()));
+		takeEffects(LoadEffect.FetchPiece.class);
+		for (int index = 0; index < PIECES; index++) {
+			apply(new LoadEvent.PiecesPending(List.of(digests(1).digests().get(index).hex())));
+		}
+		assertThat(takeEffects(LoadEffect.FetchPiece.class)).extracting(LoadEffect.FetchPiece::index)
+			.containsExactly(2, 3, 4, 5);
+	}
+
 	@Nested
 	class AnEmptyRunner {
 
@@ -266,6 +283,40 @@
 				.containsExactly(new LoadEffect.RequestDigests(MODEL, 3));
 		}
 
+		// Guards against loaders that keep requesting an older version after gateways
+		// have given it up.
+		@Test
+		void startsTheNewerVersionWhenAPieceOfTheOlderIsRejected() {
+			declareAfterFetching(12, 3600, 3);
+			assertThat(takeEffects(LoadEffect.RequestDigests.class)).isEmpty();
+			apply(new LoadEvent.PieceFetchEnded(MODEL, 2, 12, false, 50));
+			assertThat(takeEffects(LoadEffect.RequestDigests.class))
+				.containsExactly(new LoadEffect.RequestDigests(MODEL, 3));
+		}
+
+		// Guards against loaders that wait for an older version during an outage.
+		@Test
+		void startsTheNewerVersionWhenTheOlderCanNoLongerArriveInTime() {
+			declareAfterFetching(12, 3600, 3);
+			advance(1100);
+			assertThat(takeEffects(LoadEffect.RequestDigests.class)).isEmpty();
+			advance(200);
+			assertThat(takeEffects(LoadEffect.RequestDigests.class))
+				.containsExactly(new LoadEffect.RequestDigests(MODEL, 3));
+		}
+
+		// Guards against a runner that waits for its turn after the version that it
+		// serves may no longer be used.
+		@Test
+		void isSwitchedToAnOlderVersionBeforeTheTimeOfItsOwnIsOver() {
+			apply(new LoadEvent.TurnAssigned(MODEL, 99, 100));
+			declareAfterFetching(19, 5000, 3);
+			apply(new LoadEvent.PieceFetchEnded(MODEL, 2, 19, true, 50));
+			apply(new LoadEvent.StagedPiecesChecked(MODEL, 2, allPieces()));
+			awaitLoadCommand();
+			assertThat(LoadReducerTests.this.now).isLessThanOrEqualTo(1000 + 8000 - 1200 + 50);
+		}
+
 		@Test
 		void finishesALargelyFetchedVersionIfTheNewerCannotArriveInItsTime() {
 			declareAfterFetching(12, 3600, 3);
@@ -283,6 +334,52 @@
 
 	}
 
+	@Nested
+	class TheTimeUntilTheRunnerIsReady {
+
+		private OptionalLong readyInMillis() {
+			return ReadyEstimate.readyInMillis(LoadReducerTests.this.state, LoadReducerTests.this.now);
+		}
+
+		// Guards against callers that are told to wait for a time that the pieces cannot
+		// keep.
+		@Test
+		void followsFromTheRateOfThePiecesAndTheTimeOfTheLoad() {
+			report(false, Map.of());
+			apply(new LoadEvent.Declared(Map.of(MODEL, 1L)));
+			apply(new LoadEvent.DigestsArrived(digests(1)));
+			apply(new LoadEvent.StagedPiecesChecked(MODEL, 1, Set.of()));
+			assertThat(readyInMillis()).isEmpty();
+			for (int index = 0; index < 10; index++) {
+				LoadReducerTests.this.now += 40;
+				apply(new LoadEvent.PieceFetchEnded(MODEL, 1, index, true, 80));
+			}
+			assertThat(readyInMillis()).hasValue(10 * 40 + 400);
+			fetchAll(1);
+			apply(new LoadEvent.StagedPiecesChecked(MODEL, 1, allPieces()));
+			assertThat(readyInMillis()).hasValue(400);
+			advance(250);
+			report(false, Map.of(MODEL, 1L));
+			assertThat(readyInMillis()).isEmpty();
+		}
+
+		// Guards against an estimate that goes on while the origin is unavailable.
+		@Test
+		void isUnknownWhileNoPiecesArrive() {
+			report(false, Map.of());
+			apply(new LoadEvent.Declared(Map.of(MODEL, 1L)));
+			apply(new LoadEvent.DigestsArrived(digests(1)));
+			apply(new LoadEvent.StagedPiecesChecked(MODEL, 1, Set.of()));
+			apply(new LoadEvent.PieceFetchEnded(MODEL, 1, 0, true, 80));
+			advance(40);
+			apply(new LoadEvent.PieceFetchEnded(MODEL, 1, 1, true, 80));
+			assertThat(readyInMillis()).isPresent();
+			advance(1000);
+			assertThat(readyInMillis()).isEmpty();
+		}
+
+	}
+
 	@Nested
 	class ALoadCommand {
 
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/DeclaredVersions.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/DeclaredVersions.java
@@ -12,6 +12,7 @@
 import org.slf4j.LoggerFactory;
 
 import org.catkingate.decisions.admission.RunnerOption;
+import org.catkingate.decisions.pieces.VersionTimes;
 import org.catkingate.model.ModelName;
 import org.catkingate.wire.RunnerMessage;
 
@@ -122,6 +123,17 @@
 		return declarationTimes(model).containsKey(version);
 	}
 
+	/**
+	 * Returns the times that decide whether a version is still worth its bytes when a
+	 * newer one is declared.
+	 * @param model the model
+	 * @param version the version that is replaced
+	 * @return the times, never null
+	 */
+	VersionTimes times(ModelName model, long version) {
+		return VersionTimes.of(startLimitMillis(model, version - 1), this.changeMillis);
+	}
+
 	/**
 	 * Returns the time until which requests may start on a version.
 	 * @param model the model
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
@@ -2,15 +2,18 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -67,18 +70,21 @@
 	 */
 	private static final long DECLARATIONS_INTERVAL_MILLIS = 1000;
 
-	/**
-	 * The timeout for a piece from another gateway, below the one of loaders, so that
-	 * another gateway is tried before they give up.
-	 */
-	private static final long PIECE_TIMEOUT_MILLIS = 900;
-
 	/**
 	 * The interval at which reports on runners are forwarded, so that a fleet's reports
 	 * reach a gateway in a few messages.
 	 */
 	private static final long FORWARDING_INTERVAL_MILLIS = 100;
 
+	/**
+	 * The interval at which processes are told that their requests for weights are
+	 * pending, so that several statements fit into the time after which this gateway
+	 * counts as silent.
+	 */
+	private static final long PENDING_INTERVAL_MILLIS = 250;
+
+	private final Map<FrameConnection, Set<String>> openRequests = new HashMap<>();
+
 	private final Set<FrameConnection> acceptedConnections = new HashSet<>();
 
 	private final HandshakeMessage.PeerIdentity self;
@@ -139,9 +145,10 @@
 		this.ownAddress = AddressFormatter.format(settings.listen());
 		this.seed = settings.seeds().contains(settings.listen());
 		this.directory = new GatewayDirectory(self, this.ownAddress);
-		this.pieceClient = PeerPieceClient.create(worker.getIoThread(), clock, PIECE_TIMEOUT_MILLIS);
+		this.pieceClient = PeerPieceClient.create(worker.getIoThread(), clock);
 		this.cache = new PieceCache(this.pieceClient, this::upstreams,
-				(gateway) -> gateway.peer().region().equals(self.region()), origin, worker.getIoThread());
+				(gateway) -> gateway.peer().region().equals(self.region()), this::countOriginReaders, versions::times,
+				origin, clock, worker.getIoThread());
 		this.transport = FrameTransport.createOn(worker, settings.sharedKey(), self);
 		Location location = new Location(self.dataCentre(), self.region());
 		Set<InetSocketAddress> known = new HashSet<>(settings.seeds());
@@ -189,6 +196,7 @@
 			.executeAtInterval(peers::broadcastDeclarations, DECLARATIONS_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 		worker.getIoThread()
 			.executeAtInterval(peers::forwardUpdates, FORWARDING_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+		worker.getIoThread().executeAtInterval(peers::sendPending, PENDING_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 		return peers;
 	}
 
@@ -230,6 +238,24 @@
 		return this.publishedOrigin.get().map(WeightsOrigin::dataCentre).map(this.regions);
 	}
 
+	private int countOriginReaders() {
+		Optional<RegionName> region = originRegion();
+		int others = (int) outboundGateways().filter((gateway) -> !this.pieceClient.isUnresponsive(gateway))
+			.filter((gateway) -> region.isEmpty() || gateway.peer().region().equals(region.get()))
+			.map((gateway) -> gateway.peer().instance())
+			.distinct()
+			.count();
+		return others + 1;
+	}
+
+	/**
+	 * Returns the counters of reads from the origin.
+	 * @return the number by outcome
+	 */
+	Map<String, Long> originReadCounts() {
+		return this.cache.originReadCounts();
+	}
+
 	private Stream<FrameConnection> outboundGateways() {
 		return Stream.concat(this.seedConnections.nearestFirst().stream(),
 				this.listedConnections.nearestFirst().stream());
@@ -353,6 +379,7 @@
 	@Override
 	public void onClosed(FrameConnection connection, String reason) {
 		this.acceptedConnections.remove(connection);
+		this.openRequests.remove(connection);
 		this.copies.connectionLost(connection);
 		this.directory.remove(connection);
 		this.runnerAddresses.remove(connection);
@@ -413,27 +440,71 @@
 
 	private void respond(FrameConnection connection, WeightsMessage.VersionDigestsRequest request) {
 		sendRolloutPosition(connection, request.model());
-		this.cache.digests(request.model(), request.version()).whenComplete((digests, failure) -> {
-			if (failure != null) {
-				connection.send(new WeightsMessage.VersionDigests(request.model(), request.version(), 0, List.of()));
-			}
-			else {
-				connection.send(new WeightsMessage.VersionDigests(digests.model(), digests.version(),
-						digests.pieceBytes(), digests.digests()));
-			}
-		});
+		respond(connection, WeightsMessage.RequestsPending.subject(request.model(), request.version()),
+				this.cache.digests(request.model(), request.version()),
+				(digests) -> new WeightsMessage.VersionDigests(digests.model(), digests.version(), digests.pieceBytes(),
+						digests.digests()),
+				new WeightsMessage.VersionDigests(request.model(), request.version(), 0, List.of()));
 	}
 
 	private void respond(FrameConnection connection, WeightsMessage.ChunkRequest request) {
 		this.cache.piece(request.chunk())
 			.ifPresentOrElse(
-					(piece) -> piece.whenComplete((bytes,
-							failure) -> connection.send((failure != null)
-									? new WeightsMessage.ChunkRejection(request.chunk(), PIECE_RETRY_AFTER_MILLIS)
-									: new WeightsMessage.ChunkSlice(request.chunk(), 0, bytes))),
+					(piece) -> respond(connection, request.chunk().hex(), piece,
+							(bytes) -> new WeightsMessage.ChunkSlice(request.chunk(), 0, bytes),
+							new WeightsMessage.ChunkRejection(request.chunk(), PIECE_RETRY_AFTER_MILLIS)),
 					() -> connection.send(new WeightsMessage.ChunkRejection(request.chunk(), 0)));
 	}
 
+	private <T> void respond(FrameConnection connection, String subject, CompletableFuture<T> content,
+			Function<T, WeightsMessage> provided, WeightsMessage rejection) {
+		if (!content.isDone()) {
+			this.openRequests.computeIfAbsent(connection, (key) -> new LinkedHashSet<>()).add(subject);
+			if (!isGateway(connection)) {
+				// a loader requests other pieces meanwhile
+				sendPending(connection, List.of(subject));
+			}
+		}
+		content.whenComplete((result, failure) -> {
+			Set<String> open = this.openRequests.get(connection);
+			if (open != null && open.remove(subject) && open.isEmpty()) {
+				this.openRequests.remove(connection);
+			}
+			connection.send((failure != null) ? rejection : provided.apply(result));
+		});
+	}
+
+	private static boolean isGateway(FrameConnection connection) {
+		return connection.peer().role() == Role.ENTRY;
+	}
+
+	private void sendPending() {
+		this.openRequests.forEach(this::sendPending);
+	}
+
+	/*
+	 * Gateways are told only if this one reads from the origin or has recently been told
+	 * so itself. Two gateways that wait for each other, since they know different regions
+	 * of the origin, thus do not keep each other waiting.
+	 */
+	private void sendPending(FrameConnection connection, Collection<String> subjects) {
+		List<String> pending = new ArrayList<>();
+		List<String> unavailable = new ArrayList<>();
+		for (String subject : subjects) {
+			Optional<Boolean> available = this.cache.originStatement(subject);
+			if ((available.isPresent() || !isGateway(connection))
+					&& pending.size() < WeightsMessage.RequestsPending.MAX_SUBJECTS) {
+				pending.add(subject);
+				if (available.isPresent() && !available.get()) {
+					unavailable.add(subject);
+				}
+			}
+		}
+		if (!pending.isEmpty()) {
+			connection.send(new WeightsMessage.RequestsPending(pending, unavailable));
+		}
+	}
+
 	void close() {
 		this.seedConnections.close();
 		this.listedConnections.close();
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.undertow.connector.ByteBufferPool;
@@ -278,6 +279,13 @@
 			.help("The runners that are registered")
 			.callback((callback) -> callback.call(this.registry.view().runners().size()))
 			.register(this.metrics);
+		CounterWithCallback.builder()
+			.name("catkingate_gateway_origin_reads")
+			.help("Reads of pieces from the origin of weights, by outcome")
+			.labelNames("outcome")
+			.callback((callback) -> this.peers.originReadCounts()
+				.forEach((outcome, count) -> callback.call(count, outcome)))
+			.register(this.metrics);
 	}
 
 	private Map<String, Object> state() {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/PieceCache.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/PieceCache.java
@@ -8,9 +8,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.BiFunction;
 import java.util.function.Function;
+import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
@@ -18,18 +22,26 @@
 import org.slf4j.LoggerFactory;
 import org.xnio.XnioIoThread;
 
+import org.catkingate.decisions.pieces.OriginRead;
+import org.catkingate.decisions.pieces.OriginReadOutcome;
+import org.catkingate.decisions.pieces.OriginReads;
+import org.catkingate.decisions.pieces.VersionTimes;
 import org.catkingate.model.Digest;
 import org.catkingate.model.ModelName;
 import org.catkingate.model.registry.PieceDigests;
+import org.catkingate.runtime.MonotonicClock;
 import org.catkingate.runtime.staging.PeerPieceClient;
 import org.catkingate.runtime.staging.PieceOrigin;
+import org.catkingate.runtime.staging.PieceRejectedException;
 import org.catkingate.wire.FrameConnection;
+import org.catkingate.wire.WeightsMessage;
 
 /**
  * A cache of verified pieces of the newest versions of weights. Each piece is fetched
- * once, from a gateway nearer to the origin, or else from the origin itself. The first
- * request for the digests of a version starts prefetching its pieces. Used by the traffic
- * thread only.
+ * once, from a gateway nearer to the origin, or else from the origin itself, in the order
+ * that {@link OriginReads} decides. The declaration of a version, or else the first
+ * request for its digests, starts prefetching its pieces. Used by the traffic thread
+ * only.
  */
 final class PieceCache {
 
@@ -41,16 +53,18 @@
 	private static final int KEPT_VERSIONS = 2;
 
 	/**
-	 * The maximum number of concurrent reads from the origin, which are limited by the
-	 * bandwidth of its network link.
+	 * The maximum number of concurrent reads from the origin, summed over the gateways
+	 * that read from it. Its network link limits them: with more, all pieces arrive late
+	 * together instead of one after the other.
 	 */
 	private static final int MAX_CONCURRENT_ORIGIN_READS = 4;
 
-	/** The number of reads of a piece from the origin after which the request fails. */
-	private static final int MAX_ORIGIN_ATTEMPTS = 3;
-
-	/** The number of pieces that are prefetched at the same time. */
-	private static final int CONCURRENT_PREFETCHES = 4;
+	/**
+	 * The number of pieces that are prefetched from the gateways of this region at the
+	 * same time, and from those of another region. These requests stay open until the
+	 * piece has arrived there.
+	 */
+	private static final int CONCURRENT_PREFETCHES = 8;
 
 	/** The number of gateways that are tried before the origin. */
 	private static final int MAX_UPSTREAM_ATTEMPTS = 2;
@@ -64,7 +78,9 @@
 
 	private final Map<ModelName, Long> newestVersions = new HashMap<>();
 
-	private final Deque<Runnable> waitingReads = new ArrayDeque<>();
+	private final OriginReads reads = new OriginReads();
+
+	private final Map<OriginRead, OpenRead<?>> openReads = new HashMap<>();
 
 	private final PeerPieceClient pieceClient;
 
@@ -72,11 +88,23 @@
 
 	private final Predicate<FrameConnection> isInRegion;
 
+	private final IntSupplier originReaders;
+
+	private final BiFunction<ModelName, Long, VersionTimes> versionTimes;
+
 	private final Supplier<Optional<PieceOrigin>> origin;
 
+	private final MonotonicClock clock;
+
 	private final XnioIoThread thread;
 
-	private int readsInProgress;
+	private long nextStartMillis = Long.MAX_VALUE;
+
+	private final LongAdder readPieces = new LongAdder();
+
+	private final LongAdder failedReads = new LongAdder();
+
+	private final LongAdder obsoleteReads = new LongAdder();
 
 	/**
 	 * Creates an empty cache.
@@ -84,15 +112,23 @@
 	 * @param upstreams the gateways to request a piece from, given by its version and
 	 * index, in the order in which to try them; none to read from the origin
 	 * @param isInRegion whether a gateway is in the region of this one
+	 * @param originReaders the number of gateways that read from the origin
+	 * @param versionTimes the times of a version that is replaced
 	 * @param origin the origin, empty while none is known
+	 * @param clock the clock
 	 * @param thread the traffic thread
 	 */
 	PieceCache(PeerPieceClient pieceClient, Function<String, List<FrameConnection>> upstreams,
-			Predicate<FrameConnection> isInRegion, Supplier<Optional<PieceOrigin>> origin, XnioIoThread thread) {
+			Predicate<FrameConnection> isInRegion, IntSupplier originReaders,
+			BiFunction<ModelName, Long, VersionTimes> versionTimes, Supplier<Optional<PieceOrigin>> origin,
+			MonotonicClock clock, XnioIoThread thread) {
 		this.pieceClient = pieceClient;
 		this.upstreams = upstreams;
 		this.isInRegion = isInRegion;
+		this.originReaders = originReaders;
+		this.versionTimes = versionTimes;
 		this.origin = origin;
+		this.clock = clock;
 		this.thread = thread;
 	}
 
@@ -100,6 +136,28 @@
 		return cachedVersion(model, version).thenApply(CachedVersion::digests);
 	}
 
+	/*
+	 * The version before gives way only now, not when the newer one is declared: a
+	 * version whose digests the origin does not have replaces nothing.
+	 */
+	private void replaceOlder(PieceDigests digests) {
+		ModelName model = digests.model();
+		Long previous = this.newestVersions.get(model);
+		if (previous != null && previous >= digests.version()) {
+			return;
+		}
+		this.newestVersions.put(model, digests.version());
+		long older = (previous != null) ? previous : digests.version() - 1;
+		this.reads.declare(digests, this.versionTimes.apply(model, older), this.clock.millis());
+		logger.atInfo()
+			.addKeyValue("event", "newest-version")
+			.addKeyValue("version", key(model, digests.version()))
+			.addKeyValue("older-continues", !this.reads.isObsolete(model, older))
+			.addKeyValue("origin-available", this.reads.isAvailable())
+			.log("pieces of the newest version come first");
+		startReads();
+	}
+
 	private CompletableFuture<CachedVersion> cachedVersion(ModelName model, long version) {
 		String key = key(model, version);
 		CompletableFuture<CachedVersion> cached = this.versions.get(key);
@@ -108,43 +166,44 @@
 		}
 		CompletableFuture<CachedVersion> pending = new CompletableFuture<>();
 		this.versions.put(key, pending);
+		OriginRead read = OriginRead.ofDigests(model, version);
 		firstSuccess(this.upstreams.apply(key).iterator(),
 				(gateway) -> this.pieceClient.requestDigests(gateway, model, version),
-				() -> readOriginDigests(model, version))
+				() -> readOrigin(read, key, (source) -> source.readDigests(model, version), (digests) -> true))
 			.whenCompleteAsync((digests, failure) -> storeDigests(key, pending, digests, failure), this.thread);
 		return pending;
 	}
 
 	/*
 	 * Requests from up to MAX_UPSTREAM_ATTEMPTS gateways, each after the one before has
-	 * failed, and then falls back.
+	 * failed, and then falls back. That a gateway rejects the request and the next one
+	 * does not provide it is final: they are the ones to read from the origin.
 	 */
 	private <T> CompletableFuture<T> firstSuccess(Iterator<FrameConnection> gateways,
 			Function<FrameConnection, CompletableFuture<T>> request, Supplier<CompletableFuture<T>> fallback) {
-		return firstSuccess(gateways, MAX_UPSTREAM_ATTEMPTS, request, fallback);
+		return firstSuccess(gateways, MAX_UPSTREAM_ATTEMPTS, Optional.empty(), request, fallback);
 	}
 
 	private <T> CompletableFuture<T> firstSuccess(Iterator<FrameConnection> gateways, int attempts,
-			Function<FrameConnection, CompletableFuture<T>> request, Supplier<CompletableFuture<T>> fallback) {
+			Optional<Throwable> rejection, Function<FrameConnection, CompletableFuture<T>> request,
+			Supplier<CompletableFuture<T>> fallback) {
+		if (attempts == 0 && rejection.isPresent()) {
+			return CompletableFuture.failedFuture(rejection.get());
+		}
 		if (attempts == 0 || !gateways.hasNext()) {
 			return fallback.get();
 		}
-		return request.apply(gateways.next())
-			.handleAsync(
-					(response, failure) -> (failure != null) ? firstSuccess(gateways, attempts - 1, request, fallback)
-							: CompletableFuture.completedFuture(response),
-					this.thread)
-			.thenCompose((response) -> response);
-	}
-
-	private CompletableFuture<PieceDigests> readOriginDigests(ModelName model, long version) {
-		return this.origin.get()
-			.map((pieceOrigin) -> pieceOrigin.readDigests(model, version))
-			.orElseGet(() -> CompletableFuture.failedFuture(new IOException("no origin of weights is published")));
+		return request.apply(gateways.next()).handleAsync((response, failure) -> {
+			if (failure == null) {
+				return CompletableFuture.completedFuture(response);
+			}
+			boolean rejected = PieceRejectedException.isCauseOf(failure);
+			return firstSuccess(gateways, attempts - 1, rejected ? Optional.of(failure) : rejection, request, fallback);
+		}, this.thread).thenCompose((response) -> response);
 	}
 
 	private static String key(ModelName model, long version) {
-		return model + "/" + version;
+		return WeightsMessage.RequestsPending.subject(model, version);
 	}
 
 	private void storeDigests(String key, CompletableFuture<CachedVersion> pending, PieceDigests digests,
@@ -164,28 +223,35 @@
 			this.locations.put(digests.digests().get(i), new PieceLocation(version, i));
 		}
 		evict(digests.model(), digests.version() - KEPT_VERSIONS);
-		this.newestVersions.merge(digests.model(), digests.version(), Math::max);
+		replaceOlder(digests);
 		pending.complete(version);
-		Deque<Integer> order = prefetchOrder(digests);
-		for (int i = 0; i < CONCURRENT_PREFETCHES; i++) {
-			prefetchNext(version, order);
-		}
+		prefetch(version);
 	}
 
 	/*
-	 * The pieces that other gateways request from this one come first, so that the origin
-	 * is read at the speed of its link, and then those that others provide.
+	 * The pieces that other gateways request from this one are all requested at once,
+	 * since the reads from the origin are ordered and limited as a whole. Those that
+	 * other gateways provide are requested at the same time, in the order in which
+	 * loaders need them. Those from another region do not wait for those of this one,
+	 * since the other gateways of this region wait for them.
 	 */
-	private Deque<Integer> prefetchOrder(PieceDigests digests) {
-		Deque<Integer> own = new ArrayDeque<>();
-		Deque<Integer> others = new ArrayDeque<>();
+	private void prefetch(CachedVersion version) {
+		PieceDigests digests = version.digests();
+		Deque<Integer> fromOtherRegion = new ArrayDeque<>();
+		Deque<Integer> fromOwnRegion = new ArrayDeque<>();
 		for (int i = 0; i < digests.digests().size(); i++) {
 			List<FrameConnection> sources = this.upstreams.apply(pieceKey(digests, i));
-			boolean provided = !sources.isEmpty() && this.isInRegion.test(sources.get(0));
-			(provided ? others : own).add(i);
+			if (sources.isEmpty()) {
+				prefetchNext(version, new ArrayDeque<>(List.of(i)));
+			}
+			else {
+				(this.isInRegion.test(sources.get(0)) ? fromOwnRegion : fromOtherRegion).add(i);
+			}
+		}
+		for (int i = 0; i < CONCURRENT_PREFETCHES; i++) {
+			prefetchNext(version, fromOtherRegion);
+			prefetchNext(version, fromOwnRegion);
 		}
-		own.addAll(others);
-		return own;
 	}
 
 	private static String pieceKey(PieceDigests version, int index) {
@@ -241,62 +307,186 @@
 
 	private CompletableFuture<byte[]> fetch(PieceLocation location) {
 		PieceDigests version = location.version().digests();
+		OriginRead read = new OriginRead(version.model(), version.version(), location.index());
+		Digest digest = version.digests().get(location.index());
 		return firstSuccess(this.upstreams.apply(pieceKey(version, location.index())).iterator(),
-				(gateway) -> this.pieceClient.requestPiece(gateway, version, location.index()), () -> {
-					CompletableFuture<byte[]> piece = new CompletableFuture<>();
-					readOrigin(location, 1, piece);
-					return piece;
-				});
+				(gateway) -> this.pieceClient.requestPiece(gateway, version, location.index()),
+				() -> readOrigin(read, digest.hex(),
+						(source) -> source.readPiece(version.model(), version.version(), location.index()),
+						(bytes) -> Digest.of(bytes).equals(digest)));
 	}
 
-	private void readOrigin(PieceLocation location, int attempt, CompletableFuture<byte[]> piece) {
-		Optional<PieceOrigin> currentOrigin = this.origin.get();
-		if (currentOrigin.isEmpty()) {
-			piece.completeExceptionally(new IOException("no origin of weights is published"));
-			return;
+	private <T> CompletableFuture<T> readOrigin(OriginRead read, String subject,
+			Function<PieceOrigin, CompletableFuture<T>> request, Predicate<T> isValid) {
+		if (this.reads.isObsolete(read.model(), read.version())) {
+			return CompletableFuture.failedFuture(obsolete(read));
 		}
-		if (this.readsInProgress >= MAX_CONCURRENT_ORIGIN_READS) {
-			this.waitingReads.add(() -> readOrigin(location, attempt, piece));
-			return;
+		if (this.origin.get().isEmpty()) {
+			return CompletableFuture.failedFuture(new IOException("no origin of weights is published"));
 		}
-		this.readsInProgress++;
-		PieceDigests version = location.version().digests();
-		currentOrigin.get()
-			.readPiece(version.model(), version.version(), location.index())
-			.whenCompleteAsync((bytes, failure) -> {
-				this.readsInProgress--;
-				if (failure == null && Digest.of(bytes).equals(version.digests().get(location.index()))) {
-					piece.complete(bytes);
-				}
-				else {
-					retryOrFail(location, attempt, piece, failure);
-				}
-				Runnable next = this.waitingReads.poll();
-				if (next != null) {
-					next.run();
-				}
-			}, this.thread);
+		OpenRead<T> open = new OpenRead<>(subject, request, isValid);
+		OpenRead<?> replaced = this.openReads.put(read, open);
+		if (replaced != null) {
+			// the digests of the version have been read again
+			replaced.result.completeExceptionally(new IOException("the digests of the version have changed"));
+		}
+		this.reads.add(read);
+		startReads();
+		return open.result;
 	}
 
-	private void retryOrFail(PieceLocation location, int attempt, CompletableFuture<byte[]> piece, Throwable failure) {
-		PieceDigests version = location.version().digests();
+	private static PieceRejectedException obsolete(OriginRead read) {
+		return new PieceRejectedException(
+				"version " + read.version() + " of " + read.model() + " is replaced by a newer one");
+	}
+
+	private void startReads() {
+		for (OriginRead read : this.reads.removeObsolete()) {
+			this.obsoleteReads.increment();
+			this.openReads.remove(read).result.completeExceptionally(obsolete(read));
+		}
+		int readers = Math.max(1, this.originReaders.getAsInt());
+		int share = (MAX_CONCURRENT_ORIGIN_READS + readers - 1) / readers;
+		long now = this.clock.millis();
+		for (OriginRead read : this.reads.start(share, now)) {
+			startRead(read, this.openReads.get(read));
+		}
+		OptionalLong next = this.reads.nextStartMillis(now);
+		if (next.isPresent() && next.getAsLong() < this.nextStartMillis) {
+			this.nextStartMillis = next.getAsLong();
+			this.thread.executeAfter(() -> {
+				this.nextStartMillis = Long.MAX_VALUE;
+				startReads();
+			}, Math.max(1, next.getAsLong() - now), TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private <T> void startRead(OriginRead read, OpenRead<T> open) {
+		this.origin.get()
+			.map(open.request)
+			.orElseGet(() -> CompletableFuture.failedFuture(new IOException("no origin of weights is published")))
+			.whenCompleteAsync((response, failure) -> endRead(read, open, response, failure), this.thread);
+	}
+
+	private <T> void endRead(OriginRead read, OpenRead<T> open, T response, Throwable failure) {
+		boolean valid = failure == null && open.isValid.test(response);
+		OriginReadOutcome outcome = OriginReadOutcome.FAILED;
+		if (failure == null) {
+			outcome = valid ? OriginReadOutcome.SUCCEEDED : OriginReadOutcome.CORRUPT;
+		}
+		boolean replaced = this.openReads.get(read) != open;
+		boolean wasAvailable = this.reads.isAvailable();
+		long unavailableSinceMillis = this.reads.unavailableSinceMillis();
+		boolean givenUp = this.reads.end(read, outcome, this.clock.millis());
+		if (failure == null) {
+			this.pieceClient.recordOriginRead();
+		}
+		if (wasAvailable != this.reads.isAvailable()) {
+			logAvailability(read, failure, unavailableSinceMillis);
+		}
+		if (replaced) {
+			this.reads.add(read);
+		}
+		else if (valid) {
+			this.readPieces.add((read.index() != OriginRead.DIGESTS) ? 1 : 0);
+			this.openReads.remove(read);
+			open.result.complete(response);
+		}
+		else {
+			this.failedReads.increment();
+			if (failure == null || givenUp) {
+				logUnusable(read, givenUp, failure);
+			}
+			if (givenUp) {
+				this.openReads.remove(read);
+				giveUp(read, open, failure);
+			}
+		}
+		startReads();
+	}
+
+	private void giveUp(OriginRead read, OpenRead<?> open, Throwable failure) {
+		if (failure == null) {
+			// the digest itself may be wrong; the next request reads the digests again
+			CompletableFuture<CachedVersion> version = this.versions.remove(key(read.model(), read.version()));
+			if (version != null && version.isDone() && !version.isCompletedExceptionally()) {
+				CachedVersion dropped = version.join();
+				this.locations.values().removeIf((cached) -> cached.version() == dropped);
+			}
+		}
+		open.result.completeExceptionally(new IOException("the origin sent no valid content", failure));
+	}
+
+	private static void logUnusable(OriginRead read, boolean givenUp, Throwable failure) {
 		logger.atWarn()
 			.addKeyValue("event", "piece-unusable")
-			.addKeyValue("version", key(version.model(), version.version()))
-			.addKeyValue("piece", location.index())
-			.addKeyValue("try", attempt)
+			.addKeyValue("version", key(read.model(), read.version()))
+			.addKeyValue("piece", read.index())
+			.addKeyValue("given-up", givenUp)
 			.addKeyValue("reason", (failure != null) ? failure.getMessage() : "the digest does not match")
 			.log("piece from the origin is missing or corrupt");
-		if (attempt < MAX_ORIGIN_ATTEMPTS) {
-			readOrigin(location, attempt + 1, piece);
+	}
+
+	private void logAvailability(OriginRead read, Throwable failure, long unavailableSinceMillis) {
+		if (failure != null) {
+			logger.atWarn()
+				.addKeyValue("event", "origin-unavailable")
+				.addKeyValue("version", key(read.model(), read.version()))
+				.addKeyValue("open-reads", this.openReads.size())
+				.addKeyValue("reason", failure.getMessage())
+				.log("the origin of weights cannot be read; probing it until it responds");
 			return;
 		}
-		if (failure == null) {
-			// the digest itself may be wrong; the next request reads the digests again
-			this.versions.remove(key(version.model(), version.version()));
-			this.locations.values().removeIf((cached) -> cached.version() == location.version());
+		logger.atInfo()
+			.addKeyValue("event", "origin-available")
+			.addKeyValue("version", key(read.model(), read.version()))
+			.addKeyValue("open-reads", this.openReads.size())
+			.addKeyValue("after-ms", this.clock.millis() - unavailableSinceMillis)
+			.log("the origin of weights responds again; all waiting reads continue");
+	}
+
+	/**
+	 * Returns whether the origin can be read, for a piece or digests that this gateway or
+	 * one before it waits for.
+	 * @param subject the digest of the piece, or the model and version
+	 * @return whether it is available; empty if nothing shows that anybody waits for it
+	 */
+	Optional<Boolean> originStatement(String subject) {
+		return this.openReads.values().stream().anyMatch((read) -> read.subject.equals(subject))
+				? Optional.of(this.reads.isAvailable()) : this.pieceClient.originStatement(subject);
+	}
+
+	/**
+	 * Returns the counters for operators. Safe for use by any thread.
+	 * @return the pieces read from the origin, failed reads, and reads that became
+	 * obsolete while they waited, by outcome
+	 */
+	Map<String, Long> originReadCounts() {
+		return Map.of("read", this.readPieces.sum(), "failed", this.failedReads.sum(), "obsolete",
+				this.obsoleteReads.sum());
+	}
+
+	/**
+	 * A read from the origin that waits or is in progress.
+	 *
+	 * @param <T> the type of the response
+	 */
+	private static final class OpenRead<T> {
+
+		private final CompletableFuture<T> result = new CompletableFuture<>();
+
+		private final String subject;
+
+		private final Function<PieceOrigin, CompletableFuture<T>> request;
+
+		private final Predicate<T> isValid;
+
+		private OpenRead(String subject, Function<PieceOrigin, CompletableFuture<T>> request, Predicate<T> isValid) {
+			this.subject = subject;
+			this.request = request;
+			this.isValid = isValid;
 		}
-		piece.completeExceptionally(new IOException("the origin sent no piece with this digest", failure));
+
 	}
 
 	/**
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.catkingate.decisions.admission.RunnerIntake;
 import org.catkingate.decisions.admission.RunnerOption;
@@ -91,6 +92,8 @@
 
 	private long loaderReportAtMillis = Long.MIN_VALUE / 2;
 
+	private long reportedReadyInMillis = RunnerMessage.RunnerUpdate.UNKNOWN_READY_TIME;
+
 	private final RunnerWork work = new RunnerWork();
 
 	private long fullUntilMillis = Long.MIN_VALUE;
@@ -282,6 +285,7 @@
 	void recordReport(RunnerMessage.RunnerUpdate report, long nowMillis) {
 		this.reportedVersions = report.loading() ? Map.of() : report.versions();
 		this.loaderReportAtMillis = nowMillis;
+		this.reportedReadyInMillis = report.readyInMillis();
 		this.misdirectedUntilMillis = Long.MIN_VALUE;
 		this.work.recordLoad(new RunnerLoad(report.running(), report.waiting(), 1), nowMillis);
 	}
@@ -297,6 +301,19 @@
 				: this.reportedVersions;
 	}
 
+	/**
+	 * Returns when the runner will serve the newest declared versions, as its loader
+	 * estimates if its report is recent.
+	 * @param nowMillis the time now, in monotonic milliseconds
+	 * @return the time left, in milliseconds, 0 if it has passed; empty if it is unknown
+	 * or no newer version is pending
+	 */
+	OptionalLong readyInMillis(long nowMillis) {
+		long reportAgeMillis = nowMillis - this.loaderReportAtMillis;
+		return (this.reportedReadyInMillis < 0 || reportAgeMillis >= LOADER_REPORT_VALID_MILLIS) ? OptionalLong.empty()
+				: OptionalLong.of(Math.max(0, this.reportedReadyInMillis - reportAgeMillis));
+	}
+
 	void recordRejection(long nowMillis) {
 		this.fullUntilMillis = nowMillis + FULL_BACKOFF_MILLIS;
 	}
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
@@ -85,7 +85,7 @@
 	}
 
 	private static RunnerMessage.RunnerUpdate report(boolean loading, Map<String, Long> models) {
-		return new RunnerMessage.RunnerUpdate("127.0.0.1:8080", 1, loading, 0, 0, models);
+		return new RunnerMessage.RunnerUpdate("127.0.0.1:8080", 1, loading, 0, 0, models, -1);
 	}
 
 	private CallDescription call(ServiceName service, CallRequirements requirements) {
@@ -180,13 +180,27 @@
 	void runnerOfAnOlderVersionGetsNoRequestThatWouldStartAfterTheTimeForTheChange() {
 		this.table.update(view(Map.of(), runner("a", false, Map.of(MODEL, 1L))), 500);
 		this.table.update(view(Map.of(MODEL, 2L), runner("a", false, Map.of(MODEL, 1L))), 1000);
-		this.table.recordReport(new RunnerMessage.RunnerUpdate("127.0.0.1:8080", 1, false, 8, 4, Map.of("m", 1L)),
+		this.table.recordReport(new RunnerMessage.RunnerUpdate("127.0.0.1:8080", 1, false, 8, 4, Map.of("m", 1L), -1),
 				7700);
 		AdmissionDecision decision = decide(7700);
 		assertThat(decision).as("four requests with usual prompts are waiting, and 300 ms remain")
 			.isInstanceOf(AdmissionDecision.Reject.class);
 	}
 
+	// Guards against calls that wait for a runner by an estimate that is out of date.
+	@Test
+	void theTimeUntilARunnerIsReadyRunsDownAndEndsWithTheReportsOfItsLoader() {
+		RunnerState state = new RunnerState(runner("a", false, Map.of(MODEL, 1L)), Optional.empty(),
+				Distance.DATA_CENTRE, null, null, null);
+		assertThat(state.readyInMillis(1000)).isEmpty();
+		state.recordReport(new RunnerMessage.RunnerUpdate("127.0.0.1:8080", 1, false, 0, 0, Map.of(), 1500), 1000);
+		assertThat(state.readyInMillis(1400)).hasValue(1100);
+		assertThat(state.readyInMillis(2700)).hasValue(0);
+		assertThat(state.readyInMillis(3000)).isEmpty();
+		state.recordReport(new RunnerMessage.RunnerUpdate("127.0.0.1:8080", 1, false, 0, 0, Map.of(), -1), 3000);
+		assertThat(state.readyInMillis(3000)).isEmpty();
+	}
+
 	@Test
 	void newerVersionDoesNotDelayTheStartLimitOfOlderVersions() {
 		this.table.update(view(Map.of(), runner("a", false, Map.of(MODEL, 1L))), 500);
@@ -221,9 +235,9 @@
 		RegisteredRunner busy = new RegisteredRunner(new RunnerId("busy"), 1, SERVICE,
 				new InetSocketAddress("127.0.0.1", 8081), new DataCentreName("a"), 16, false, Map.of(MODEL, 1L), 0);
 		this.table.update(view(Map.of(), idle, busy), 1000);
-		this.table.recordReport(new RunnerMessage.RunnerUpdate("127.0.0.1:8080", 1, false, 0, 0, Map.of("m", 1L)),
+		this.table.recordReport(new RunnerMessage.RunnerUpdate("127.0.0.1:8080", 1, false, 0, 0, Map.of("m", 1L), -1),
 				1000);
-		this.table.recordReport(new RunnerMessage.RunnerUpdate("127.0.0.1:8081", 1, false, 4, 3, Map.of("m", 1L)),
+		this.table.recordReport(new RunnerMessage.RunnerUpdate("127.0.0.1:8081", 1, false, 4, 3, Map.of("m", 1L), -1),
 				1000);
 		int sentToIdle = 0;
 		for (int i = 0; i < 6; i++) {
--- a/catkingate-loader/src/main/java/org/catkingate/loader/LoaderProcess.java
+++ b/catkingate-loader/src/main/java/org/catkingate/loader/LoaderProcess.java
@@ -25,6 +25,7 @@
 import org.catkingate.decisions.loading.LoadReducer;
 import org.catkingate.decisions.loading.LoadSettings;
 import org.catkingate.decisions.loading.LoadState;
+import org.catkingate.decisions.loading.ReadyEstimate;
 import org.catkingate.decisions.membership.ProcessIdentity;
 import org.catkingate.decisions.registry.FollowTimes;
 import org.catkingate.decisions.registry.RegistryView;
@@ -137,10 +138,6 @@
 		Location location = new Location(self.dataCentre(), self.region());
 		this.listedGateways = ListedGateways.of(self.instance(), Set.copyOf(settings.peers().seeds()),
 				MAX_LISTED_GATEWAYS);
-		this.listedConnections = SeedConnections.start(transport, List.of(), this.worker.getIoThread(), location,
-				new GatewayConnectionListener());
-		this.seedConnections = SeedConnections.start(transport, settings.peers().seeds(), this.worker.getIoThread(),
-				location, new GatewayConnectionListener());
 		PieceFetcher pieceFetcher = new PieceFetcher(this.pieceClient, this::pieceSources, this::origin, clock);
 		this.effectExecutor = new LoadEffectExecutor(
 				runners.open(this.httpClient, URI.create(AddressFormatter.formatUrl(settings.runner()))), pieceFetcher,
@@ -153,6 +150,11 @@
 				FollowTimes.forVersionsOnly(settings.registry().watchMillis()), new SecureRandom().nextLong(), clock,
 				MomentSource.system(), this::applyView, (position) -> {
 				});
+		// messages may arrive as soon as a connection is opened
+		this.listedConnections = SeedConnections.start(transport, List.of(), this.worker.getIoThread(), location,
+				new GatewayConnectionListener());
+		this.seedConnections = SeedConnections.start(transport, settings.peers().seeds(), this.worker.getIoThread(),
+				location, new GatewayConnectionListener());
 		registerMetrics();
 		this.operators = OperatorsEndpoint.start(settings.operators().addresses(), this.readiness, this.metrics,
 				this::state);
@@ -244,7 +246,7 @@
 		report.models().forEach((model, version) -> models.put(model.value(), version));
 		RunnerMessage.RunnerUpdate next = new RunnerMessage.RunnerUpdate(
 				AddressFormatter.format(this.settings.runner()), report.startedAtEpochMillis(), report.loading(),
-				report.running(), report.waiting(), models);
+				report.running(), report.waiting(), models, readyInMillis());
 		long now = this.clock.millis();
 		if (!next.equals(this.lastReport) || now - this.lastReportAtMillis >= REPORT_REPEAT_INTERVAL_MILLIS) {
 			this.lastReport = next;
@@ -253,6 +255,11 @@
 		}
 	}
 
+	private long readyInMillis() {
+		return ReadyEstimate.readyInMillis(this.loop.state(), this.clock.millis())
+			.orElse(RunnerMessage.RunnerUpdate.UNKNOWN_READY_TIME);
+	}
+
 	/*
 	 * All seeds receive the report directly, and the first one forwards it to the other
 	 * gateways.
@@ -290,6 +297,11 @@
 				.loads()
 				.forEach((model, load) -> callback.call(load.missingCount(), model.value())))
 			.register(this.metrics);
+		GaugeWithCallback.builder()
+			.name("catkingate_weights_ready_in_milliseconds")
+			.help("The estimated time until the runner serves the declared versions, -1 without an estimate")
+			.callback((callback) -> callback.call(readyInMillis()))
+			.register(this.metrics);
 	}
 
 	private Map<String, Object> state() {
@@ -332,6 +344,9 @@
 		public void onReceived(FrameConnection connection, Message message) {
 			if (message instanceof WeightsMessage response) {
 				LoaderProcess.this.pieceClient.onReceived(connection, response);
+				if (response instanceof WeightsMessage.RequestsPending pending) {
+					submit(new LoadEvent.PiecesPending(pending.subjects()));
+				}
 			}
 			else if (message instanceof RunnerMessage.VersionDeclaration declaration) {
 				handleDeclaration(declaration);
--- a/catkingate-loader/src/main/java/org/catkingate/loader/PieceFetcher.java
+++ b/catkingate-loader/src/main/java/org/catkingate/loader/PieceFetcher.java
@@ -14,21 +14,26 @@
 import org.catkingate.runtime.MonotonicClock;
 import org.catkingate.runtime.staging.PeerPieceClient;
 import org.catkingate.runtime.staging.PieceOrigin;
+import org.catkingate.runtime.staging.PieceRejectedException;
 import org.catkingate.wire.FrameConnection;
 
 /**
  * A fetcher of digests and pieces, from the gateways, the nearest first, and from the
- * origin if no gateway has responded successfully for a while. Used by the I/O thread
- * only.
+ * origin if no gateway has responded for a while. A gateway that rejects a request, or
+ * that states that it waits for its source, has responded: it reads from the origin for
+ * all loaders. Used by the I/O thread only.
  */
 final class PieceFetcher {
 
 	/**
-	 * The time without success at any gateway after which the origin is used: longer than
-	 * gateways take to start or to reconnect to the origin.
+	 * The time without a response of any gateway after which the origin is used: longer
+	 * than gateways take to start or to reconnect to the origin.
 	 */
 	private static final long ORIGIN_FALLBACK_MILLIS = 2000;
 
+	/** The number of gateways whose rejection of a request is final. */
+	private static final int MAX_REJECTIONS = 2;
+
 	private final MonotonicClock clock;
 
 	private long noGatewaySinceMillis = Long.MAX_VALUE;
@@ -85,10 +90,10 @@
 
 	private <T> CompletableFuture<T> fetch(String subject, Function<FrameConnection, CompletableFuture<T>> fromGateway,
 			Function<PieceOrigin, CompletableFuture<T>> fromOrigin) {
-		return fetchFromNext(this.gateways.apply(subject).iterator(), fromGateway, fromOrigin);
+		return fetchFromNext(this.gateways.apply(subject).iterator(), MAX_REJECTIONS, fromGateway, fromOrigin);
 	}
 
-	private <T> CompletableFuture<T> fetchFromNext(Iterator<FrameConnection> gateways,
+	private <T> CompletableFuture<T> fetchFromNext(Iterator<FrameConnection> gateways, int rejectionsLeft,
 			Function<FrameConnection, CompletableFuture<T>> fromGateway,
 			Function<PieceOrigin, CompletableFuture<T>> fromOrigin) {
 		if (!gateways.hasNext() && !canUseOrigin()) {
@@ -101,10 +106,16 @@
 				.orElseGet(() -> CompletableFuture.failedFuture(new IOException("no origin of weights is known")));
 		}
 		return fromGateway.apply(gateways.next()).handle((response, failure) -> {
+			boolean rejected = failure != null && PieceRejectedException.isCauseOf(failure);
+			if (failure == null || rejected) {
+				this.noGatewaySinceMillis = Long.MAX_VALUE;
+			}
+			if (rejected && rejectionsLeft == 1) {
+				return CompletableFuture.<T>failedFuture(failure);
+			}
 			if (failure != null) {
-				return fetchFromNext(gateways, fromGateway, fromOrigin);
+				return fetchFromNext(gateways, rejected ? rejectionsLeft - 1 : rejectionsLeft, fromGateway, fromOrigin);
 			}
-			this.noGatewaySinceMillis = Long.MAX_VALUE;
 			return CompletableFuture.completedFuture(response);
 		}).thenCompose((response) -> response);
 	}
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/staging/PeerPieceClient.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/staging/PeerPieceClient.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -16,19 +17,21 @@
 import org.catkingate.wire.WeightsMessage;
 
 /**
- * A client that requests pieces of weights from other processes. Every request completes,
- * with a response or a failure; pieces are verified. For use by one I/O thread, on which
- * all connections run.
+ * A client that requests pieces of weights from other processes. A request stays open for
+ * as long as the process states that it waits for its own source. It fails if the process
+ * is silent, or waits for an origin that others have been able to read for a while.
+ * Pieces are verified. For use by one I/O thread, on which all connections run.
  *
  * @since 0.1
  */
 public final class PeerPieceClient {
 
 	/**
-	 * The timeout for a response, in milliseconds: the time to transfer a dozen pieces
-	 * over a slow network link.
+	 * The time without any message about weights after which a process counts as silent,
+	 * in milliseconds. Processes state every 250 ms that requests are pending. A source
+	 * that fails must be replaced within a second.
 	 */
-	private static final long RESPONSE_TIMEOUT_MILLIS = 1500;
+	private static final long RESPONSE_TIMEOUT_MILLIS = 900;
 
 	/**
 	 * The time for which a process that has not responded in time counts as unresponsive.
@@ -36,20 +39,36 @@
 	 */
 	private static final long UNRESPONSIVE_MILLIS = 4000;
 
+	/**
+	 * The time for which a process may wait for an origin that it cannot read although
+	 * others can. Processes detect the return of the origin within a fraction of it.
+	 */
+	private static final long ORIGIN_UNAVAILABLE_MILLIS = 1000;
+
+	/**
+	 * The time after which reads by others no longer show that the origin is available.
+	 * When an outage begins, some processes still receive what they have requested.
+	 */
+	private static final long ORIGIN_READ_VALID_MILLIS = 400;
+
+	/** The time for which a statement that a request is pending is valid. */
+	private static final long STATEMENT_VALID_MILLIS = 900;
+
 	private final Map<FrameConnection, Long> unresponsiveUntilMillis = new HashMap<>();
 
-	private final Map<RequestKey, CompletableFuture<Object>> pending = new HashMap<>();
+	private final Map<FrameConnection, Long> lastReceivedMillis = new HashMap<>();
+
+	private final Map<RequestKey, OpenRequest> pending = new HashMap<>();
+
+	private long lastOriginReadMillis = Long.MIN_VALUE / 2;
 
 	private final XnioIoThread thread;
 
 	private final MonotonicClock clock;
 
-	private final long timeoutMillis;
-
-	private PeerPieceClient(XnioIoThread thread, MonotonicClock clock, long timeoutMillis) {
+	private PeerPieceClient(XnioIoThread thread, MonotonicClock clock) {
 		this.thread = thread;
 		this.clock = clock;
-		this.timeoutMillis = timeoutMillis;
 	}
 
 	/**
@@ -59,18 +78,7 @@
 	 * @return the client, never null
 	 */
 	public static PeerPieceClient create(XnioIoThread thread, MonotonicClock clock) {
-		return create(thread, clock, RESPONSE_TIMEOUT_MILLIS);
-	}
-
-	/**
-	 * Creates a client with a timeout.
-	 * @param thread the I/O thread
-	 * @param clock the clock
-	 * @param timeoutMillis the timeout for a response, in milliseconds
-	 * @return the client, never null
-	 */
-	public static PeerPieceClient create(XnioIoThread thread, MonotonicClock clock, long timeoutMillis) {
-		return new PeerPieceClient(thread, clock, timeoutMillis);
+		return new PeerPieceClient(thread, clock);
 	}
 
 	/**
@@ -90,7 +98,7 @@
 	 * @return the digests, not verified
 	 */
 	public CompletableFuture<PieceDigests> requestDigests(FrameConnection connection, ModelName model, long version) {
-		return request(connection, new RequestKey(connection, model + "/" + version),
+		return request(connection, new RequestKey(connection, WeightsMessage.RequestsPending.subject(model, version)),
 				new WeightsMessage.VersionDigestsRequest(model, version))
 			.thenApply(PieceDigests.class::cast);
 	}
@@ -123,45 +131,113 @@
 	}
 
 	private CompletableFuture<Object> request(FrameConnection connection, RequestKey key, WeightsMessage message) {
-		CompletableFuture<Object> response = new CompletableFuture<>();
-		CompletableFuture<Object> existing = this.pending.putIfAbsent(key, response);
+		OpenRequest existing = this.pending.get(key);
 		if (existing != null) {
-			return existing;
+			return existing.response;
 		}
-		this.thread.executeAfter(() -> timeOut(key, response), this.timeoutMillis, TimeUnit.MILLISECONDS);
+		OpenRequest request = new OpenRequest(this.clock.millis());
+		this.pending.put(key, request);
+		this.thread.executeAfter(() -> timeOut(key, request), RESPONSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
 		if (!connection.send(message)) {
-			fail(key, response, "is closed");
+			fail(key, request, "is closed");
 		}
-		return response;
+		return request.response;
 	}
 
-	private void timeOut(RequestKey key, CompletableFuture<Object> response) {
-		if (this.pending.get(key) == response) {
-			this.unresponsiveUntilMillis.put(key.connection(), this.clock.millis() + UNRESPONSIVE_MILLIS);
-			fail(key, response, "timed out waiting for a response");
+	private void timeOut(RequestKey key, OpenRequest request) {
+		if (this.pending.get(key) != request) {
+			return;
 		}
+		long lastReceived = Math.max(request.lastHeardMillis,
+				this.lastReceivedMillis.getOrDefault(key.connection(), Long.MIN_VALUE));
+		long leftMillis = lastReceived + RESPONSE_TIMEOUT_MILLIS - this.clock.millis();
+		if (leftMillis > 0) {
+			this.thread.executeAfter(() -> timeOut(key, request), leftMillis, TimeUnit.MILLISECONDS);
+			return;
+		}
+		this.unresponsiveUntilMillis.put(key.connection(), this.clock.millis() + UNRESPONSIVE_MILLIS);
+		fail(key, request, "timed out waiting for a response");
 	}
 
-	private void fail(RequestKey key, CompletableFuture<Object> response, String problem) {
-		if (this.pending.remove(key, response)) {
-			response
+	private void fail(RequestKey key, OpenRequest request, String problem) {
+		if (this.pending.remove(key, request)) {
+			request.response
 				.completeExceptionally(new IOException("the connection to " + key.connection().peer() + " " + problem));
 		}
 	}
 
+	/**
+	 * Records that a piece that this process or another one waited for has just been read
+	 * from the origin, so that a process that still cannot read it has a fault of its
+	 * own.
+	 */
+	public void recordOriginRead() {
+		long now = this.clock.millis();
+		boolean first = now - this.lastOriginReadMillis > ORIGIN_READ_VALID_MILLIS;
+		this.lastOriginReadMillis = now;
+		this.pending.values().forEach((request) -> {
+			if (request.unavailable && (first || request.othersReadSinceMillis == Long.MAX_VALUE)) {
+				request.othersReadSinceMillis = now;
+			}
+		});
+	}
+
+	/**
+	 * Returns what the asked process has recently stated about a pending request.
+	 * @param subject the subject of the request
+	 * @return whether its origin is available, empty without a recent statement
+	 */
+	public Optional<Boolean> originStatement(String subject) {
+		long validFrom = this.clock.millis() - STATEMENT_VALID_MILLIS;
+		return this.pending.entrySet()
+			.stream()
+			.filter((entry) -> entry.getKey().subject().equals(subject) && entry.getValue().stated
+					&& entry.getValue().lastHeardMillis >= validFrom)
+			.findFirst()
+			.map((entry) -> !entry.getValue().unavailable);
+	}
+
+	private void recordStatement(FrameConnection connection, WeightsMessage.RequestsPending message) {
+		long now = this.clock.millis();
+		for (String subject : message.subjects()) {
+			RequestKey key = new RequestKey(connection, subject);
+			OpenRequest request = this.pending.get(key);
+			if (request == null) {
+				continue;
+			}
+			request.stated = true;
+			request.lastHeardMillis = now;
+			request.unavailable = message.unavailable().contains(subject);
+			if (!request.unavailable) {
+				request.othersReadSinceMillis = Long.MAX_VALUE;
+			}
+			else if (request.othersReadSinceMillis <= now - ORIGIN_UNAVAILABLE_MILLIS
+					&& now - this.lastOriginReadMillis <= ORIGIN_READ_VALID_MILLIS) {
+				this.unresponsiveUntilMillis.put(connection, now + UNRESPONSIVE_MILLIS);
+				fail(key, request, "leads to a process that cannot read the origin, although others can");
+			}
+		}
+	}
+
 	/**
 	 * Handles a response.
 	 * @param connection the connection over which it was received
 	 * @param message the message
 	 */
 	public void onReceived(FrameConnection connection, WeightsMessage message) {
+		if (message instanceof WeightsMessage.RequestsPending statement) {
+			recordStatement(connection, statement);
+			return;
+		}
 		this.unresponsiveUntilMillis.remove(connection);
+		this.lastReceivedMillis.put(connection, this.clock.millis());
 		if (message instanceof WeightsMessage.VersionDigests digests) {
-			CompletableFuture<Object> response = this.pending
-				.remove(new RequestKey(connection, digests.model() + "/" + digests.version()));
+			CompletableFuture<Object> response = removePending(connection,
+					WeightsMessage.RequestsPending.subject(digests.model(), digests.version()),
+					!digests.digests().isEmpty());
 			if (response != null && digests.digests().isEmpty()) {
-				response.completeExceptionally(
-						new IOException(connection.peer().instance() + " does not have the digests of the version"));
+				response.completeExceptionally(new PieceRejectedException(
+						connection.peer().instance() + " does not have the digests of the version"));
 			}
 			else if (response != null) {
 				response.complete(
@@ -169,7 +245,7 @@
 			}
 		}
 		else if (message instanceof WeightsMessage.ChunkSlice slice) {
-			CompletableFuture<Object> response = this.pending.remove(new RequestKey(connection, slice.chunk().hex()));
+			CompletableFuture<Object> response = removePending(connection, slice.chunk().hex(), true);
 			if (response != null && Digest.of(slice.bytes()).equals(slice.chunk())) {
 				response.complete(slice.bytes());
 			}
@@ -178,23 +254,35 @@
 			}
 		}
 		else if (message instanceof WeightsMessage.ChunkRejection rejection) {
-			CompletableFuture<Object> response = this.pending
-				.remove(new RequestKey(connection, rejection.chunk().hex()));
+			CompletableFuture<Object> response = removePending(connection, rejection.chunk().hex(), false);
 			if (response != null) {
 				response.completeExceptionally((rejection.retryAfterMillis() == 0)
 						? new UnknownPieceException(connection.peer().instance()
 								+ " has no version with the piece; request the digests first")
-						: new IOException(connection.peer().instance() + " cannot provide the piece now; retry later"));
+						: new PieceRejectedException(
+								connection.peer().instance() + " cannot provide the piece now; retry later"));
 			}
 		}
 	}
 
+	private CompletableFuture<Object> removePending(FrameConnection connection, String subject, boolean provided) {
+		OpenRequest request = this.pending.remove(new RequestKey(connection, subject));
+		if (request == null) {
+			return null;
+		}
+		if (provided && request.unavailable) {
+			recordOriginRead();
+		}
+		return request.response;
+	}
+
 	/**
 	 * Fails all requests over a connection that was lost.
 	 * @param connection the connection
 	 */
 	public void connectionLost(FrameConnection connection) {
 		this.unresponsiveUntilMillis.remove(connection);
+		this.lastReceivedMillis.remove(connection);
 		Map.copyOf(this.pending).forEach((key, response) -> {
 			if (key.connection() == connection) {
 				fail(key, response, "is lost");
@@ -212,4 +300,25 @@
 
 	}
 
+	/**
+	 * A request without a response.
+	 */
+	private static final class OpenRequest {
+
+		private final CompletableFuture<Object> response = new CompletableFuture<>();
+
+		private long lastHeardMillis;
+
+		private boolean stated;
+
+		private boolean unavailable;
+
+		private long othersReadSinceMillis = Long.MAX_VALUE;
+
+		private OpenRequest(long sentAtMillis) {
+			this.lastHeardMillis = sentAtMillis;
+		}
+
+	}
+
 }
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/InMemoryOrigin.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/InMemoryOrigin.java
@@ -3,8 +3,11 @@
 import java.net.ConnectException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.catkingate.model.Digest;
@@ -13,8 +16,8 @@
 import org.catkingate.runtime.staging.PieceOrigin;
 
 /**
- * An in-memory origin of weights that corrupts every fifth piece it sends. Safe for use
- * by any thread.
+ * An in-memory origin of weights, which corrupts every fifth piece it sends unless it is
+ * throttled. Safe for use by any thread.
  */
 final class InMemoryOrigin implements PieceOrigin {
 
@@ -28,8 +31,51 @@
 
 	private final AtomicInteger failedCalls = new AtomicInteger();
 
+	private final Map<String, Integer> sendCounts = new ConcurrentHashMap<>();
+
+	private final long millisPerPiece;
+
+	private long linkFreeAtNanos = System.nanoTime();
+
 	private volatile int pieceLimit = Integer.MAX_VALUE;
 
+	InMemoryOrigin() {
+		this(0);
+	}
+
+	private InMemoryOrigin(long millisPerPiece) {
+		this.millisPerPiece = millisPerPiece;
+	}
+
+	/**
+	 * Creates an origin whose network link transfers one piece after the other, and which
+	 * corrupts none.
+	 * @param millisPerPiece the time for a piece, in milliseconds
+	 * @return the origin
+	 */
+	static InMemoryOrigin throttled(long millisPerPiece) {
+		return new InMemoryOrigin(millisPerPiece);
+	}
+
+	/**
+	 * Returns how often each piece of a version has been sent.
+	 * @param version the version
+	 * @return the numbers of the pieces that have been sent at all
+	 */
+	List<Integer> sendCounts(long version) {
+		return this.sendCounts.entrySet()
+			.stream()
+			.filter((piece) -> piece.getKey().startsWith(version + "/"))
+			.map(Map.Entry::getValue)
+			.toList();
+	}
+
+	private synchronized long reserveLinkNanos() {
+		long now = System.nanoTime();
+		this.linkFreeAtNanos = Math.max(now, this.linkFreeAtNanos) + TimeUnit.MILLISECONDS.toNanos(this.millisPerPiece);
+		return this.linkFreeAtNanos - now;
+	}
+
 	private static byte[] pieceBytes(long version, int index) {
 		byte[] bytes = new byte[PIECE_BYTES];
 		new Random(version * PIECE_COUNT + index).nextBytes(bytes);
@@ -84,6 +130,12 @@
 			return failCall();
 		}
 		byte[] bytes = pieceBytes(version, index);
+		this.sendCounts.merge(version + "/" + index, 1, Integer::sum);
+		if (this.millisPerPiece > 0) {
+			this.sentPieces.incrementAndGet();
+			return CompletableFuture.supplyAsync(() -> bytes,
+					CompletableFuture.delayedExecutor(reserveLinkNanos(), TimeUnit.NANOSECONDS));
+		}
 		if (this.sentPieces.incrementAndGet() % CORRUPTION_INTERVAL == 0) {
 			bytes[0]++;
 		}
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/ScriptedRegistry.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/ScriptedRegistry.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.catkingate.model.DataCentreName;
+import org.catkingate.model.ModelName;
 import org.catkingate.model.RunnerId;
 import org.catkingate.model.ServiceName;
 import org.catkingate.model.registry.CallKind;
@@ -45,6 +46,21 @@
 		return new ScriptedRegistry(TestGateway.items(kind));
 	}
 
+	static ScriptedRegistry of(List<RegistryItem> initialItems) {
+		return new ScriptedRegistry(initialItems);
+	}
+
+	/**
+	 * Declares a version.
+	 * @param model the model
+	 * @param version the version
+	 */
+	synchronized void declare(ModelName model, long version) {
+		this.changes.add(new RegistryItem("version", this.revision.get() + 1,
+				new RegistryValue.DeclaredVersion(model, version)));
+		this.revision.incrementAndGet();
+	}
+
 	/**
 	 * Registers a runner as ready, or again.
 	 * @param id the runner
--- a/catkingate-wire/src/main/java/org/catkingate/wire/RunnerMessage.java
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/RunnerMessage.java
@@ -24,9 +24,15 @@
 	 * @param running the number of requests in progress
 	 * @param waiting the number of queued requests
 	 * @param models the version that it serves, by model name
+	 * @param readyInMillis the estimated time until it serves the newest declared
+	 * versions, in milliseconds; {@link #UNKNOWN_READY_TIME} if it is unknown or no newer
+	 * version is pending
 	 */
 	record RunnerUpdate(String address, long startedAtEpochMillis, boolean loading, int running, int waiting,
-			Map<String, Long> models) implements RunnerMessage {
+			Map<String, Long> models, long readyInMillis) implements RunnerMessage {
+
+		/** The time that a loader reports if there is no estimate. */
+		public static final long UNKNOWN_READY_TIME = -1;
 
 		public RunnerUpdate {
 			Objects.requireNonNull(address, "address must not be null");
--- a/catkingate-wire/src/main/java/org/catkingate/wire/WeightsMessage.java
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/WeightsMessage.java
@@ -111,4 +111,38 @@
 
 	}
 
+	/**
+	 * A statement that requests of the receiver are neither answered nor forgotten: the
+	 * sender waits for its own source. It is sent while such requests are open, so that
+	 * the receiver does not take a slow origin for a failed process.
+	 *
+	 * @param subjects the requests, each named by the digest of the chunk or by the model
+	 * and version; at most {@link #MAX_SUBJECTS}
+	 * @param unavailable those of them that wait for an origin that cannot be read now
+	 */
+	record RequestsPending(List<String> subjects, List<String> unavailable) implements WeightsMessage {
+
+		/** The maximum number of requests in a message. */
+		public static final int MAX_SUBJECTS = 512;
+
+		public RequestsPending {
+			subjects = List.copyOf(subjects);
+			unavailable = List.copyOf(unavailable);
+			if (subjects.size() > MAX_SUBJECTS || unavailable.size() > subjects.size()) {
+				throw new IllegalArgumentException("a message must not name more than " + MAX_SUBJECTS + " requests");
+			}
+		}
+
+		/**
+		 * Returns how a version is named in such messages.
+		 * @param model the model
+		 * @param version the version
+		 * @return the subject of a request for its digests, never null
+		 */
+		public static String subject(ModelName model, long version) {
+			return model + "/" + version;
+		}
+
+	}
+
 }
--- a/catkingate-wire/src/test/java/org/catkingate/wire/MessageCodecTests.java
+++ b/catkingate-wire/src/test/java/org/catkingate/wire/MessageCodecTests.java
@@ -2,6 +2,7 @@
 
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -93,6 +94,15 @@
 			}
 		}
 
+		// an unknown or misread kind closes the connection over which pieces arrive
+		@Test
+		void ofStatementsOnPendingRequestsAndReportsWithReadyTimes() throws WireException {
+			for (Message message : List.of(new WeightsMessage.RequestsPending(List.of("m/3", "ab"), List.of("m/3")),
+					new RunnerMessage.RunnerUpdate("127.0.0.1:1", 1L << 40, false, 1, 2, Map.of("m", 3L), 450))) {
+				assertThat(roundTrip(message)).isEqualTo(message);
+			}
+		}
+
 		@Test
 		void ofIssueKeyResponses() throws WireException {
 			Message issued = new IdempotencyKeyMessage.IssueKeyResponse(REQUEST, "ckt1~a~1", 900_000);
