--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionDecision.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionDecision.java
@@ -29,11 +29,14 @@
 	 * The call waits, since a runner is expected to be able to serve it soon.
 	 *
 	 * @param cause what it waits for
+	 * @param onTimeMillis the time for which it can still be sent so that its response is
+	 * on time, in milliseconds; 0 if it will be late
 	 * @param maxMillis the time after which it must be rejected, in milliseconds
 	 * @param maxCalls the number of calls to the service that may wait at the same time
 	 * @param otherwise the rejection if it cannot wait, or has waited in vain
 	 */
-	record Wait(Cause cause, long maxMillis, int maxCalls, Reject otherwise) implements AdmissionDecision {
+	record Wait(Cause cause, long onTimeMillis, long maxMillis, int maxCalls,
+			Reject otherwise) implements AdmissionDecision {
 
 		public Wait {
 			Objects.requireNonNull(cause, "cause must not be null");
@@ -48,6 +51,9 @@
 			/** Runners that load weights. */
 			LOADING,
 
+			/** A place at a runner that more urgent calls leave free. */
+			PLACE,
+
 			/** A permit to send a request to a runner that has stated a limit. */
 			PERMIT
 
@@ -70,6 +76,15 @@
 			Objects.requireNonNull(reason, "reason must not be null");
 		}
 
+		/**
+		 * Returns the same rejection with a longer retry delay.
+		 * @param millis the additional delay, in milliseconds
+		 * @return the rejection, never null
+		 */
+		public Reject delayedBy(long millis) {
+			return new Reject(this.retryAfterMillis + millis, this.predictedMillis, this.reason);
+		}
+
 	}
 
 }
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
+import org.catkingate.decisions.competition.CompetingLevels;
 import org.catkingate.model.registry.EngineProfile;
 
 /**
@@ -13,14 +15,6 @@
  */
 public final class AdmissionPolicies {
 
-	/**
-	 * The fraction of the goal within which the first event must be predicted. Under
-	 * overload, predictions are close to this bound and observed times are scattered
-	 * around them, so the bound must be below the goal. A queue of waiting prompts far
-	 * shorter than the goal is enough to keep a runner busy.
-	 */
-	private static final double GOAL_FRACTION = 0.75;
-
 	/** The minimum retry delay sent to callers, in milliseconds. */
 	private static final long MIN_RETRY_AFTER_MILLIS = 150;
 
@@ -91,6 +85,13 @@
 	 */
 	private static final long MAX_LIMITED_RETRY_AFTER_MILLIS = 2000;
 
+	/**
+	 * The time for which a call waits for a place that on-time calls leave free, in
+	 * milliseconds. It is the longest retry delay: instead of being told to come back
+	 * within this time, which many callers do only once, the call is held for as long.
+	 */
+	private static final long LATE_WAIT_MILLIS = MAX_RETRY_AFTER_MILLIS;
+
 	private static final double MILLIS_PER_SECOND = 1000;
 
 	private AdmissionPolicies() {
@@ -110,27 +111,38 @@
 	}
 
 	/**
-	 * Decides on a call to a service most of whose runners are without weights and load
-	 * them. It waits if they are expected to serve well before its deadline; many callers
-	 * may retry only once, and have done so when the machines failed. Once loading takes
-	 * longer than expected, calls are rejected with a retry delay.
+	 * Decides on a call to a service most of whose runners may not serve and load
+	 * weights. It waits if they are expected to serve well before its deadline; many
+	 * callers may retry only once, and have done so when the machines failed. If the end
+	 * of loading is not reported and it takes longer than expected, calls are rejected
+	 * with a retry delay.
 	 * @param elapsedMillis the time since the service was first seen in this state, in
 	 * milliseconds
-	 * @param remainingMillis the time left until the call's deadline, in milliseconds
+	 * @param readyInMillis the time until the first runner is reported to serve, in
+	 * milliseconds; empty if it is unknown
+	 * @param call the requirements of the call
 	 * @param draw a random number from 0 to 1
 	 * @return the decision, never null
 	 */
-	public static AdmissionDecision whileLoading(long elapsedMillis, long remainingMillis, double draw) {
-		long untilLoadedMillis = EXPECTED_LOAD_MILLIS - elapsedMillis;
-		long maxWaitMillis = untilLoadedMillis + LOAD_WAIT_MARGIN_MILLIS;
-		if (untilLoadedMillis > 0 && maxWaitMillis + MIN_SERVING_MILLIS <= remainingMillis) {
-			return new AdmissionDecision.Wait(AdmissionDecision.Wait.Cause.LOADING, maxWaitMillis,
-					MAX_CALLS_WAITING_FOR_LOADING, new AdmissionDecision.Reject(maxWaitMillis, Double.NaN,
+	public static AdmissionDecision whileLoading(long elapsedMillis, OptionalLong readyInMillis, CallRequirements call,
+			double draw) {
+		long untilLoadedMillis = readyInMillis.orElse(EXPECTED_LOAD_MILLIS - elapsedMillis);
+		long helpfulMillis = call.remainingMillis() - MIN_SERVING_MILLIS;
+		// reported times end before the deadline; assumed ones may be wrong by any time
+		long maxWaitMillis = readyInMillis.isPresent() ? helpfulMillis : untilLoadedMillis + LOAD_WAIT_MARGIN_MILLIS;
+		boolean helps = readyInMillis.isPresent() ? untilLoadedMillis < helpfulMillis
+				: untilLoadedMillis > 0 && maxWaitMillis <= helpfulMillis;
+		long retryAfterMillis = Math.max(MIN_RETRY_AFTER_MILLIS, untilLoadedMillis)
+				+ (long) (draw * LOAD_RETRY_SPREAD_MILLIS);
+		if (helps) {
+			long onTimeMillis = (long) (CompetingLevels.GOAL_FRACTION * call.goalMillis()) - call.elapsedMillis();
+			return new AdmissionDecision.Wait(AdmissionDecision.Wait.Cause.LOADING,
+					Math.max(0, Math.min(onTimeMillis, maxWaitMillis)), maxWaitMillis, MAX_CALLS_WAITING_FOR_LOADING,
+					new AdmissionDecision.Reject(Math.max(maxWaitMillis, retryAfterMillis), Double.NaN,
 							"its runners have not loaded weights in time"));
 		}
-		return new AdmissionDecision.Reject(
-				Math.max(MIN_RETRY_AFTER_MILLIS, untilLoadedMillis) + (long) (draw * LOAD_RETRY_SPREAD_MILLIS),
-				Double.NaN, "most runners that serve this are loading weights");
+		return new AdmissionDecision.Reject(retryAfterMillis, Double.NaN,
+				"most runners that serve this are loading weights");
 	}
 
 	/**
@@ -166,7 +178,7 @@
 				Double.NaN, "the runners that serve this have stated limits, which are used up for now");
 		int maxCalls = (int) Math.ceil(callsPerSecond * PERMIT_WAIT_MILLIS / MILLIS_PER_SECOND);
 		return (remainingMillis > PERMIT_WAIT_MILLIS) ? new AdmissionDecision.Wait(AdmissionDecision.Wait.Cause.PERMIT,
-				PERMIT_WAIT_MILLIS, Math.max(1, maxCalls), rejection) : rejection;
+				PERMIT_WAIT_MILLIS, PERMIT_WAIT_MILLIS, Math.max(1, maxCalls), rejection) : rejection;
 	}
 
 	/**
@@ -193,25 +205,66 @@
 
 	private static AdmissionDecision chooseEarliest(List<RunnerOption> runners, CallDescription call,
 			Optional<EngineProfile> engine, double draw) {
-		Optional<RunnerChoice> choice = RunnerChoice.earliest(runners, call.requirements(), engine, draw);
+		List<RunnerOption> leavingSlots = leavingSlots(runners, call.requirements(), engine);
+		Optional<RunnerChoice> choice = RunnerChoice.earliest(leavingSlots, call.requirements(), engine, draw);
+		boolean leavesSlots = choice.isPresent();
+		if (!leavesSlots && leavingSlots.size() < runners.size()) {
+			choice = RunnerChoice.earliest(runners, call.requirements(), engine, draw);
+		}
 		if (choice.isEmpty()) {
 			return new AdmissionDecision.Reject(jitteredRetryAfterMillis(NO_RUNNER_RETRY_AFTER_MILLIS, draw),
 					Double.NaN, runners.isEmpty() ? "no runner is left that serves this"
 							: "the answer would begin on a version that is replaced by then");
 		}
-		return sendOrReject(choice.get(), call.requirements(), engine, draw);
+		return sendOrReject(choice.get(), leavesSlots, call.requirements(), engine, draw);
 	}
 
-	private static AdmissionDecision sendOrReject(RunnerChoice chosen, CallRequirements requirements,
-			Optional<EngineProfile> engine, double draw) {
-		double limitMillis = engine.isPresent() ? GOAL_FRACTION * requirements.goalMillis()
+	private static AdmissionDecision sendOrReject(RunnerChoice chosen, boolean leavesSlots,
+			CallRequirements requirements, Optional<EngineProfile> engine, double draw) {
+		CompetingLevels competition = requirements.competition();
+		double ownLimitMillis = ownLimitMillis(requirements, engine);
+		double idleMillis = chosen.idleMillis(requirements, engine);
+		double limitMillis = competition.limitMillis(ownLimitMillis, idleMillis);
+		if (leavesSlots && chosen.queueMillis() <= limitMillis) {
+			return new AdmissionDecision.Send(chosen.runner().runner(), chosen.predictedMillis());
+		}
+		long excessMillis = (long) Math.max(0, chosen.queueMillis() - limitMillis);
+		AdmissionDecision.Reject rejection = new AdmissionDecision.Reject(jitteredRetryAfterMillis(excessMillis, draw),
+				chosen.queueMillis(),
+				(chosen.queueMillis() <= ownLimitMillis) ? "the places that are left are kept for more urgent calls"
+						: "the answer would begin too late");
+		return competition.exist() ? waitForPlace(requirements, idleMillis, rejection) : rejection;
+	}
+
+	private static double ownLimitMillis(CallRequirements requirements, Optional<EngineProfile> engine) {
+		return engine.isPresent() ? CompetingLevels.GOAL_FRACTION * requirements.goalMillis()
 				: requirements.remainingMillis();
-		if (chosen.queueMillis() > limitMillis) {
-			long excessMillis = (long) (chosen.queueMillis() - limitMillis);
-			return new AdmissionDecision.Reject(jitteredRetryAfterMillis(excessMillis, draw), chosen.queueMillis(),
-					"the answer would begin too late");
+	}
+
+	/*
+	 * Returns the runners that would still have a slot for more urgent calls after this
+	 * one. A runner without any request takes every call.
+	 */
+	private static List<RunnerOption> leavingSlots(List<RunnerOption> runners, CallRequirements requirements,
+			Optional<EngineProfile> engine) {
+		int reserved = requirements.competition().reservedCalls();
+		if (reserved == 0) {
+			return runners;
 		}
-		return new AdmissionDecision.Send(chosen.runner().runner(), chosen.predictedMillis());
+		double limitMillis = requirements.competition().reservedLimitMillis(ownLimitMillis(requirements, engine));
+		return runners.stream()
+			.filter((option) -> option.responding() + option.pending() < 1
+					|| RunnerChoice.queueMillis(option, reserved, requirements, engine) <= limitMillis)
+			.toList();
+	}
+
+	private static AdmissionDecision waitForPlace(CallRequirements requirements, double idleMillis,
+			AdmissionDecision.Reject rejection) {
+		long onTimeMillis = Math.max(0, (long) (CompetingLevels.GOAL_FRACTION * requirements.goalMillis()
+				- requirements.elapsedMillis() - idleMillis));
+		long maxMillis = Math.min(onTimeMillis + LATE_WAIT_MILLIS, requirements.remainingMillis() - MIN_SERVING_MILLIS);
+		return (maxMillis > 0) ? new AdmissionDecision.Wait(AdmissionDecision.Wait.Cause.PLACE,
+				Math.min(onTimeMillis, maxMillis), maxMillis, Integer.MAX_VALUE, rejection) : rejection;
 	}
 
 	// adds jitter, so that rejected callers do not retry at the same time
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/RunnerChoice.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/RunnerChoice.java
@@ -80,6 +80,46 @@
 		return Optional.of(new RunnerChoice(chosen, predicted, queueMillis));
 	}
 
+	/**
+	 * Returns what the queue would be if no request waited at the runner and a slot was
+	 * free.
+	 * @param requirements the requirements of the call
+	 * @param engine the parameters of the service's engines, empty for a service without
+	 * engines
+	 * @return the predicted time to the first event of a call of usual size, corrected by
+	 * recent observations, in milliseconds
+	 */
+	double idleMillis(CallRequirements requirements, Optional<EngineProfile> engine) {
+		double responding = Math.min(this.runner.responding(), this.runner.slots() - 1);
+		return queueMillis(withRequests(this.runner, responding, 0, 0), 0, requirements, engine);
+	}
+
+	/**
+	 * Returns what the queue of a runner would be if it held more requests.
+	 * @param option the runner
+	 * @param more the number of additional requests
+	 * @param requirements the requirements of the call
+	 * @param engine the parameters of the service's engines, empty for a service without
+	 * engines
+	 * @return the predicted time to the first event of a call of usual size, corrected by
+	 * recent observations, in milliseconds
+	 */
+	static double queueMillis(RunnerOption option, int more, CallRequirements requirements,
+			Optional<EngineProfile> engine) {
+		RunnerOption busier = withRequests(option, option.responding(), option.pending() + more,
+				option.pendingPromptTokens());
+		return engine
+			.map((profile) -> FirstEventPredictor.predictWithEngineMillis(profile, busier, profile.meanPromptTokens())
+					* requirements.correctionFactor())
+			.orElseGet(() -> FirstEventPredictor.predictWithoutEngineMillis(busier));
+	}
+
+	private static RunnerOption withRequests(RunnerOption option, double responding, double pending,
+			double pendingPromptTokens) {
+		return new RunnerOption(option.runner(), option.distance(), option.slots(), responding, pending,
+				pendingPromptTokens, option.responseStartMillis(), option.suspect(), option.startWithinMillis());
+	}
+
 	private static double predictMillis(RunnerOption option, CallRequirements requirements,
 			Optional<EngineProfile> engine) {
 		return engine
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/sending/Urgency.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/sending/Urgency.java
@@ -15,6 +15,14 @@
 	private static final Comparator<Urgency> ORDER = Comparator.comparingInt(Urgency::accountPriority)
 		.thenComparingInt(Urgency::routePriority);
 
+	/**
+	 * Returns the form for logs.
+	 * @return the priorities of the account and of the route
+	 */
+	public String text() {
+		return this.accountPriority + "/" + this.routePriority;
+	}
+
 	@Override
 	public int compareTo(Urgency other) {
 		return ORDER.compare(this, other);
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/admission/AdmissionPoliciesTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/admission/AdmissionPoliciesTests.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 
@@ -254,7 +255,8 @@
 		private final Random random = new Random(SEED);
 
 		private AdmissionDecision decide(long elapsedMillis, long remainingMillis) {
-			return AdmissionPolicies.whileLoading(elapsedMillis, remainingMillis, this.random.nextDouble());
+			return AdmissionPolicies.whileLoading(elapsedMillis, OptionalLong.empty(),
+					new CallRequirements(1000, 400, remainingMillis, 1), this.random.nextDouble());
 		}
 
 		// Guards against callers that are rejected a second time, after the failure
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/competition/CompetingLoadTests.java
@@ -0,0 +1,467 @@
+package org.catkingate.decisions.competition;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+
+import org.catkingate.decisions.admission.AdmissionDecision;
+import org.catkingate.decisions.admission.AdmissionPolicies;
+import org.catkingate.decisions.admission.CallDescription;
+import org.catkingate.decisions.admission.CallRequirements;
+import org.catkingate.decisions.admission.PredictionCorrection;
+import org.catkingate.decisions.admission.RunnerOption;
+import org.catkingate.decisions.routing.Distance;
+import org.catkingate.decisions.sending.CallScope;
+import org.catkingate.decisions.sending.Residency;
+import org.catkingate.decisions.sending.Urgency;
+import org.catkingate.model.AccountName;
+import org.catkingate.model.RunnerId;
+import org.catkingate.model.ServiceName;
+import org.catkingate.model.registry.EngineProfile;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of the decisions on competing calls, one for each load pattern. Four gateways are
+ * fed with calls and know the load of the others from reports that are up to 200 ms old;
+ * the runners follow the published formula of the engine.
+ */
+class CompetingLoadTests {
+
+	private static final EngineProfile ENGINE = new EngineProfile(12, 5, 8.87, 0.02, 0, 19.1, 0, 2048, 930, 100,
+			Long.MAX_VALUE, 96, List.of());
+
+	private static final CallScope SCOPE = new CallScope(new ServiceName("songs"), List.of(), Residency.anywhere(),
+			false);
+
+	private static final Type URGENT = new Type("urgent", new Urgency(0, 0), 166, 787, 22, 402, 0.1);
+
+	private static final Type MIDDLE = new Type("middle", new Urgency(0, 1), 92.3, 607, 14, 402, 0.23);
+
+	private static final Type PATIENT = new Type("patient", new Urgency(0, 2), 129, 1290, 22, 1003, 0.38);
+
+	private static final List<Type> TYPES = List.of(URGENT, MIDDLE, PATIENT);
+
+	private static final int RUNNERS = 12;
+
+	private static final int GATEWAYS = 4;
+
+	private static final long TIMEOUT_MILLIS = 6000;
+
+	private final Random random = new Random(20261204);
+
+	private final UrgencyLevels levels = new UrgencyLevels(
+			TYPES.stream().map((type) -> new UrgencyLevels.Level(type.urgency(), type.goalMillis())).toList());
+
+	private final List<Gateway> gateways = IntStream.range(0, GATEWAYS).mapToObj((i) -> new Gateway()).toList();
+
+	private final List<Runner> runners = IntStream.range(0, RUNNERS).mapToObj((i) -> new Runner("r" + i)).toList();
+
+	private final PriorityQueue<Call> arrivals = new PriorityQueue<>(Comparator.comparingLong((call) -> call.at));
+
+	private final List<Call> calls = new ArrayList<>();
+
+	private long now;
+
+	/** Until when no runner may serve, as reported. */
+	private long readyAt;
+
+	/** Whether callers come back at once and up to three times. */
+	private boolean impatient;
+
+	/** The factor of the rates at which all types use a part of the runners. */
+	private static double factor(double load) {
+		double work = TYPES.stream()
+			.mapToDouble((type) -> type.perSecond() * (type.promptTokens() / ENGINE.promptTokensPerMilli()
+					+ type.events() * ENGINE.tokensPerEvent() * (ENGINE.stepMillis() + 0.24) / ENGINE.slots()))
+			.sum();
+		return load * RUNNERS * 1000 / work;
+	}
+
+	private void add(Type type, double factor, long from, long to) {
+		add(type, factor, from, to, 0);
+	}
+
+	private void add(Type type, double factor, long from, long to, double heavyShare) {
+		double interval = 1000 / (type.perSecond() * factor);
+		for (double at = from; at < to; at -= interval * Math.log(1 - this.random.nextDouble())) {
+			int account = (this.random.nextDouble() < heavyShare) ? 0 : 1 + this.random.nextInt(9);
+			Call call = new Call(type, new AccountName("account-" + account), (long) at);
+			this.arrivals.add(call);
+			this.calls.add(call);
+		}
+	}
+
+	private void run(long until) {
+		for (; this.now < until; this.now++) {
+			this.runners.forEach(Runner::advance);
+			while (!this.arrivals.isEmpty() && this.arrivals.peek().at <= this.now) {
+				Call call = this.arrivals.remove();
+				call.gateway = this.gateways.get(this.random.nextInt(GATEWAYS));
+				call.gateway.receive(call);
+			}
+			if (this.now % 50 == 0) {
+				this.gateways.forEach(Gateway::check);
+			}
+		}
+	}
+
+	private double earned(Type type) {
+		return average((call) -> call.type == type,
+				(call) -> (call.startedAt < 0) ? 0 : call.isOnTime() ? 1 : type.lateValue());
+	}
+
+	private double served(Predicate<Call> filter) {
+		return average(filter, (call) -> (call.startedAt < 0) ? 0 : 1);
+	}
+
+	private double average(Predicate<Call> filter, ToDoubleFunction<Call> measure) {
+		return this.calls.stream().filter(filter).mapToDouble(measure).average().orElseThrow();
+	}
+
+	// Guards against patient calls that fill the queues until urgent ones are rejected.
+	@Test
+	void sustainedOverloadServesTheMostUrgentCallsFirst() {
+		TYPES.forEach((type) -> add(type, factor(1.3), 0, 20_000));
+		run(27_000);
+		assertThat(earned(URGENT)).isGreaterThanOrEqualTo(0.85);
+		assertThat(earned(MIDDLE)).isGreaterThan(earned(PATIENT));
+		assertThat(served((call) -> call.type == MIDDLE)).isGreaterThanOrEqualTo(0.8);
+		assertThat(served((call) -> call.type == PATIENT)).isGreaterThan(0.25 * served((call) -> true));
+	}
+
+	// Guards against a burst of the least urgent calls that costs the others their
+	// value, and the same right after it for a burst of the most urgent ones.
+	@Test
+	void burstsOfTheLeastAndThenOfTheMostUrgentCalls() {
+		TYPES.forEach((type) -> add(type, factor(0.8), 0, 18_000));
+		add(PATIENT, factor(0.8) * 1.3, 3000, 9000);
+		add(URGENT, factor(0.8) * 0.9, 9000, 15_000);
+		run(25_000);
+		assertThat(earned(URGENT)).isGreaterThanOrEqualTo(0.85);
+		assertThat(earned(MIDDLE)).isGreaterThanOrEqualTo(0.7);
+		assertThat(served((call) -> call.type == PATIENT)).isGreaterThan(0.25 * served((call) -> true));
+	}
+
+	// Guards against a large account that takes the places of the small ones.
+	@Test
+	void oneAccountWithHalfOfAllTraffic() {
+		TYPES.forEach((type) -> add(type, factor(1.3), 0, 20_000, 0.5));
+		run(27_000);
+		AccountName heavy = new AccountName("account-0");
+		double small = served((call) -> !call.account.equals(heavy));
+		double large = served((call) -> call.account.equals(heavy));
+		assertThat(small).isGreaterThan(large);
+		assertThat(large).isGreaterThan(0.25 * served((call) -> true));
+	}
+
+	// Guards against callers that win by coming back at once, and against their calls
+	// driving out the others.
+	@Test
+	void callersThatRepeatThreeTimesAtOnce() {
+		this.impatient = true;
+		TYPES.forEach((type) -> add(type, factor(1.3), 0, 20_000));
+		run(27_000);
+		assertThat(earned(URGENT)).isGreaterThanOrEqualTo(0.85);
+	}
+
+	// Guards against urgent calls that are rejected because the queues were filled
+	// before the loss.
+	@Test
+	void aThirdOfTheRunnersIsLostAtOnce() {
+		TYPES.forEach((type) -> add(type, factor(0.85), 0, 15_000));
+		run(5000);
+		this.runners.subList(0, RUNNERS / 3).forEach(Runner::fail);
+		run(22_000);
+		assertThat(earned(URGENT)).isGreaterThanOrEqualTo(0.85);
+		assertThat(served((call) -> call.type == PATIENT)).isGreaterThan(0.25 * served((call) -> true));
+	}
+
+	// Guards against calls that are rejected, and rejected again, while a version
+	// arrives, and against late ones that delay those that can be on time.
+	@Test
+	void noRunnerForThreeSecondsAndThenAll() {
+		// at a higher load, the runners cannot serve the calls of the gap before their
+		// deadlines beside those that can be on time
+		TYPES.forEach((type) -> add(type, factor(0.4), 0, 12_000));
+		run(3000);
+		this.readyAt = 6000;
+		run(19_000);
+		assertThat(served((call) -> call.issuedAt >= 3000 && call.issuedAt < 6000)).isGreaterThanOrEqualTo(0.95);
+		assertThat(average((call) -> call.issuedAt >= 6500 && call.type == URGENT, (call) -> call.isOnTime() ? 1 : 0))
+			.isGreaterThanOrEqualTo(0.85);
+	}
+
+	/**
+	 * A request type with the part of its value that a late response has.
+	 */
+	private record Type(String name, Urgency urgency, double perSecond, int promptTokens, int events, long goalMillis,
+			double lateValue) {
+
+	}
+
+	private static final class Call {
+
+		private final Type type;
+
+		private final AccountName account;
+
+		private final long issuedAt;
+
+		private long at;
+
+		private long startedAt = -1;
+
+		private int repeats;
+
+		private Gateway gateway;
+
+		private boolean late;
+
+		private long sentAt;
+
+		private double predicted;
+
+		private int tokensLeft;
+
+		private int eventsLeft;
+
+		private Call(Type type, AccountName account, long at) {
+			this.type = type;
+			this.account = account;
+			this.issuedAt = at;
+			this.at = at;
+			this.tokensLeft = type.promptTokens();
+			this.eventsLeft = type.events();
+		}
+
+		private boolean isOnTime() {
+			return this.startedAt >= 0 && this.startedAt - this.issuedAt <= this.type.goalMillis();
+		}
+
+		private int rank() {
+			return this.late ? 9 : this.type.urgency().routePriority();
+		}
+
+	}
+
+	/** Obeys the decisions as the gateway does. */
+	private final class Gateway {
+
+		private final ServiceCompetition competition = new ServiceCompetition(0);
+
+		private PredictionCorrection correction = PredictionCorrection.none();
+
+		private final WaitingQueue<Call> queue = new WaitingQueue<>();
+
+		private AdmissionDecision decide(Call call) {
+			long now = CompetingLoadTests.this.now;
+			CallRequirements regular = new CallRequirements(call.type.promptTokens(), call.type.goalMillis(),
+					TIMEOUT_MILLIS - (now - call.issuedAt), this.correction.factor(), now - call.at,
+					this.competition.competitionOf(CompetingLoadTests.this.levels, competitor(call), now));
+			CallRequirements requirements = call.late ? regular.afterWaiting() : regular;
+			if (now < CompetingLoadTests.this.readyAt) {
+				return AdmissionPolicies.whileLoading(0, OptionalLong.of(CompetingLoadTests.this.readyAt - now),
+						requirements, CompetingLoadTests.this.random.nextDouble());
+			}
+			List<RunnerOption> options = CompetingLoadTests.this.runners.stream()
+				.filter((runner) -> runner.up)
+				.map((runner) -> runner.option(this))
+				.toList();
+			return AdmissionPolicies.earliestFirstEvent()
+				.decide(options, new CallDescription(SCOPE, call.type.urgency(), call.account, requirements),
+						Optional.of(ENGINE), CompetingLoadTests.this.random.nextDouble());
+		}
+
+		private ServiceCompetition.Competitor competitor(Call call) {
+			return new ServiceCompetition.Competitor(call.type.urgency(), call.type.name(), call.account,
+					call.type.promptTokens() + ENGINE.meanResponseTokens());
+		}
+
+		private void receive(Call call) {
+			call.late = false;
+			this.competition.recordArrival(competitor(call), CompetingLoadTests.this.now);
+			sendWaiting();
+			follow(call, decide(call));
+		}
+
+		private void follow(Call call, AdmissionDecision decision) {
+			long now = CompetingLoadTests.this.now;
+			if (decision instanceof AdmissionDecision.Send send) {
+				this.competition.recordSend(competitor(call), call.late, now);
+				CompetingLoadTests.this.runners.stream()
+					.filter((runner) -> runner.id.equals(send.runner()))
+					.forEach((runner) -> runner.add(call));
+				call.sentAt = now;
+				call.predicted = send.predictedMillis();
+			}
+			else if (decision instanceof AdmissionDecision.Wait wait) {
+				boolean place = wait.cause() == AdmissionDecision.Wait.Cause.PLACE;
+				WaitingQueue.WaitPlan plan = place ? this.queue.plan(competitor(call), wait.onTimeMillis(),
+						wait.maxMillis(), this.competition, now)
+						: new WaitingQueue.WaitPlan(true, wait.onTimeMillis(), 0);
+				if (plan.allowed()) {
+					this.queue
+						.add(new WaitingQueue.Entry<>(call, call.type.urgency(), call.account, Residency.anywhere(),
+								call.issuedAt, now + plan.onTimeMillis(), now + wait.maxMillis(), place), now);
+					return;
+				}
+				reject(call, wait.otherwise().delayedBy(Math.min(plan.aheadMillis(), wait.maxMillis())));
+			}
+			else {
+				reject(call, (AdmissionDecision.Reject) decision);
+			}
+		}
+
+		private void reject(Call call, AdmissionDecision.Reject rejection) {
+			long now = CompetingLoadTests.this.now;
+			long left = TIMEOUT_MILLIS - (now - call.issuedAt);
+			long delay = CompetingLoadTests.this.impatient ? 10 : rejection.retryAfterMillis();
+			if (call.repeats++ < (CompetingLoadTests.this.impatient ? 3 : 1) && delay <= left / 3) {
+				call.at = now + delay;
+				CompetingLoadTests.this.arrivals.add(call);
+			}
+		}
+
+		private void sendWaiting() {
+			Optional<WaitingQueue.Turn<Call>> turn = turn();
+			while (turn.isPresent()) {
+				Call call = turn.get().entry().call();
+				call.late = turn.get().late();
+				boolean loading = !turn.get().entry().followsRate();
+				if (loading && !this.competition.canRelease(CompetingLoadTests.this.now)) {
+					return;
+				}
+				AdmissionDecision decision = decide(call);
+				if (!(decision instanceof AdmissionDecision.Send)) {
+					return;
+				}
+				if (loading) {
+					this.competition.recordRelease(ENGINE.meanPromptTokens() / ENGINE.promptTokensPerMilli(), RUNNERS,
+							GATEWAYS, CompetingLoadTests.this.now);
+				}
+				this.queue.remove(turn.get().entry());
+				follow(call, decision);
+				turn = turn();
+			}
+		}
+
+		private Optional<WaitingQueue.Turn<Call>> turn() {
+			return this.queue.first(List.of(), this.competition, CompetingLoadTests.this.now);
+		}
+
+		private void check() {
+			sendWaiting();
+			this.queue.removeHopeless(this.competition, CompetingLoadTests.this.now).forEach((entry) -> {
+				AdmissionDecision decision = decide(entry.call());
+				follow(entry.call(), (decision instanceof AdmissionDecision.Wait wait) ? wait.otherwise() : decision);
+			});
+		}
+
+	}
+
+	/** Runs requests by the published formula of the engine. */
+	private final class Runner {
+
+		private final RunnerId id;
+
+		private final List<Call> pending = new ArrayList<>();
+
+		private final List<Call> reading = new ArrayList<>();
+
+		private final List<Call> responding = new ArrayList<>();
+
+		private final List<Call> sentSinceReport = new ArrayList<>();
+
+		private List<Call> reportedPending = List.of();
+
+		private List<Call> reportedResponding = List.of();
+
+		private double passEnd;
+
+		private boolean up = true;
+
+		private Runner(String id) {
+			this.id = new RunnerId(id);
+		}
+
+		private void add(Call call) {
+			this.pending.add(call);
+			this.sentSinceReport.add(call);
+		}
+
+		private void fail() {
+			this.up = false;
+		}
+
+		private RunnerOption option(Gateway gateway) {
+			List<Call> unread = known(this.pending, this.reportedPending, gateway);
+			unread.addAll(known(this.reading, List.of(), gateway));
+			// as in RunnerWork: other gateways see the same load
+			double sentByOthers = 0.5 * (GATEWAYS - 1)
+					* this.sentSinceReport.stream().filter((call) -> call.gateway == gateway).count();
+			return new RunnerOption(this.id, Distance.DATA_CENTRE, ENGINE.slots(),
+					known(this.responding, this.reportedResponding, gateway).size(), unread.size() + sentByOthers,
+					unread.stream().mapToDouble((call) -> call.type.promptTokens()).sum()
+							+ sentByOthers * ENGINE.meanPromptTokens(),
+					80, false, RunnerOption.NO_START_LIMIT_MILLIS);
+		}
+
+		private List<Call> known(List<Call> current, List<Call> reported, Gateway gateway) {
+			List<Call> known = new ArrayList<>(current.stream().filter((call) -> call.gateway == gateway).toList());
+			reported.stream().filter((call) -> call.gateway != gateway).forEach(known::add);
+			return known;
+		}
+
+		private void advance() {
+			if (CompetingLoadTests.this.now % 200 == 0) {
+				this.sentSinceReport.clear();
+				this.reportedPending = new ArrayList<>(this.pending);
+				this.reportedPending.addAll(this.reading);
+				this.reportedResponding = List.copyOf(this.responding);
+			}
+			while (this.up && this.passEnd <= CompetingLoadTests.this.now) {
+				this.responding.forEach((call) -> call.eventsLeft--);
+				this.responding.removeIf((call) -> call.eventsLeft <= 0);
+				this.reading.stream().filter((call) -> call.tokensLeft <= 0).forEach((call) -> {
+					call.startedAt = CompetingLoadTests.this.now;
+					call.gateway.correction = call.gateway.correction.withObservation(call.predicted,
+							call.startedAt - call.sentAt);
+					call.eventsLeft--;
+					this.responding.add(call);
+				});
+				this.reading.removeAll(this.responding);
+				begin();
+				CompetingLoadTests.this.gateways.forEach(Gateway::sendWaiting);
+			}
+		}
+
+		private void begin() {
+			this.pending.sort(Comparator.comparingInt(Call::rank));
+			while (!this.pending.isEmpty() && this.responding.size() + this.reading.size() < ENGINE.slots()) {
+				this.reading.add(this.pending.remove(0));
+			}
+			int budget = ENGINE.promptTokensPerStep();
+			for (Call call : this.reading) {
+				int read = Math.min(budget, call.tokensLeft);
+				call.tokensLeft -= read;
+				budget -= read;
+			}
+			int read = ENGINE.promptTokensPerStep() - budget;
+			this.passEnd = CompetingLoadTests.this.now + Math.max(1,
+					read / ENGINE.promptTokensPerMilli() + (this.responding.isEmpty() ? 0 : ENGINE.tokensPerEvent()
+							* (ENGINE.stepMillis() + ENGINE.stepMillisPerRequest() * this.responding.size())));
+		}
+
+	}
+
+}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/CallAdmission.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/CallAdmission.java
@@ -1,6 +1,7 @@
 package org.catkingate.gateway;
 
 import java.util.HashSet;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 
@@ -9,14 +10,18 @@
 import org.catkingate.decisions.admission.AdmissionDecision;
 import org.catkingate.decisions.admission.CallDescription;
 import org.catkingate.decisions.admission.CallRequirements;
+import org.catkingate.decisions.competition.CompetingLevels;
+import org.catkingate.decisions.competition.ServiceCompetition;
+import org.catkingate.decisions.competition.WaitingQueue;
 import org.catkingate.decisions.sending.CallScope;
 import org.catkingate.model.RunnerId;
+import org.catkingate.model.registry.EngineProfile;
 
 /**
  * The admission of one call to the runners of its service. The call waits here while the
  * decision says so, and is decided on again. Used by the traffic thread only.
  */
-final class CallAdmission {
+final class CallAdmission implements WaitingCalls.Call {
 
 	private final AdmittedRequest admitted;
 
@@ -32,12 +37,18 @@
 
 	private final Set<RunnerId> triedRunners = new HashSet<>();
 
-	private boolean ended;
+	private final ServiceCompetition.Competitor competitor;
 
-	/** The time until which the call waits for a runner, 0 if it has not waited. */
-	private long waitUntilMillis;
+	/** The place in the queue, null if the call does not wait. */
+	private WaitingQueue.Entry<WaitingCalls.Call> waiting;
 
-	private AdmissionDecision.Wait.Cause waitingFor;
+	private AdmissionDecision.Wait.Cause waitedFor;
+
+	private long waitingSinceMillis;
+
+	private boolean late;
+
+	private boolean sent;
 
 	/**
 	 * Creates the admission of a call that has not been sent anywhere.
@@ -56,61 +67,153 @@
 		this.log = log;
 		this.quarantined = quarantined;
 		this.listener = listener;
+		this.competitor = new ServiceCompetition.Competitor(admitted.urgency(), admitted.route().name(),
+				admitted.account(),
+				admitted.head().promptTokens() + sharedState.runners()
+					.engine(admitted.service())
+					.map(EngineProfile::meanResponseTokens)
+					.orElse(1.0));
+	}
+
+	/**
+	 * Records the arrival of the call, so that it counts among those that compete.
+	 */
+	void recordArrival() {
+		this.sharedState.competitions().recordArrival(this.admitted.service(), this.competitor, now());
 	}
 
 	/**
-	 * Decides on the call, among the runners to which it has not been sent yet.
+	 * Decides on the call, among the runners to which it has not been sent yet, after
+	 * those that wait already.
 	 */
 	void decide() {
-		follow(this.sharedState.decide(describe(requirements()), this.triedRunners));
+		this.sharedState.waitingCalls().check(this.admitted.service());
+		follow(decideOn(requirements()));
+	}
+
+	private AdmissionDecision decideAfterWaiting() {
+		return decideOn(this.late ? requirements().afterWaiting() : requirements());
+	}
+
+	private AdmissionDecision decideOn(CallRequirements requirements) {
+		return this.sharedState.decide(describe(requirements), this.triedRunners);
 	}
 
 	private void follow(AdmissionDecision decision) {
 		if (decision instanceof AdmissionDecision.Send send) {
 			this.triedRunners.add(send.runner());
+			if (!this.sent) {
+				this.sent = true;
+				this.sharedState.competitions().recordSend(this.admitted.service(), this.competitor, this.late, now());
+			}
 			this.listener.onAdmitted(send);
 		}
 		else if (decision instanceof AdmissionDecision.Reject reject) {
 			this.log.addRejection(reject);
 			this.listener.onRejected(reject);
 		}
-		else if (decision instanceof AdmissionDecision.Wait wait && !startWaiting(wait)) {
-			if (wait.cause() == AdmissionDecision.Wait.Cause.PERMIT) {
-				this.sharedState.metrics().countLimited();
-			}
-			follow(wait.otherwise());
+		else if (decision instanceof AdmissionDecision.Wait wait) {
+			startWaitingOrReject(wait);
 		}
 	}
 
-	private boolean startWaiting(AdmissionDecision.Wait wait) {
-		if (this.waitUntilMillis != 0 || !this.sharedState.waitingCalls()
-			.add(this.admitted.service(), wait.maxCalls(), this::tryToEndWaiting, this.executor)) {
-			return false;
+	private void startWaitingOrReject(AdmissionDecision.Wait wait) {
+		if (this.waitedFor != null) {
+			reject(wait, wait.otherwise());
+			return;
 		}
-		this.waitingFor = wait.cause();
-		this.waitUntilMillis = this.sharedState.clock().millis() + wait.maxMillis();
+		long now = now();
+		boolean followsRate = wait.cause() == AdmissionDecision.Wait.Cause.PLACE;
+		long onTimeMillis = wait.onTimeMillis();
+		if (followsRate) {
+			WaitingQueue.WaitPlan plan = this.sharedState.waitingCalls()
+				.queue(this.admitted.service())
+				.plan(this.competitor, onTimeMillis, wait.maxMillis(),
+						this.sharedState.competitions().of(this.admitted.service(), now), now);
+			if (!plan.allowed()) {
+				reject(wait, wait.otherwise().delayedBy(Math.min(plan.aheadMillis(), wait.maxMillis())));
+				return;
+			}
+			onTimeMillis = plan.onTimeMillis();
+		}
+		WaitingQueue.Entry<WaitingCalls.Call> entry = createEntry(wait, onTimeMillis, followsRate, now);
+		if (!this.sharedState.waitingCalls().add(this.admitted.service(), wait.maxCalls(), entry, this.executor)) {
+			reject(wait, wait.otherwise());
+			return;
+		}
+		this.waiting = entry;
+		this.waitedFor = wait.cause();
+		this.waitingSinceMillis = now;
 		this.log.addWait(wait);
-		return true;
 	}
 
-	private boolean tryToEndWaiting() {
-		if (this.ended) {
-			return true;
+	private WaitingQueue.Entry<WaitingCalls.Call> createEntry(AdmissionDecision.Wait wait, long onTimeMillis,
+			boolean followsRate, long nowMillis) {
+		// calls that wait for permits at a service with one urgency level are sent in the
+		// order of arrival
+		boolean compete = wait.cause() != AdmissionDecision.Wait.Cause.PERMIT
+				|| this.sharedState.competitions().levels(this.admitted.service()).differ();
+		long usedMillis = this.admitted.route().timeoutMillis()
+				- (this.admitted.deadlineMillis() - this.admitted.arrivedAtMillis());
+		return new WaitingQueue.Entry<>(this, this.admitted.urgency(), compete ? this.admitted.account() : null,
+				this.admitted.residency(),
+				compete ? this.admitted.arrivedAtMillis() - usedMillis : this.admitted.arrivedAtMillis(),
+				nowMillis + onTimeMillis, nowMillis + wait.maxMillis(), followsRate);
+	}
+
+	private void reject(AdmissionDecision.Wait wait, AdmissionDecision.Reject rejection) {
+		if (wait.cause() == AdmissionDecision.Wait.Cause.PERMIT) {
+			this.sharedState.metrics().countLimited();
+		}
+		follow(rejection);
+	}
+
+	@Override
+	public boolean trySend(boolean lateNow) {
+		boolean loading = this.waitedFor == AdmissionDecision.Wait.Cause.LOADING;
+		if (loading && !this.sharedState.competitions().of(this.admitted.service(), now()).canRelease(now())) {
+			return false;
 		}
-		CallRequirements requirements = (this.waitingFor == AdmissionDecision.Wait.Cause.LOADING)
-				? requirements().afterWaiting() : requirements();
-		AdmissionDecision decision = this.sharedState.decide(describe(requirements), this.triedRunners);
-		if (!(decision instanceof AdmissionDecision.Send) && this.sharedState.clock().millis() < this.waitUntilMillis) {
+		this.late = lateNow && this.waitedFor != AdmissionDecision.Wait.Cause.PERMIT;
+		AdmissionDecision decision = decideAfterWaiting();
+		if (!(decision instanceof AdmissionDecision.Send)) {
 			return false;
 		}
+		if (loading) {
+			this.sharedState.recordRelease(this.admitted.service());
+		}
+		endWait(this.late ? "sent-late" : "sent");
 		follow(decision);
 		return true;
 	}
 
+	@Override
+	public void giveUp() {
+		this.late = this.waitedFor != AdmissionDecision.Wait.Cause.PERMIT;
+		AdmissionDecision decision = decideAfterWaiting();
+		endWait((decision instanceof AdmissionDecision.Send) ? "sent-late" : "rejected");
+		follow(decision);
+	}
+
+	private void endWait(String outcome) {
+		WaitingQueue.Entry<WaitingCalls.Call> entry = this.waiting;
+		this.waiting = null;
+		this.sharedState.waitingCalls().remove(this.admitted.service(), entry);
+		this.sharedState.metrics().countWait(this.waitedFor.name(), outcome);
+		this.log.addWaitEnd(this.waitedFor, now() - this.waitingSinceMillis, outcome);
+	}
+
+	private long now() {
+		return this.sharedState.clock().millis();
+	}
+
 	private CallRequirements requirements() {
+		long now = now();
+		CompetingLevels competition = this.sharedState.competitions()
+			.competitionOf(this.admitted.service(), this.competitor, now);
 		return new CallRequirements(this.admitted.head().promptTokens(), this.admitted.route().goalMillis(),
-				this.admitted.deadlineMillis() - this.sharedState.clock().millis(),
-				this.sharedState.correctionFactor(this.admitted.service()));
+				this.admitted.deadlineMillis() - now, this.sharedState.correctionFactor(this.admitted.service()),
+				now - this.admitted.arrivedAtMillis(), competition);
 	}
 
 	private CallDescription describe(CallRequirements requirements) {
@@ -139,10 +242,22 @@
 	}
 
 	/**
-	 * Ends the admission: if the call waits, it is not decided on again.
+	 * Returns the rank of the call in the queue of a runner.
+	 * @return the rank, empty if all calls to the service have the same urgency
+	 */
+	OptionalInt priority() {
+		return this.sharedState.competitions()
+			.levels(this.admitted.service())
+			.priority(this.admitted.urgency(), this.late);
+	}
+
+	/**
+	 * Ends the admission: if the call waits, it leaves the queue.
 	 */
 	void end() {
-		this.ended = true;
+		if (this.waiting != null) {
+			endWait("left");
+		}
 	}
 
 	/**
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 
 import io.undertow.client.ClientResponse;
@@ -120,6 +119,7 @@
 	void start() {
 		this.sharedState.metrics().countStarted();
 		this.sharedState.countCall(this.admitted.service());
+		this.admission.recordArrival();
 		this.exchange.addExchangeCompleteListener((completed, next) -> {
 			handleExchangeEnd();
 			next.proceed();
@@ -169,7 +169,7 @@
 
 	private void send(RunnerState runner) {
 		RunnerHead head = new RunnerHead(runner.runner().id(), Math.max(1, remainingMillis()), this.admitted.account(),
-				this.relay.lastEventId(), OptionalInt.empty());
+				this.relay.lastEventId(), this.admission.priority());
 		boolean onNewConnection = this.route.kind() == CallKind.NON_IDEMPOTENT;
 		RunnerAttempt.OutgoingRequest request = new RunnerAttempt.OutgoingRequest(
 				RunnerRequestFactory.create(this.exchange, this.admitted, this.sharedState.codec(), head),
@@ -301,6 +301,8 @@
 		if (!isStale(from)) {
 			this.log.addResponseStart(from, elapsedMillis);
 			this.sharedState.recordResponseStart(this.admitted.service(), this.predictedMillis, elapsedMillis);
+			// the runner has read the prompt, so that another one can be sent
+			this.sharedState.waitingCalls().check(this.admitted.service());
 		}
 	}
 
@@ -504,6 +506,7 @@
 		long totalMillis = this.sharedState.clock().millis() - this.admitted.arrivedAtMillis();
 		this.sharedState.metrics().recordFinished(outcome, this.firstByteMillis, totalMillis);
 		this.log.write(outcome, status, this.firstByteMillis, totalMillis);
+		this.sharedState.waitingCalls().check(this.admitted.service());
 	}
 
 	private void handleExchangeEnd() {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
@@ -27,6 +27,8 @@
 
 	private final Counter limited;
 
+	private final Counter waits;
+
 	private final Gauge inProgress;
 
 	private final Histogram timeToFirstByte;
@@ -63,6 +65,11 @@
 			.name("catkingate_gateway_limited")
 			.help("Requests that were not sent because the limits of all runners were used up")
 			.register(registry);
+		this.waits = Counter.builder()
+			.name("catkingate_gateway_waits")
+			.help("Requests that waited before they were sent or rejected, by what for and what became of them")
+			.labelNames("cause", "outcome")
+			.register(registry);
 		this.inProgress = Gauge.builder()
 			.name("catkingate_gateway_requests_in_progress")
 			.help("Requests in progress")
@@ -114,6 +121,10 @@
 		this.limited.inc();
 	}
 
+	void countWait(String cause, String outcome) {
+		this.waits.labelValues(cause, outcome).inc();
+	}
+
 	void countRejected(String outcome) {
 		this.requests.labelValues(outcome).inc();
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -130,6 +130,8 @@
 
 	private final GracefulShutdown gracefulShutdown;
 
+	private final WaitingCalls waitingCalls;
+
 	private final CallerConnections connections = new CallerConnections();
 
 	private GatewayProcess(GatewaySettings settings, RegistryFactory registry, PieceOriginFactory origins,
@@ -162,7 +164,9 @@
 		this.peers = GatewayPeers.start(identity, settings.peers(), this.worker, this::publishedOrigin,
 				this::openOrigin, settings.regions()::get, this.runners, this.versions, copies, prompts, this.permits,
 				clock);
-		this.permits.onPermit(() -> this.worker.getIoThread().execute(() -> sharedCallState.waitingCalls().check()));
+		this.waitingCalls = sharedCallState.waitingCalls();
+		this.runners.onChange(this.waitingCalls::check);
+		this.permits.onPermit(() -> this.worker.getIoThread().execute(this.waitingCalls::check));
 		registerMetrics();
 		this.operators = OperatorsEndpoint.start(settings.operators().addresses(), this.readiness, this.metrics,
 				this::state);
@@ -291,6 +295,7 @@
 		state.put("evacuatedDataCentres",
 				this.registry.view().evacuated().stream().map(String::valueOf).sorted().toList());
 		state.put("runnerLimits", this.permits.describe());
+		state.put("waitingRequests", this.waitingCalls.describe());
 		state.put("requestsInProgress", this.gatewayMetrics.inProgress());
 		return state;
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestLog.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestLog.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 
 import org.slf4j.Logger;
@@ -24,6 +25,8 @@
 
 	private final AdmittedRequest admitted;
 
+	private long waitedMillis;
+
 	private RequestLog(AdmittedRequest admitted) {
 		this.admitted = admitted;
 	}
@@ -42,8 +45,17 @@
 	}
 
 	void addWait(AdmissionDecision.Wait wait) {
-		this.decisions.add("wait max-ms=" + wait.maxMillis() + ((wait.cause() == AdmissionDecision.Wait.Cause.LOADING)
-				? ": most runners load weights" : ": the limits of the runners are used up"));
+		this.decisions.add("wait max-ms=" + wait.maxMillis() + " on-time-ms=" + wait.onTimeMillis() + ": "
+				+ switch (wait.cause()) {
+					case LOADING -> "most runners load weights";
+					case PERMIT -> "the limits of the runners are used up";
+					case PLACE -> wait.otherwise().reason();
+				});
+	}
+
+	void addWaitEnd(AdmissionDecision.Wait.Cause cause, long millis, String outcome) {
+		this.waitedMillis = millis;
+		this.decisions.add("waited ms=" + millis + " for=" + cause.name().toLowerCase(Locale.ROOT) + " " + outcome);
 	}
 
 	void addRejection(AdmissionDecision.Reject reject) {
@@ -69,6 +81,8 @@
 			.addKeyValue("route", this.admitted.route().name())
 			.addKeyValue("service", this.admitted.service())
 			.addKeyValue("account", this.admitted.account())
+			.addKeyValue("urgency", this.admitted.urgency().text())
+			.addKeyValue("waited-ms", this.waitedMillis)
 			.addKeyValue("configuration", this.admitted.basis().configurationVersion())
 			.addKeyValue("belief-age-ms", this.admitted.basis().ageMillis())
 			.addKeyValue("prompt-tokens", this.admitted.head().promptTokens())
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -25,6 +26,7 @@
 import org.catkingate.model.ServiceName;
 import org.catkingate.model.registry.EngineProfile;
 import org.catkingate.model.registry.RegisteredRunner;
+import org.catkingate.model.registry.ServingConfiguration;
 import org.catkingate.wire.RunnerMessage;
 
 /**
@@ -61,6 +63,9 @@
 	private Consumer<RunnerState> removalListener = (runner) -> {
 	};
 
+	private Consumer<ServiceName> changeListener = (service) -> {
+	};
+
 	private RegistryView view = RegistryView.empty();
 
 	RunnerTable(Function<RegisteredRunner, RunnerState> stateFactory, AdmissionPolicy policy,
@@ -70,6 +75,22 @@
 		this.policy = policy;
 	}
 
+	/**
+	 * Sets the listener to changes of the runners that can serve.
+	 * @param listener receives the service of the runners
+	 */
+	void onChange(Consumer<ServiceName> listener) {
+		this.changeListener = listener;
+	}
+
+	/**
+	 * Returns the configuration in force.
+	 * @return the configuration, empty if none is known
+	 */
+	Optional<ServingConfiguration> configuration() {
+		return this.view.configuration();
+	}
+
 	/**
 	 * Sets the listener to removed and replaced runners.
 	 * @param listener receives the state of each one
@@ -106,6 +127,7 @@
 		this.runnersByAddress = this.runners.values()
 			.stream()
 			.collect(Collectors.groupingBy((state) -> state.runner().addressText()));
+		this.runners.values().stream().map(RunnerState::service).distinct().forEach(this.changeListener);
 	}
 
 	private RunnerState createState(RegisteredRunner runner) {
@@ -156,7 +178,7 @@
 		}
 		if (!scope.models().isEmpty() && areMostLoading(scope, nowMillis)) {
 			return AdmissionPolicies.whileLoading(recordLoading(scope.service(), nowMillis),
-					call.requirements().remainingMillis(), draw);
+					readyInMillis(scope, nowMillis), call.requirements(), draw);
 		}
 		long pauseMillis = shortestPauseMillis(scope, nowMillis);
 		if (pauseMillis > 0) {
@@ -207,19 +229,35 @@
 	}
 
 	/*
-	 * Whether fewer runners hold weights than are without any, as after a loss of power
-	 * of all machines. Runners that change from one version to another count as holding
-	 * weights, since they change in turns and serve again soon.
+	 * Returns the time until the first runner of the pool of a call is reported to serve.
+	 */
+	private OptionalLong readyInMillis(CallScope scope, long nowMillis) {
+		return this.runners.values()
+			.stream()
+			.filter((state) -> isInPool(state, scope))
+			.map((state) -> OptionalLong.empty())
+			.filter(OptionalLong::isPresent)
+			.mapToLong(OptionalLong::getAsLong)
+			.min();
+	}
+
+	private static boolean isInPool(RunnerState state, CallScope scope) {
+		return state.runner().service().equals(scope.service()) && !state.isLeaving() && !state.isEvacuated()
+				&& scope.residency().allows(state.region());
+	}
+
+	/*
+	 * Whether fewer runners hold weights that may be used than are without any, as after
+	 * a loss of power of all machines, or after the end of the time of the version that
+	 * they serve. Runners that change from one version to another in time count as
+	 * holding weights, since they change in turns and serve again soon.
 	 */
 	private boolean areMostLoading(CallScope scope, long nowMillis) {
 		int holding = 0;
 		int loading = 0;
 		for (RunnerState state : this.runners.values()) {
-			RegisteredRunner runner = state.runner();
-			if (runner.service().equals(scope.service()) && !state.isLeaving() && !state.isEvacuated()
-					&& scope.residency().allows(state.region())) {
-				boolean holds = state.serves(scope.models(), nowMillis)
-						|| (runner.models().keySet().containsAll(scope.models()) && !state.isMisdirected(nowMillis));
+			if (isInPool(state, scope)) {
+				boolean holds = holdsUsableWeights(state, scope, nowMillis);
 				holding += holds ? 1 : 0;
 				loading += holds ? 0 : 1;
 			}
@@ -227,7 +265,14 @@
 		return holding < loading;
 	}
 
-	private Optional<EngineProfile> engine(ServiceName service) {
+	private boolean holdsUsableWeights(RunnerState state, CallScope scope, long nowMillis) {
+		Map<ModelName, Long> held = state.serves(scope.models(), nowMillis) ? state.servedVersions(nowMillis)
+				: state.runner().models();
+		return held.keySet().containsAll(scope.models()) && !state.isMisdirected(nowMillis)
+				&& startLimitMillis(scope.models(), held) > nowMillis;
+	}
+
+	Optional<EngineProfile> engine(ServiceName service) {
 		return this.view.configuration().flatMap((configuration) -> configuration.engine(service));
 	}
 
@@ -257,8 +302,13 @@
 	 * @param nowMillis the time now, in monotonic milliseconds
 	 */
 	void recordReport(RunnerMessage.RunnerUpdate report, long nowMillis) {
-		this.runnersByAddress.getOrDefault(report.address(), List.of())
-			.forEach((state) -> state.recordReport(report, nowMillis));
+		this.runnersByAddress.getOrDefault(report.address(), List.of()).forEach((state) -> {
+			Map<ModelName, Long> before = state.servedVersions(nowMillis);
+			state.recordReport(report, nowMillis);
+			if (!state.servedVersions(nowMillis).equals(before)) {
+				this.changeListener.accept(state.service());
+			}
+		});
 	}
 
 	RunnerState state(RunnerId runner) {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/SharedCallState.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/SharedCallState.java
@@ -43,7 +43,9 @@
 
 	private final PromptGuard prompts;
 
-	private final WaitingCalls waitingCalls = new WaitingCalls();
+	private final ServiceCompetitions competitions;
+
+	private final WaitingCalls waitingCalls;
 
 	/**
 	 * Creates the state, without any calls.
@@ -67,6 +69,8 @@
 		this.clock = clock;
 		this.metrics = metrics;
 		this.prompts = prompts;
+		this.competitions = new ServiceCompetitions(runners::configuration);
+		this.waitingCalls = new WaitingCalls(this.competitions, clock);
 	}
 
 	HeaderCodec codec() {
@@ -130,6 +134,23 @@
 		return true;
 	}
 
+	/**
+	 * Records that a call that has waited for runners to load is sent.
+	 * @param service the service
+	 */
+	void recordRelease(ServiceName service) {
+		double promptMillis = this.runners.engine(service)
+			.map((engine) -> engine.meanPromptTokens() / engine.promptTokensPerMilli())
+			.orElse(0.0);
+		this.competitions.of(service, this.clock.millis())
+			.recordRelease(promptMillis, this.runners.count(service), this.gatewayCount.getAsInt(),
+					this.clock.millis());
+	}
+
+	ServiceCompetitions competitions() {
+		return this.competitions;
+	}
+
 	WaitingCalls waitingCalls() {
 		return this.waitingCalls;
 	}
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/WaitingCallsTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/WaitingCallsTests.java
@@ -1,11 +1,16 @@
 package org.catkingate.gateway;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
 import org.xnio.XnioExecutor;
 
+import org.catkingate.decisions.competition.WaitingQueue;
+import org.catkingate.decisions.sending.Residency;
+import org.catkingate.decisions.sending.Urgency;
 import org.catkingate.model.ServiceName;
+import org.catkingate.runtime.MonotonicClock;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -16,16 +21,32 @@
 
 	private static final int MANY_CALLS = 10_000;
 
-	private final WaitingCalls calls = new WaitingCalls();
+	private final WaitingCalls calls = new WaitingCalls(new ServiceCompetitions(Optional::empty),
+			MonotonicClock.system());
 
 	private int add(String service, int count, int maxCalls) {
 		int added = 0;
 		for (int i = 0; i < count; i++) {
-			added += this.calls.add(new ServiceName(service), maxCalls, () -> false, new IdleExecutor()) ? 1 : 0;
+			added += this.calls.add(new ServiceName(service), maxCalls, entry(), new IdleExecutor()) ? 1 : 0;
 		}
 		return added;
 	}
 
+	private static WaitingQueue.Entry<WaitingCalls.Call> entry() {
+		return new WaitingQueue.Entry<>(new WaitingCalls.Call() {
+
+			@Override
+			public boolean trySend(boolean late) {
+				return false;
+			}
+
+			@Override
+			public void giveUp() {
+			}
+
+		}, new Urgency(0, 0), null, Residency.anywhere(), 0, Long.MAX_VALUE, Long.MAX_VALUE, false);
+	}
+
 	@Test
 	void areAsManyAsTheDecisionAllowsForAService() {
 		assertThat(add("songs", MANY_CALLS, 3)).isEqualTo(3);
