--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/competition/ServiceCompetition.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/competition/ServiceCompetition.java
@@ -246,6 +246,9 @@
 	 * @return the cost of the calls sent for it, weighted by their age
 	 */
 	public double usage(Urgency urgency, AccountName account, long nowMillis) {
+		if (account == null) {
+			return 0;
+		}
 		DecayingSum cost = this.costs.getOrDefault(urgency, Map.of()).get(account);
 		return (cost != null) ? cost.value(nowMillis) : 0;
 	}
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/competition/WaitingQueue.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/competition/WaitingQueue.java
@@ -8,8 +8,10 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Queue;
+import java.util.function.Function;
 
 import org.catkingate.decisions.sending.Residency;
 import org.catkingate.decisions.sending.Urgency;
@@ -152,10 +154,13 @@
 	 * Removes the calls that sending does not help any more, or that are not expected to
 	 * be sent while it still helps.
 	 * @param competition what has been sent recently
+	 * @param readyInMillis returns the time until a runner of a residency is expected to
+	 * serve, in milliseconds; empty if one does or it is unknown
 	 * @param nowMillis the time now, in monotonic milliseconds
 	 * @return the calls
 	 */
-	public List<Entry<T>> removeHopeless(ServiceCompetition competition, long nowMillis) {
+	public List<Entry<T>> removeHopeless(ServiceCompetition competition,
+			Function<Residency, OptionalLong> readyInMillis, long nowMillis) {
 		List<Entry<T>> removed = new ArrayList<>();
 		List<Map.Entry<GroupKey, Group<T>>> ordered = new ArrayList<>(this.groups.entrySet());
 		ordered.sort(Comparator.comparing((Map.Entry<GroupKey, Group<T>> entry) -> entry.getKey().urgency())
@@ -171,6 +176,11 @@
 		for (Map.Entry<GroupKey, Group<T>> entry : ordered) {
 			ahead += entry.getValue().removeHopeless(ahead, lateRate, nowMillis, removed);
 		}
+		Map<Residency, OptionalLong> ready = new HashMap<>();
+		for (Map.Entry<GroupKey, Group<T>> entry : ordered) {
+			ready.computeIfAbsent(entry.getKey().residency(), readyInMillis)
+				.ifPresent((millis) -> entry.getValue().removeUntil(nowMillis + millis, removed));
+		}
 		this.size -= removed.size();
 		this.groups.values().removeIf(Group::isEmpty);
 		return removed;
@@ -298,6 +308,17 @@
 			return kept;
 		}
 
+		/*
+		 * Removes the calls that wait for runners to load and that have to be sent before
+		 * these serve.
+		 */
+		private void removeUntil(long readyAtMillis, List<Entry<T>> removed) {
+			for (Queue<Entry<T>> part : List.of(this.onTime, this.late)) {
+				part.removeIf(
+						(entry) -> !entry.followsRate() && entry.latestMillis() <= readyAtMillis && removed.add(entry));
+			}
+		}
+
 		private static <T> List<Entry<T>> sorted(Queue<Entry<T>> entries) {
 			return entries.stream().sorted(Entry.OLDEST_FIRST).toList();
 		}
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/admission/AdmissionPoliciesTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/admission/AdmissionPoliciesTests.java
@@ -293,6 +293,18 @@
 			assertThat(late.retryAfterMillis()).isPositive().isLessThan(1000);
 		}
 
+		// Guards against calls that return before a reported arrival, or wait for one
+		// that
+		// comes after their deadline.
+		@Test
+		void waitForAReportedArrivalAsFarAsTheirDeadlineAllows() {
+			CallRequirements call = new CallRequirements(1000, 400, REMAINING_MILLIS, 1);
+			assertThat(((AdmissionDecision.Wait) AdmissionPolicies.whileLoading(60_000, OptionalLong.of(3500), call, 0))
+				.maxMillis()).isEqualTo(REMAINING_MILLIS - 1000);
+			assertThat(((AdmissionDecision.Reject) AdmissionPolicies.whileLoading(0, OptionalLong.of(4100), call, 0))
+				.retryAfterMillis()).isEqualTo(4100);
+		}
+
 		@Test
 		void areRejectedAtOnceIfTheyHaveTooLittleTime() {
 			AdmissionDecision decision = decide(0, 1500);
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/competition/CompetingLoadTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/competition/CompetingLoadTests.java
@@ -10,6 +10,7 @@
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
 
@@ -64,7 +65,7 @@
 
 	private final List<Gateway> gateways = IntStream.range(0, GATEWAYS).mapToObj((i) -> new Gateway()).toList();
 
-	private final List<Runner> runners = IntStream.range(0, RUNNERS).mapToObj((i) -> new Runner("r" + i)).toList();
+	private final List<Runner> runners = IntStream.range(0, RUNNERS).mapToObj(Runner::new).toList();
 
 	private final PriorityQueue<Call> arrivals = new PriorityQueue<>(Comparator.comparingLong((call) -> call.at));
 
@@ -87,10 +88,6 @@
 		return load * RUNNERS * 1000 / work;
 	}
 
-	private void add(Type type, double factor, long from, long to) {
-		add(type, factor, from, to, 0);
-	}
-
 	private void add(Type type, double factor, long from, long to, double heavyShare) {
 		double interval = 1000 / (type.perSecond() * factor);
 		for (double at = from; at < to; at -= interval * Math.log(1 - this.random.nextDouble())) {
@@ -106,8 +103,7 @@
 			this.runners.forEach(Runner::advance);
 			while (!this.arrivals.isEmpty() && this.arrivals.peek().at <= this.now) {
 				Call call = this.arrivals.remove();
-				call.gateway = this.gateways.get(this.random.nextInt(GATEWAYS));
-				call.gateway.receive(call);
+				this.gateways.get(this.random.nextInt(GATEWAYS)).receive(call);
 			}
 			if (this.now % 50 == 0) {
 				this.gateways.forEach(Gateway::check);
@@ -131,7 +127,7 @@
 	// Guards against patient calls that fill the queues until urgent ones are rejected.
 	@Test
 	void sustainedOverloadServesTheMostUrgentCallsFirst() {
-		TYPES.forEach((type) -> add(type, factor(1.3), 0, 20_000));
+		TYPES.forEach((type) -> add(type, factor(1.3), 0, 20_000, 0));
 		run(27_000);
 		assertThat(earned(URGENT)).isGreaterThanOrEqualTo(0.85);
 		assertThat(earned(MIDDLE)).isGreaterThan(earned(PATIENT));
@@ -143,9 +139,9 @@
 	// value, and the same right after it for a burst of the most urgent ones.
 	@Test
 	void burstsOfTheLeastAndThenOfTheMostUrgentCalls() {
-		TYPES.forEach((type) -> add(type, factor(0.8), 0, 18_000));
-		add(PATIENT, factor(0.8) * 1.3, 3000, 9000);
-		add(URGENT, factor(0.8) * 0.9, 9000, 15_000);
+		TYPES.forEach((type) -> add(type, factor(0.8), 0, 18_000, 0));
+		add(PATIENT, factor(0.8) * 1.3, 3000, 9000, 0);
+		add(URGENT, factor(0.8) * 0.9, 9000, 15_000, 0);
 		run(25_000);
 		assertThat(earned(URGENT)).isGreaterThanOrEqualTo(0.85);
 		assertThat(earned(MIDDLE)).isGreaterThanOrEqualTo(0.7);
@@ -169,7 +165,7 @@
 	@Test
 	void callersThatRepeatThreeTimesAtOnce() {
 		this.impatient = true;
-		TYPES.forEach((type) -> add(type, factor(1.3), 0, 20_000));
+		TYPES.forEach((type) -> add(type, factor(1.3), 0, 20_000, 0));
 		run(27_000);
 		assertThat(earned(URGENT)).isGreaterThanOrEqualTo(0.85);
 	}
@@ -178,9 +174,9 @@
 	// before the loss.
 	@Test
 	void aThirdOfTheRunnersIsLostAtOnce() {
-		TYPES.forEach((type) -> add(type, factor(0.85), 0, 15_000));
+		TYPES.forEach((type) -> add(type, factor(0.85), 0, 15_000, 0));
 		run(5000);
-		this.runners.subList(0, RUNNERS / 3).forEach(Runner::fail);
+		this.runners.subList(0, RUNNERS / 3).forEach((runner) -> runner.up = false);
 		run(22_000);
 		assertThat(earned(URGENT)).isGreaterThanOrEqualTo(0.85);
 		assertThat(served((call) -> call.type == PATIENT)).isGreaterThan(0.25 * served((call) -> true));
@@ -192,7 +188,7 @@
 	void noRunnerForThreeSecondsAndThenAll() {
 		// at a higher load, the runners cannot serve the calls of the gap before their
 		// deadlines beside those that can be on time
-		TYPES.forEach((type) -> add(type, factor(0.4), 0, 12_000));
+		TYPES.forEach((type) -> add(type, factor(0.4), 0, 12_000, 0));
 		run(3000);
 		this.readyAt = 6000;
 		run(19_000);
@@ -219,6 +215,10 @@
 
 		private long at;
 
+		private long sentAt;
+
+		private double predicted;
+
 		private long startedAt = -1;
 
 		private int repeats;
@@ -227,10 +227,6 @@
 
 		private boolean late;
 
-		private long sentAt;
-
-		private double predicted;
-
 		private int tokensLeft;
 
 		private int eventsLeft;
@@ -248,8 +244,9 @@
 			return this.startedAt >= 0 && this.startedAt - this.issuedAt <= this.type.goalMillis();
 		}
 
-		private int rank() {
-			return this.late ? 9 : this.type.urgency().routePriority();
+		private ServiceCompetition.Competitor competitor() {
+			return new ServiceCompetition.Competitor(this.type.urgency(), this.type.name(), this.account,
+					this.type.promptTokens() + ENGINE.meanResponseTokens());
 		}
 
 	}
@@ -259,19 +256,20 @@
 
 		private final ServiceCompetition competition = new ServiceCompetition(0);
 
-		private PredictionCorrection correction = PredictionCorrection.none();
-
 		private final WaitingQueue<Call> queue = new WaitingQueue<>();
 
+		private PredictionCorrection correction = PredictionCorrection.none();
+
 		private AdmissionDecision decide(Call call) {
 			long now = CompetingLoadTests.this.now;
+			double draw = CompetingLoadTests.this.random.nextDouble();
 			CallRequirements regular = new CallRequirements(call.type.promptTokens(), call.type.goalMillis(),
 					TIMEOUT_MILLIS - (now - call.issuedAt), this.correction.factor(), now - call.at,
-					this.competition.competitionOf(CompetingLoadTests.this.levels, competitor(call), now));
+					this.competition.competitionOf(CompetingLoadTests.this.levels, call.competitor(), now));
 			CallRequirements requirements = call.late ? regular.afterWaiting() : regular;
 			if (now < CompetingLoadTests.this.readyAt) {
 				return AdmissionPolicies.whileLoading(0, OptionalLong.of(CompetingLoadTests.this.readyAt - now),
-						requirements, CompetingLoadTests.this.random.nextDouble());
+						requirements, draw);
 			}
 			List<RunnerOption> options = CompetingLoadTests.this.runners.stream()
 				.filter((runner) -> runner.up)
@@ -279,92 +277,78 @@
 				.toList();
 			return AdmissionPolicies.earliestFirstEvent()
 				.decide(options, new CallDescription(SCOPE, call.type.urgency(), call.account, requirements),
-						Optional.of(ENGINE), CompetingLoadTests.this.random.nextDouble());
-		}
-
-		private ServiceCompetition.Competitor competitor(Call call) {
-			return new ServiceCompetition.Competitor(call.type.urgency(), call.type.name(), call.account,
-					call.type.promptTokens() + ENGINE.meanResponseTokens());
+						Optional.of(ENGINE), draw);
 		}
 
 		private void receive(Call call) {
 			call.late = false;
-			this.competition.recordArrival(competitor(call), CompetingLoadTests.this.now);
+			call.gateway = this;
+			this.competition.recordArrival(call.competitor(), CompetingLoadTests.this.now);
 			sendWaiting();
-			follow(call, decide(call));
+			AdmissionDecision decision = decide(call);
+			if (!(decision instanceof AdmissionDecision.Wait wait) || !startWaiting(call, wait)) {
+				end(call, decision);
+			}
 		}
 
-		private void follow(Call call, AdmissionDecision decision) {
+		private boolean startWaiting(Call call, AdmissionDecision.Wait wait) {
 			long now = CompetingLoadTests.this.now;
-			if (decision instanceof AdmissionDecision.Send send) {
-				this.competition.recordSend(competitor(call), call.late, now);
-				CompetingLoadTests.this.runners.stream()
-					.filter((runner) -> runner.id.equals(send.runner()))
-					.forEach((runner) -> runner.add(call));
-				call.sentAt = now;
-				call.predicted = send.predictedMillis();
-			}
-			else if (decision instanceof AdmissionDecision.Wait wait) {
-				boolean place = wait.cause() == AdmissionDecision.Wait.Cause.PLACE;
-				WaitingQueue.WaitPlan plan = place ? this.queue.plan(competitor(call), wait.onTimeMillis(),
-						wait.maxMillis(), this.competition, now)
-						: new WaitingQueue.WaitPlan(true, wait.onTimeMillis(), 0);
-				if (plan.allowed()) {
-					this.queue
-						.add(new WaitingQueue.Entry<>(call, call.type.urgency(), call.account, Residency.anywhere(),
-								call.issuedAt, now + plan.onTimeMillis(), now + wait.maxMillis(), place), now);
-					return;
-				}
-				reject(call, wait.otherwise().delayedBy(Math.min(plan.aheadMillis(), wait.maxMillis())));
-			}
-			else {
-				reject(call, (AdmissionDecision.Reject) decision);
+			boolean place = wait.cause() == AdmissionDecision.Wait.Cause.PLACE;
+			WaitingQueue.WaitPlan plan = place
+					? this.queue.plan(call.competitor(), wait.onTimeMillis(), wait.maxMillis(), this.competition, now)
+					: new WaitingQueue.WaitPlan(true, wait.onTimeMillis(), 0);
+			if (plan.allowed()) {
+				this.queue.add(new WaitingQueue.Entry<>(call, call.type.urgency(), call.account, Residency.anywhere(),
+						call.issuedAt, now + plan.onTimeMillis(), now + wait.maxMillis(), place), now);
 			}
+			return plan.allowed();
 		}
 
-		private void reject(Call call, AdmissionDecision.Reject rejection) {
+		private void end(Call call, AdmissionDecision decision) {
 			long now = CompetingLoadTests.this.now;
-			long left = TIMEOUT_MILLIS - (now - call.issuedAt);
-			long delay = CompetingLoadTests.this.impatient ? 10 : rejection.retryAfterMillis();
-			if (call.repeats++ < (CompetingLoadTests.this.impatient ? 3 : 1) && delay <= left / 3) {
+			if (decision instanceof AdmissionDecision.Send send) {
+				this.competition.recordSend(call.competitor(), call.late, now);
+				call.sentAt = now;
+				call.predicted = send.predictedMillis();
+				CompetingLoadTests.this.runners.get(Integer.parseInt(send.runner().toString())).add(call);
+				return;
+			}
+			AdmissionDecision.Reject rejection = (decision instanceof AdmissionDecision.Wait wait) ? wait.otherwise()
+					: (AdmissionDecision.Reject) decision;
+			boolean impatient = CompetingLoadTests.this.impatient;
+			long delay = impatient ? 10 : rejection.retryAfterMillis();
+			if (call.repeats++ < (impatient ? 3 : 1) && delay <= (TIMEOUT_MILLIS - (now - call.issuedAt)) / 3) {
 				call.at = now + delay;
 				CompetingLoadTests.this.arrivals.add(call);
 			}
 		}
 
 		private void sendWaiting() {
-			Optional<WaitingQueue.Turn<Call>> turn = turn();
+			long now = CompetingLoadTests.this.now;
+			Optional<WaitingQueue.Turn<Call>> turn = this.queue.first(List.of(), this.competition, now);
 			while (turn.isPresent()) {
-				Call call = turn.get().entry().call();
-				call.late = turn.get().late();
-				boolean loading = !turn.get().entry().followsRate();
-				if (loading && !this.competition.canRelease(CompetingLoadTests.this.now)) {
-					return;
-				}
-				AdmissionDecision decision = decide(call);
-				if (!(decision instanceof AdmissionDecision.Send)) {
+				WaitingQueue.Entry<Call> entry = turn.get().entry();
+				entry.call().late = turn.get().late();
+				AdmissionDecision decision = decide(entry.call());
+				if (!(decision instanceof AdmissionDecision.Send)
+						|| !(entry.followsRate() || this.competition.canRelease(now))) {
 					return;
 				}
-				if (loading) {
+				if (!entry.followsRate()) {
 					this.competition.recordRelease(ENGINE.meanPromptTokens() / ENGINE.promptTokensPerMilli(), RUNNERS,
-							GATEWAYS, CompetingLoadTests.this.now);
+							GATEWAYS, now);
 				}
-				this.queue.remove(turn.get().entry());
-				follow(call, decision);
-				turn = turn();
+				this.queue.remove(entry);
+				end(entry.call(), decision);
+				turn = this.queue.first(List.of(), this.competition, now);
 			}
 		}
 
-		private Optional<WaitingQueue.Turn<Call>> turn() {
-			return this.queue.first(List.of(), this.competition, CompetingLoadTests.this.now);
-		}
-
 		private void check() {
 			sendWaiting();
-			this.queue.removeHopeless(this.competition, CompetingLoadTests.this.now).forEach((entry) -> {
-				AdmissionDecision decision = decide(entry.call());
-				follow(entry.call(), (decision instanceof AdmissionDecision.Wait wait) ? wait.otherwise() : decision);
-			});
+			this.queue
+				.removeHopeless(this.competition, (residency) -> OptionalLong.empty(), CompetingLoadTests.this.now)
+				.forEach((entry) -> end(entry.call(), decide(entry.call())));
 		}
 
 	}
@@ -374,15 +358,14 @@
 
 		private final RunnerId id;
 
-		private final List<Call> pending = new ArrayList<>();
-
-		private final List<Call> reading = new ArrayList<>();
+		/** The requests whose response has not started, those being read first. */
+		private final List<Call> unread = new ArrayList<>();
 
 		private final List<Call> responding = new ArrayList<>();
 
 		private final List<Call> sentSinceReport = new ArrayList<>();
 
-		private List<Call> reportedPending = List.of();
+		private List<Call> reportedUnread = List.of();
 
 		private List<Call> reportedResponding = List.of();
 
@@ -390,76 +373,72 @@
 
 		private boolean up = true;
 
-		private Runner(String id) {
-			this.id = new RunnerId(id);
+		private Runner(int index) {
+			this.id = new RunnerId(String.valueOf(index));
 		}
 
 		private void add(Call call) {
-			this.pending.add(call);
+			this.unread.add(call);
 			this.sentSinceReport.add(call);
 		}
 
-		private void fail() {
-			this.up = false;
-		}
-
 		private RunnerOption option(Gateway gateway) {
-			List<Call> unread = known(this.pending, this.reportedPending, gateway);
-			unread.addAll(known(this.reading, List.of(), gateway));
+			List<Call> pending = known(this.unread, this.reportedUnread, gateway);
 			// as in RunnerWork: other gateways see the same load
 			double sentByOthers = 0.5 * (GATEWAYS - 1)
 					* this.sentSinceReport.stream().filter((call) -> call.gateway == gateway).count();
 			return new RunnerOption(this.id, Distance.DATA_CENTRE, ENGINE.slots(),
-					known(this.responding, this.reportedResponding, gateway).size(), unread.size() + sentByOthers,
-					unread.stream().mapToDouble((call) -> call.type.promptTokens()).sum()
+					known(this.responding, this.reportedResponding, gateway).size(), pending.size() + sentByOthers,
+					pending.stream().mapToDouble((call) -> call.type.promptTokens()).sum()
 							+ sentByOthers * ENGINE.meanPromptTokens(),
 					80, false, RunnerOption.NO_START_LIMIT_MILLIS);
 		}
 
-		private List<Call> known(List<Call> current, List<Call> reported, Gateway gateway) {
-			List<Call> known = new ArrayList<>(current.stream().filter((call) -> call.gateway == gateway).toList());
-			reported.stream().filter((call) -> call.gateway != gateway).forEach(known::add);
-			return known;
+		private static List<Call> known(List<Call> current, List<Call> reported, Gateway gateway) {
+			return Stream
+				.concat(current.stream().filter((call) -> call.gateway == gateway),
+						reported.stream().filter((call) -> call.gateway != gateway))
+				.toList();
 		}
 
 		private void advance() {
 			if (CompetingLoadTests.this.now % 200 == 0) {
 				this.sentSinceReport.clear();
-				this.reportedPending = new ArrayList<>(this.pending);
-				this.reportedPending.addAll(this.reading);
+				this.reportedUnread = List.copyOf(this.unread);
 				this.reportedResponding = List.copyOf(this.responding);
 			}
-			while (this.up && this.passEnd <= CompetingLoadTests.this.now) {
+			if (this.up && this.passEnd <= CompetingLoadTests.this.now) {
 				this.responding.forEach((call) -> call.eventsLeft--);
 				this.responding.removeIf((call) -> call.eventsLeft <= 0);
-				this.reading.stream().filter((call) -> call.tokensLeft <= 0).forEach((call) -> {
-					call.startedAt = CompetingLoadTests.this.now;
-					call.gateway.correction = call.gateway.correction.withObservation(call.predicted,
-							call.startedAt - call.sentAt);
-					call.eventsLeft--;
-					this.responding.add(call);
-				});
-				this.reading.removeAll(this.responding);
-				begin();
+				this.unread.stream().filter((call) -> call.tokensLeft == 0).forEach(this::startResponse);
+				this.unread.removeAll(this.responding);
+				beginPass();
 				CompetingLoadTests.this.gateways.forEach(Gateway::sendWaiting);
 			}
 		}
 
-		private void begin() {
-			this.pending.sort(Comparator.comparingInt(Call::rank));
-			while (!this.pending.isEmpty() && this.responding.size() + this.reading.size() < ENGINE.slots()) {
-				this.reading.add(this.pending.remove(0));
-			}
+		private void startResponse(Call call) {
+			call.startedAt = CompetingLoadTests.this.now;
+			call.gateway.correction = call.gateway.correction.withObservation(call.predicted,
+					call.startedAt - call.sentAt);
+			call.eventsLeft--;
+			this.responding.add(call);
+		}
+
+		private void beginPass() {
+			this.unread.sort(Comparator.comparingInt((call) -> (call.tokensLeft < call.type.promptTokens()) ? -1
+					: CompetingLoadTests.this.levels.priority(call.type.urgency(), call.late).orElseThrow()));
 			int budget = ENGINE.promptTokensPerStep();
-			for (Call call : this.reading) {
+			int free = ENGINE.slots() - this.responding.size();
+			for (Call call : this.unread.subList(0, Math.min(free, this.unread.size()))) {
 				int read = Math.min(budget, call.tokensLeft);
 				call.tokensLeft -= read;
 				budget -= read;
 			}
-			int read = ENGINE.promptTokensPerStep() - budget;
+			double eventMillis = this.responding.isEmpty() ? 0 : ENGINE.tokensPerEvent()
+					* (ENGINE.stepMillis() + ENGINE.stepMillisPerRequest() * this.responding.size());
 			this.passEnd = CompetingLoadTests.this.now + Math.max(1,
-					read / ENGINE.promptTokensPerMilli() + (this.responding.isEmpty() ? 0 : ENGINE.tokensPerEvent()
-							* (ENGINE.stepMillis() + ENGINE.stepMillisPerRequest() * this.responding.size())));
+					(ENGINE.promptTokensPerStep() - budget) / ENGINE.promptTokensPerMilli() + eventMillis);
 		}
 
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -20,6 +20,7 @@
 import org.catkingate.decisions.admission.RunnerOption;
 import org.catkingate.decisions.registry.RegistryView;
 import org.catkingate.decisions.sending.CallScope;
+import org.catkingate.decisions.sending.Residency;
 import org.catkingate.decisions.sending.SendCondition;
 import org.catkingate.model.ModelName;
 import org.catkingate.model.RunnerId;
@@ -229,7 +230,8 @@
 	}
 
 	/*
-	 * Returns the time until the first runner of the pool of a call is reported to serve.
+	 * Returns the time until the first runner of a pool that loads weights is reported to
+	 * serve.
 	 */
 	private OptionalLong readyInMillis(CallScope scope, long nowMillis) {
 		return this.runners.values()
@@ -241,6 +243,22 @@
 			.min();
 	}
 
+	/**
+	 * Returns the time until a runner of a service serves again.
+	 * @param service the service
+	 * @param residency where the calls may be served
+	 * @param nowMillis the time now, in monotonic milliseconds
+	 * @return the reported time in milliseconds; empty if a runner serves now or it is
+	 * unknown
+	 */
+	OptionalLong servesInMillis(ServiceName service, Residency residency, long nowMillis) {
+		CallScope scope = new CallScope(service, models(service), residency, false);
+		boolean served = this.runners.values()
+			.stream()
+			.anyMatch((state) -> isInPool(state, scope) && holdsUsableWeights(state, scope, nowMillis));
+		return served ? OptionalLong.empty() : readyInMillis(scope, nowMillis);
+	}
+
 	private static boolean isInPool(RunnerState state, CallScope scope) {
 		return state.runner().service().equals(scope.service()) && !state.isLeaving() && !state.isEvacuated()
 				&& scope.residency().allows(state.region());
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/SharedCallState.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/SharedCallState.java
@@ -70,7 +70,7 @@
 		this.metrics = metrics;
 		this.prompts = prompts;
 		this.competitions = new ServiceCompetitions(runners::configuration);
-		this.waitingCalls = new WaitingCalls(this.competitions, clock);
+		this.waitingCalls = new WaitingCalls(this.competitions, runners::servesInMillis, clock);
 	}
 
 	HeaderCodec codec() {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/WaitingCalls.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/WaitingCalls.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
@@ -36,6 +37,8 @@
 
 	private final ServiceCompetitions competitions;
 
+	private final ReadyTimes readyTimes;
+
 	private final MonotonicClock clock;
 
 	private int count;
@@ -47,7 +50,8 @@
 
 	private volatile Map<String, String> described = Map.of();
 
-	WaitingCalls(ServiceCompetitions competitions, MonotonicClock clock) {
+	WaitingCalls(ServiceCompetitions competitions, ReadyTimes readyTimes, MonotonicClock clock) {
+		this.readyTimes = readyTimes;
 		this.competitions = competitions;
 		this.clock = clock;
 	}
@@ -147,10 +151,13 @@
 		for (ServiceName service : Set.copyOf(this.queues.keySet())) {
 			long now = this.clock.millis();
 			WaitingQueue<Call> queue = queue(service);
-			queue.removeHopeless(this.competitions.of(service, now), now).forEach((entry) -> {
-				this.count--;
-				entry.call().giveUp();
-			});
+			queue
+				.removeHopeless(this.competitions.of(service, now),
+						(residency) -> this.readyTimes.servesInMillis(service, residency, now), now)
+				.forEach((entry) -> {
+					this.count--;
+					entry.call().giveUp();
+				});
 			descriptions.put(service.toString(), "waiting: " + queue.size() + ", of them late: " + queue.lateSize()
 					+ "; " + this.competitions.describe(service, now));
 		}
@@ -174,6 +181,23 @@
 		return this.described;
 	}
 
+	/**
+	 * Tells when runners that load weights are expected to serve.
+	 */
+	@FunctionalInterface
+	interface ReadyTimes {
+
+		/**
+		 * Returns the time until a runner of a service serves again.
+		 * @param service the service
+		 * @param residency where the calls may be served
+		 * @param nowMillis the time now, in monotonic milliseconds
+		 * @return the time in milliseconds; empty if one serves now or it is unknown
+		 */
+		OptionalLong servesInMillis(ServiceName service, Residency residency, long nowMillis);
+
+	}
+
 	/**
 	 * A call that waits.
 	 */
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
@@ -267,6 +267,18 @@
 		assertThat(decide(1100)).isInstanceOf(AdmissionDecision.Reject.class);
 	}
 
+	// Guards against calls that are rejected, and rejected again, when the time of a
+	// version is over before the next one has arrived.
+	@Test
+	void callsWaitWhileRunnersHoldOnlyAVersionWhoseTimeIsOver() {
+		this.table.update(view(Map.of(), runner("a", false, Map.of(MODEL, 1L))), 500);
+		this.table.update(view(Map.of(MODEL, 2L), runner("a", false, Map.of(MODEL, 1L))), 1000);
+		AdmissionDecision.Wait wait = (AdmissionDecision.Wait) decide(8001);
+		assertThat(wait.maxMillis()).isEqualTo(2300);
+		this.table.recordReport(report(false, Map.of("m", 2L)), 8500);
+		assertThat(canServe(8501)).isTrue();
+	}
+
 	// Guards against calls of a service without weights that wait for nothing.
 	@Test
 	void callsOfAServiceWithoutEnginesDoNotWait() {
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/WaitingCallsTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/WaitingCallsTests.java
@@ -1,6 +1,7 @@
 package org.catkingate.gateway;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
@@ -22,7 +23,7 @@
 	private static final int MANY_CALLS = 10_000;
 
 	private final WaitingCalls calls = new WaitingCalls(new ServiceCompetitions(Optional::empty),
-			MonotonicClock.system());
+			(service, residency, now) -> OptionalLong.empty(), MonotonicClock.system());
 
 	private int add(String service, int count, int maxCalls) {
 		int added = 0;
