Keep Retry-After of a full queue within the longest delay

Cause: the delay of a call that found the waiting queue full was the sum of the excess of the queue and the time of the calls ahead, which can pass a third of the time that callers have left, beyond which they do not return. A call that found no place to wait for a reported arrival was told the end of its own wait instead of the arrival.

RunnerTableTests, WaitingCallsTests, CompetingLoadTests, WaitingQueueTests and AdmissionPoliciesTests pass.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionDecision.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionDecision.java
@@ -76,15 +76,6 @@
 			Objects.requireNonNull(reason, "reason must not be null");
 		}
 
-		/**
-		 * Returns the same rejection with a longer retry delay.
-		 * @param millis the additional delay, in milliseconds
-		 * @return the rejection, never null
-		 */
-		public Reject delayedBy(long millis) {
-			return new Reject(this.retryAfterMillis + millis, this.predictedMillis, this.reason);
-		}
-
 	}
 
 }
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
@@ -138,8 +138,8 @@
 			long onTimeMillis = (long) (CompetingLevels.GOAL_FRACTION * call.goalMillis()) - call.elapsedMillis();
 			return new AdmissionDecision.Wait(AdmissionDecision.Wait.Cause.LOADING,
 					Math.max(0, Math.min(onTimeMillis, maxWaitMillis)), maxWaitMillis, MAX_CALLS_WAITING_FOR_LOADING,
-					new AdmissionDecision.Reject(Math.max(maxWaitMillis, retryAfterMillis), Double.NaN,
-							"its runners have not loaded weights in time"));
+					new AdmissionDecision.Reject(readyInMillis.isPresent() ? retryAfterMillis : maxWaitMillis,
+							Double.NaN, "its runners have not loaded weights in time"));
 		}
 		return new AdmissionDecision.Reject(retryAfterMillis, Double.NaN,
 				"most runners that serve this are loading weights");
@@ -181,6 +181,20 @@
 				PERMIT_WAIT_MILLIS, PERMIT_WAIT_MILLIS, Math.max(1, maxCalls), rejection) : rejection;
 	}
 
+	/**
+	 * Decides on a call that cannot wait for a place, since the calls ahead of it are not
+	 * expected to be sent in time.
+	 * @param otherwise the rejection without regard to these calls
+	 * @param aheadMillis the time until they are expected to be sent, in milliseconds
+	 * @return the rejection, with a retry delay after which they have been sent or given
+	 * up
+	 */
+	public static AdmissionDecision.Reject whileQueueIsFull(AdmissionDecision.Reject otherwise, long aheadMillis) {
+		return new AdmissionDecision.Reject(
+				Math.max(otherwise.retryAfterMillis(), Math.min(MAX_RETRY_AFTER_MILLIS, aheadMillis)),
+				otherwise.predictedMillis(), otherwise.reason());
+	}
+
 	/**
 	 * Decides on a call that no runner may receive for a reason that does not end soon.
 	 * @param reason the reason, which is sent to the caller
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/CallAdmission.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/CallAdmission.java
@@ -8,6 +8,7 @@
 import org.xnio.XnioExecutor;
 
 import org.catkingate.decisions.admission.AdmissionDecision;
+import org.catkingate.decisions.admission.AdmissionPolicies;
 import org.catkingate.decisions.admission.CallDescription;
 import org.catkingate.decisions.admission.CallRequirements;
 import org.catkingate.decisions.competition.CompetingLevels;
@@ -131,7 +132,7 @@
 				.plan(this.competitor, onTimeMillis, wait.maxMillis(),
 						this.sharedState.competitions().of(this.admitted.service(), now), now);
 			if (!plan.allowed()) {
-				reject(wait, wait.otherwise().delayedBy(Math.min(plan.aheadMillis(), wait.maxMillis())));
+				reject(wait, AdmissionPolicies.whileQueueIsFull(wait.otherwise(), plan.aheadMillis()));
 				return;
 			}
 			onTimeMillis = plan.onTimeMillis();
