--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/admission/AdmissionPoliciesTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/admission/AdmissionPoliciesTests.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 
@@ -254,7 +255,8 @@
 		private final Random random = new Random(SEED);
 
 		private AdmissionDecision decide(long elapsedMillis, long remainingMillis) {
-			return AdmissionPolicies.whileLoading(elapsedMillis, remainingMillis, this.random.nextDouble());
+			return AdmissionPolicies.whileLoading(elapsedMillis, OptionalLong.empty(),
+					new CallRequirements(1000, 400, remainingMillis, 1), this.random.nextDouble());
 		}
 
 		// Guards against callers that are rejected a second time, after the failure
@@ -291,6 +293,18 @@
 			assertThat(late.retryAfterMillis()).isPositive().isLessThan(1000);
 		}
 
+		// Guards against calls that return before a reported arrival, or wait for one
+		// that
+		// comes after their deadline.
+		@Test
+		void waitForAReportedArrivalAsFarAsTheirDeadlineAllows() {
+			CallRequirements call = new CallRequirements(1000, 400, REMAINING_MILLIS, 1);
+			assertThat(((AdmissionDecision.Wait) AdmissionPolicies.whileLoading(60_000, OptionalLong.of(3500), call, 0))
+				.maxMillis()).isEqualTo(REMAINING_MILLIS - 1000);
+			assertThat(((AdmissionDecision.Reject) AdmissionPolicies.whileLoading(0, OptionalLong.of(4100), call, 0))
+				.retryAfterMillis()).isEqualTo(4100);
+		}
+
 		@Test
 		void areRejectedAtOnceIfTheyHaveTooLittleTime() {
 			AdmissionDecision decision = decide(0, 1500);
