Let calls wait for the time at which loaders expect their runners to serve

Cause: the waiting of calls during a version change was built against an unknown arrival, and the loaders' estimate was built beside it. Change: RunnerTable passes the reported time on.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -237,7 +237,7 @@
 		return this.runners.values()
 			.stream()
 			.filter((state) -> isInPool(state, scope))
-			.map((state) -> OptionalLong.empty())
+			.map((state) -> state.readyInMillis(nowMillis))
 			.filter(OptionalLong::isPresent)
 			.mapToLong(OptionalLong::getAsLong)
 			.min();
