--- a/catkingate-runtime/src/test/java/org/catkingate/runtime/settings/GatewaySettingsTests.java
+++ b/catkingate-runtime/src/test/java/org/catkingate/runtime/settings/GatewaySettingsTests.java
@@ -35,6 +35,17 @@
 		assertThat(LoaderSettings.read(example("loader.ini")).runner().getPort()).isEqualTo(9001);
 	}
 
+	// Guards against a gateway that changes how it chooses runners without being told so.
+	@Test
+	void runnersAreChosenByCostOnlyIfTheFileSaysSo() throws Exception {
+		String text = Files.readString(example("gateway.ini"));
+		assertThat(GatewaySettings.parse(text).routing().byCost()).isFalse();
+		assertThat(GatewaySettings.parse(text + "\n[routing]\nby-cost = true\n").routing().byCost()).isTrue();
+		GatewaySettings unreadable = GatewaySettings.parseTolerant(text + "\n[routing]\nby-cost = perhaps\n");
+		assertThat(unreadable.routing().byCost()).isFalse();
+		assertThat(unreadable.replacedValues()).hasSize(1);
+	}
+
 	@Nested
 	class AnInvalidFile {
 
