Test over sockets that the inputs of a decision by cost are visible

Cause: log line, metrics and state of decisions by cost had no test. Change: RequestLogTests sends a request through a gateway with by-cost = true and reads its log line, /metrics and /state.

--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/RequestLogTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/RequestLogTests.java
@@ -94,4 +94,21 @@
 		assertThat(loggedValues().get("decisions")).contains("refuse predicted-ms=none");
 	}
 
+	// Guards against decisions by cost whose inputs and errors operators cannot see.
+	@Test
+	void containsTheInputsOfADecisionByCost() throws Exception {
+		try (RawServer runner = RawServer.respondingWith("HTTP/1.1 201 Created\r\nX-Request-Id: "
+				+ RawServer.REQUEST_ID_PLACEHOLDER + "\r\nX-Server-Seal: a.b\r\nContent-Length: 2\r\n\r\nok");
+				TestGateway gateway = TestGateway.startByCost(CallKind.NON_IDEMPOTENT, runner.address());
+				RawCaller caller = gateway.connect()) {
+			assertThat(caller.post("r1", "/songs/1", "hello").readResponse()).startsWith("HTTP/1.1 201 ");
+			assertThat(loggedValues().get("decisions")).contains("expected=")
+				.contains("work=[responding=0 pending=0")
+				.contains("others=unknown slowdown=1.00");
+			assertThat(gateway.readFromOperators("/metrics")).contains("catkingate_gateway_length_error_ratio_count 1")
+				.contains("catkingate_gateway_start_error_ratio_count 1");
+			assertThat(gateway.readFromOperators("/state")).contains("workByRunner").contains("remaining=0");
+		}
+	}
+
 }
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
@@ -1,10 +1,12 @@
 package org.catkingate.tests.gateway;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.HttpURLConnection;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -140,6 +142,24 @@
 	 */
 	static TestGateway startWithoutWaiting(Registry registry, InetSocketAddress peers, PieceOriginFactory originFactory,
 			long changeMillis, String seeds) throws Exception {
+		return startWithoutWaiting(registry, peers, originFactory, changeMillis, seeds, false);
+	}
+
+	/**
+	 * Starts a gateway that chooses runners by cost.
+	 * @param kind the kind of the route's calls
+	 * @param runners the addresses of the runners of its service
+	 * @return the gateway, after it has read its configuration
+	 */
+	static TestGateway startByCost(CallKind kind, InetSocketAddress... runners) throws Exception {
+		TestGateway gateway = startWithoutWaiting(new InMemoryRegistry(items(kind, runners)), FreePorts.next(),
+				(client, address) -> null, 8000, "", true);
+		Awaitility.await().atMost(Duration.ofSeconds(20)).until(gateway::isReady);
+		return gateway;
+	}
+
+	private static TestGateway startWithoutWaiting(Registry registry, InetSocketAddress peers,
+			PieceOriginFactory originFactory, long changeMillis, String seeds, boolean byCost) throws Exception {
 		InetSocketAddress callers = FreePorts.next();
 		InetSocketAddress operators = FreePorts.next();
 		GatewaySettings settings = GatewaySettings.parse("""
@@ -170,8 +190,10 @@
 				window-s = 10
 				[weights]
 				change-ms = %d
+				[routing]
+				by-cost = %s
 				""".formatted(peers.getPort(), callers.getPort(), operators.getPort(), peers.getPort(), seeds,
-				changeMillis));
+				changeMillis, byCost));
 		GatewayProcess process = GatewayProcess.start(settings, (client, url) -> registry, originFactory,
 				new PlatformHeaderCodec());
 		return new TestGateway(process, callers, operators);
@@ -190,6 +212,14 @@
 		}
 	}
 
+	String readFromOperators(String path) throws IOException {
+		try (InputStream body = URI.create("http://127.0.0.1:" + this.operators.getPort() + path)
+			.toURL()
+			.openStream()) {
+			return new String(body.readAllBytes(), StandardCharsets.UTF_8);
+		}
+	}
+
 	private static ServingConfiguration configuration(CallKind kind) {
 		Route route = new Route("route-1", HOST, "/songs/", kind, true, false, 3000, 1000, 1, 2,
 				List.of(new Route.Target(SERVICE, 1)), Set.of());
