--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/FirstEventPredictor.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/FirstEventPredictor.java
@@ -108,18 +108,18 @@
 
 	/**
 	 * Predicts the time of one call at a service without an engine, from the work that is
-	 * left at the runner.
+	 * left at the runner. The time without queueing is the mean of that of the route and
+	 * that of the runner, since runners need not state that they are slow.
 	 * @param option the known state of the runner
 	 * @param backlog the work that is left there
-	 * @param responseMillis the expected time of the call without queueing, in
-	 * milliseconds
+	 * @param routeMillis the expected time of the route's calls, in milliseconds
 	 * @return the predicted time in milliseconds
 	 */
-	static double predictWithoutEngineMillis(RunnerOption option, RunnerBacklog backlog, double responseMillis) {
+	static double predictWithoutEngineMillis(RunnerOption option, RunnerBacklog backlog, double routeMillis) {
 		double requests = option.responding() + option.pending();
 		double waitMillis = (requests + 1 > option.slots())
 				? (requests + 1 - option.slots()) * backlog.responseLength() / requests / option.slots() : 0;
-		return waitMillis + responseMillis;
+		return backlog.slowdown() * waitMillis + (routeMillis + option.responseStartMillis()) / 2;
 	}
 
 }
