--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
@@ -220,10 +220,10 @@
 	private static AdmissionDecision chooseEarliest(List<RunnerOption> runners, CallDescription call,
 			Optional<EngineProfile> engine, double draw) {
 		List<RunnerOption> leavingSlots = leavingSlots(runners, call.requirements(), engine);
-		Optional<RunnerChoice> choice = RunnerChoice.earliest(leavingSlots, call.requirements(), engine, draw);
+		Optional<RunnerChoice> choice = RunnerChoice.earliest(leavingSlots, call, engine, draw);
 		boolean leavesSlots = choice.isPresent();
 		if (!leavesSlots && leavingSlots.size() < runners.size()) {
-			choice = RunnerChoice.earliest(runners, call.requirements(), engine, draw);
+			choice = RunnerChoice.earliest(runners, call, engine, draw);
 		}
 		if (choice.isEmpty()) {
 			return new AdmissionDecision.Reject(jitteredRetryAfterMillis(NO_RUNNER_RETRY_AFTER_MILLIS, draw),
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/CallAdmission.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/CallAdmission.java
@@ -40,6 +40,8 @@
 
 	private final ServiceCompetition.Competitor competitor;
 
+	private final RequestCost cost;
+
 	/** The place in the queue, null if the call does not wait. */
 	private WaitingQueue.Entry<WaitingCalls.Call> waiting;
 
@@ -74,6 +76,7 @@
 					.engine(admitted.service())
 					.map(EngineProfile::meanResponseTokens)
 					.orElse(1.0));
+		this.cost = sharedState.estimateCost(admitted);
 	}
 
 	/**
@@ -218,7 +221,28 @@
 	}
 
 	private CallDescription describe(CallRequirements requirements) {
-		return new CallDescription(scope(), this.admitted.urgency(), this.admitted.account(), requirements);
+		return new CallDescription(scope(), this.admitted.urgency(), this.admitted.account(), requirements,
+				this.cost.expected());
+	}
+
+	/**
+	 * Returns the cost of the call.
+	 * @return the cost, never null
+	 */
+	RequestCost cost() {
+		return this.cost;
+	}
+
+	/**
+	 * Describes what the choice of a runner depends on beside its distance.
+	 * @param work the work of the runner
+	 * @return the expected cost and the work, empty if the choice does not depend on them
+	 */
+	String describeInputs(RunnerWork work) {
+		return this.cost.expected()
+			.map((expected) -> "expected=" + expected.length() + " work=["
+					+ work.describe(this.sharedState.clock().millis()) + "]")
+			.orElse("");
 	}
 
 	/**
@@ -259,6 +283,7 @@
 		if (this.waiting != null) {
 			endWait("left");
 		}
+		this.cost.end();
 	}
 
 	/**
