Give a version that replaces a given-up one the time of that one

Cause: a newer version that took over from an older one that could not be completed counted its turns from its own declaration, so that a runner could wait for its turn after the version that it serves may no longer be used.

Change: it takes over the declaration time of the version that is given up, as a version that skips an older one does. OriginReads.size, which nothing used, is removed.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/LoadReducer.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/LoadReducer.java
@@ -209,8 +209,7 @@
 			return (pending != null && pending.version() >= version) ? state : state.withPending(model,
 					ModelLoad.declared(model, version, nowMillis).withLoadTimeOf(existing.pace()));
 		}
-		return state
-			.withLoad(ModelLoad.declared(model, version, existing.declaredAtMillis()).withLoadTimeOf(existing.pace()))
+		return state.withLoad(ModelLoad.declared(model, version, nowMillis).replacing(existing))
 			.withPending(model, null);
 	}
 
@@ -257,7 +256,10 @@
 			// the runner took over the staged pieces when it accepted the command
 			boolean stagedPiecesTaken = load.step() == LoadStep.ORDERED
 					&& state.lastReport().map(LoadEvent.Reported::loading).orElse(false);
-			if (load.step() == LoadStep.SETTLED || load.step() == LoadStep.ASKING || givenUp || stagedPiecesTaken) {
+			if (givenUp || load.step() == LoadStep.ASKING) {
+				next = next.withLoad(newer.replacing(load)).withPending(newer.model(), null);
+			}
+			else if (load.step() == LoadStep.SETTLED || stagedPiecesTaken) {
 				next = next.withLoad(newer.withLoadTimeOf(load.pace())).withPending(newer.model(), null);
 			}
 		}
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/ModelLoad.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/ModelLoad.java
@@ -103,6 +103,15 @@
 				staged ? this.dueAtMillis : retryAtMillis, staged ? this.pace.afterPiece(nowMillis) : this.pace);
 	}
 
+	/**
+	 * Returns this load in place of one that is given up, whose time applies to it.
+	 * @param givenUp the load that is given up
+	 * @return the next load
+	 */
+	ModelLoad replacing(ModelLoad givenUp) {
+		return declared(this.model, this.version, givenUp.declaredAtMillis).withLoadTimeOf(givenUp.pace);
+	}
+
 	/**
 	 * Returns this load with the time that loads took before.
 	 * @param before the pace of the load before
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/pieces/OriginReads.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/pieces/OriginReads.java
@@ -90,14 +90,6 @@
 		return this.unavailableSinceMillis;
 	}
 
-	/**
-	 * Returns the number of reads that wait or are in progress.
-	 * @return the number
-	 */
-	public int size() {
-		return this.waiting.size() + this.inProgress.size();
-	}
-
 	/**
 	 * Records that the digests of a version have arrived. If it is newer than those
 	 * known, decides whether the reads of the version before are obsolete.
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/loading/LoadReducerTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/loading/LoadReducerTests.java
@@ -284,7 +284,7 @@
 		}
 
 		// Guards against loaders that keep requesting an older version after gateways
-		// have given it up.
+		// have given it up, and against turns after the version in service has ended.
 		@Test
 		void startsTheNewerVersionWhenAPieceOfTheOlderIsRejected() {
 			declareAfterFetching(12, 3600, 3);
@@ -292,6 +292,7 @@
 			apply(new LoadEvent.PieceFetchEnded(MODEL, 2, 12, false, 50));
 			assertThat(takeEffects(LoadEffect.RequestDigests.class))
 				.containsExactly(new LoadEffect.RequestDigests(MODEL, 3));
+			assertThat(LoadReducerTests.this.state.loads().get(MODEL).declaredAtMillis()).isEqualTo(1000);
 		}
 
 		// Guards against loaders that wait for an older version during an outage.
