Limit the requests to cold runners over all gateways together

Cause: nothing limited what is sent to a runner that has just started. It is empty, so all gateways choose it at once.

Change: the condition WITHIN_COLD_ALLOWANCE. Each gateway has a fixed part of the allowance of each cold runner (decisions.coldstart), from the names of all gateways that it has ever known, and counts its writes in a sliding window. Room is reserved when an attempt starts, counted at the write and given back if it is not written. The names are exchanged in the message KnownGateways, only where a published service has cold starts. A gateway sends nothing to cold runners until it has heard from most seeds twice, 2 s apart. Calls wait and return as for limits. Log lines runner-cold and evacuation, a counter of unmet conditions, and coldRunners in /state. A runner whose registration moves to another data centre gets a new state, since its region was that of the first registration. The residency of a call follows the configuration in force (Residencies), and an empty one is logged with the names of both entries.

LimitSimulation is extended by cold runners, gateways that start late, lost messages, and cuts from the start on. "Demand" in the share used is that of gateways that do not stand still and have joined.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
@@ -160,10 +160,30 @@
 	 * @return the decision, never null
 	 */
 	public static AdmissionDecision whileLimited(double callsPerSecond, long remainingMillis, double draw) {
+		return whileLimited("the runners that serve this have stated limits, which are used up for now", callsPerSecond,
+				remainingMillis, draw);
+	}
+
+	/**
+	 * Decides on a call to a service whose runners are all cold and have got as many
+	 * requests as cold runners may get, in the same way as for limits that are used up.
+	 * @param callsPerSecond the calls a second that this gateway may send to these
+	 * runners
+	 * @param remainingMillis the time left until the call's deadline, in milliseconds
+	 * @param draw a random number from 0 to 1
+	 * @return the decision, never null
+	 */
+	public static AdmissionDecision whileCold(double callsPerSecond, long remainingMillis, double draw) {
+		return whileLimited("the runners that serve this have just started and get few requests for now",
+				callsPerSecond, remainingMillis, draw);
+	}
+
+	private static AdmissionDecision whileLimited(String reason, double callsPerSecond, long remainingMillis,
+			double draw) {
 		double intervalMillis = Math.max(MIN_RETRY_AFTER_MILLIS,
 				Math.min(MAX_LIMITED_RETRY_AFTER_MILLIS, MILLIS_PER_SECOND / callsPerSecond));
 		AdmissionDecision.Reject rejection = new AdmissionDecision.Reject((long) (intervalMillis * (1 + draw)),
-				Double.NaN, "the runners that serve this have stated limits, which are used up for now");
+				Double.NaN, reason);
 		int maxCalls = (int) Math.ceil(callsPerSecond * PERMIT_WAIT_MILLIS / MILLIS_PER_SECOND);
 		return (remainingMillis > PERMIT_WAIT_MILLIS) ? new AdmissionDecision.Wait(AdmissionDecision.Wait.Cause.PERMIT,
 				PERMIT_WAIT_MILLIS, Math.max(1, maxCalls), rejection) : rejection;
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/sending/SendCondition.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/sending/SendCondition.java
@@ -36,6 +36,10 @@
 	/** The runner has not asked for a pause. */
 	NOT_PAUSED("the runner has asked for a pause", (call, runner, now) -> !runner.isPaused(now)),
 
+	/** The runner is warm, or cold runners may get another request of this gateway. */
+	WITHIN_COLD_ALLOWANCE("the requests that cold runners may get are used up",
+			(call, runner, now) -> runner.hasColdRoom(now)),
+
 	/** The limit that the runner has stated leaves room. */
 	WITHIN_LIMIT("the limit that the runner has stated is used up", (call, runner, now) -> runner.hasPermit(now));
 
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/sending/SendTarget.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/sending/SendTarget.java
@@ -62,4 +62,13 @@
 	 */
 	boolean hasPermit(long nowMillis);
 
+	/**
+	 * Returns whether this gateway may send a request to the runner although it may be
+	 * cold.
+	 * @param nowMillis the time now, in monotonic milliseconds
+	 * @return whether the runner is warm, or this gateway's part of the requests that a
+	 * cold one may get is not used up
+	 */
+	boolean hasColdRoom(long nowMillis);
+
 }
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/permits/LimitSimulation.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/permits/LimitSimulation.java
@@ -5,9 +5,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 
+import org.catkingate.decisions.coldstart.ColdRunner;
+import org.catkingate.decisions.coldstart.KnownGateways;
 import org.catkingate.model.InstanceId;
 import org.catkingate.model.RunnerId;
 import org.catkingate.model.permits.LimitReport;
@@ -15,7 +19,7 @@
 
 /**
  * A simulation of gateways, the first of which are issuers, and of runners that state a
- * limit for a while. Deterministic for a seed and a scenario.
+ * limit for a while or are cold. Deterministic for a seed and a scenario.
  */
 final class LimitSimulation {
 
@@ -31,6 +35,16 @@
 
 	private static final int ISSUERS = 3;
 
+	/** The time by which gateways that start together send to cold runners. */
+	static final long COLD_FROM_MILLIS = 4000;
+
+	private static final long SECOND_MILLIS = 1000;
+
+	/** The part of the messages on gateways that are lost with their connection. */
+	private static final double LOSS = 0.05;
+
+	private static final long RECONNECT_MILLIS = 500;
+
 	/** How often a waiting call is tried, and in which intervals. */
 	private static final int MAX_TRIES = 6;
 
@@ -52,6 +66,8 @@
 
 	private long calls;
 
+	private long stepsInUse;
+
 	private LimitSimulation(long seed, Scenario scenario) {
 		this.random = new Random(seed);
 		this.scenario = scenario;
@@ -65,8 +81,12 @@
 
 	static LimitSimulation run(long seed, Scenario scenario) {
 		LimitSimulation simulation = new LimitSimulation(seed, scenario);
+		if (scenario.coldAllowance() > 0) {
+			simulation.gateways.forEach(Gateway::startLate);
+		}
 		if (scenario.disruption() != Disruption.NONE) {
-			simulation.schedule(8000, simulation::disrupt);
+			boolean fromStart = scenario.coldAllowance() > 0;
+			simulation.schedule(fromStart ? simulation.random.nextInt(3000) : 8000, simulation::disrupt);
 		}
 		while (simulation.now < scenario.endMillis()) {
 			while (!simulation.actions.isEmpty() && simulation.actions.peek().atMillis() <= simulation.now) {
@@ -96,7 +116,10 @@
 			}
 			case HALF_CUT -> {
 				// one issuer is on each side at least
-				List<Gateway> side = this.gateways.subList(0, Math.max(1, this.gateways.size() / 2));
+				boolean alternating = this.scenario.coldAllowance() > 0;
+				List<Gateway> side = alternating
+						? this.gateways.stream().filter((gateway) -> gateway.index % 2 == 1).toList()
+						: this.gateways.subList(0, Math.max(1, this.gateways.size() / 2));
 				for (Gateway gateway : side) {
 					gateway.side = 1;
 				}
@@ -142,6 +165,35 @@
 		return excess;
 	}
 
+	/**
+	 * Returns the largest number of requests that were sent to a runner and arrived there
+	 * within one second, without regard to disruptions.
+	 * @return the number
+	 */
+	int maxInOneSecond() {
+		int max = 0;
+		for (Runner runner : this.runners) {
+			for (Arrival first : runner.arrivals) {
+				max = Math.max(max,
+						(int) runner.arrivals.stream()
+							.filter((arrival) -> arrival.sentAtMillis() >= first.sentAtMillis()
+									&& arrival.atMillis() < first.sentAtMillis() + SECOND_MILLIS)
+							.count());
+			}
+		}
+		return max;
+	}
+
+	/**
+	 * Returns the part of the time from {@link #COLD_FROM_MILLIS} on for which a gateway
+	 * served calls on average.
+	 * @return the part of the time, less than 1 if gateways stood still or started late
+	 */
+	double inUse() {
+		return this.stepsInUse * (double) STEP_MILLIS / (this.scenario.endMillis() - COLD_FROM_MILLIS)
+				/ this.gateways.size();
+	}
+
 	private long limitEndMillis() {
 		return this.scenario.endMillis() - this.scenario.unlimitedAtEndMillis();
 	}
@@ -215,9 +267,16 @@
 	 * @param disruption what happens to gateways
 	 * @param unlimitedAtEndMillis how long before the end the runners stop stating it
 	 * @param endMillis the length of the run
+	 * @param coldAllowance the requests that a runner, which stays cold, may get in any
+	 * second from all gateways; 0 if runners have no cold starts
 	 */
 	record Scenario(int gateways, int runners, double limitPerSecond, double callsPerSecond, Disruption disruption,
-			long unlimitedAtEndMillis, long endMillis) {
+			long unlimitedAtEndMillis, long endMillis, double coldAllowance) {
+
+		Scenario(int gateways, int runners, double limitPerSecond, double callsPerSecond, Disruption disruption,
+				long unlimitedAtEndMillis, long endMillis) {
+			this(gateways, runners, limitPerSecond, callsPerSecond, disruption, unlimitedAtEndMillis, endMillis, 0);
+		}
 
 	}
 
@@ -237,8 +296,9 @@
 	 * @param atMillis when it arrived
 	 * @param told whether its gateway had passed on a statement of the limit before
 	 * @param counted whether its gateway was not disrupted
+	 * @param sentAtMillis when it was sent
 	 */
-	private record Arrival(long atMillis, boolean told, boolean counted) {
+	private record Arrival(long atMillis, boolean told, boolean counted, long sentAtMillis) {
 
 	}
 
@@ -254,7 +314,8 @@
 
 		private void receive(Gateway gateway, long sentAt) {
 			long now = LimitSimulation.this.now;
-			this.arrivals.add(new Arrival(now, gateway.toldAt <= now - TOLD_MILLIS, now > gateway.excusedUntil));
+			this.arrivals
+				.add(new Arrival(now, gateway.toldAt <= now - TOLD_MILLIS, now > gateway.excusedUntil, sentAt));
 			schedule(30 + LimitSimulation.this.random.nextInt(400), () -> {
 				boolean limiting = LimitSimulation.this.now >= LIMIT_FROM_MILLIS
 						&& LimitSimulation.this.now < limitEndMillis();
@@ -275,6 +336,10 @@
 
 		private RunnerLimits limits;
 
+		private KnownGateways known;
+
+		private Map<Runner, ColdRunner> cold;
+
 		private long frozenUntil;
 
 		private long excusedUntil = Long.MIN_VALUE;
@@ -296,6 +361,32 @@
 		private void start() {
 			this.limits = new RunnerLimits(this.id, (this.index < ISSUERS) ? this.index : -1, ISSUERS);
 			this.startedAt = LimitSimulation.this.now;
+			this.known = new KnownGateways(this.id, ISSUERS, this.index < ISSUERS, this.startedAt);
+			this.cold = new HashMap<>();
+		}
+
+		/*
+		 * All gateways but one start within a second, as after a loss of power, and the
+		 * last joins while the others serve.
+		 */
+		private void startLate() {
+			long delay = (this.index == LimitSimulation.this.gateways.size() - 1)
+					? 6000 + LimitSimulation.this.random.nextInt(6000) : LimitSimulation.this.random.nextInt(1000);
+			this.cut = true;
+			this.frozenUntil = delay;
+			schedule(delay, () -> {
+				start();
+				heal();
+			});
+		}
+
+		private ColdRunner cold(Runner runner) {
+			return this.cold.computeIfAbsent(runner, (key) -> {
+				ColdRunner created = new ColdRunner(this.known, key.start);
+				created.update(Optional.of(LimitSimulation.this.scenario.coldAllowance()).filter((max) -> max > 0),
+						true);
+				return created;
+			});
 		}
 
 		private void restart() {
@@ -312,6 +403,34 @@
 			LimitSimulation.this.gateways.stream().filter(this::isConnectedTo).forEach((other) -> {
 				this.limits.snapshot(LimitSimulation.this.now).forEach((report) -> send(other, report));
 				other.limits.snapshot(LimitSimulation.this.now).forEach((report) -> other.send(this, report));
+				meet(other);
+			});
+		}
+
+		private void meet(Gateway other) {
+			if (LimitSimulation.this.scenario.coldAllowance() > 0) {
+				broadcastIf(this.known.add(List.of(other.id)));
+				other.broadcastIf(other.known.add(List.of(this.id)));
+				sendKnown(other);
+				other.sendKnown(this);
+			}
+		}
+
+		private void broadcastIf(boolean changed) {
+			if (changed) {
+				LimitSimulation.this.gateways.stream().filter(this::isConnectedTo).forEach(this::sendKnown);
+			}
+		}
+
+		private void sendKnown(Gateway other) {
+			if (LimitSimulation.this.random.nextDouble() >= LOSS) {
+				send(other, this.known.names());
+				return;
+			}
+			schedule(RECONNECT_MILLIS, () -> {
+				if (isConnectedTo(other)) {
+					meet(other);
+				}
 			});
 		}
 
@@ -330,6 +449,12 @@
 			if (LimitSimulation.this.now < this.frozenUntil) {
 				return;
 			}
+			if (LimitSimulation.this.now % RECONNECT_MILLIS == 0 && !this.known.isSettled(LimitSimulation.this.now)) {
+				LimitSimulation.this.gateways.stream()
+					.filter((other) -> other.index < ISSUERS && isConnectedTo(other))
+					.forEach(this::meet);
+			}
+			LimitSimulation.this.stepsInUse += (LimitSimulation.this.now >= COLD_FROM_MILLIS) ? 1 : 0;
 			double perStep = LimitSimulation.this.scenario.callsPerSecond() / LimitSimulation.this.gateways.size()
 					* STEP_MILLIS / 1000;
 			while (LimitSimulation.this.random.nextDouble() < perStep) {
@@ -365,7 +490,7 @@
 				}
 			}
 			List<Runner> available = LimitSimulation.this.runners.stream()
-				.filter((runner) -> this.limits.canSend(runner.start, now))
+				.filter((runner) -> this.limits.canSend(runner.start, now) && cold(runner).hasRoom(now))
 				.toList();
 			if (available.isEmpty()) {
 				return false;
@@ -374,10 +499,26 @@
 			if (this.limits.isLimited(chosen.start)) {
 				this.limits.take(chosen.start, now);
 			}
-			schedule(3 + LimitSimulation.this.random.nextInt(8), () -> chosen.receive(this, now));
+			ColdRunner.Reservation room = cold(chosen).reserve(now).orElseThrow();
+			if (LimitSimulation.this.scenario.coldAllowance() == 0) {
+				write(chosen, room, now);
+			}
+			else {
+				schedule(LimitSimulation.this.random.nextInt(30), () -> write(chosen, room, now));
+			}
 			return true;
 		}
 
+		private void write(Runner runner, ColdRunner.Reservation room, long chosenAt) {
+			long now = LimitSimulation.this.now;
+			if (now < this.frozenUntil) {
+				schedule(this.frozenUntil - now, () -> write(runner, room, chosenAt));
+			}
+			else if (chosenAt >= this.startedAt && room.use(now)) {
+				schedule(3 + LimitSimulation.this.random.nextInt(8), () -> runner.receive(this, now));
+			}
+		}
+
 		private void receive(Runner runner, double stated, long sentAt) {
 			long now = LimitSimulation.this.now;
 			if (sentAt < this.startedAt) {
@@ -447,6 +588,10 @@
 			else if (message instanceof PermitEffect.ReturnPermits back) {
 				this.limits.receive(back);
 			}
+			else if (message instanceof Set<?> names) {
+				List<InstanceId> ids = names.stream().map(InstanceId.class::cast).toList();
+				broadcastIf((from.index < ISSUERS) ? this.known.addFromSeed(from.id, ids, now) : this.known.add(ids));
+			}
 			flush();
 		}
 
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/CallAdmission.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/CallAdmission.java
@@ -123,7 +123,7 @@
 	 */
 	CallScope scope() {
 		return new CallScope(this.admitted.service(), this.sharedState.runners().models(this.admitted.service()),
-				this.admitted.residency(), this.quarantined.getAsBoolean());
+				this.sharedState.runners().residencies().of(this.admitted), this.quarantined.getAsBoolean());
 	}
 
 	/**
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
@@ -1,10 +1,14 @@
 package org.catkingate.gateway;
 
+import java.util.Locale;
+
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
+import org.catkingate.decisions.sending.SendCondition;
+
 /**
  * The metrics of a gateway. Safe for use by any thread.
  */
@@ -27,6 +31,8 @@
 
 	private final Counter limited;
 
+	private final Counter unmetConditions;
+
 	private final Gauge inProgress;
 
 	private final Histogram timeToFirstByte;
@@ -63,6 +69,11 @@
 			.name("catkingate_gateway_limited")
 			.help("Requests that were not sent because the limits of all runners were used up")
 			.register(registry);
+		this.unmetConditions = Counter.builder()
+			.name("catkingate_gateway_unmet_conditions")
+			.help("Decisions on requests for which no runner was left, by the condition that most runners did not meet")
+			.labelNames("condition")
+			.register(registry);
 		this.inProgress = Gauge.builder()
 			.name("catkingate_gateway_requests_in_progress")
 			.help("Requests in progress")
@@ -114,6 +125,10 @@
 		this.limited.inc();
 	}
 
+	void countUnmet(SendCondition condition) {
+		this.unmetConditions.labelValues(condition.name().toLowerCase(Locale.ROOT)).inc();
+	}
+
 	void countRejected(String outcome) {
 		this.requests.labelValues(outcome).inc();
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayPeers.java
@@ -105,6 +105,8 @@
 
 	private final RunnerPermits permits;
 
+	private final ColdRunners coldRunners;
+
 	private final GatewayDirectory directory;
 
 	private final ListedGateways listedGateways;
@@ -126,8 +128,10 @@
 	private GatewayPeers(HandshakeMessage.PeerIdentity self, PeerSettings settings, XnioWorker worker,
 			Supplier<Optional<WeightsOrigin>> publishedOrigin, Supplier<Optional<PieceOrigin>> origin,
 			Function<DataCentreName, RegionName> regions, RunnerTable table, DeclaredVersions versions,
-			RegistryCopyExchange copies, PromptGuard prompts, RunnerPermits permits, MonotonicClock clock) {
+			RegistryCopyExchange copies, PromptGuard prompts, RunnerPermits permits, ColdRunners coldRunners,
+			MonotonicClock clock) {
 		this.permits = permits;
+		this.coldRunners = coldRunners;
 		this.copies = copies;
 		this.prompts = prompts;
 		this.self = self;
@@ -171,6 +175,7 @@
 	 * @param copies exchanges copies of the registry
 	 * @param prompts receives and provides reports on parts of prompts
 	 * @param permits receives and sends messages on the limits of runners
+	 * @param coldRunners receives and sends the names of gateways
 	 * @param clock the clock
 	 * @return the connections, never null
 	 * @throws IOException if the address cannot be used
@@ -178,11 +183,13 @@
 	static GatewayPeers start(HandshakeMessage.PeerIdentity self, PeerSettings settings, XnioWorker worker,
 			Supplier<Optional<WeightsOrigin>> publishedOrigin, Supplier<Optional<PieceOrigin>> origin,
 			Function<DataCentreName, RegionName> regions, RunnerTable table, DeclaredVersions versions,
-			RegistryCopyExchange copies, PromptGuard prompts, RunnerPermits permits, MonotonicClock clock)
-			throws IOException {
+			RegistryCopyExchange copies, PromptGuard prompts, RunnerPermits permits, ColdRunners coldRunners,
+			MonotonicClock clock) throws IOException {
 		GatewayPeers peers = new GatewayPeers(self, settings, worker, publishedOrigin, origin, regions, table, versions,
-				copies, prompts, permits, clock);
+				copies, prompts, permits, coldRunners, clock);
 		permits.connect(worker.getIoThread(), peers.new PermitPeers());
+		coldRunners
+			.connect((message) -> peers.connectedGateways().values().forEach((gateway) -> gateway.send(message)));
 		prompts.connect(peers::knownGateways, peers::broadcastReports);
 		peers.transport.listen(settings.listen(), peers);
 		worker.getIoThread()
@@ -301,6 +308,7 @@
 	}
 
 	private void sendSnapshots(FrameConnection gateway) {
+		this.coldRunners.addConnected(gateway.peer().instance()).ifPresent(gateway::send);
 		sendReports(gateway, this.prompts.snapshot());
 		List<LimitReport> limits = this.permits.snapshot();
 		for (int from = 0; from < limits.size(); from += LimitMessage.LimitReports.MAX_REPORTS) {
@@ -390,6 +398,16 @@
 		else if (message instanceof LimitMessage limit && connection.peer().role() == Role.ENTRY) {
 			this.permits.receive(connection.peer().instance(), limit);
 		}
+		else if (message instanceof GatewayMessage.KnownGateways known && connection.peer().role() == Role.ENTRY) {
+			receiveGateways(connection, known);
+		}
+	}
+
+	private void receiveGateways(FrameConnection connection, GatewayMessage.KnownGateways known) {
+		this.coldRunners
+			.receive(connection.peer().instance(), this.seedConnections.nearestFirst().contains(connection), known,
+					this.clock.millis())
+			.ifPresent(connection::send);
 	}
 
 	/*
@@ -504,6 +522,9 @@
 			else if (message instanceof LimitMessage limit && connection.peer().role() == Role.ENTRY) {
 				GatewayPeers.this.permits.receive(connection.peer().instance(), limit);
 			}
+			else if (message instanceof GatewayMessage.KnownGateways known && connection.peer().role() == Role.ENTRY) {
+				receiveGateways(connection, known);
+			}
 			else if (message instanceof WeightsMessage response) {
 				GatewayPeers.this.pieceClient.onReceived(connection, response);
 			}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -1,11 +1,14 @@
 package org.catkingate.gateway;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -16,6 +19,7 @@
 import org.xnio.XnioWorker;
 
 import org.catkingate.decisions.admission.AdmissionPolicies;
+import org.catkingate.decisions.coldstart.KnownGateways;
 import org.catkingate.decisions.permits.RunnerLimits;
 import org.catkingate.decisions.registry.FollowTimes;
 import org.catkingate.decisions.registry.KeyAcceptance;
@@ -72,6 +76,12 @@
 	/** The number of gateways that may exist without being connected to this one. */
 	private static final int ASSUMED_UNCONNECTED_GATEWAYS = 2;
 
+	/**
+	 * The interval at which it is determined again which runners are cold, well below the
+	 * time for which they are.
+	 */
+	private static final long COLD_UPDATE_INTERVAL_MILLIS = 250;
+
 	/**
 	 * The part of the time for a version change that is reserved for detecting the change
 	 * and for withdrawing a request from its runner. Other gateways send the age of the
@@ -114,6 +124,8 @@
 
 	private final RunnerPermits permits;
 
+	private final ColdRunners coldRunners;
+
 	private final DeclaredVersions versions;
 
 	private final RunnerTable runners;
@@ -144,6 +156,8 @@
 		this.gatewayMetrics = GatewayMetrics.registerIn(this.metrics);
 		this.intakeLog = new RunnerIntakeLog(this.gatewayMetrics);
 		this.permits = new RunnerPermits(createLimits(identity, settings.peers()), this.intakeLog, clock);
+		this.coldRunners = new ColdRunners(settings.coldRunners(), createKnownGateways(identity, settings.peers()),
+				this::registryAgeMillis, System::currentTimeMillis);
 		this.versions = new DeclaredVersions(settings.weights().changeMillis() - CHANGE_MARGIN_MILLIS,
 				clock.millis() + settings.weights().settlingMillis() - SETTLING_MARGIN_MILLIS);
 		this.runners = new RunnerTable(this::createRunnerState, AdmissionPolicies.earliestFirstEvent(), this.versions);
@@ -156,12 +170,16 @@
 				new KeyAcceptance(settings.keyValidityMillis() - REGISTRY_AGE_MARGIN_MILLIS), copies::othersAgeMillis);
 		PromptGuard prompts = new PromptGuard(identity.instance(), this.worker.getIoThread(), clock,
 				this.runners::count);
+		this.runners.onUnmet(this.gatewayMetrics::countUnmet);
 		this.runners.onRemoval(prompts::recordRemoval);
 		SharedCallState sharedCallState = new SharedCallState(this.runners, codec, settings.retries(),
 				this::gatewayCount, this::assumedGatewayCount, clock, this.gatewayMetrics, prompts);
 		this.peers = GatewayPeers.start(identity, settings.peers(), this.worker, this::publishedOrigin,
 				this::openOrigin, settings.regions()::get, this.runners, this.versions, copies, prompts, this.permits,
-				clock);
+				this.coldRunners, clock);
+		this.worker.getIoThread()
+			.executeAtInterval(() -> this.coldRunners.update(clock.millis()), COLD_UPDATE_INTERVAL_MILLIS,
+					TimeUnit.MILLISECONDS);
 		this.permits.onPermit(() -> this.worker.getIoThread().execute(() -> sharedCallState.waitingCalls().check()));
 		registerMetrics();
 		this.operators = OperatorsEndpoint.start(settings.operators().addresses(), this.readiness, this.metrics,
@@ -182,6 +200,16 @@
 				seeds.indexOf(AddressFormatter.format(settings.listen())), seeds.size());
 	}
 
+	private KnownGateways createKnownGateways(HandshakeMessage.PeerIdentity identity, PeerSettings peerSettings) {
+		Set<InetSocketAddress> seeds = Set.copyOf(peerSettings.seeds());
+		return new KnownGateways(identity.instance(), seeds.size(), seeds.contains(peerSettings.listen()),
+				this.clock.millis());
+	}
+
+	private long registryAgeMillis() {
+		return this.follower.ageMillis();
+	}
+
 	/**
 	 * Starts a gateway. It is ready once it has received a configuration.
 	 * @param settings the settings
@@ -247,11 +275,12 @@
 		return new RunnerState(runner, Optional.ofNullable(region), distance,
 				ConnectionPool.to(runner.address(), this.worker, this.buffers,
 						Math.max(1, Math.min(MAX_IDLE_CONNECTIONS, idleConnections)), this.clock),
-				this.intakeLog, this.permits);
+				this.intakeLog, this.permits, this.coldRunners.of(runner));
 	}
 
 	private void applyView(RegistryView view) {
 		this.worker.getIoThread().execute(() -> {
+			this.coldRunners.update(view, this.clock.millis());
 			this.runners.update(view, this.clock.millis());
 			this.peers.update(view);
 			this.callerServer.updateLimits(view.configuration().map(ServingConfiguration::limits));
@@ -291,6 +320,7 @@
 		state.put("evacuatedDataCentres",
 				this.registry.view().evacuated().stream().map(String::valueOf).sorted().toList());
 		state.put("runnerLimits", this.permits.describe());
+		state.put("coldRunners", this.coldRunners.describe());
 		state.put("requestsInProgress", this.gatewayMetrics.inProgress());
 		return state;
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
@@ -1,6 +1,8 @@
 package org.catkingate.gateway;
 
+import java.util.EnumSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -10,6 +12,7 @@
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
+import org.catkingate.decisions.coldstart.ColdRunner;
 import org.catkingate.decisions.sending.CallScope;
 import org.catkingate.decisions.sending.SendCondition;
 import org.catkingate.runtime.MonotonicClock;
@@ -30,6 +33,10 @@
 	 */
 	private static final long CONNECT_TIMEOUT_MILLIS = 250;
 
+	/** The conditions that this attempt meets if it holds a share of what is limited. */
+	private static final Set<SendCondition> MET_BY_OWN_SHARE = EnumSet.of(SendCondition.WITHIN_LIMIT,
+			SendCondition.WITHIN_COLD_ALLOWANCE);
+
 	private final RunnerState runner;
 
 	private final OutgoingRequest outgoing;
@@ -61,6 +68,9 @@
 	/** Gives back the permit of this attempt, empty if it has none. */
 	private Optional<Runnable> permit = Optional.empty();
 
+	/** The room for a request to a cold runner, empty if there was none so far. */
+	private Optional<ColdRunner.Reservation> coldRoom = Optional.empty();
+
 	private RunnerAttempt(RunnerState runner, OutgoingRequest outgoing, HeaderCodec codec, MonotonicClock clock,
 			Listener listener) {
 		this.runner = runner;
@@ -86,6 +96,7 @@
 		RunnerAttempt attempt = new RunnerAttempt(runner, outgoing, codec, clock, listener);
 		runner.work().addPending(outgoing.promptTokens(), clock.millis());
 		attempt.takePermit();
+		attempt.coldRoom = runner.cold().reserve(clock.millis());
 		attempt.connectTimer = thread.executeAfter(() -> attempt.failUnsent("timed out opening the connection"),
 				CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
 		runner.connections()
@@ -125,17 +136,19 @@
 	}
 
 	/*
-	 * Something may have become known since the choice of the runner. A permit that this
-	 * attempt holds is not available to others.
+	 * Something may have become known since the choice of the runner. What this attempt
+	 * holds itself is not available to others.
 	 */
 	private Optional<SendCondition> findUnmetCondition() {
 		Optional<SendCondition> unmet = SendCondition.firstUnmet(this.outgoing.scope().get(), this.runner,
 				this.clock.millis());
-		boolean limitUsedUp = unmet.filter((condition) -> condition == SendCondition.WITHIN_LIMIT).isPresent();
-		if (unmet.isEmpty() || limitUsedUp) {
-			return takePermit() ? Optional.empty() : Optional.of(SendCondition.WITHIN_LIMIT);
+		if (unmet.filter((condition) -> !MET_BY_OWN_SHARE.contains(condition)).isPresent()) {
+			return unmet;
+		}
+		if (!takePermit()) {
+			return Optional.of(SendCondition.WITHIN_LIMIT);
 		}
-		return unmet;
+		return useColdRoom() ? Optional.empty() : Optional.of(SendCondition.WITHIN_COLD_ALLOWANCE);
 	}
 
 	/**
@@ -158,6 +171,14 @@
 		return true;
 	}
 
+	private boolean useColdRoom() {
+		long now = this.clock.millis();
+		if (this.coldRoom.isEmpty()) {
+			this.coldRoom = this.runner.cold().reserve(now);
+		}
+		return this.coldRoom.map((room) -> room.use(now)).orElse(false);
+	}
+
 	private void failUnsent(String reason) {
 		if (!this.finished && this.call == null) {
 			this.connectTimer.remove();
@@ -227,6 +248,7 @@
 		this.finished = true;
 		if (this.call == null) {
 			this.permit.ifPresent(Runnable::run);
+			this.coldRoom.ifPresent(ColdRunner.Reservation::release);
 		}
 		if (this.responseStarted) {
 			this.runner.work().endResponse();
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
@@ -6,6 +6,7 @@
 
 import org.catkingate.decisions.admission.RunnerIntake;
 import org.catkingate.decisions.admission.RunnerOption;
+import org.catkingate.decisions.coldstart.ColdRunner;
 import org.catkingate.decisions.routing.Distance;
 import org.catkingate.decisions.sending.SendTarget;
 import org.catkingate.model.ModelName;
@@ -13,7 +14,6 @@
 import org.catkingate.model.ServiceName;
 import org.catkingate.model.prompts.RunnerStart;
 import org.catkingate.model.registry.RegisteredRunner;
-import org.catkingate.runtime.calls.RequestedPause;
 import org.catkingate.runtime.calls.RunnerLoad;
 import org.catkingate.runtime.calls.RunnerResponseHead;
 import org.catkingate.runtime.http.ConnectionPool;
@@ -57,18 +57,6 @@
 	 */
 	private static final int MIN_SUSPECT_FAILURES = 2;
 
-	/**
-	 * The minimum interval between two lines in the log about pauses that the runner asks
-	 * for. A pause may be shorter.
-	 */
-	private static final long PAUSE_LOG_INTERVAL_MILLIS = 1000;
-
-	/**
-	 * The minimum interval between two lines in the log about requested pauses that
-	 * cannot be granted as requested.
-	 */
-	private static final long UNUSABLE_PAUSE_LOG_INTERVAL_MILLIS = 60_000;
-
 	private final ConnectionPool connections;
 
 	private final Optional<RegionName> region;
@@ -77,13 +65,13 @@
 
 	private final RunnerIntakeLog intakeLog;
 
-	private final RunnerPermits permits;
+	private final PauseLog pauseLog;
 
-	private RunnerIntake intake;
+	private final RunnerPermits permits;
 
-	private long pauseLoggableAtMillis = Long.MIN_VALUE;
+	private final ColdRunner cold;
 
-	private long unusablePauseLoggableAtMillis = Long.MIN_VALUE;
+	private RunnerIntake intake;
 
 	private RegisteredRunner runner;
 
@@ -111,9 +99,12 @@
 	 * @param connections the connections to the runner
 	 * @param intakeLog logs the statements of the runner
 	 * @param permits the limits of runners and the permits to send them requests
+	 * @param cold what may be sent to the runner while it is cold
 	 */
 	RunnerState(RegisteredRunner runner, Optional<RegionName> region, Distance distance, ConnectionPool connections,
-			RunnerIntakeLog intakeLog, RunnerPermits permits) {
+			RunnerIntakeLog intakeLog, RunnerPermits permits, ColdRunner cold) {
+		this.cold = cold;
+		this.pauseLog = new PauseLog(intakeLog);
 		this.permits = permits;
 		this.intakeLog = intakeLog;
 		this.intake = RunnerIntake.open();
@@ -198,6 +189,15 @@
 		return this.permits.canSend(start(), nowMillis);
 	}
 
+	@Override
+	public boolean hasColdRoom(long nowMillis) {
+		return this.cold.hasRoom(nowMillis);
+	}
+
+	ColdRunner cold() {
+		return this.cold;
+	}
+
 	/**
 	 * Returns whether a call could be sent now under the runner's limit, and requests a
 	 * permit if there is none.
@@ -255,19 +255,10 @@
 	}
 
 	private void recordPause(int status, RunnerResponseHead response, long nowMillis) {
-		RequestedPause pause = response.pause();
-		boolean begins = pause.millis() > 0 && this.intake.pauseLeftMillis(nowMillis) == 0;
-		this.intake = this.intake.withPause(pause.millis(), nowMillis);
-		if (begins) {
-			boolean logged = nowMillis >= this.pauseLoggableAtMillis;
-			this.intakeLog.recordPause(this.runner, status, response, this.intake.pauseLeftMillis(nowMillis), logged);
-			this.pauseLoggableAtMillis = logged ? nowMillis + PAUSE_LOG_INTERVAL_MILLIS : this.pauseLoggableAtMillis;
-		}
-		boolean unusable = pause.unreadable().isPresent() || pause.millis() > RunnerIntake.MAX_PAUSE_MILLIS;
-		if (unusable && nowMillis >= this.unusablePauseLoggableAtMillis) {
-			this.intakeLog.recordUnusablePause(this.runner, status, response);
-			this.unusablePauseLoggableAtMillis = nowMillis + UNUSABLE_PAUSE_LOG_INTERVAL_MILLIS;
-		}
+		boolean begins = response.pause().millis() > 0 && this.intake.pauseLeftMillis(nowMillis) == 0;
+		this.intake = this.intake.withPause(response.pause().millis(), nowMillis);
+		this.pauseLog.record(this.runner, status, response, begins ? this.intake.pauseLeftMillis(nowMillis) : 0,
+				nowMillis);
 	}
 
 	boolean isFull(long nowMillis) {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -29,8 +29,8 @@
 
 /**
  * The registered runners and their states. A runner that restarts or moves to another
- * address gets a new state; one that is listed again without a restart keeps what it has
- * stated. Used by the traffic thread only.
+ * address or data centre gets a new state; one that is listed again without a restart
+ * keeps what it has stated. Used by the traffic thread only.
  */
 final class RunnerTable {
 
@@ -42,7 +42,7 @@
 
 	/** The conditions that a runner may leave unmet and still take calls soon. */
 	private static final Set<SendCondition> END_OF_PAUSE_SUFFICES = EnumSet.of(SendCondition.NOT_PAUSED,
-			SendCondition.WITHIN_LIMIT);
+			SendCondition.WITHIN_LIMIT, SendCondition.WITHIN_COLD_ALLOWANCE);
 
 	private final Map<RunnerId, RunnerState> runners = new HashMap<>();
 
@@ -61,6 +61,11 @@
 	private Consumer<RunnerState> removalListener = (runner) -> {
 	};
 
+	private Consumer<SendCondition> unmetListener = (condition) -> {
+	};
+
+	private final Residencies residencies = new Residencies();
+
 	private RegistryView view = RegistryView.empty();
 
 	RunnerTable(Function<RegisteredRunner, RunnerState> stateFactory, AdmissionPolicy policy,
@@ -78,6 +83,18 @@
 		this.removalListener = listener;
 	}
 
+	/**
+	 * Sets the listener to decisions for which no runner is left.
+	 * @param listener receives the condition that most runners do not meet
+	 */
+	void onUnmet(Consumer<SendCondition> listener) {
+		this.unmetListener = listener;
+	}
+
+	Residencies residencies() {
+		return this.residencies;
+	}
+
 	int count(ServiceName service) {
 		return (int) this.runners.values().stream().filter((state) -> state.runner().service().equals(service)).count();
 	}
@@ -87,6 +104,8 @@
 			this.versions.addInitial(next.versions());
 		}
 		this.versions.addDeclared(next.versions(), nowMillis);
+		this.residencies.update(next.configuration());
+		EvacuationLog.recordChanges(this.view, next);
 		this.view = next;
 		this.runners.entrySet().removeIf((entry) -> {
 			RegisteredRunner registered = next.runners().get(entry.getKey());
@@ -116,7 +135,7 @@
 
 	private static boolean isSameProcess(RegisteredRunner first, RegisteredRunner second) {
 		return first.address().equals(second.address()) && first.startedAtEpochMillis() == second.startedAtEpochMillis()
-				&& first.service().equals(second.service());
+				&& first.service().equals(second.service()) && first.dataCentre().equals(second.dataCentre());
 	}
 
 	AdmissionDecision decide(CallDescription call, Set<RunnerId> triedRunners, int otherGateways, double draw,
@@ -130,6 +149,7 @@
 		List<RunnerOption> options = new ArrayList<>();
 		Map<SendCondition, Integer> unmet = new EnumMap<>(SendCondition.class);
 		double limitsPerSecond = 0;
+		double coldPerSecond = 0;
 		for (RunnerState state : this.runners.values()) {
 			if (!state.runner().service().equals(scope.service()) || triedRunners.contains(state.runner().id())
 					|| state.isFull(nowMillis)) {
@@ -144,12 +164,17 @@
 			else {
 				unmet.merge(firstUnmet.get(), 1, Integer::sum);
 				limitsPerSecond += (firstUnmet.get() == SendCondition.WITHIN_LIMIT) ? state.limitPerSecond() : 0;
+				coldPerSecond += (firstUnmet.get() == SendCondition.WITHIN_COLD_ALLOWANCE)
+						? state.cold().partPerSecond(nowMillis) : 0;
 			}
 		}
 		AdmissionDecision decision = this.policy.decide(options, call, engine, draw);
 		if (!(decision instanceof AdmissionDecision.Reject)) {
 			return decision;
 		}
+		if (options.isEmpty()) {
+			mostFrequent(unmet).ifPresent(this.unmetListener);
+		}
 		if (options.isEmpty() && unmet.containsKey(SendCondition.WITHIN_LIMIT)) {
 			return AdmissionPolicies.whileLimited(limitsPerSecond / (otherGateways + 1),
 					call.requirements().remainingMillis(), draw);
@@ -158,6 +183,9 @@
 			return AdmissionPolicies.whileLoading(recordLoading(scope.service(), nowMillis),
 					call.requirements().remainingMillis(), draw);
 		}
+		if (options.isEmpty() && unmet.containsKey(SendCondition.WITHIN_COLD_ALLOWANCE)) {
+			return AdmissionPolicies.whileCold(coldPerSecond, call.requirements().remainingMillis(), draw);
+		}
 		long pauseMillis = shortestPauseMillis(scope, nowMillis);
 		if (pauseMillis > 0) {
 			return AdmissionPolicies.whilePaused(pauseMillis, draw);
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerAttemptTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerAttemptTests.java
@@ -8,8 +8,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.undertow.client.ClientRequest;
@@ -21,14 +23,18 @@
 import org.junit.jupiter.api.Test;
 import org.xnio.XnioWorker;
 
+import org.catkingate.decisions.coldstart.ColdRunner;
+import org.catkingate.decisions.coldstart.KnownGateways;
 import org.catkingate.decisions.permits.RunnerLimits;
 import org.catkingate.decisions.routing.Distance;
 import org.catkingate.decisions.sending.CallScope;
 import org.catkingate.decisions.sending.Residency;
 import org.catkingate.model.DataCentreName;
 import org.catkingate.model.InstanceId;
+import org.catkingate.model.RegionName;
 import org.catkingate.model.RunnerId;
 import org.catkingate.model.ServiceName;
+import org.catkingate.model.prompts.RunnerStart;
 import org.catkingate.model.registry.RegisteredRunner;
 import org.catkingate.runtime.MonotonicClock;
 import org.catkingate.runtime.calls.RequestedPause;
@@ -48,6 +54,9 @@
 
 	private final RunnerIntakeLog intakeLog = new RunnerIntakeLog(GatewayMetrics.registerIn(new PrometheusRegistry()));
 
+	private final ColdRunner cold = new ColdRunner(new KnownGateways(new InstanceId("gateway-1"), 0, false, 0),
+			new RunnerStart(new RunnerId("a"), 1));
+
 	private XnioWorker worker;
 
 	private ServerSocket server;
@@ -73,7 +82,8 @@
 				ConnectionPool.to(address, this.worker, new DefaultByteBufferPool(false, 1024), 1,
 						MonotonicClock.system()),
 				this.intakeLog, new RunnerPermits(new RunnerLimits(new InstanceId("gateway-1"), 0, 1), this.intakeLog,
-						MonotonicClock.system()));
+						MonotonicClock.system()),
+				this.cold);
 	}
 
 	private void startAttempt(RunnerState runner, Outcome listener) {
@@ -98,12 +108,16 @@
 	}
 
 	private void assertNotSentAfter(int status, RunnerResponseHead statement) throws Exception {
+		long now = MonotonicClock.system().millis();
+		assertNotSentAfter((runner) -> runner.recordResponseHead(status, statement, now, now));
+	}
+
+	private void assertNotSentAfter(Consumer<RunnerState> event) throws Exception {
 		Outcome outcome = new Outcome();
 		RunnerState runner = createRunner();
 		this.worker.getIoThread().execute(() -> {
 			startAttempt(runner, outcome);
-			long now = MonotonicClock.system().millis();
-			runner.recordResponseHead(status, statement, now, now);
+			event.accept(runner);
 		});
 		assertThat(outcome.end.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).startsWith("not sent: ");
 		this.worker.getIoThread().execute(() -> runner.connections().close());
@@ -132,6 +146,32 @@
 		assertNotSentAfter(200, limiting());
 	}
 
+	// Guards against a request that reaches a data centre that was evacuated while its
+	// connection was opened.
+	@Test
+	void isNotSentIfItsDataCentreIsEvacuatedWhileTheConnectionIsOpened() throws Exception {
+		assertNotSentAfter((runner) -> runner.setEvacuated(true));
+	}
+
+	// Guards against requests beyond what a cold runner may get that were admitted while
+	// it was warm, and against room that such a request keeps.
+	@Test
+	void isNotSentIfItsRunnerBecomesColdWhileTheConnectionIsOpened() throws Exception {
+		assertNotSentAfter((runner) -> this.cold.update(Optional.of(0.5), true));
+		assertThat(this.cold.isInUse(MonotonicClock.system().millis())).isFalse();
+	}
+
+	// Guards against a request that is sent to a region that a configuration published
+	// while its connection was opened does not allow.
+	@Test
+	void isNotSentIfItsRegionIsNotAllowedAnyMore() throws Exception {
+		Outcome outcome = new Outcome();
+		outcome.residency = Residency.of(Set.of(new RegionName("elsewhere")), Set.of());
+		RunnerState runner = createRunner();
+		this.worker.getIoThread().execute(() -> startAttempt(runner, outcome));
+		assertThat(outcome.end.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).startsWith("not sent: ");
+	}
+
 	// Guards against a request that is sent after a part of its prompt or it as a whole
 	// has been put into quarantine, because it was admitted before (BUDGET).
 	@Test
@@ -164,8 +204,10 @@
 
 		private boolean quarantined;
 
+		private Residency residency = Residency.anywhere();
+
 		private CallScope scope() {
-			return new CallScope(new ServiceName("songs"), List.of(), Residency.anywhere(), this.quarantined);
+			return new CallScope(new ServiceName("songs"), List.of(), this.residency, this.quarantined);
 		}
 
 		@Override
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
@@ -15,6 +15,7 @@
 import org.catkingate.decisions.admission.AdmissionPolicies;
 import org.catkingate.decisions.admission.CallDescription;
 import org.catkingate.decisions.admission.CallRequirements;
+import org.catkingate.decisions.coldstart.KnownGateways;
 import org.catkingate.decisions.permits.RunnerLimits;
 import org.catkingate.decisions.registry.RegistryView;
 import org.catkingate.decisions.routing.Distance;
@@ -38,6 +39,7 @@
 import org.catkingate.runtime.calls.RunnerResponseHead;
 import org.catkingate.runtime.calls.StatedLimit;
 import org.catkingate.runtime.http.ConnectionPool;
+import org.catkingate.runtime.settings.GatewaySettings;
 import org.catkingate.wire.RunnerMessage;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -63,9 +65,13 @@
 	private final RunnerPermits permits = new RunnerPermits(new RunnerLimits(new InstanceId("gateway-1"), 0, 1),
 			this.intakeLog, MonotonicClock.system());
 
+	private final ColdRunners coldRunners = new ColdRunners(new GatewaySettings.ColdRunners(1.5, 5),
+			new KnownGateways(new InstanceId("gateway-1"), 0, false, 0), () -> 0, () -> 0);
+
 	private final RunnerTable table = new RunnerTable((runner) -> new RunnerState(runner, Optional.empty(),
 			Distance.DATA_CENTRE, ConnectionPool.to(runner.address(), null, null, 1, MonotonicClock.system()),
-			this.intakeLog, this.permits), AdmissionPolicies.earliestFirstEvent(), this.versions);
+			this.intakeLog, this.permits, this.coldRunners.of(runner)), AdmissionPolicies.earliestFirstEvent(),
+			this.versions);
 
 	private static RegistryView view(Map<ModelName, Long> versions, RegisteredRunner... runners) {
 		ServingConfiguration configuration = new ServingConfiguration(1, RouteTable.of(List.of()),
--- a/catkingate-model/src/main/java/org/catkingate/model/registry/RouteTable.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/registry/RouteTable.java
@@ -51,6 +51,14 @@
 		return Optional.empty();
 	}
 
+	/**
+	 * Returns the routes.
+	 * @return all routes, in no particular order
+	 */
+	public List<Route> routes() {
+		return this.byHost.values().stream().flatMap(List::stream).toList();
+	}
+
 	/**
 	 * Returns the number of routes.
 	 * @return the number of routes
--- a/catkingate-wire/src/main/java/org/catkingate/wire/GatewayMessage.java
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/GatewayMessage.java
@@ -43,4 +43,25 @@
 
 	}
 
+	/**
+	 * All gateways that the sender, a gateway, has ever known, including itself.
+	 *
+	 * @param instances the names of their instances, at most {@link #MAX_INSTANCES}
+	 * @param answerRequested whether the receiver, if it is a seed, should send what it
+	 * knows
+	 */
+	record KnownGateways(List<String> instances, boolean answerRequested) implements GatewayMessage {
+
+		/** The maximum number of names in a message. */
+		public static final int MAX_INSTANCES = 1000;
+
+		public KnownGateways {
+			instances = List.copyOf(instances);
+			if (instances.size() > MAX_INSTANCES) {
+				throw new IllegalArgumentException("a message must not have more than " + MAX_INSTANCES + " names");
+			}
+		}
+
+	}
+
 }
--- a/catkingate-wire/src/main/java/org/catkingate/wire/MessageCodec.java
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/MessageCodec.java
@@ -46,7 +46,7 @@
 			RegistryMessage.CopyRequest.class, RegistryMessage.CopyContent.class, RunnerMessage.ForwardedUpdate.class,
 			RunnerMessage.RunnerUpdates.class, GatewayMessage.GatewayAddress.class, GatewayMessage.GatewayList.class,
 			PromptMessage.PartReports.class, LimitMessage.LimitReports.class, LimitMessage.PermitRequest.class,
-			LimitMessage.PermitGrant.class, LimitMessage.PermitReturn.class);
+			LimitMessage.PermitGrant.class, LimitMessage.PermitReturn.class, GatewayMessage.KnownGateways.class);
 
 	private static final int RESPONSE_DATA_KIND = KINDS.indexOf(RequestMessage.ResponseData.class);
 
--- a/catkingate-wire/src/test/java/org/catkingate/wire/MessageCodecTests.java
+++ b/catkingate-wire/src/test/java/org/catkingate/wire/MessageCodecTests.java
@@ -82,13 +82,14 @@
 		}
 
 		@Test
-		void ofLimitsAndPermits() throws WireException {
+		void ofLimitsPermitsAndGateways() throws WireException {
 			RunnerStart runner = new RunnerStart(new RunnerId("i-1"), 1L << 40);
 			for (Message message : List.of(
 					new LimitMessage.LimitReports(List.of(new LimitReport(runner, 1.3, 250, 20),
 							new LimitReport(runner, Double.POSITIVE_INFINITY, 250, 20))),
 					new LimitMessage.PermitRequest(runner, 3, -5), new LimitMessage.PermitGrant(runner, 1, -5, 4),
-					new LimitMessage.PermitReturn(runner, 2))) {
+					new LimitMessage.PermitReturn(runner, 2),
+					new GatewayMessage.KnownGateways(List.of("gateway-1", "gateway-2"), true))) {
 				assertThat(roundTrip(message)).isEqualTo(message);
 			}
 		}
