Keep evacuations that a restored registry lacks for the whole grace period

Cause: a gateway keeps an evacuation that a restored registry lacks for 2 s, the time in which it is written again. The copy of another gateway, or a second full read, ended it before, since neither contains the item.

Change: ItemMerge keeps such an evacuation until its deadline.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/ItemMerge.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/ItemMerge.java
@@ -123,6 +123,12 @@
 					known.value(), known.content()));
 			this.graceDeadlines.put(known.key(), this.state.calls().graceUntilMillis());
 		}
+		else if (known.value() instanceof RegistryValue.Evacuation
+				&& this.state.graceDeadlines().containsKey(known.key())) {
+			// the restored registry lacks it, and so do copies and other reads of it
+			this.items.put(known.key(), known);
+			this.graceDeadlines.put(known.key(), this.state.graceDeadlines().get(known.key()));
+		}
 		else {
 			remove(known.key());
 		}
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/registry/RegistryRestoreTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/registry/RegistryRestoreTests.java
@@ -540,4 +540,98 @@
 
 	}
 
+	@Nested
+	class AnEvacuation {
+
+		private static final DataCentreName DATA_CENTRE = new DataCentreName("a");
+
+		private static RegistryItem evacuation(String dataCentre, long revision) {
+			return item("evacuations/" + dataCentre, revision,
+					new RegistryValue.Evacuation(new DataCentreName(dataCentre)));
+		}
+
+		private static RegistryItem takenBack(String dataCentre, long revision) {
+			return new RegistryItem("evacuations/" + dataCentre, revision, null);
+		}
+
+		private void restore(long revision, RegistryItem... items) {
+			receiveChanges(2, revision);
+			receivePage(false, 2, revision, items);
+		}
+
+		@Test
+		void holdsForEachDataCentreUntilItIsTakenBack() {
+			completeFullRead(1, 10, evacuation("a", 3));
+			receiveChanges(1, 11, evacuation("b", 11));
+			assertThat(view().evacuated()).containsExactlyInAnyOrder(DATA_CENTRE, new DataCentreName("b"));
+			tickAfter(100);
+			receiveChanges(1, 12, takenBack("a", 12));
+			assertThat(view().evacuated()).containsExactly(new DataCentreName("b"));
+		}
+
+		// Guards against a gateway that has lost the registry and neither begins nor ends
+		// an evacuation.
+		@Test
+		void beginsAndEndsWithTheCopyOfAnotherProcess() {
+			completeFullRead(1, 10, runner("a", 3));
+			failCall(false);
+			receiveCopy(100, at(1, 10), at(1, 12), runner("a", 3), evacuation("a", 12));
+			assertThat(view().evacuated()).containsExactly(DATA_CENTRE);
+			receiveCopy(50, at(1, 12), at(1, 13), runner("a", 3));
+			assertThat(view().evacuated()).isEmpty();
+		}
+
+		// Guards against requests to a data centre whose evacuation the registry has lost
+		// and that is about to be written again.
+		@Test
+		void thatARestoredRegistryLacksHoldsWhileItMayBeWrittenAgain() {
+			completeFullRead(1, 90, evacuation("a", 80));
+			restore(40);
+			tickAfter(1900);
+			assertThat(view().evacuated()).containsExactly(DATA_CENTRE);
+			receiveChanges(2, 41, evacuation("a", 41));
+			tickAfter(5000);
+			assertThat(view().evacuated()).containsExactly(DATA_CENTRE);
+			receiveChanges(2, 42, takenBack("a", 42));
+			assertThat(view().evacuated()).isEmpty();
+		}
+
+		@Test
+		void thatIsNotWrittenAgainEnds() {
+			completeFullRead(1, 90, evacuation("a", 80));
+			restore(40);
+			tickAfter(2100);
+			assertThat(view().evacuated()).isEmpty();
+		}
+
+		// Guards against an end before that time by the copy of a process that does not
+		// know of the evacuation, and by a second full read.
+		@Test
+		void thatARestoredRegistryLacksIsNotEndedByACopyOrAnotherRead() {
+			completeFullRead(1, 90, evacuation("a", 80), runner("a", 3));
+			restore(40, runner("a", 3));
+			tickAfter(300);
+			receiveCopy(100, at(2, 40), at(2, 41), runner("a", 3), runner("b", 41));
+			assertThat(view().evacuated()).containsExactly(DATA_CENTRE);
+			failCall(true);
+			receivePage(false, 2, 42, runner("a", 3), runner("b", 41));
+			assertThat(view().evacuated()).containsExactly(DATA_CENTRE);
+			tickAfter(2000);
+			assertThat(view().evacuated()).isEmpty();
+		}
+
+		// Guards against a data centre that counts as usable although the registry, which
+		// was restored from a copy of the time of the evacuation, says otherwise.
+		@Test
+		void thatARestoredRegistryContainsAgainHoldsUntilItIsTakenBack() {
+			completeFullRead(1, 90, runner("a", 3));
+			restore(40, evacuation("a", 30), runner("a", 3));
+			tickAfter(10_000);
+			assertThat(view().evacuated()).containsExactly(DATA_CENTRE);
+			receiveChanges(2, 41, takenBack("a", 41));
+			assertThat(view().evacuated()).isEmpty();
+		}
+
+	}
+
 }
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/ScriptedRegistry.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/ScriptedRegistry.java
@@ -2,12 +2,16 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 
 import org.catkingate.model.DataCentreName;
 import org.catkingate.model.RunnerId;
@@ -17,10 +21,11 @@
 import org.catkingate.model.registry.RegistryItem;
 import org.catkingate.model.registry.RegistryPage;
 import org.catkingate.model.registry.RegistryValue;
+import org.catkingate.model.registry.ServingConfiguration;
 import org.catkingate.runtime.registry.Registry;
 
 /**
- * A registry with one route, whose runners a test changes while it is watched. Safe for
+ * A registry with one route, whose content a test changes while it is watched. Safe for
  * use by any thread.
  */
 final class ScriptedRegistry implements Registry {
@@ -35,10 +40,12 @@
 
 	private final AtomicLong revision = new AtomicLong(FIRST_REVISION);
 
+	private final Map<String, RegistryValue> published = new ConcurrentHashMap<>();
+
 	private volatile boolean away;
 
 	private ScriptedRegistry(List<RegistryItem> initialItems) {
-		this.initialItems = initialItems;
+		this.initialItems = initialItems.stream().map(this::item).toList();
 	}
 
 	static ScriptedRegistry withoutRunners(CallKind kind) {
@@ -53,9 +60,55 @@
 	 * @return this registry
 	 */
 	synchronized ScriptedRegistry register(String id, long startedAtEpochMillis, InetSocketAddress address) {
+		return register(id, startedAtEpochMillis, address, "a");
+	}
+
+	/**
+	 * Registers a runner as ready, or again.
+	 * @param id the runner
+	 * @param startedAtEpochMillis when it started
+	 * @param address its address
+	 * @param dataCentre its data centre
+	 * @return this registry
+	 */
+	synchronized ScriptedRegistry register(String id, long startedAtEpochMillis, InetSocketAddress address,
+			String dataCentre) {
 		RegisteredRunner runner = new RegisteredRunner(new RunnerId(id), startedAtEpochMillis, new ServiceName("songs"),
-				address, new DataCentreName("a"), 4, false, Map.of(), 0);
-		return add(id, new RegistryValue.Runner(runner));
+				address, new DataCentreName(dataCentre), 4, false, Map.of(), 0);
+		return add("runners/" + id, new RegistryValue.Runner(runner));
+	}
+
+	/**
+	 * Registers a runner in data centre a that has just started.
+	 * @param id the runner
+	 * @param address its address
+	 * @param coldLeftMillis the time for which it stays cold
+	 * @return this registry
+	 */
+	synchronized ScriptedRegistry registerCold(String id, InetSocketAddress address, long coldLeftMillis) {
+		RegisteredRunner runner = new RegisteredRunner(new RunnerId(id), 1, new ServiceName("songs"), address,
+				new DataCentreName("a"), 4, false, Map.of(), coldLeftMillis);
+		return add("runners/" + id, new RegistryValue.Runner(runner));
+	}
+
+	/**
+	 * Publishes a configuration.
+	 * @param configuration the configuration
+	 * @return this registry
+	 */
+	synchronized ScriptedRegistry publish(ServingConfiguration configuration) {
+		return add("configuration", new RegistryValue.Configuration(configuration));
+	}
+
+	/**
+	 * Evacuates a data centre, or takes it back.
+	 * @param dataCentre the data centre
+	 * @param evacuated whether it is evacuated
+	 * @return this registry
+	 */
+	synchronized ScriptedRegistry evacuate(String dataCentre, boolean evacuated) {
+		return add("evacuations/" + dataCentre,
+				evacuated ? new RegistryValue.Evacuation(new DataCentreName(dataCentre)) : null);
 	}
 
 	/**
@@ -64,15 +117,54 @@
 	 * @return this registry
 	 */
 	synchronized ScriptedRegistry remove(String id) {
-		return add(id, null);
+		return add("runners/" + id, null);
 	}
 
-	private ScriptedRegistry add(String id, RegistryValue value) {
-		this.changes.add(new RegistryItem("runners/" + id, this.revision.get() + 1, value));
+	private ScriptedRegistry add(String key, RegistryValue value) {
+		this.changes.add(item(new RegistryItem(key, this.revision.get() + 1, value)));
 		this.revision.incrementAndGet();
 		return this;
 	}
 
+	/*
+	 * Adds a content, by which a gateway that has lost the registry gets the item from
+	 * another.
+	 */
+	private RegistryItem item(RegistryItem item) {
+		if (item.isRemoved()) {
+			return item;
+		}
+		String content = item.key() + "@" + item.revision();
+		this.published.put(content, item.value());
+		return new RegistryItem(item.key(), item.revision(), item.value(), content.getBytes(StandardCharsets.UTF_8));
+	}
+
+	/**
+	 * Returns this registry as a gateway sees it that may lose it.
+	 * @param reachable returns whether it is reachable now
+	 * @return the registry with the same content
+	 */
+	Registry whileReachable(BooleanSupplier reachable) {
+		return new Registry() {
+
+			@Override
+			public CompletableFuture<RegistryPage> read(String afterKey) {
+				return reachable.getAsBoolean() ? ScriptedRegistry.this.read(afterKey) : failure();
+			}
+
+			@Override
+			public CompletableFuture<RegistryPage> watch(long afterRevision, long waitMillis) {
+				return reachable.getAsBoolean() ? ScriptedRegistry.this.watch(afterRevision, waitMillis) : failure();
+			}
+
+			@Override
+			public RegistryValue decode(String key, byte[] content) {
+				return ScriptedRegistry.this.decode(key, content);
+			}
+
+		};
+	}
+
 	/**
 	 * Makes all calls to the registry fail from now on.
 	 */
@@ -83,7 +175,14 @@
 	@Override
 	public CompletableFuture<RegistryPage> read(String afterKey) {
 		return this.away ? failure()
-				: CompletableFuture.completedFuture(new RegistryPage(this.initialItems, false, FIRST_REVISION));
+				: CompletableFuture.completedFuture(new RegistryPage(currentItems(), false, this.revision.get()));
+	}
+
+	private synchronized List<RegistryItem> currentItems() {
+		Map<String, RegistryItem> items = new TreeMap<>();
+		this.initialItems.forEach((item) -> items.put(item.key(), item));
+		this.changes.forEach((change) -> items.put(change.key(), change));
+		return items.values().stream().filter((item) -> !item.isRemoved()).toList();
 	}
 
 	@Override
@@ -103,7 +202,8 @@
 
 	@Override
 	public RegistryValue decode(String key, byte[] content) {
-		return new RegistryValue.Unreadable("no item has a published content");
+		return this.published.getOrDefault(new String(content, StandardCharsets.UTF_8),
+				new RegistryValue.Unreadable("the content was not published"));
 	}
 
 }
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
@@ -19,6 +19,7 @@
 import org.catkingate.gateway.GatewayProcess;
 import org.catkingate.model.AccountName;
 import org.catkingate.model.DataCentreName;
+import org.catkingate.model.RegionName;
 import org.catkingate.model.RunnerId;
 import org.catkingate.model.ServiceName;
 import org.catkingate.model.registry.CallKind;
@@ -79,7 +80,8 @@
 	 */
 	static List<RegistryItem> items(CallKind kind, InetSocketAddress... runners) {
 		List<RegistryItem> items = new ArrayList<>();
-		items.add(new RegistryItem("configuration", 1, new RegistryValue.Configuration(configuration(kind))));
+		items.add(new RegistryItem("configuration", 1,
+				new RegistryValue.Configuration(configuration(7, kind, Set.of(), Set.of()))));
 		for (int i = 0; i < runners.length; i++) {
 			RegisteredRunner runner = new RegisteredRunner(new RunnerId("runner-" + i), 1, SERVICE, runners[i],
 					new DataCentreName("a"), 4, false, Map.of(), 0);
@@ -149,6 +151,8 @@
 				region = r
 				[data-centres]
 				a = r
+				b = s
+				c = t
 				[registry]
 				url = http://127.0.0.1:1
 				[callers]
@@ -190,13 +194,22 @@
 		}
 	}
 
-	private static ServingConfiguration configuration(CallKind kind) {
+	/**
+	 * Creates a configuration with one route and one client account.
+	 * @param version its version
+	 * @param kind the kind of the route's calls
+	 * @param routeRegions the regions that the route allows; empty for all
+	 * @param accountRegions the regions that the account allows; empty for all
+	 * @return the configuration
+	 */
+	static ServingConfiguration configuration(long version, CallKind kind, Set<RegionName> routeRegions,
+			Set<RegionName> accountRegions) {
 		Route route = new Route("route-1", HOST, "/songs/", kind, true, false, 3000, 1000, 1, 2,
-				List.of(new Route.Target(SERVICE, 1)), Set.of());
-		return new ServingConfiguration(7, RouteTable.of(List.of(route)),
+				List.of(new Route.Target(SERVICE, 1)), routeRegions);
+		return new ServingConfiguration(version, RouteTable.of(List.of(route)),
 				Map.of(SERVICE,
 						new RegisteredService(SERVICE, 100, Optional.empty(), Optional.empty(), Optional.empty())),
-				Map.of(API_KEY, new RegisteredAccount(new AccountName("bar-1"), 0, Set.of())),
+				Map.of(API_KEY, new RegisteredAccount(new AccountName("bar-1"), 0, accountRegions)),
 				new CallerLimits(16_384, 100_000, 3000, 15_000));
 	}
 
