--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/CallAdmission.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/CallAdmission.java
@@ -251,7 +251,7 @@
 	 */
 	CallScope scope() {
 		return new CallScope(this.admitted.service(), this.sharedState.runners().models(this.admitted.service()),
-				this.admitted.residency(), this.quarantined.getAsBoolean());
+				this.sharedState.runners().residencies().of(this.admitted), this.quarantined.getAsBoolean());
 	}
 
 	/**
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
@@ -1,10 +1,14 @@
 package org.catkingate.gateway;
 
+import java.util.Locale;
+
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
+import org.catkingate.decisions.sending.SendCondition;
+
 /**
  * The metrics of a gateway. Safe for use by any thread.
  */
@@ -32,6 +36,8 @@
 
 	private final Counter waits;
 
+	private final Counter unmetConditions;
+
 	private final Gauge inProgress;
 
 	private final Histogram timeToFirstByte;
@@ -77,6 +83,11 @@
 			.help("Requests that waited before they were sent or rejected, by what for and what became of them")
 			.labelNames("cause", "outcome")
 			.register(registry);
+		this.unmetConditions = Counter.builder()
+			.name("catkingate_gateway_unmet_conditions")
+			.help("Decisions on requests for which no runner was left, by the condition that most runners did not meet")
+			.labelNames("condition")
+			.register(registry);
 		this.inProgress = Gauge.builder()
 			.name("catkingate_gateway_requests_in_progress")
 			.help("Requests in progress")
@@ -139,6 +150,10 @@
 		this.startError.observe(ratio);
 	}
 
+	void countUnmet(SendCondition condition) {
+		this.unmetConditions.labelValues(condition.name().toLowerCase(Locale.ROOT)).inc();
+	}
+
 	void countRejected(String outcome) {
 		this.requests.labelValues(outcome).inc();
 	}
--- a/catkingate-model/src/main/java/org/catkingate/model/registry/RouteTable.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/registry/RouteTable.java
@@ -52,8 +52,8 @@
 	}
 
 	/**
-	 * Returns all routes.
-	 * @return the routes, in no particular order
+	 * Returns the routes.
+	 * @return all routes, in no particular order
 	 */
 	public List<Route> routes() {
 		return this.byHost.values().stream().flatMap(List::stream).toList();
