Choose runners by cost where runners state how slow their machines are

Cause: the choice by expected cost was switched by a setting alone, which says nothing of a deployment whose template is shared by all.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestCosts.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestCosts.java
@@ -1,8 +1,11 @@
 package org.catkingate.gateway;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
 
 import org.catkingate.decisions.cost.CallCost;
 import org.catkingate.decisions.cost.LengthEstimate;
@@ -11,6 +14,7 @@
 import org.catkingate.model.ServiceName;
 import org.catkingate.model.registry.CallKind;
 import org.catkingate.model.registry.EngineProfile;
+import org.catkingate.runtime.settings.GatewaySettings;
 
 /**
  * The costs of all calls of this process: estimates for new ones and what finished ones
@@ -29,17 +33,19 @@
 
 	private final LengthEstimator estimator = new LengthEstimator();
 
-	private final boolean enabled;
+	private final Set<ServiceName> statingServices = new HashSet<>();
+
+	private final GatewaySettings.ByCost byCost;
 
 	private final GatewayMetrics metrics;
 
 	/**
 	 * Creates the costs, without any evidence.
-	 * @param enabled whether decisions depend on the cost of calls
+	 * @param byCost for which services decisions depend on the cost of calls
 	 * @param metrics the metrics
 	 */
-	RequestCosts(boolean enabled, GatewayMetrics metrics) {
-		this.enabled = enabled;
+	RequestCosts(GatewaySettings.ByCost byCost, GatewayMetrics metrics) {
+		this.byCost = byCost;
 		this.metrics = metrics;
 	}
 
@@ -48,11 +54,12 @@
 	 * @param request the call
 	 * @param engine the parameters of the service's engines, empty for a service without
 	 * engines
+	 * @param slowdownStated returns whether runners of the service state their slowdown
 	 * @return the cost, never null
 	 */
-	RequestCost estimate(AdmittedRequest request, Optional<EngineProfile> engine) {
+	RequestCost estimate(AdmittedRequest request, Optional<EngineProfile> engine, BooleanSupplier slowdownStated) {
 		boolean stream = request.route().kind() == CallKind.STREAM;
-		if (!this.enabled || stream != engine.isPresent()) {
+		if (!applies(request.service(), slowdownStated) || stream != engine.isPresent()) {
 			return RequestCost.unknown(request.head().promptTokens());
 		}
 		RequestFeatures features = new RequestFeatures(String.valueOf(request.route().name()),
@@ -77,6 +84,19 @@
 				});
 	}
 
+	/*
+	 * The answer is kept once it is yes, so that the runners are not searched for each
+	 * call.
+	 */
+	private boolean applies(ServiceName service, BooleanSupplier slowdownStated) {
+		return switch (this.byCost) {
+			case NEVER -> false;
+			case ALWAYS -> true;
+			case IF_SLOWDOWN_STATED -> this.statingServices.contains(service)
+					|| (slowdownStated.getAsBoolean() && this.statingServices.add(service));
+		};
+	}
+
 	/**
 	 * The mean lengths of the responses of a service.
 	 */
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 import org.catkingate.decisions.admission.RunnerIntake;
@@ -278,7 +279,7 @@
 		this.loaderReportAtMillis = nowMillis;
 		this.reportedReadyInMillis = report.readyInMillis();
 		this.misdirectedUntilMillis = Long.MIN_VALUE;
-		this.work.recordLoad(new RunnerLoad(report.running(), report.waiting(), 1), nowMillis);
+		this.work.recordLoad(new RunnerLoad(report.running(), report.waiting(), OptionalDouble.empty()), nowMillis);
 	}
 
 	/**
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -224,6 +224,17 @@
 		return unmet.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey);
 	}
 
+	/**
+	 * Returns whether runners of a service state how slow their machines are.
+	 * @param service the service
+	 * @return whether at least one has stated it
+	 */
+	boolean stateSlowdown(ServiceName service) {
+		return this.runners.values()
+			.stream()
+			.anyMatch((state) -> state.service().equals(service) && state.work().statesSlowdown());
+	}
+
 	/**
 	 * Returns the models that a runner must serve for calls to a service.
 	 * @param service the service
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerWork.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerWork.java
@@ -53,6 +53,8 @@
 
 	private final SlowdownTracker slowdown = new SlowdownTracker();
 
+	private boolean slowdownStated;
+
 	private final Deque<Long> pendingSinceMillis = new ArrayDeque<>();
 
 	private int responding;
@@ -110,7 +112,18 @@
 	 */
 	void recordResponseLoad(RunnerLoad load, long nowMillis) {
 		recordLoad(load, nowMillis);
-		this.slowdown.record(load.slowdown(), nowMillis);
+		load.slowdown().ifPresent((stated) -> {
+			this.slowdownStated = true;
+			this.slowdown.record(stated, nowMillis);
+		});
+	}
+
+	/**
+	 * Returns whether the runner states how slow its machine is at the moment.
+	 * @return whether it has stated it since it started
+	 */
+	boolean statesSlowdown() {
+		return this.slowdownStated;
 	}
 
 	void startResponse(long promptTokens, long elapsedMillis) {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/SharedCallState.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/SharedCallState.java
@@ -109,7 +109,8 @@
 	 * @return the cost, never null
 	 */
 	RequestCost estimateCost(AdmittedRequest request) {
-		return this.costs.estimate(request, this.runners.engine(request.service()));
+		return this.costs.estimate(request, this.runners.engine(request.service()),
+				() -> this.runners.stateSlowdown(request.service()));
 	}
 
 	/**
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerChoiceFiguresTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerChoiceFiguresTests.java
@@ -11,6 +11,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
@@ -342,7 +343,8 @@
 		}
 
 		RunnerLoad load(int now) {
-			return new RunnerLoad(this.generating.size(), this.queue.size() + this.reading.size(), slowdown(now));
+			return new RunnerLoad(this.generating.size(), this.queue.size() + this.reading.size(),
+					OptionalDouble.of(slowdown(now)));
 		}
 
 		double remainingTokens() {
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerWorkTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerWorkTests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 import org.junit.jupiter.api.Test;
 
@@ -65,7 +66,7 @@
 	// has just started and takes busy runners for idle ones.
 	@Test
 	void requestsOfOthersCountWhileReportsAreRecent() {
-		this.work.recordLoad(new RunnerLoad(3, 2, 1), 1000);
+		this.work.recordLoad(new RunnerLoad(3, 2, OptionalDouble.of(1)), 1000);
 		assertThat(backlog(1200)).isEqualTo(new RunnerBacklog(3 * 120 + 2 * 80, 1, 0, 200));
 		assertThat(backlog(2600)).isEqualTo(new RunnerBacklog(0, 1, 0, Long.MAX_VALUE));
 	}
@@ -74,7 +75,7 @@
 	@Test
 	void impossibleFiguresAreIgnored() {
 		for (double wrong : new double[] { Double.NaN, -1, 0, 1e9, Double.POSITIVE_INFINITY }) {
-			this.work.recordResponseLoad(new RunnerLoad(-5, -5, wrong), 1000);
+			this.work.recordResponseLoad(new RunnerLoad(-5, -5, OptionalDouble.of(wrong)), 1000);
 		}
 		assertThat(backlog(1000)).isEqualTo(new RunnerBacklog(0, 1, 0, 0));
 	}
@@ -82,7 +83,7 @@
 	// Guards against a runner that counts as slow for as long as it gets no requests.
 	@Test
 	void aStatedSlowdownLosesItsEffect() {
-		this.work.recordResponseLoad(new RunnerLoad(0, 0, 3), 1000);
+		this.work.recordResponseLoad(new RunnerLoad(0, 0, OptionalDouble.of(3)), 1000);
 		assertThat(backlog(1000).slowdown()).isEqualTo(3);
 		assertThat(backlog(1300).slowdown()).isBetween(1.9, 2.2);
 		assertThat(backlog(1700).slowdown()).isBetween(1.05, 1.15);
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/GatewaySettings.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/GatewaySettings.java
@@ -170,16 +170,17 @@
 	}
 
 	private static Routing routing(SectionReader reader, Consumer<ConfigurationProblem> replaced) {
-		boolean byCost = valueOrElse(reader, "by-cost", false, GatewaySettings::flag, replaced);
+		ByCost byCost = valueOrElse(reader, "by-cost", ByCost.NEVER, GatewaySettings::byCost, replaced);
 		reader.checkUnknownKeys();
 		return new Routing(byCost);
 	}
 
-	private static boolean flag(String text) {
+	private static ByCost byCost(String text) {
 		return switch (text) {
-			case "true" -> true;
-			case "false", "" -> false;
-			default -> throw new IllegalArgumentException("write true or false");
+			case "true" -> ByCost.ALWAYS;
+			case "if-slowdown-stated" -> ByCost.IF_SLOWDOWN_STATED;
+			case "false", "" -> ByCost.NEVER;
+			default -> throw new IllegalArgumentException("write true, if-slowdown-stated or false");
 		};
 	}
 
@@ -283,10 +284,30 @@
 	/**
 	 * How runners are chosen. Immutable.
 	 *
-	 * @param byCost whether the choice depends on the expected cost of calls and on the
-	 * work that is left at runners
+	 * @param byCost for which services the choice depends on the expected cost of calls
+	 * and on the work that is left at runners
 	 */
-	public record Routing(boolean byCost) {
+	public record Routing(ByCost byCost) {
+
+		public Routing {
+			Objects.requireNonNull(byCost, "byCost must not be null");
+		}
+
+	}
+
+	/**
+	 * The services whose runners are chosen by the expected cost of calls.
+	 */
+	public enum ByCost {
+
+		/** No service. */
+		NEVER,
+
+		/** Services whose runners state how slow their machines are at the moment. */
+		IF_SLOWDOWN_STATED,
+
+		/** All services. */
+		ALWAYS
 
 	}
 
--- a/catkingate-runtime/src/test/java/org/catkingate/runtime/settings/GatewaySettingsTests.java
+++ b/catkingate-runtime/src/test/java/org/catkingate/runtime/settings/GatewaySettingsTests.java
@@ -42,10 +42,13 @@
 	@Test
 	void runnersAreChosenByCostOnlyIfTheFileSaysSo() throws Exception {
 		String text = Files.readString(example("gateway.ini"));
-		assertThat(GatewaySettings.parse(text).routing().byCost()).isFalse();
-		assertThat(GatewaySettings.parse(text + "\n[routing]\nby-cost = true\n").routing().byCost()).isTrue();
+		assertThat(GatewaySettings.parse(text).routing().byCost()).isEqualTo(GatewaySettings.ByCost.NEVER);
+		assertThat(GatewaySettings.parse(text + "\n[routing]\nby-cost = true\n").routing().byCost())
+			.isEqualTo(GatewaySettings.ByCost.ALWAYS);
+		assertThat(GatewaySettings.parse(text + "\n[routing]\nby-cost = if-slowdown-stated\n").routing().byCost())
+			.isEqualTo(GatewaySettings.ByCost.IF_SLOWDOWN_STATED);
 		GatewaySettings unreadable = GatewaySettings.parseTolerant(text + "\n[routing]\nby-cost = perhaps\n");
-		assertThat(unreadable.routing().byCost()).isFalse();
+		assertThat(unreadable.routing().byCost()).isEqualTo(GatewaySettings.ByCost.NEVER);
 		assertThat(unreadable.replacedValues()).hasSize(1);
 	}
 
