Do not serve a more urgent level less often than a less urgent one

Change: late calls of a level that is served less often than a less urgent one go before on-time calls of that level.

RunnerTableTests, WaitingCallsTests, CompetingLoadTests, WaitingQueueTests and AdmissionPoliciesTests pass.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/competition/ServiceCompetition.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/competition/ServiceCompetition.java
@@ -72,6 +72,8 @@
 
 	private final Map<AccountName, Share> accounts = new HashMap<>();
 
+	private final Map<Urgency, Share> levels = new HashMap<>();
+
 	/** What each account has received in each urgency level, by cost. */
 	private final Map<Urgency, Map<AccountName, DecayingSum>> costs = new HashMap<>();
 
@@ -125,6 +127,7 @@
 		this.lastSeenMillis.put(call.urgency(), nowMillis);
 		this.all.arrived.add(1, nowMillis);
 		share(this.routes, call.route()).arrived.add(1, nowMillis);
+		share(this.levels, call.urgency()).arrived.add(1, nowMillis);
 		if (call.account() != null) {
 			share(this.accounts, call.account()).arrived.add(1, nowMillis);
 		}
@@ -142,6 +145,7 @@
 	public void recordSend(Competitor call, boolean late, long nowMillis) {
 		this.all.sent.add(1, nowMillis);
 		share(this.routes, call.route()).sent.add(1, nowMillis);
+		share(this.levels, call.urgency()).sent.add(1, nowMillis);
 		if (call.account() != null) {
 			share(this.accounts, call.account()).sent.add(1, nowMillis);
 			this.costs.computeIfAbsent(call.urgency(), (key) -> new HashMap<>())
@@ -168,6 +172,7 @@
 		this.accounts.values().removeIf((share) -> share.arrived.value(nowMillis) < NEGLIGIBLE_CALLS);
 		this.costs.values()
 			.forEach((level) -> level.values().removeIf((cost) -> cost.value(nowMillis) < NEGLIGIBLE_CALLS));
+		this.levels.keySet().retainAll(this.lastSeenMillis.keySet());
 		this.sent.keySet().retainAll(this.lastSeenMillis.keySet());
 		this.costs.keySet().retainAll(this.lastSeenMillis.keySet());
 	}
@@ -238,6 +243,28 @@
 		return usage(call.urgency(), call.account(), nowMillis) > total / level.size();
 	}
 
+	/**
+	 * Returns whether a level is served less often than a less urgent one. Its late calls
+	 * then go before calls of that level that can be on time. Otherwise a short goal
+	 * would be a disadvantage where predictions are uncertain: calls with a longer one
+	 * can wait for a place for longer before they are late.
+	 * @param urgency the urgency of the level
+	 * @param nowMillis the time now, in monotonic milliseconds
+	 * @return whether there is such a level
+	 */
+	public boolean isServedLessThanLessUrgent(Urgency urgency, long nowMillis) {
+		Share own = this.levels.get(urgency);
+		if (own == null || own.arrived.value(nowMillis) < MIN_CALLS) {
+			return false;
+		}
+		double served = own.served(nowMillis);
+		return this.levels.entrySet()
+			.stream()
+			.anyMatch((level) -> level.getKey().compareTo(urgency) > 0
+					&& level.getValue().arrived.value(nowMillis) >= MIN_CALLS
+					&& level.getValue().served(nowMillis) > served);
+	}
+
 	/**
 	 * Returns what an account has received recently in an urgency level.
 	 * @param urgency the urgency
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/competition/WaitingQueue.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/competition/WaitingQueue.java
@@ -131,7 +131,8 @@
 				continue;
 			}
 			Entry<T> candidate = group.getValue().first(nowMillis);
-			boolean late = group.getValue().onTime.isEmpty();
+			boolean late = group.getValue().onTime.isEmpty()
+					&& !competition.isServedLessThanLessUrgent(candidate.urgency(), nowMillis);
 			double usage = competition.usage(candidate.urgency(), candidate.account(), nowMillis);
 			if (first == null || ((late != firstLate) ? firstLate : isBefore(candidate, usage, first, firstUsage))) {
 				first = candidate;
