--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/competition/CompetingLoadTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/competition/CompetingLoadTests.java
@@ -52,10 +52,6 @@
 
 	private static final List<Type> TYPES = List.of(URGENT, MIDDLE, PATIENT);
 
-	private static final int RUNNERS = 12;
-
-	private static final int GATEWAYS = 4;
-
 	private static final long TIMEOUT_MILLIS = 6000;
 
 	private final Random random = new Random(20261204);
@@ -63,9 +59,9 @@
 	private final UrgencyLevels levels = new UrgencyLevels(
 			TYPES.stream().map((type) -> new UrgencyLevels.Level(type.urgency(), type.goalMillis())).toList());
 
-	private final List<Gateway> gateways = IntStream.range(0, GATEWAYS).mapToObj((i) -> new Gateway()).toList();
+	private List<Gateway> gateways = createGateways(4);
 
-	private final List<Runner> runners = IntStream.range(0, RUNNERS).mapToObj(Runner::new).toList();
+	private List<Runner> runners = createRunners(12);
 
 	private final PriorityQueue<Call> arrivals = new PriorityQueue<>(Comparator.comparingLong((call) -> call.at));
 
@@ -79,13 +75,21 @@
 	/** Whether callers come back at once and up to three times. */
 	private boolean impatient;
 
+	private List<Gateway> createGateways(int count) {
+		return IntStream.range(0, count).mapToObj((i) -> new Gateway()).toList();
+	}
+
+	private List<Runner> createRunners(int count) {
+		return IntStream.range(0, count).mapToObj(Runner::new).toList();
+	}
+
 	/** The factor of the rates at which all types use a part of the runners. */
-	private static double factor(double load) {
+	private double factor(double load) {
 		double work = TYPES.stream()
 			.mapToDouble((type) -> type.perSecond() * (type.promptTokens() / ENGINE.promptTokensPerMilli()
 					+ type.events() * ENGINE.tokensPerEvent() * (ENGINE.stepMillis() + 0.24) / ENGINE.slots()))
 			.sum();
-		return load * RUNNERS * 1000 / work;
+		return load * this.runners.size() * 1000 / work;
 	}
 
 	private void add(Type type, double factor, long from, long to, double heavyShare) {
@@ -103,7 +107,7 @@
 			this.runners.forEach(Runner::advance);
 			while (!this.arrivals.isEmpty() && this.arrivals.peek().at <= this.now) {
 				Call call = this.arrivals.remove();
-				this.gateways.get(this.random.nextInt(GATEWAYS)).receive(call);
+				this.gateways.get(this.random.nextInt(this.gateways.size())).receive(call);
 			}
 			if (this.now % 50 == 0) {
 				this.gateways.forEach(Gateway::check);
@@ -135,6 +139,18 @@
 		assertThat(served((call) -> call.type == PATIENT)).isGreaterThan(0.25 * served((call) -> true));
 	}
 
+	// Guards against urgent calls that start late since many gateways see the same free
+	// runners. The size is that of the first customer.
+	@Test
+	void sustainedOverloadWithManyGatewaysServesTheMostUrgentCallsFirst() {
+		this.gateways = createGateways(16);
+		this.runners = createRunners(41);
+		TYPES.forEach((type) -> add(type, factor(1.3), 0, 10_000, 0));
+		run(17_000);
+		assertThat(served((call) -> call.type == URGENT)).isGreaterThan(served((call) -> call.type == MIDDLE));
+		assertThat(earned(URGENT)).isGreaterThanOrEqualTo(0.85);
+	}
+
 	// Guards against a burst of the least urgent calls that costs the others their
 	// value, and the same right after it for a burst of the most urgent ones.
 	@Test
@@ -176,7 +192,7 @@
 	void aThirdOfTheRunnersIsLostAtOnce() {
 		TYPES.forEach((type) -> add(type, factor(0.85), 0, 15_000, 0));
 		run(5000);
-		this.runners.subList(0, RUNNERS / 3).forEach((runner) -> runner.up = false);
+		this.runners.subList(0, this.runners.size() / 3).forEach((runner) -> runner.up = false);
 		run(22_000);
 		assertThat(earned(URGENT)).isGreaterThanOrEqualTo(0.85);
 		assertThat(served((call) -> call.type == PATIENT)).isGreaterThan(0.25 * served((call) -> true));
@@ -335,8 +351,8 @@
 					return;
 				}
 				if (!entry.followsRate()) {
-					this.competition.recordRelease(ENGINE.meanPromptTokens() / ENGINE.promptTokensPerMilli(), RUNNERS,
-							GATEWAYS, now);
+					this.competition.recordRelease(ENGINE.meanPromptTokens() / ENGINE.promptTokensPerMilli(),
+							CompetingLoadTests.this.runners.size(), CompetingLoadTests.this.gateways.size(), now);
 				}
 				this.queue.remove(entry);
 				end(entry.call(), decision);
@@ -385,7 +401,7 @@
 		private RunnerOption option(Gateway gateway) {
 			List<Call> pending = known(this.unread, this.reportedUnread, gateway);
 			// as in RunnerWork: other gateways see the same load
-			double sentByOthers = 0.5 * (GATEWAYS - 1)
+			double sentByOthers = 0.5 * (CompetingLoadTests.this.gateways.size() - 1)
 					* this.sentSinceReport.stream().filter((call) -> call.gateway == gateway).count();
 			return new RunnerOption(this.id, Distance.DATA_CENTRE, ENGINE.slots(),
 					known(this.responding, this.reportedResponding, gateway).size(), pending.size() + sentByOthers,
