Pass on a retained configuration as one that the registry does not hold

The trace: after a restore, a process that knew the higher configuration passed it on under the revision of the registry's lower one. The receiver did not mark it as retained and left it out of its own copies, but these copies still confirmed the older configuration of a third process, which had started in the gap.

A retained configuration or version is now passed on under revision 0, and the receiver retains it. The bound is unchanged.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowState.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/FollowState.java
@@ -122,9 +122,20 @@
 			.stream()
 			.filter((item) -> item.content() != null && !graceDeadlines().containsKey(item.key()))
 			.filter(condition)
+			.map(this::withRevisionInRegistry)
 			.toList();
 	}
 
+	/*
+	 * A retained configuration or version is passed on as one that the registry does not
+	 * hold. Under the revision of the registry's lower value, the receiver would not
+	 * retain it, would not pass it on, and would still confirm the copies of others.
+	 */
+	private RegistryItem withRevisionInRegistry(RegistryItem item) {
+		return (retained().contains(item.key()) && ItemMerge.isVersioned(item.value()))
+				? new RegistryItem(item.key(), ItemMerge.NOT_IN_REGISTRY, item.value(), item.content()) : item;
+	}
+
 	RegistryView view() {
 		return RegistryView.of(this.position, items().values());
 	}
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/ItemMerge.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/registry/ItemMerge.java
@@ -22,8 +22,11 @@
  */
 final class ItemMerge {
 
-	/** Lower than any revision, so that each change replaces the item. */
-	private static final long NOT_IN_REGISTRY = 0;
+	/**
+	 * The revision of an item that is in force although the registry does not hold it. It
+	 * is lower than any other, so that each change replaces the item.
+	 */
+	static final long NOT_IN_REGISTRY = 0;
 
 	private final FollowState state;
 
@@ -88,6 +91,9 @@
 		if (known != null && staysInForce(known.value(), item.value(), restored)) {
 			retain(known, item.revision());
 		}
+		else if (isVersioned(item.value()) && item.revision() == NOT_IN_REGISTRY) {
+			retain(item, NOT_IN_REGISTRY);
+		}
 		else {
 			this.items.put(item.key(), item);
 			this.retained.remove(item.key());
@@ -102,11 +108,19 @@
 	 */
 	void putIfHigher(RegistryItem item) {
 		RegistryItem known = this.items.get(item.key());
-		if (isVersioned(item.value()) && (known == null || staysInForce(item.value(), known.value(), false))) {
+		if (isVersioned(item.value()) && (known == null || staysInForce(item.value(), known.value(), false)
+				|| isRetainedElsewhere(item, known))) {
 			retain(item, (known != null) ? known.revision() : NOT_IN_REGISTRY);
 		}
 	}
 
+	/*
+	 * The sender may have seen the registry fall back after this process did.
+	 */
+	private static boolean isRetainedElsewhere(RegistryItem item, RegistryItem known) {
+		return item.revision() == NOT_IN_REGISTRY && item.value().equals(known.value());
+	}
+
 	/**
 	 * Removes an item that the registry does not hold, unless it may come back.
 	 * @param known the known item
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/registry/RegistryRestorePropertiesTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/registry/RegistryRestorePropertiesTests.java
@@ -11,6 +11,7 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 
@@ -59,6 +60,18 @@
 	// keys that are accepted after a restore.
 	@Property(tries = TRIES)
 	void allFollowersAgreeWithTheRegistryOnceEverythingIsWrittenAgain(@ForAll long seed) {
+		checkAgreement(seed);
+	}
+
+	// Guards against a process that starts after a restore, reads an older configuration
+	// and confirms it by the copy of a process that has the newer one at second hand.
+	@Example
+	void allFollowersAgreeWithTheRegistryForSeedsThatFailedBefore() {
+		checkAgreement(9193);
+		checkAgreement(1996);
+	}
+
+	private static void checkAgreement(long seed) {
 		Simulation simulation = new Simulation(seed);
 		while (simulation.now < END_MILLIS) {
 			simulation.step();
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/registry/RegistryRestoreTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/registry/RegistryRestoreTests.java
@@ -442,6 +442,35 @@
 				.containsExactly("configuration");
 		}
 
+		// Guards against a process that takes a revoked key for valid since the one that
+		// it asks has the configuration from a third one and does not pass it on.
+		@Test
+		void passesOnWhatTheRegistryLacksAlsoToAThirdProcess() {
+			completeFullRead(1, 90, configuration(8, 80), version(2, 81));
+			receiveChanges(2, 40);
+			receivePage(false, 2, 40, configuration(7, 30, "revoked"), version(1, 31));
+			RegistryDelta whole = RegistryRestoreTests.this.state.deltaSince(at(1, 95));
+			RegistryDelta changes = RegistryRestoreTests.this.state.deltaSince(at(2, 20));
+			RegistryDelta first = passOn(at(1, 95), whole).deltaSince(at(2, 40));
+			assertThat(first.changes()).extracting(RegistryItem::key)
+				.containsExactlyInAnyOrder("configuration", "version");
+			assertThat(passOn(at(2, 20), changes).deltaSince(at(2, 40)).changes()).extracting(RegistryItem::key)
+				.containsExactlyInAnyOrder("configuration", "version");
+			receiveChanges(2, 50, configuration(9, 50));
+			assertThat(configurationVersion()).isEqualTo(9);
+		}
+
+		/*
+		 * Returns the state of a process that receives a copy while it is at a position
+		 * with an older configuration.
+		 */
+		private FollowState passOn(RegistryPosition position, RegistryDelta delta) {
+			RegistryRestoreTests.this.state = FollowState.initial(FollowTimes.forAllItems(1500), 7);
+			completeFullRead(position.era(), position.revision(), configuration(6, 10), version(1, 11));
+			reduce(new FollowEvent.CopyReceived(moment(), delta));
+			return RegistryRestoreTests.this.state;
+		}
+
 	}
 
 	@Nested
