Keep the requests sent to a runner within its published memory

Nothing bounded the tokens that a runner holds; it crashes above its memory. The new condition WITHIN_MEMORY is asked at the choice and again immediately before the write, where the tokens are reserved. Requests of this gateway count exactly (prompt, and the caller's maximum or the mean of the engine, or what has been generated if that is more); those of others count with the mean for as long as reports are recent. A call larger than the memory of any runner is rejected at once for that reason. A service that publishes no memory is served as before.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/sending/SendCondition.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/sending/SendCondition.java
@@ -36,7 +36,14 @@
 	/** The runner has not asked for a pause. */
 	NOT_PAUSED("the runner has asked for a pause", (call, runner, now) -> !runner.isPaused(now)),
 
-	/** The limit that the runner has stated leaves room. */
+	/** The memory of the runner has room for the call. */
+	WITHIN_MEMORY("the memory of the runner has no room for it",
+			(call, runner, now) -> runner.hasMemory(call.memory(), now)),
+
+	/**
+	 * The limit that the runner has stated leaves room. The last one, since it may be
+	 * unmet for a call that gets a permit before it is written.
+	 */
 	WITHIN_LIMIT("the limit that the runner has stated is used up", (call, runner, now) -> runner.hasPermit(now));
 
 	private static final SendCondition[] IN_ORDER = values();
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/sending/SendTarget.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/sending/SendTarget.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Optional;
 
+import org.catkingate.decisions.memory.MemoryNeed;
 import org.catkingate.model.ModelName;
 import org.catkingate.model.RegionName;
 import org.catkingate.model.ServiceName;
@@ -54,6 +55,14 @@
 	 */
 	boolean serves(Collection<ModelName> models, long nowMillis);
 
+	/**
+	 * Returns whether the memory of the runner has room for a call.
+	 * @param need the memory that the call needs
+	 * @param nowMillis the time now, in monotonic milliseconds
+	 * @return whether the call fits beside the requests that were sent there
+	 */
+	boolean hasMemory(MemoryNeed need, long nowMillis);
+
 	/**
 	 * Returns whether the requests that the runner takes from all gateways together leave
 	 * room for one of this gateway.
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/memory/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the decisions on memory.
+ */
+package org.catkingate.decisions.memory;
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/CallAdmission.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/CallAdmission.java
@@ -9,6 +9,7 @@
 import org.catkingate.decisions.admission.AdmissionDecision;
 import org.catkingate.decisions.admission.CallDescription;
 import org.catkingate.decisions.admission.CallRequirements;
+import org.catkingate.decisions.memory.MemoryNeed;
 import org.catkingate.decisions.sending.CallScope;
 import org.catkingate.model.RunnerId;
 
@@ -123,7 +124,9 @@
 	 */
 	CallScope scope() {
 		return new CallScope(this.admitted.service(), this.sharedState.runners().models(this.admitted.service()),
-				this.admitted.residency(), this.quarantined.getAsBoolean());
+				this.admitted.residency(), this.quarantined.getAsBoolean(),
+				MemoryNeed.of(this.admitted.head().promptTokens(), this.admitted.head().maxResponseTokens(),
+						this.sharedState.runners().engine(this.admitted.service())));
 	}
 
 	/**
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
@@ -10,6 +10,7 @@
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
+import org.catkingate.decisions.memory.RunnerMemory;
 import org.catkingate.decisions.sending.CallScope;
 import org.catkingate.decisions.sending.SendCondition;
 import org.catkingate.runtime.MonotonicClock;
@@ -61,6 +62,11 @@
 	/** Gives back the permit of this attempt, empty if it has none. */
 	private Optional<Runnable> permit = Optional.empty();
 
+	/** The memory of the runner that this attempt occupies, empty before it is sent. */
+	private Optional<RunnerMemory.Reservation> memory = Optional.empty();
+
+	private final EventCounter events = new EventCounter();
+
 	private RunnerAttempt(RunnerState runner, OutgoingRequest outgoing, HeaderCodec codec, MonotonicClock clock,
 			Listener listener) {
 		this.runner = runner;
@@ -120,6 +126,8 @@
 			return;
 		}
 		this.sentAtMillis = this.clock.millis();
+		this.memory = Optional
+			.of(this.runner.work().memory().reserve(this.outgoing.scope().get().memory(), this.sentAtMillis));
 		this.listener.onSend(this);
 		this.call = StreamedCall.start(connection, this.outgoing.request(), this.outgoing.body(), this);
 	}
@@ -225,6 +233,7 @@
 
 	private void finish() {
 		this.finished = true;
+		this.memory.ifPresent(RunnerMemory.Reservation::release);
 		if (this.call == null) {
 			this.permit.ifPresent(Runnable::run);
 		}
@@ -266,6 +275,7 @@
 			this.runner.recordResponseStart();
 			this.listener.onResponseStart(this, elapsedMillis);
 		}
+		this.memory.ifPresent((reservation) -> reservation.addEvents(this.events.add(bytes)));
 		this.listener.onData(this, bytes);
 	}
 
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
@@ -6,6 +6,7 @@
 
 import org.catkingate.decisions.admission.RunnerIntake;
 import org.catkingate.decisions.admission.RunnerOption;
+import org.catkingate.decisions.memory.MemoryNeed;
 import org.catkingate.decisions.routing.Distance;
 import org.catkingate.decisions.sending.SendTarget;
 import org.catkingate.model.ModelName;
@@ -193,6 +194,11 @@
 		return !isMisdirected(nowMillis) && servedVersions(nowMillis).keySet().containsAll(models);
 	}
 
+	@Override
+	public boolean hasMemory(MemoryNeed need, long nowMillis) {
+		return this.work.memory().hasRoom(need, nowMillis);
+	}
+
 	@Override
 	public boolean hasPermit(long nowMillis) {
 		return this.permits.canSend(start(), nowMillis);
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -125,6 +125,10 @@
 		if (scope.residency().contradictory()) {
 			return AdmissionPolicies.whileExcluded("the route and the client account allow no region in common", draw);
 		}
+		if (!scope.memory().fitsEmptyRunner()) {
+			return AdmissionPolicies
+				.whileExcluded("it needs more tokens than the memory of any runner of its service holds", draw);
+		}
 		Optional<EngineProfile> engine = engine(scope.service());
 		double meanPromptTokens = engine.map(EngineProfile::meanPromptTokens).orElse(0.0);
 		List<RunnerOption> options = new ArrayList<>();
@@ -227,7 +231,12 @@
 		return holding < loading;
 	}
 
-	private Optional<EngineProfile> engine(ServiceName service) {
+	/**
+	 * Returns what is published about the engines of a service.
+	 * @param service the service
+	 * @return the profile, empty for a service without engines
+	 */
+	Optional<EngineProfile> engine(ServiceName service) {
 		return this.view.configuration().flatMap((configuration) -> configuration.engine(service));
 	}
 
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerWork.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerWork.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 
 import org.catkingate.decisions.admission.RunnerOption;
+import org.catkingate.decisions.memory.RunnerMemory;
 import org.catkingate.decisions.routing.Distance;
 import org.catkingate.model.RunnerId;
 import org.catkingate.runtime.calls.RunnerLoad;
@@ -48,6 +49,8 @@
 
 	private final Deque<Long> pendingSinceMillis = new ArrayDeque<>();
 
+	private final RunnerMemory memory = new RunnerMemory();
+
 	private int responding;
 
 	private int pending;
@@ -88,7 +91,12 @@
 		this.responding--;
 	}
 
+	RunnerMemory memory() {
+		return this.memory;
+	}
+
 	void recordLoad(RunnerLoad load, long nowMillis) {
+		this.memory.recordRequests(load.running() + load.waiting(), nowMillis);
 		this.othersResponding = Math.max(0, load.running() - this.responding);
 		this.othersPending = Math.max(0, load.waiting() - this.pending);
 		this.sentSinceReport = 0;
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerAttemptTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerAttemptTests.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.api.Test;
 import org.xnio.XnioWorker;
 
+import org.catkingate.decisions.memory.MemoryNeed;
 import org.catkingate.decisions.permits.RunnerLimits;
 import org.catkingate.decisions.routing.Distance;
 import org.catkingate.decisions.sending.CallScope;
@@ -143,6 +144,21 @@
 		assertThat(outcome.end.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).startsWith("not sent: ");
 	}
 
+	// Guards against two requests that were chosen at the same time and together exceed
+	// the memory of their runner.
+	@Test
+	void isNotSentIfAnotherRequestFillsTheMemoryWhileTheConnectionIsOpened() throws Exception {
+		Outcome outcome = new Outcome();
+		outcome.memory = new MemoryNeed(600, 100, 5, 700, 1000);
+		RunnerState runner = createRunner();
+		this.worker.getIoThread().execute(() -> {
+			startAttempt(runner, outcome);
+			runner.work().memory().reserve(outcome.memory, MonotonicClock.system().millis());
+		});
+		assertThat(outcome.end.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).startsWith("not sent: ")
+			.contains("memory of the runner");
+	}
+
 	@Test
 	void isSentIfItsRunnerTakesRequests() throws Exception {
 		Outcome outcome = new Outcome();
@@ -164,8 +180,11 @@
 
 		private boolean quarantined;
 
+		private MemoryNeed memory = MemoryNeed.none();
+
 		private CallScope scope() {
-			return new CallScope(new ServiceName("songs"), List.of(), Residency.anywhere(), this.quarantined);
+			return new CallScope(new ServiceName("songs"), List.of(), Residency.anywhere(), this.quarantined,
+					this.memory);
 		}
 
 		@Override
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
@@ -15,6 +15,7 @@
 import org.catkingate.decisions.admission.AdmissionPolicies;
 import org.catkingate.decisions.admission.CallDescription;
 import org.catkingate.decisions.admission.CallRequirements;
+import org.catkingate.decisions.memory.MemoryNeed;
 import org.catkingate.decisions.permits.RunnerLimits;
 import org.catkingate.decisions.registry.RegistryView;
 import org.catkingate.decisions.routing.Distance;
@@ -404,4 +405,32 @@
 		assertThat(decide(0.5, 3201)).isInstanceOf(AdmissionDecision.Send.class);
 	}
 
+	private AdmissionDecision decide(MemoryNeed need) {
+		CallScope scope = new CallScope(SERVICE, List.of(MODEL), Residency.anywhere(), false, need);
+		return this.table.decide(
+				new CallDescription(scope, new Urgency(0, 0), null, new CallRequirements(100, 600, 6000, 1)), Set.of(),
+				3, 0.5, 1000);
+	}
+
+	// Guards against a runner that crashes since a call is sent there beside others that
+	// fill its memory, and against a call that is rejected although another has room.
+	@Test
+	void callIsSentWhereTheMemoryHasRoomForIt() {
+		this.table.update(view(Map.of(), runner("a", false, Map.of(MODEL, 1L)), runner("b", false, Map.of(MODEL, 1L))),
+				500);
+		MemoryNeed need = new MemoryNeed(600, 100, 5, 700, 1000);
+		this.table.state(new RunnerId("a")).work().memory().reserve(need, 900);
+		assertThat(((AdmissionDecision.Send) decide(need)).runner()).isEqualTo(new RunnerId("b"));
+		this.table.state(new RunnerId("b")).work().memory().reserve(need, 900);
+		assertThat(((AdmissionDecision.Reject) decide(need)).reason()).contains("memory of the runner has no room");
+	}
+
+	// Guards against a call that waits for a place although no runner can ever hold it.
+	@Test
+	void callThatIsLargerThanTheMemoryOfAnyRunnerIsRejectedForThatReason() {
+		this.table.update(view(Map.of(), runner("a", false, Map.of(MODEL, 1L))), 500);
+		assertThat(((AdmissionDecision.Reject) decide(new MemoryNeed(600, 401, 5, 700, 1000))).reason())
+			.contains("more tokens than the memory of any runner");
+	}
+
 }
