Bound what a gateway holds for all slow readers together

Each response was bounded at 256 KB, but nothing bounded the sum: 250 callers that do not read filled the heap of 64 MB. The sum is now bounded (`[slow-readers] memory-kb`, 16 MB, at most a fourth of the heap). Above it, the response that has been unread for the longest is cut without its end, with the line slow-reader-cut and the counter catkingate_gateway_slow_readers_cut. While there is room, a response may hold as much as is still free for all, so that its runner is read on. What is held includes the buffers themselves.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -109,7 +109,8 @@
 		this.sharedState = sharedState;
 		this.responseCheck = new ResponseCheck(admitted.head().requestId(),
 				exchange.getRequestHeaders().getFirst(Headers.ACCEPT_ENCODING), this.route.kind() == CallKind.STREAM);
-		this.relay = new ResponseRelay(exchange, this::handleCallerWritable, this::handleCallerDisconnect);
+		this.relay = new ResponseRelay(exchange, sharedState.slowReaders(), this::handleCallerWritable,
+				this::handleCallerDisconnect);
 		this.log = RequestLog.of(admitted);
 		this.parts = new ArrayList<>(admitted.head().sharedParts());
 		this.parts.add(admitted.fingerprint(exchange.getRequestMethod().toString()));
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
@@ -27,6 +27,8 @@
 
 	private final Counter limited;
 
+	private final Counter slowReaders;
+
 	private final Gauge inProgress;
 
 	private final Histogram timeToFirstByte;
@@ -63,6 +65,10 @@
 			.name("catkingate_gateway_limited")
 			.help("Requests that were not sent because the limits of all runners were used up")
 			.register(registry);
+		this.slowReaders = Counter.builder()
+			.name("catkingate_gateway_slow_readers_cut")
+			.help("Responses cut since their callers did not read and the memory for such responses was used up")
+			.register(registry);
 		this.inProgress = Gauge.builder()
 			.name("catkingate_gateway_requests_in_progress")
 			.help("Requests in progress")
@@ -114,6 +120,10 @@
 		this.limited.inc();
 	}
 
+	void countSlowReader() {
+		this.slowReaders.inc();
+	}
+
 	void countRejected(String outcome) {
 		this.requests.labelValues(outcome).inc();
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/ResponseRelay.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/ResponseRelay.java
@@ -23,9 +23,6 @@
 	/** The maximum length of a response that is buffered until it is complete. */
 	private static final int MAX_BUFFERED_BYTES = 256 * 1024;
 
-	/** The number of bytes pending for a slow caller at which reading is suspended. */
-	private static final int MAX_PENDING_BYTES = 256 * 1024;
-
 	/**
 	 * The maximum length of an event, of which nothing is forwarded until it is complete.
 	 */
@@ -40,6 +37,10 @@
 
 	private final CallerResponseWriter callerResponse;
 
+	private final SlowReaders slowReaders;
+
+	private final Runnable disconnected;
+
 	private ClientResponse runnerResponse;
 
 	private boolean streaming;
@@ -56,10 +57,18 @@
 	/**
 	 * Creates a relay that has not written anything yet.
 	 * @param exchange the caller's exchange
+	 * @param slowReaders bounds what is held for all callers together
 	 * @param writable run when the caller's connection becomes writable
-	 * @param disconnected run if a write finds the caller's connection closed
+	 * @param disconnected run if a write finds the caller's connection closed, or the
+	 * caller is disconnected since it does not read
 	 */
-	ResponseRelay(HttpServerExchange exchange, Runnable writable, Runnable disconnected) {
+	ResponseRelay(HttpServerExchange exchange, SlowReaders slowReaders, Runnable writable, Runnable disconnected) {
+		this.slowReaders = slowReaders;
+		this.disconnected = disconnected;
+		exchange.addExchangeCompleteListener((completed, next) -> {
+			slowReaders.remove(this);
+			next.proceed();
+		});
 		this.callerResponse = new CallerResponseWriter(exchange, writable, disconnected);
 	}
 
@@ -111,10 +120,10 @@
 
 	/**
 	 * Returns whether more of the body can be accepted now.
-	 * @return whether fewer than {@link #MAX_PENDING_BYTES} wait for the caller
+	 * @return whether there is room for bytes that wait for the caller
 	 */
 	boolean canAccept() {
-		return this.callerResponse.pendingBytes() < MAX_PENDING_BYTES;
+		return this.slowReaders.hasRoom(this.callerResponse.heldBytes());
 	}
 
 	/**
@@ -162,7 +171,7 @@
 		if (this.streaming) {
 			this.events.add(bytes, this::forward);
 			if (this.callerResponse.isStarted()) {
-				this.callerResponse.writePendingBytes();
+				flush();
 			}
 			return;
 		}
@@ -170,7 +179,7 @@
 		this.buffer.writeBytes(bytes);
 		if (this.buffer.size() > MAX_BUFFERED_BYTES) {
 			forwardBuffered();
-			this.callerResponse.writePendingBytes();
+			flush();
 		}
 	}
 
@@ -243,6 +252,15 @@
 	 */
 	void flush() {
 		this.callerResponse.writePendingBytes();
+		this.slowReaders.record(this, this.callerResponse.heldBytes(), this.callerResponse.writtenBytes());
+	}
+
+	/**
+	 * Disconnects the caller, which does not read. The response is visibly incomplete.
+	 */
+	void cut() {
+		abort();
+		this.disconnected.run();
 	}
 
 	/**
@@ -250,6 +268,7 @@
 	 * detects that it is incomplete.
 	 */
 	void abort() {
+		this.slowReaders.remove(this);
 		this.callerResponse.abort();
 	}
 
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/SharedCallState.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/SharedCallState.java
@@ -45,6 +45,8 @@
 
 	private final WaitingCalls waitingCalls = new WaitingCalls();
 
+	private final SlowReaders slowReaders;
+
 	/**
 	 * Creates the state, without any calls.
 	 * @param runners the runners
@@ -56,9 +58,11 @@
 	 * @param clock the clock
 	 * @param metrics the metrics
 	 * @param prompts detects parts of prompts that crash runners
+	 * @param slowReaders bounds what is held for callers that read slowly
 	 */
 	SharedCallState(RunnerTable runners, HeaderCodec codec, RetryAllowance retryAllowance, IntSupplier gatewayCount,
-			IntSupplier assumedGatewayCount, MonotonicClock clock, GatewayMetrics metrics, PromptGuard prompts) {
+			IntSupplier assumedGatewayCount, MonotonicClock clock, GatewayMetrics metrics, PromptGuard prompts,
+			SlowReaders slowReaders) {
 		this.runners = runners;
 		this.codec = codec;
 		this.retryAllowance = retryAllowance;
@@ -67,6 +71,7 @@
 		this.clock = clock;
 		this.metrics = metrics;
 		this.prompts = prompts;
+		this.slowReaders = slowReaders;
 	}
 
 	HeaderCodec codec() {
@@ -134,6 +139,10 @@
 		return this.waitingCalls;
 	}
 
+	SlowReaders slowReaders() {
+		return this.slowReaders;
+	}
+
 	/**
 	 * Returns the factor that corrects predictions for a service.
 	 * @param service the service
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerResponseWriter.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerResponseWriter.java
@@ -28,6 +28,12 @@
 
 	private static final int MAX_BUFFERS_PER_WRITE = 32;
 
+	/**
+	 * The memory that a buffer occupies beside its bytes, in bytes: the buffer, its array
+	 * and its place in the queue.
+	 */
+	private static final int BUFFER_OVERHEAD_BYTES = 80;
+
 	/**
 	 * The headers of a runner's response that are not forwarded, since they concern only
 	 * one connection or the HTTP server that sent them.
@@ -46,6 +52,8 @@
 
 	private StreamSinkChannel sink;
 
+	private long pendingBytes;
+
 	private long writtenBytes;
 
 	private boolean ended;
@@ -113,11 +121,11 @@
 	}
 
 	/**
-	 * Returns the number of bytes that are waiting to be written.
-	 * @return the number of bytes
+	 * Returns the memory that the waiting bytes occupy.
+	 * @return the number of bytes, with what the buffers themselves need
 	 */
-	public long pendingBytes() {
-		return this.pending.stream().mapToLong(ByteBuffer::remaining).sum();
+	public long heldBytes() {
+		return this.pendingBytes + (long) BUFFER_OVERHEAD_BYTES * this.pending.size();
 	}
 
 	/**
@@ -126,6 +134,7 @@
 	 */
 	public void add(ByteBuffer bytes) {
 		this.pending.add(bytes);
+		this.pendingBytes += bytes.remaining();
 	}
 
 	/**
@@ -134,6 +143,7 @@
 	 */
 	public void clear() {
 		this.pending.clear();
+		this.pendingBytes = 0;
 	}
 
 	/**
@@ -170,6 +180,7 @@
 				return false;
 			}
 			this.writtenBytes += count;
+			this.pendingBytes -= count;
 			while (!this.pending.isEmpty() && !this.pending.peek().hasRemaining()) {
 				this.pending.poll();
 			}
@@ -190,6 +201,7 @@
 	 */
 	public void abort() {
 		this.pending.clear();
+		this.pendingBytes = 0;
 		IoUtils.safeClose(this.exchange.getConnection());
 	}
 
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/GatewaySettings.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/GatewaySettings.java
@@ -35,16 +35,19 @@
  * @param retries the limit on the retries that all gateways together may make
  * @param weights the times for changing the version of weights
  * @param coldRunners how many requests may be sent to cold runners
+ * @param slowReaderBytes the memory for what callers have not read yet, over all
+ * responses
  * @param replacedValues the values that could not be read and were replaced by safe ones
  * @since 0.1
  */
 public record GatewaySettings(ProcessSettings.Process process, Map<DataCentreName, RegionName> regions,
 		RegistrySettings registry, InetSocketAddress callers, PeerSettings peers, ProcessSettings.Operators operators,
 		ProcessSettings.Shutdown shutdown, long keyValidityMillis, RetryAllowance retries, Weights weights,
-		ColdRunners coldRunners, List<ConfigurationProblem> replacedValues) implements RoleSettings {
+		ColdRunners coldRunners, long slowReaderBytes,
+		List<ConfigurationProblem> replacedValues) implements RoleSettings {
 
 	private static final List<String> SECTIONS = List.of("process", "data-centres", "registry", "callers", "peers",
-			"operators", "shutdown", "keys", "retries", "weights", "cold-runners");
+			"operators", "shutdown", "keys", "retries", "weights", "cold-runners", "slow-readers");
 
 	private static final int MAX_DURATION_MILLIS = 24 * 60 * 60 * 1000;
 
@@ -56,6 +59,16 @@
 
 	private static final int MAX_COLD_VALUE = 1_000_000;
 
+	/** A fourth of the usual heap of a gateway. */
+	private static final int DEFAULT_SLOW_READER_KB = 16 * 1024;
+
+	/** The memory that a single slow reader may occupy in any case. */
+	private static final int MIN_SLOW_READER_KB = 256;
+
+	private static final int MAX_SLOW_READER_KB = 1024 * 1024;
+
+	private static final long BYTES_PER_KB = 1024;
+
 	public GatewaySettings {
 		Objects.requireNonNull(process, "process must not be null");
 		regions = Map.copyOf(regions);
@@ -106,9 +119,16 @@
 		RetryAllowance retries = retries(sections.reader("retries"), replaced);
 		Weights weights = weights(sections.reader("weights"), replaced);
 		ColdRunners coldRunners = coldRunners(sections.reader("cold-runners"), replaced);
+		long slowReaderBytes = slowReaderBytes(sections.reader("slow-readers"));
 		sections.problems().throwIfAny();
 		return new GatewaySettings(process, regions, registry, callers, peers, operators, shutdown, keyValidityMillis,
-				retries, weights, coldRunners, replacedValues);
+				retries, weights, coldRunners, slowReaderBytes, replacedValues);
+	}
+
+	private static long slowReaderBytes(SectionReader reader) {
+		int kilobytes = reader.number("memory-kb", DEFAULT_SLOW_READER_KB, MIN_SLOW_READER_KB, MAX_SLOW_READER_KB);
+		reader.checkUnknownKeys();
+		return kilobytes * BYTES_PER_KB;
 	}
 
 	private static Map<DataCentreName, RegionName> regions(SettingsSections sections) {
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
@@ -1,10 +1,12 @@
 package org.catkingate.tests.gateway;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.HttpURLConnection;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -129,6 +131,20 @@
 		return gateway;
 	}
 
+	/**
+	 * Starts a gateway with one route.
+	 * @param kind the kind of the route's calls
+	 * @param moreSettings the sections of its settings that no other test has
+	 * @param runners the addresses of the runners of its service
+	 * @return the gateway, after it has read its configuration
+	 */
+	static TestGateway startWith(CallKind kind, String moreSettings, InetSocketAddress... runners) throws Exception {
+		TestGateway gateway = startWithoutWaiting(new InMemoryRegistry(items(kind, runners)), FreePorts.next(),
+				(client, address) -> null, 8000, "", moreSettings);
+		Awaitility.await().atMost(Duration.ofSeconds(20)).until(gateway::isReady);
+		return gateway;
+	}
+
 	/**
 	 * Starts a gateway and does not wait until it has received a configuration.
 	 * @param registry the registry it follows
@@ -140,6 +156,11 @@
 	 */
 	static TestGateway startWithoutWaiting(Registry registry, InetSocketAddress peers, PieceOriginFactory originFactory,
 			long changeMillis, String seeds) throws Exception {
+		return startWithoutWaiting(registry, peers, originFactory, changeMillis, seeds, "");
+	}
+
+	private static TestGateway startWithoutWaiting(Registry registry, InetSocketAddress peers,
+			PieceOriginFactory originFactory, long changeMillis, String seeds, String moreSettings) throws Exception {
 		InetSocketAddress callers = FreePorts.next();
 		InetSocketAddress operators = FreePorts.next();
 		GatewaySettings settings = GatewaySettings.parse("""
@@ -170,8 +191,8 @@
 				window-s = 10
 				[weights]
 				change-ms = %d
-				""".formatted(peers.getPort(), callers.getPort(), operators.getPort(), peers.getPort(), seeds,
-				changeMillis));
+				%s""".formatted(peers.getPort(), callers.getPort(), operators.getPort(), peers.getPort(), seeds,
+				changeMillis, moreSettings));
 		GatewayProcess process = GatewayProcess.start(settings, (client, url) -> registry, originFactory,
 				new PlatformHeaderCodec());
 		return new TestGateway(process, callers, operators);
@@ -190,6 +211,23 @@
 		}
 	}
 
+	/**
+	 * Reads a counter of the gateway.
+	 * @param name the end of its name, after the prefix that all counters of gateways
+	 * have
+	 * @return its value
+	 */
+	double counter(String name) throws IOException {
+		URI metrics = URI.create("http://127.0.0.1:" + this.operators.getPort() + "/metrics");
+		try (InputStream input = metrics.toURL().openStream()) {
+			return new String(input.readAllBytes(), StandardCharsets.UTF_8).lines()
+				.filter((line) -> line.startsWith("catkingate_gateway_" + name + "_total "))
+				.mapToDouble((line) -> Double.parseDouble(line.split(" ")[1]))
+				.findFirst()
+				.orElseThrow();
+		}
+	}
+
 	private static ServingConfiguration configuration(CallKind kind) {
 		Route route = new Route("route-1", HOST, "/songs/", kind, true, false, 3000, 1000, 1, 2,
 				List.of(new Route.Target(SERVICE, 1)), Set.of());
