Judge residency, evacuation, cold runners and urgency in the soak

The soak knew one data centre and no restrictions. Its runners are now in two data centres of two regions. The operator restricts routes and accounts to regions, evacuates data centres and takes them back, and gives two permanent accounts different priorities; runners are cold after starts and when a fault makes them so. The judge decides from what callers and runners report.

--- a/catkingate-soak/src/test/java/org/catkingate/soak/Judge.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/Judge.java
@@ -73,6 +73,12 @@
 
 	private final List<String> denials = new ArrayList<>();
 
+	private final PlacementJudge placement = new PlacementJudge();
+
+	private final ColdRunnerJudge coldRunners = new ColdRunnerJudge();
+
+	private final UrgencyJudge urgency = new UrgencyJudge();
+
 	/**
 	 * Reports a key of an account, before the first request with it.
 	 */
@@ -94,6 +100,56 @@
 		this.withdrawnAtMillis.put(key, nowMillis);
 	}
 
+	/**
+	 * Reports the data centre of a runner, before it can get requests.
+	 */
+	synchronized void runnerStarted(String runner, String dataCentre) {
+		this.placement.runnerStarted(runner, dataCentre);
+	}
+
+	/**
+	 * Reports that a runner is cold.
+	 */
+	synchronized void runnerCold(String runner, long untilMillis) {
+		this.coldRunners.runnerCold(runner, untilMillis);
+	}
+
+	/**
+	 * Reports the allowed regions of the next configuration, before the registry gets it.
+	 */
+	synchronized void regionsPublished(Map<RequestKind, Set<String>> routes, Map<String, Set<String>> accounts) {
+		this.placement.regionsPublished(routes, accounts);
+	}
+
+	/**
+	 * Reports that the registry has accepted that configuration.
+	 */
+	synchronized void regionsAccepted(long nowMillis) {
+		this.placement.regionsAccepted(nowMillis);
+	}
+
+	/**
+	 * Reports that the registry has accepted the evacuation of a data centre.
+	 */
+	synchronized void dataCentreEvacuated(String dataCentre, long nowMillis) {
+		this.placement.evacuated(dataCentre, nowMillis);
+	}
+
+	/**
+	 * Reports that the evacuation of a data centre ends, before the registry is told.
+	 */
+	synchronized void evacuationEnds(String dataCentre) {
+		this.placement.evacuationEnds(dataCentre);
+	}
+
+	/**
+	 * Reports the priority of an account whose requests are compared with those of
+	 * others, before the first of them.
+	 */
+	synchronized void accountPriority(String account, int priority) {
+		this.urgency.priority(account, priority);
+	}
+
 	/**
 	 * Reports a request before its first byte is sent.
 	 */
@@ -136,6 +192,10 @@
 			add(Promise.UNCHANGED_REQUEST, runner + " received request " + requestId + ", which no caller has sent");
 			return;
 		}
+		this.placement.judge(request, this.accountsByKey.get(request.key()), runner).ifPresent(this.breaches::add);
+		if (!isDisturbed(runner, nowMillis) && !isDisturbed(request.gateway(), nowMillis)) {
+			this.coldRunners.judge(request, runner, nowMillis).ifPresent(this.breaches::add);
+		}
 		Link link = new Link(request.gateway(), runner);
 		Long leavingMillis = this.leavingSeenAtMillis.get(link);
 		if (leavingMillis != null && request.sentMillis() > leavingMillis + LEAVING_LIMIT_MILLIS) {
@@ -240,6 +300,8 @@
 		SoakRequest request = this.requests.get(requestId);
 		this.outcomes.merge(request.kind() + " " + response.status() + (response.complete() ? "" : " incomplete"), 1,
 				Integer::sum);
+		this.urgency.responseReceived(request, this.accountsByKey.get(request.key()),
+				response.isSuccess() && response.complete());
 		RunnerRun run = this.runsBySignature.get(response.header("x-server-seal"));
 		checkOrigin(request, response, run);
 		if (response.isSuccess() && run != null) {
@@ -328,6 +390,7 @@
 	 */
 	synchronized List<Breach> breaches() {
 		List<Breach> all = new ArrayList<>(this.breaches);
+		all.addAll(this.urgency.breaches());
 		if (this.denials.size() > MAX_DENIED + this.requests.size() / REQUESTS_PER_DENIED) {
 			this.denials.forEach((denial) -> all.add(new Breach(Promise.VALID_REQUEST_ADMITTED, denial)));
 		}
--- a/catkingate-soak/src/test/java/org/catkingate/soak/JudgeTests.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/JudgeTests.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -509,4 +510,151 @@
 
 	}
 
+	// Each guards against a soak that does not notice what it is there to find.
+	@Nested
+	class Placement {
+
+		private static final String ELSEWHERE = "shop1-1";
+
+		private static final long LIMIT = Judge.WITHDRAWAL_LIMIT_MILLIS;
+
+		@BeforeEach
+		void startRunners() {
+			JudgeTests.this.judge.runnerStarted(RUNNER, "a");
+			JudgeTests.this.judge.runnerStarted(ELSEWHERE, "b");
+		}
+
+		private void arrive(String id, String runner, long sentMillis) {
+			send(id, RequestKind.READ, "/catalogue/" + id, sentMillis);
+			JudgeTests.this.judge.requestArrived(id, runner, sentMillis);
+		}
+
+		private void publish(Map<RequestKind, Set<String>> routes, Map<String, Set<String>> accounts, long millis) {
+			JudgeTests.this.judge.regionsPublished(routes, accounts);
+			JudgeTests.this.judge.regionsAccepted(millis);
+		}
+
+		@Test
+		void isFoundIfTheRouteDoesNotAllowTheRegion() {
+			publish(Map.of(RequestKind.READ, Set.of("r"), RequestKind.SONG, Set.of("s")), Map.of(), 0);
+			arrive("a", RUNNER, 10);
+			assertThat(broken()).isEmpty();
+			arrive("b", ELSEWHERE, 10);
+			assertThat(broken()).containsExactly(Promise.RESIDENCY);
+		}
+
+		@Test
+		void isFoundIfTheAccountDoesNotAllowTheRegionThatTheRouteAllows() {
+			publish(Map.of(RequestKind.READ, Set.of("r")), Map.of("bar-1", Set.of("s")), 0);
+			arrive("a", RUNNER, 10);
+			assertThat(broken()).containsExactly(Promise.RESIDENCY);
+		}
+
+		@Test
+		void isFoundLongAfterTheRegionsHaveChangedOnly() {
+			publish(Map.of(), Map.of("bar-1", Set.of("s")), 0);
+			publish(Map.of(), Map.of("bar-1", Set.of("r")), 1000);
+			arrive("a", ELSEWHERE, 1000 + LIMIT);
+			arrive("b", RUNNER, 1001);
+			assertThat(broken()).isEmpty();
+			arrive("c", ELSEWHERE, 1001 + LIMIT);
+			assertThat(broken()).containsExactly(Promise.RESIDENCY);
+		}
+
+		@Test
+		void isFoundInAnEvacuatedDataCentreAfterTheLimit() {
+			JudgeTests.this.judge.dataCentreEvacuated("b", 1000);
+			JudgeTests.this.judge.dataCentreEvacuated("b", 3000);
+			arrive("a", ELSEWHERE, 1000 + LIMIT);
+			arrive("b", RUNNER, 1001 + LIMIT);
+			assertThat(broken()).isEmpty();
+			arrive("c", ELSEWHERE, 1001 + LIMIT);
+			assertThat(broken()).containsExactly(Promise.EVACUATION);
+		}
+
+		@Test
+		void isAcceptedOnceTheDataCentreIsTakenBack() {
+			JudgeTests.this.judge.dataCentreEvacuated("b", 1000);
+			JudgeTests.this.judge.evacuationEnds("b");
+			arrive("a", ELSEWHERE, 1001 + LIMIT);
+			assertThat(broken()).isEmpty();
+		}
+
+		@Test
+		void isFoundIfAColdRunnerGetsTooManyRequestsInAnySecond() {
+			JudgeTests.this.judge.runnerCold(RUNNER, 10_000);
+			for (int i = 0; i < ColdRunnerJudge.MAX_PER_SECOND; i++) {
+				arrive("a" + i, RUNNER, 500);
+			}
+			arrive("b", RUNNER, 1500);
+			arrive("c", ELSEWHERE, 500);
+			assertThat(broken()).isEmpty();
+			for (int i = 0; i < ColdRunnerJudge.MAX_PER_SECOND; i++) {
+				arrive("d" + i, RUNNER, 2400);
+			}
+			assertThat(broken()).containsExactly(Promise.COLD_RUNNER);
+		}
+
+		@Test
+		void isAcceptedAtAnyRateIfTheRunnerIsWarmOrItsLinkIsDisturbed() {
+			JudgeTests.this.judge.runnerCold(RUNNER, 10_000);
+			JudgeTests.this.judge.runnerCold(ELSEWHERE, 1000);
+			JudgeTests.this.judge.runnerLinkDisturbed(RUNNER, Long.MAX_VALUE);
+			for (int i = 0; i <= ColdRunnerJudge.MAX_PER_SECOND; i++) {
+				arrive("a" + i, RUNNER, 500);
+				arrive("b" + i, ELSEWHERE, 1000);
+			}
+			assertThat(broken()).isEmpty();
+		}
+
+	}
+
+	@Nested
+	class Urgency {
+
+		private void respond(String key, int served) {
+			for (int i = 0; i < UrgencyJudge.MIN_REQUESTS; i++) {
+				SoakRequest request = new SoakRequest(key + "-" + i, RequestKind.READ, GATEWAY, "/catalogue/" + i,
+						"body", key, 0);
+				JudgeTests.this.judge.requestSent(request);
+				if (i < served) {
+					receive(request, 200, "s" + key + i, run(request, "s" + key + i).response(), true);
+				}
+				else {
+					receiveRejection(request, 503);
+				}
+			}
+		}
+
+		@BeforeEach
+		void setPriorities() {
+			JudgeTests.this.judge.keyIssued("key2", "bar-1");
+			JudgeTests.this.judge.keyIssued("key3", "bar-2");
+			JudgeTests.this.judge.accountPriority("bar-1", 0);
+			JudgeTests.this.judge.accountPriority("bar-2", 1);
+		}
+
+		private List<Promise> urgencyBreaches() {
+			return broken().stream().filter(Promise.URGENCY::equals).toList();
+		}
+
+		@Test
+		void isFoundIfTheMoreUrgentAccountIsServedLessOften() {
+			respond("key2", 70);
+			respond("key3", 95);
+			assertThat(urgencyBreaches()).containsExactly(Promise.URGENCY);
+		}
+
+		@Test
+		void isAcceptedIfTheLessUrgentAccountIsServedLessOftenOrByChance() {
+			respond("key2", 90);
+			respond("key3", 95);
+			assertThat(urgencyBreaches()).isEmpty();
+			JudgeTests.this.judge.accountPriority("bar-1", 2);
+			respond("key2", 20);
+			assertThat(urgencyBreaches()).isEmpty();
+		}
+
+	}
+
 }
--- a/catkingate-soak/src/test/java/org/catkingate/soak/SoakFault.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakFault.java
@@ -1,6 +1,7 @@
 package org.catkingate.soak;
 
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 import org.catkingate.standins.proxy.FaultInjectingProxy;
@@ -204,6 +205,29 @@
 		return SoakFault::doNothing;
 	}),
 
+	/** A route or an account allows other regions. */
+	RESIDENCY_CHANGED((soak, random) -> {
+		Set<String> regions = pick(List.of(Set.of(), Set.of("r"), Set.of("s")), random);
+		soak.fleet().operator().restrict(random.nextInt(100), regions);
+		return SoakFault::doNothing;
+	}),
+
+	/** A data centre is evacuated, for longer than the time that it takes effect in. */
+	DATA_CENTRE_EVACUATED((soak, random) -> {
+		String dataCentre = pick(SoakOperator.REGIONS.keySet().stream().sorted().toList(), random);
+		soak.fleet().operator().evacuate(dataCentre);
+		return () -> {
+			Thread.sleep(Judge.WITHDRAWAL_LIMIT_MILLIS);
+			soak.fleet().operator().takeBack(dataCentre);
+		};
+	}),
+
+	/** A warm runner turns cold. */
+	RUNNER_TURNS_COLD((soak, random) -> {
+		pick(soak.fleet().runners(), random).turnCold();
+		return SoakFault::doNothing;
+	}),
+
 	/** A key is withdrawn. */
 	KEY_WITHDRAWN((soak, random) -> {
 		soak.fleet().operator().replaceKey(random.nextInt(100));
