Check a configuration for the registry before it is published

A configuration was first checked by the gateways that received it, which keep neither the order of entries nor those without effect. Exit codes: 0 no faults, 1 faults, 2 usage; differences alone are no fault.

--- a/catkingate-cli/src/main/java/org/catkingate/cli/CheckCommand.java
+++ b/catkingate-cli/src/main/java/org/catkingate/cli/CheckCommand.java
@@ -38,6 +38,19 @@
 	@Parameter(names = "--bundle", description = "Write the values to publish to this directory, one file for each key")
 	private Path bundleDirectory;
 
+	@Parameter(names = "--registry",
+			description = "The file is a configuration as it is published on the platform's registry")
+	private boolean registry;
+
+	@Parameter(names = "--in-force", description = "The version in force, to compare the file with (--registry)")
+	private Path inForce;
+
+	@Parameter(names = "--runners", description = "SERVICE=COUNT..., the runners of each service (--registry)")
+	private List<String> runners = new ArrayList<>();
+
+	@Parameter(names = "--json", description = "Print the findings as JSON (--registry)")
+	private boolean json;
+
 	CheckCommand(PrintStream out) {
 		this.out = out;
 	}
@@ -51,6 +64,9 @@
 	@Override
 	int run() throws CommandException {
 		try {
+			if (this.registry) {
+				return checkDraft();
+			}
 			return (this.settingsRole != null) ? checkSettings() : checkPublished();
 		}
 		catch (InvalidConfigurationException ex) {
@@ -63,6 +79,14 @@
 		}
 	}
 
+	private int checkDraft() throws IOException, CommandException {
+		if (this.files.size() != 1 || this.settingsRole != null || this.bundleDirectory != null) {
+			throw new CommandException(ExitCodes.USAGE,
+					"catkingate check: --registry takes one FILE, and neither --settings nor --bundle");
+		}
+		return DraftReport.of(this.files.get(0), this.inForce, this.runners).print(this.out, this.json);
+	}
+
 	private int checkSettings() throws InvalidConfigurationException, CommandException {
 		if (this.files.size() != 1) {
 			throw new CommandException(ExitCodes.USAGE, "catkingate check: --settings takes one FILE");
--- a/catkingate-cli/src/test/java/org/catkingate/cli/CommandLineTests.java
+++ b/catkingate-cli/src/test/java/org/catkingate/cli/CommandLineTests.java
@@ -1,11 +1,15 @@
 package org.catkingate.cli;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -49,6 +53,41 @@
 
 	}
 
+	@Nested
+	class CheckOfAConfigurationForTheRegistry {
+
+		@TempDir
+		private Path directory;
+
+		private String write(String name, long version, String goal) throws IOException {
+			return Files.writeString(this.directory.resolve(name), """
+					{"Version": %d, "Routes": [{"Name": "a", "Host": "songs.example", "PathPrefix": "/a/",
+					 "Type": "idempotent", "TimeoutMs": 3000, "GoalMs": %s, "Service": "songs", "Resumable": false,
+					 "Public": false}], "Services": [{"Name": "songs"}],
+					 "Tenants": [{"Name": "bar-1", "ApiKeys": ["key1"]}], "Limits": {"MaxHeaderBytes": 16384,
+					 "MaxBodyBytes": 1000, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}}
+					""".formatted(version, goal)).toString();
+		}
+
+		// Guards against a script that publishes a configuration with faults.
+		@Test
+		void endsWithTheExitCodeOfItsFindings() throws IOException {
+			String sound = write("sound.json", 8, "500");
+			assertThat(run("check", "--registry", sound)).isEqualTo(ExitCodes.SUCCESS);
+			assertThat(run("check", "--registry", "--in-force", write("old.json", 7, "400"), sound))
+				.isEqualTo(ExitCodes.SUCCESS);
+			assertThat(CommandLineTests.this.out.toString(StandardCharsets.UTF_8))
+				.contains("change: route a: goal in ms: 400 becomes 500");
+			assertThat(run("check", "--registry", "--json", write("late.json", 8, "3001")))
+				.isEqualTo(ExitCodes.FAILURE);
+			assertThat(CommandLineTests.this.out.toString(StandardCharsets.UTF_8)).contains("\"clean\" : false",
+					"\"kind\" : \"CONTRADICTION\"");
+			assertThat(run("check", "--registry", sound, sound)).isEqualTo(ExitCodes.USAGE);
+			assertThat(run("check", "--registry", "--runners", "songs", sound)).isEqualTo(ExitCodes.USAGE);
+		}
+
+	}
+
 	@Nested
 	class Help {
 
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/publishing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the decisions on a configuration before it is published.
+ */
+package org.catkingate.decisions.publishing;
