--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/sending/SendCondition.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/sending/SendCondition.java
@@ -40,7 +40,14 @@
 	WITHIN_COLD_ALLOWANCE("the requests that cold runners may get are used up",
 			(call, runner, now) -> runner.hasColdRoom(now)),
 
-	/** The limit that the runner has stated leaves room. */
+	/** The memory of the runner has room for the call. */
+	WITHIN_MEMORY("the memory of the runner has no room for it",
+			(call, runner, now) -> runner.hasMemory(call.memory(), now)),
+
+	/**
+	 * The limit that the runner has stated leaves room. The last one, since it may be
+	 * unmet for a call that gets a permit before it is written.
+	 */
 	WITHIN_LIMIT("the limit that the runner has stated is used up", (call, runner, now) -> runner.hasPermit(now));
 
 	private static final SendCondition[] IN_ORDER = values();
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/CallAdmission.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/CallAdmission.java
@@ -14,6 +14,7 @@
 import org.catkingate.decisions.competition.CompetingLevels;
 import org.catkingate.decisions.competition.ServiceCompetition;
 import org.catkingate.decisions.competition.WaitingQueue;
+import org.catkingate.decisions.memory.MemoryNeed;
 import org.catkingate.decisions.sending.CallScope;
 import org.catkingate.model.RunnerId;
 import org.catkingate.model.registry.EngineProfile;
@@ -251,7 +252,9 @@
 	 */
 	CallScope scope() {
 		return new CallScope(this.admitted.service(), this.sharedState.runners().models(this.admitted.service()),
-				this.sharedState.runners().residencies().of(this.admitted), this.quarantined.getAsBoolean());
+				this.sharedState.runners().residencies().of(this.admitted), this.quarantined.getAsBoolean(),
+				MemoryNeed.of(this.admitted.head().promptTokens(), this.admitted.head().maxResponseTokens(),
+						this.sharedState.runners().engine(this.admitted.service())));
 	}
 
 	/**
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
@@ -38,6 +38,8 @@
 
 	private final Counter unmetConditions;
 
+	private final Counter slowReaders;
+
 	private final Gauge inProgress;
 
 	private final Histogram timeToFirstByte;
@@ -88,6 +90,10 @@
 			.help("Decisions on requests for which no runner was left, by the condition that most runners did not meet")
 			.labelNames("condition")
 			.register(registry);
+		this.slowReaders = Counter.builder()
+			.name("catkingate_gateway_slow_readers_cut")
+			.help("Responses cut since their callers did not read and the memory for such responses was used up")
+			.register(registry);
 		this.inProgress = Gauge.builder()
 			.name("catkingate_gateway_requests_in_progress")
 			.help("Requests in progress")
@@ -154,6 +160,10 @@
 		this.unmetConditions.labelValues(condition.name().toLowerCase(Locale.ROOT)).inc();
 	}
 
+	void countSlowReader() {
+		this.slowReaders.inc();
+	}
+
 	void countRejected(String outcome) {
 		this.requests.labelValues(outcome).inc();
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
@@ -13,6 +13,7 @@
 import org.xnio.XnioIoThread;
 
 import org.catkingate.decisions.coldstart.ColdRunner;
+import org.catkingate.decisions.memory.RunnerMemory;
 import org.catkingate.decisions.sending.CallScope;
 import org.catkingate.decisions.sending.SendCondition;
 import org.catkingate.runtime.MonotonicClock;
@@ -77,6 +78,11 @@
 	/** The room for a request to a cold runner, empty if there was none so far. */
 	private Optional<ColdRunner.Reservation> coldRoom = Optional.empty();
 
+	/** The memory of the runner that this attempt occupies, empty before it is sent. */
+	private Optional<RunnerMemory.Reservation> memory = Optional.empty();
+
+	private final EventCounter events = new EventCounter();
+
 	private RunnerAttempt(RunnerState runner, OutgoingRequest outgoing, HeaderCodec codec, MonotonicClock clock,
 			Listener listener) {
 		this.runner = runner;
@@ -137,6 +143,8 @@
 			return;
 		}
 		this.sentAtMillis = this.clock.millis();
+		this.memory = Optional
+			.of(this.runner.work().memory().reserve(this.outgoing.scope().get().memory(), this.sentAtMillis));
 		this.listener.onSend(this);
 		this.call = StreamedCall.start(connection, this.outgoing.request(), this.outgoing.body(), this);
 	}
@@ -256,6 +264,7 @@
 
 	private void finish(boolean complete) {
 		this.finished = true;
+		this.memory.ifPresent(RunnerMemory.Reservation::release);
 		if (this.call == null) {
 			this.permit.ifPresent(Runnable::run);
 			this.coldRoom.ifPresent(ColdRunner.Reservation::release);
@@ -297,6 +306,7 @@
 		if (this.successful) {
 			this.sent.recordData(bytes);
 		}
+		this.memory.ifPresent((reservation) -> reservation.addEvents(this.events.add(bytes)));
 		this.listener.onData(this, bytes);
 	}
 
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
@@ -9,6 +9,7 @@
 import org.catkingate.decisions.admission.RunnerIntake;
 import org.catkingate.decisions.admission.RunnerOption;
 import org.catkingate.decisions.coldstart.ColdRunner;
+import org.catkingate.decisions.memory.MemoryNeed;
 import org.catkingate.decisions.routing.Distance;
 import org.catkingate.decisions.sending.SendTarget;
 import org.catkingate.model.ModelName;
@@ -188,6 +189,11 @@
 		return !isMisdirected(nowMillis) && servedVersions(nowMillis).keySet().containsAll(models);
 	}
 
+	@Override
+	public boolean hasMemory(MemoryNeed need, long nowMillis) {
+		return this.work.memory().hasRoom(need, nowMillis);
+	}
+
 	@Override
 	public boolean hasPermit(long nowMillis) {
 		return this.permits.canSend(start(), nowMillis);
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/SharedCallState.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/SharedCallState.java
@@ -49,6 +49,8 @@
 
 	private final RequestCosts costs;
 
+	private final SlowReaders slowReaders;
+
 	/**
 	 * Creates the state, without any calls.
 	 * @param runners the runners
@@ -61,10 +63,11 @@
 	 * @param metrics the metrics
 	 * @param prompts detects parts of prompts that crash runners
 	 * @param costs estimates the cost of calls
+	 * @param slowReaders bounds what is held for callers that read slowly
 	 */
 	SharedCallState(RunnerTable runners, HeaderCodec codec, RetryAllowance retryAllowance, IntSupplier gatewayCount,
 			IntSupplier assumedGatewayCount, MonotonicClock clock, GatewayMetrics metrics, PromptGuard prompts,
-			RequestCosts costs) {
+			RequestCosts costs, SlowReaders slowReaders) {
 		this.runners = runners;
 		this.codec = codec;
 		this.retryAllowance = retryAllowance;
@@ -76,6 +79,7 @@
 		this.competitions = new ServiceCompetitions(runners::configuration);
 		this.waitingCalls = new WaitingCalls(this.competitions, runners::servesInMillis, clock);
 		this.costs = costs;
+		this.slowReaders = slowReaders;
 	}
 
 	HeaderCodec codec() {
@@ -170,6 +174,10 @@
 		return this.waitingCalls;
 	}
 
+	SlowReaders slowReaders() {
+		return this.slowReaders;
+	}
+
 	/**
 	 * Returns the factor that corrects predictions for a service.
 	 * @param service the service
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerAttemptTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerAttemptTests.java
@@ -25,6 +25,7 @@
 
 import org.catkingate.decisions.coldstart.ColdRunner;
 import org.catkingate.decisions.coldstart.KnownGateways;
+import org.catkingate.decisions.memory.MemoryNeed;
 import org.catkingate.decisions.permits.RunnerLimits;
 import org.catkingate.decisions.routing.Distance;
 import org.catkingate.decisions.sending.CallScope;
@@ -184,6 +185,21 @@
 		assertThat(outcome.end.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).startsWith("not sent: ");
 	}
 
+	// Guards against two requests that were chosen at the same time and together exceed
+	// the memory of their runner.
+	@Test
+	void isNotSentIfAnotherRequestFillsTheMemoryWhileTheConnectionIsOpened() throws Exception {
+		Outcome outcome = new Outcome();
+		outcome.memory = new MemoryNeed(600, 100, 5, 700, 1000);
+		RunnerState runner = createRunner();
+		this.worker.getIoThread().execute(() -> {
+			startAttempt(runner, outcome);
+			runner.work().memory().reserve(outcome.memory, MonotonicClock.system().millis());
+		});
+		assertThat(outcome.end.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).startsWith("not sent: ")
+			.contains("memory of the runner");
+	}
+
 	@Test
 	void isSentIfItsRunnerTakesRequests() throws Exception {
 		Outcome outcome = new Outcome();
@@ -207,8 +223,10 @@
 
 		private Residency residency = Residency.anywhere();
 
+		private MemoryNeed memory = MemoryNeed.none();
+
 		private CallScope scope() {
-			return new CallScope(new ServiceName("songs"), List.of(), this.residency, this.quarantined);
+			return new CallScope(new ServiceName("songs"), List.of(), this.residency, this.quarantined, this.memory);
 		}
 
 		@Override
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
@@ -133,6 +133,20 @@
 		return gateway;
 	}
 
+	/**
+	 * Starts a gateway with one route.
+	 * @param kind the kind of the route's calls
+	 * @param moreSettings the sections of its settings that no other test has
+	 * @param runners the addresses of the runners of its service
+	 * @return the gateway, after it has read its configuration
+	 */
+	static TestGateway startWith(CallKind kind, String moreSettings, InetSocketAddress... runners) throws Exception {
+		TestGateway gateway = startWithoutWaiting(new InMemoryRegistry(items(kind, runners)), FreePorts.next(),
+				(client, address) -> null, 8000, "", moreSettings);
+		Awaitility.await().atMost(Duration.ofSeconds(20)).until(gateway::isReady);
+		return gateway;
+	}
+
 	/**
 	 * Starts a gateway and does not wait until it has received a configuration.
 	 * @param registry the registry it follows
@@ -144,7 +158,7 @@
 	 */
 	static TestGateway startWithoutWaiting(Registry registry, InetSocketAddress peers, PieceOriginFactory originFactory,
 			long changeMillis, String seeds) throws Exception {
-		return startWithoutWaiting(registry, peers, originFactory, changeMillis, seeds, false);
+		return startWithoutWaiting(registry, peers, originFactory, changeMillis, seeds, "");
 	}
 
 	/**
@@ -155,13 +169,13 @@
 	 */
 	static TestGateway startByCost(CallKind kind, InetSocketAddress... runners) throws Exception {
 		TestGateway gateway = startWithoutWaiting(new InMemoryRegistry(items(kind, runners)), FreePorts.next(),
-				(client, address) -> null, 8000, "", true);
+				(client, address) -> null, 8000, "", "[routing]\nby-cost = true\n");
 		Awaitility.await().atMost(Duration.ofSeconds(20)).until(gateway::isReady);
 		return gateway;
 	}
 
 	private static TestGateway startWithoutWaiting(Registry registry, InetSocketAddress peers,
-			PieceOriginFactory originFactory, long changeMillis, String seeds, boolean byCost) throws Exception {
+			PieceOriginFactory originFactory, long changeMillis, String seeds, String moreSettings) throws Exception {
 		InetSocketAddress callers = FreePorts.next();
 		InetSocketAddress operators = FreePorts.next();
 		GatewaySettings settings = GatewaySettings.parse("""
@@ -194,10 +208,8 @@
 				window-s = 10
 				[weights]
 				change-ms = %d
-				[routing]
-				by-cost = %s
-				""".formatted(peers.getPort(), callers.getPort(), operators.getPort(), peers.getPort(), seeds,
-				changeMillis, byCost));
+				%s""".formatted(peers.getPort(), callers.getPort(), operators.getPort(), peers.getPort(), seeds,
+				changeMillis, moreSettings));
 		GatewayProcess process = GatewayProcess.start(settings, (client, url) -> registry, originFactory,
 				new PlatformHeaderCodec());
 		return new TestGateway(process, callers, operators);
@@ -224,6 +236,23 @@
 		}
 	}
 
+	/**
+	 * Reads a counter of the gateway.
+	 * @param name the end of its name, after the prefix that all counters of gateways
+	 * have
+	 * @return its value
+	 */
+	double counter(String name) throws IOException {
+		URI metrics = URI.create("http://127.0.0.1:" + this.operators.getPort() + "/metrics");
+		try (InputStream input = metrics.toURL().openStream()) {
+			return new String(input.readAllBytes(), StandardCharsets.UTF_8).lines()
+				.filter((line) -> line.startsWith("catkingate_gateway_" + name + "_total "))
+				.mapToDouble((line) -> Double.parseDouble(line.split(" ")[1]))
+				.findFirst()
+				.orElseThrow();
+		}
+	}
+
 	/**
 	 * Creates a configuration with one route and one client account.
 	 * @param version its version
