--- a/catkingate-soak/src/test/java/org/catkingate/soak/SoakTests.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakTests.java
@@ -91,10 +91,8 @@
 		});
 	}
 
-	// COLD_RUNNER is judged and printed. It is to be taken out of the exclusion once the
-	// gateways hold back requests to cold runners.
 	@ParameterizedTest(name = "{0}")
-	@EnumSource(value = Promise.class, mode = EnumSource.Mode.EXCLUDE, names = "COLD_RUNNER")
+	@EnumSource(Promise.class)
 	void promiseIsKept(Promise promise) {
 		assertThat(breaches.getOrDefault(promise, List.of())).isEmpty();
 	}
