Limit less urgent calls only while more urgent ones lack places

Cause: each of the six urgency levels of a deployment kept a slot free for each more urgent one at all times, so that the least urgent calls left five of twelve slots free. Change: a level counts once a tenth of its recent calls found no place or started late, and as long as that lasts.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/competition/CompetingLevels.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/competition/CompetingLevels.java
@@ -8,13 +8,15 @@
  * standing in its own level. From them follows up to which predicted queue it is
  * admitted. Immutable.
  *
- * @param moreUrgentGoalsMillis the goals of the more urgent levels in use, the most
- * urgent first, in milliseconds
- * @param lessUrgentLevels the number of less urgent levels in use
+ * @param moreUrgentGoalsMillis the goals of the more urgent levels that lack places, the
+ * most urgent first, in milliseconds
+ * @param lessUrgentLevels the number of less urgent levels that lack places
+ * @param exist whether more than one level is in use
  * @param standing the standing of the call
  * @since 0.1
  */
-public record CompetingLevels(List<Long> moreUrgentGoalsMillis, int lessUrgentLevels, Standing standing) {
+public record CompetingLevels(List<Long> moreUrgentGoalsMillis, int lessUrgentLevels, boolean exist,
+		Standing standing) {
 
 	/**
 	 * The fraction of the goal within which the first event must be predicted. Under
@@ -31,7 +33,7 @@
 	 */
 	private static final double OVER_SHARE_STEP = 0.5;
 
-	private static final CompetingLevels NONE = new CompetingLevels(List.of(), 0, Standing.REGULAR);
+	private static final CompetingLevels NONE = new CompetingLevels(List.of(), 0, false, Standing.REGULAR);
 
 	public CompetingLevels {
 		moreUrgentGoalsMillis = List.copyOf(moreUrgentGoalsMillis);
@@ -46,14 +48,6 @@
 		return NONE;
 	}
 
-	/**
-	 * Returns whether there is any other level.
-	 * @return whether calls of more than one level compete
-	 */
-	public boolean exist() {
-		return count() > 1;
-	}
-
 	private int count() {
 		return this.moreUrgentGoalsMillis.size() + this.lessUrgentLevels + 1;
 	}
@@ -64,21 +58,21 @@
 	 * @return the levels, never null
 	 */
 	public CompetingLevels as(Standing next) {
-		return new CompetingLevels(this.moreUrgentGoalsMillis, this.lessUrgentLevels, next);
+		return new CompetingLevels(this.moreUrgentGoalsMillis, this.lessUrgentLevels, this.exist, next);
 	}
 
 	/**
 	 * Returns the longest queue up to which the call is admitted. The room between an
 	 * idle runner and the limit of the most urgent level is divided evenly among the
-	 * levels, so that each level finds room that less urgent ones leave free. A runner
-	 * without a queue takes calls of any level.
+	 * levels that lack places and that of the call, so that each level finds room that
+	 * less urgent ones leave free. A runner without a queue takes calls of any level.
 	 * @param ownLimitMillis the limit that follows from the call itself, in milliseconds
 	 * @param idleMillis the predicted time to the first event at a runner without a
 	 * queue, in milliseconds
 	 * @return the limit of the predicted time to the first event, in milliseconds
 	 */
 	public double limitMillis(double ownLimitMillis, double idleMillis) {
-		if (!exist()) {
+		if (!this.exist) {
 			return (this.standing == Standing.LATE) ? Math.max(ownLimitMillis, idleMillis) : ownLimitMillis;
 		}
 		int levels = count();
@@ -108,8 +102,8 @@
 
 	/**
 	 * Returns the number of calls for which this one must leave slots free where it is
-	 * sent: one of each more urgent level. A limit of the queue alone does not keep them,
-	 * since a queue grows by much when the last free slot is taken.
+	 * sent: one of each more urgent level that lacks places. A limit of the queue alone
+	 * does not keep them, since a queue grows by much when the last free slot is taken.
 	 * @return the number of calls
 	 */
 	public int reservedCalls() {
@@ -117,9 +111,9 @@
 		return switch (this.standing) {
 			case REGULAR -> moreUrgent;
 			// one more for the other accounts of its level
-			case OVER_SHARE -> exist() ? moreUrgent + 1 : 0;
+			case OVER_SHARE -> (count() > 1) ? moreUrgent + 1 : 0;
 			case BELOW_MINIMUM -> 0;
-			case LATE -> exist() ? count() : 0;
+			case LATE -> this.exist ? count() : 0;
 		};
 	}
 
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/competition/ServiceCompetition.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/competition/ServiceCompetition.java
@@ -47,6 +47,19 @@
 	/** The number of recent calls below which an entry is removed. */
 	private static final double NEGLIGIBLE_CALLS = 0.01;
 
+	/**
+	 * The time over which the part of a level's calls that find no place is averaged, in
+	 * milliseconds: several goals, so that a single burst of large requests does not
+	 * decide.
+	 */
+	private static final double SHORTAGE_MILLIS = 2000;
+
+	/**
+	 * The part of its calls that find no place, or start late, from which a level lacks
+	 * places. Less urgent calls are not limited before, since nothing would be gained.
+	 */
+	private static final double SHORTAGE_PART = 0.1;
+
 	/** The window of the rate at which calls are sent, in milliseconds. */
 	private static final long RATE_WINDOW_MILLIS = 1000;
 
@@ -74,6 +87,8 @@
 
 	private final Map<Urgency, Share> levels = new HashMap<>();
 
+	private final Map<Urgency, Shortage> shortages = new HashMap<>();
+
 	/** What each account has received in each urgency level, by cost. */
 	private final Map<Urgency, Map<AccountName, DecayingSum>> costs = new HashMap<>();
 
@@ -128,6 +143,7 @@
 		this.all.arrived.add(1, nowMillis);
 		share(this.routes, call.route()).arrived.add(1, nowMillis);
 		share(this.levels, call.urgency()).arrived.add(1, nowMillis);
+		shortage(call.urgency()).arrived.add(1, nowMillis);
 		if (call.account() != null) {
 			share(this.accounts, call.account()).arrived.add(1, nowMillis);
 		}
@@ -136,6 +152,25 @@
 		}
 	}
 
+	/**
+	 * Records that a call that can be on time has found no place, or has started late.
+	 * @param call the call
+	 * @param nowMillis the time now, in monotonic milliseconds
+	 */
+	public void recordUnplaced(Competitor call, long nowMillis) {
+		shortage(call.urgency()).unplaced.add(1, nowMillis);
+	}
+
+	private Shortage shortage(Urgency urgency) {
+		return this.shortages.computeIfAbsent(urgency, (key) -> new Shortage());
+	}
+
+	private boolean lacksPlaces(Urgency urgency, long nowMillis) {
+		Shortage shortage = this.shortages.get(urgency);
+		return shortage != null && shortage.unplaced.value(nowMillis) > SHORTAGE_PART
+				* Math.max(MIN_CALLS, shortage.arrived.value(nowMillis));
+	}
+
 	/**
 	 * Records that a call is sent for the first time.
 	 * @param call the call
@@ -173,6 +208,7 @@
 		this.costs.values()
 			.forEach((level) -> level.values().removeIf((cost) -> cost.value(nowMillis) < NEGLIGIBLE_CALLS));
 		this.levels.keySet().retainAll(this.lastSeenMillis.keySet());
+		this.shortages.keySet().retainAll(this.lastSeenMillis.keySet());
 		this.sent.keySet().retainAll(this.lastSeenMillis.keySet());
 		this.costs.keySet().retainAll(this.lastSeenMillis.keySet());
 	}
@@ -210,14 +246,16 @@
 		}
 		List<Long> moreUrgentGoals = new ArrayList<>();
 		int lessUrgent = 0;
-		for (UrgencyLevels.Level level : levelsInUse(configured, nowMillis).levels()) {
+		UrgencyLevels inUse = levelsInUse(configured, nowMillis);
+		for (UrgencyLevels.Level level : inUse.levels()) {
 			int order = level.urgency().compareTo(call.urgency());
-			if (order < 0) {
+			boolean lacksPlaces = lacksPlaces(level.urgency(), nowMillis);
+			if (order < 0 && lacksPlaces) {
 				moreUrgentGoals.add(level.goalMillis());
 			}
-			lessUrgent += (order > 0) ? 1 : 0;
+			lessUrgent += (order > 0 && lacksPlaces) ? 1 : 0;
 		}
-		return new CompetingLevels(moreUrgentGoals, lessUrgent, standing(call, nowMillis));
+		return new CompetingLevels(moreUrgentGoals, lessUrgent, inUse.levels().size() > 1, standing(call, nowMillis));
 	}
 
 	private CompetingLevels.Standing standing(Competitor call, long nowMillis) {
@@ -321,6 +359,15 @@
 
 	}
 
+	/** The recent calls of a level, and those of them without a place. */
+	private static final class Shortage {
+
+		private final DecayingSum arrived = new DecayingSum(SHORTAGE_MILLIS);
+
+		private final DecayingSum unplaced = new DecayingSum(SHORTAGE_MILLIS);
+
+	}
+
 	/** The calls that have arrived and the part of them that was sent. */
 	private static final class Share {
 
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/competition/CompetingLoadTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/competition/CompetingLoadTests.java
@@ -302,6 +302,9 @@
 			this.competition.recordArrival(call.competitor(), CompetingLoadTests.this.now);
 			sendWaiting();
 			AdmissionDecision decision = decide(call);
+			if (!(decision instanceof AdmissionDecision.Send)) {
+				this.competition.recordUnplaced(call.competitor(), CompetingLoadTests.this.now);
+			}
 			if (!(decision instanceof AdmissionDecision.Wait wait) || !startWaiting(call, wait)) {
 				end(call, decision);
 			}
@@ -437,6 +440,9 @@
 			call.startedAt = CompetingLoadTests.this.now;
 			call.gateway.correction = call.gateway.correction.withObservation(call.predicted,
 					call.startedAt - call.sentAt);
+			if (!call.late && call.startedAt - call.sentAt > call.type.goalMillis()) {
+				call.gateway.competition.recordUnplaced(call.competitor(), CompetingLoadTests.this.now);
+			}
 			call.eventsLeft--;
 			this.responding.add(call);
 		}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/CallAdmission.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/CallAdmission.java
@@ -93,7 +93,25 @@
 	 */
 	void decide() {
 		this.sharedState.waitingCalls().check(this.admitted.service());
-		follow(decideOn(requirements()));
+		AdmissionDecision decision = decideOn(requirements());
+		if (!(decision instanceof AdmissionDecision.Send)) {
+			recordUnplaced();
+		}
+		follow(decision);
+	}
+
+	/**
+	 * Records that the response has begun.
+	 * @param elapsedMillis the time since the call was sent, in milliseconds
+	 */
+	void recordResponseStart(long elapsedMillis) {
+		if (!this.late && elapsedMillis > this.admitted.route().goalMillis()) {
+			recordUnplaced();
+		}
+	}
+
+	private void recordUnplaced() {
+		this.sharedState.competitions().recordUnplaced(this.admitted.service(), this.competitor, now());
 	}
 
 	private AdmissionDecision decideAfterWaiting() {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/ServiceCompetitions.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/ServiceCompetitions.java
@@ -60,6 +60,12 @@
 		}
 	}
 
+	void recordUnplaced(ServiceName service, ServiceCompetition.Competitor call, long nowMillis) {
+		if (levels(service).differ()) {
+			of(service, nowMillis).recordUnplaced(call, nowMillis);
+		}
+	}
+
 	CompetingLevels competitionOf(ServiceName service, ServiceCompetition.Competitor call, long nowMillis) {
 		UrgencyLevels configured = levels(service);
 		return configured.differ() ? of(service, nowMillis).competitionOf(configured, call, nowMillis)
