Let calls wait no longer than their callers, and forget the pace before a stall

Loaders kept the pace from before an outage of the origin, so that the ready time was overestimated after it (5.5 s for 2.5 s) and calls were rejected. Change: Route.patienceMillis. A call waits at most as long as its caller does; one whose runners serve later is told to come back when it can wait for the rest. A stall ends what a loader has measured. Result: AdmissionPoliciesTests (one new test), LoadReducerTests, RunnerTableTests, StoreEntryDecoderTests pass.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
@@ -44,6 +44,15 @@
 	 */
 	private static final long MIN_SERVING_MILLIS = 1000;
 
+	/**
+	 * The time in which a response starts at a runner that has just loaded, in
+	 * milliseconds: a connection, a prompt and half a pass.
+	 */
+	private static final long MIN_START_MILLIS = 300;
+
+	/** The part of its remaining time for which a caller waits before it returns. */
+	private static final double HONOURED_PART = 1.0 / 3;
+
 	/**
 	 * The time in which a gateway that starts beside others receives the configuration,
 	 * in milliseconds.
@@ -127,13 +136,13 @@
 	public static AdmissionDecision whileLoading(long elapsedMillis, OptionalLong readyInMillis, CallRequirements call,
 			double draw) {
 		long untilLoadedMillis = readyInMillis.orElse(EXPECTED_LOAD_MILLIS - elapsedMillis);
-		long helpfulMillis = call.remainingMillis() - MIN_SERVING_MILLIS;
+		long patienceMillis = call.patienceMillis() - MIN_START_MILLIS;
+		long helpfulMillis = Math.min(call.remainingMillis() - MIN_SERVING_MILLIS, patienceMillis);
 		// reported times end before the deadline; assumed ones may be wrong by any time
 		long maxWaitMillis = readyInMillis.isPresent() ? helpfulMillis : untilLoadedMillis + LOAD_WAIT_MARGIN_MILLIS;
 		boolean helps = readyInMillis.isPresent() ? untilLoadedMillis < helpfulMillis
 				: untilLoadedMillis > 0 && maxWaitMillis <= helpfulMillis;
-		long retryAfterMillis = Math.max(MIN_RETRY_AFTER_MILLIS, untilLoadedMillis)
-				+ (long) (draw * LOAD_RETRY_SPREAD_MILLIS);
+		long retryAfterMillis = retryAfterMillis(untilLoadedMillis, patienceMillis, call.remainingMillis(), draw);
 		if (helps) {
 			long onTimeMillis = (long) (CompetingLevels.GOAL_FRACTION * call.goalMillis()) - call.elapsedMillis();
 			return new AdmissionDecision.Wait(AdmissionDecision.Wait.Cause.LOADING,
@@ -145,6 +154,23 @@
 				"most runners that serve this are loading weights");
 	}
 
+	/*
+	 * Callers wait for part of their remaining time only, and return once. One that
+	 * returns before the runners serve waits here for the rest, as far as it is patient;
+	 * such callers return at different times.
+	 */
+	private static long retryAfterMillis(long untilLoadedMillis, long patienceMillis, long remainingMillis,
+			double draw) {
+		long latestMillis = (long) (HONOURED_PART * remainingMillis);
+		long earliestMillis = untilLoadedMillis - patienceMillis + LOAD_WAIT_MARGIN_MILLIS;
+		boolean inTime = untilLoadedMillis + MIN_SERVING_MILLIS <= remainingMillis;
+		if (inTime && untilLoadedMillis > latestMillis && earliestMillis < latestMillis) {
+			long fromMillis = Math.max(MIN_RETRY_AFTER_MILLIS, earliestMillis);
+			return fromMillis + (long) (draw * Math.max(0, latestMillis - fromMillis));
+		}
+		return Math.max(MIN_RETRY_AFTER_MILLIS, untilLoadedMillis) + (long) (draw * LOAD_RETRY_SPREAD_MILLIS);
+	}
+
 	/**
 	 * Decides on a call to a service all of whose runners have asked for a pause. It is
 	 * rejected, with a retry delay after which the first of them takes requests again. A
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/CallRequirements.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/CallRequirements.java
@@ -14,11 +14,13 @@
  * @param correctionFactor the recent ratio of observed to predicted time to the first
  * event, see {@link PredictionCorrection}
  * @param elapsedMillis the time since the arrival of the call, in milliseconds
+ * @param patienceMillis the time left until the caller abandons the call if no response
+ * has begun, in milliseconds; {@link Long#MAX_VALUE} if it waits until the deadline
  * @param competition the urgency levels that it competes with
  * @since 0.1
  */
 public record CallRequirements(long promptTokens, long goalMillis, long remainingMillis, double correctionFactor,
-		long elapsedMillis, CompetingLevels competition) {
+		long elapsedMillis, long patienceMillis, CompetingLevels competition) {
 
 	/**
 	 * The part of its goal that a call may use that will be late after waiting, at a
@@ -40,7 +42,7 @@
 	 * @param correctionFactor the recent ratio of observed to predicted time
 	 */
 	public CallRequirements(long promptTokens, long goalMillis, long remainingMillis, double correctionFactor) {
-		this(promptTokens, goalMillis, remainingMillis, correctionFactor, 0, CompetingLevels.none());
+		this(promptTokens, goalMillis, remainingMillis, correctionFactor, 0, Long.MAX_VALUE, CompetingLevels.none());
 	}
 
 	/**
@@ -52,7 +54,7 @@
 		long lowerGoalMillis = this.competition.exist() ? this.goalMillis
 				: (long) (GOAL_FRACTION_AFTER_WAITING * this.goalMillis);
 		return new CallRequirements(this.promptTokens, lowerGoalMillis, this.remainingMillis, this.correctionFactor,
-				this.elapsedMillis, this.competition.as(CompetingLevels.Standing.LATE));
+				this.elapsedMillis, this.patienceMillis, this.competition.as(CompetingLevels.Standing.LATE));
 	}
 
 }
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/Pace.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/loading/Pace.java
@@ -41,12 +41,13 @@
 	}
 
 	/*
-	 * A stall is left out of the mean: the pace after it is that of the link.
+	 * A stall ends what has been measured: before it, pieces may have come from a source
+	 * that many others used, or that was about to become unavailable.
 	 */
 	Pace afterPiece(long nowMillis) {
 		long sample = nowMillis - this.lastPieceAtMillis;
 		if (this.lastPieceAtMillis == NONE || sample >= STALLED_MILLIS) {
-			return new Pace(nowMillis, this.pieceMillis, this.loadMillis);
+			return new Pace(nowMillis, 0, this.loadMillis);
 		}
 		// pieces that arrive within a millisecond must not make the pace look unknown
 		double measured = Math.max(0.5, sample);
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/admission/AdmissionPoliciesTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/admission/AdmissionPoliciesTests.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
+import org.catkingate.decisions.competition.CompetingLevels;
 import org.catkingate.decisions.routing.Distance;
 import org.catkingate.decisions.sending.CallScope;
 import org.catkingate.decisions.sending.Residency;
@@ -248,6 +249,20 @@
 	@Nested
 	class CallersWhileAllRunnersLoadWeights {
 
+		// Load pattern: no runner serves for longer than callers wait for a first event.
+		// Guards against calls that wait until their callers abandon them.
+		@Test
+		void thatWouldAbandonTheirCallReturnWhenTheyCanWaitForTheRest() {
+			CallRequirements call = new CallRequirements(1000, 400, 5600, 1, 0, 3200, CompetingLevels.none());
+			for (int i = 0; i <= 10; i++) {
+				AdmissionDecision.Reject rejection = (AdmissionDecision.Reject) AdmissionPolicies.whileLoading(0,
+						OptionalLong.of(3500), call, i / 10.0);
+				assertThat(rejection.retryAfterMillis()).isBetween(3500L - 3200, 5600L / 3);
+			}
+			assertThat(AdmissionPolicies.whileLoading(0, OptionalLong.of(2500), call, 0.5)).isInstanceOfSatisfying(
+					AdmissionDecision.Wait.class, (wait) -> assertThat(wait.maxMillis()).isLessThan(3200));
+		}
+
 		private static final long LOADED_AT_MILLIS = 1500;
 
 		private static final long REMAINING_MILLIS = 5000;
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/competition/CompetingLoadTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/competition/CompetingLoadTests.java
@@ -280,7 +280,7 @@
 			long now = CompetingLoadTests.this.now;
 			double draw = CompetingLoadTests.this.random.nextDouble();
 			CallRequirements regular = new CallRequirements(call.type.promptTokens(), call.type.goalMillis(),
-					TIMEOUT_MILLIS - (now - call.issuedAt), this.correction.factor(), now - call.at,
+					TIMEOUT_MILLIS - (now - call.issuedAt), this.correction.factor(), now - call.at, Long.MAX_VALUE,
 					this.competition.competitionOf(CompetingLoadTests.this.levels, call.competitor(), now));
 			CallRequirements requirements = call.late ? regular.afterWaiting() : regular;
 			if (now < CompetingLoadTests.this.readyAt) {
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/competition/WaitingQueueTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/competition/WaitingQueueTests.java
@@ -94,9 +94,9 @@
 	@Test
 	void levelsFollowFromTheRoutesAndAccountsOfAService() {
 		Route keyed = new Route("keyed", "h", "/a/", CallKind.STREAM, true, false, 6000, 400, 1, 2,
-				List.of(new Route.Target(SERVICE, 1)), Set.of());
+				List.of(new Route.Target(SERVICE, 1)), Long.MAX_VALUE, Set.of());
 		Route open = new Route("open", "h", "/b/", CallKind.STREAM, true, true, 6000, 1000, 2, 2,
-				List.of(new Route.Target(SERVICE, 1)), Set.of());
+				List.of(new Route.Target(SERVICE, 1)), Long.MAX_VALUE, Set.of());
 		ServingConfiguration configuration = new ServingConfiguration(1, RouteTable.of(List.of(keyed, open)), Map.of(),
 				Map.of("k0", new RegisteredAccount(new AccountName("a"), 0, Set.of()), "k1",
 						new RegisteredAccount(new AccountName("b"), 1, Set.of())),
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/publishing/DraftCheckTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/publishing/DraftCheckTests.java
@@ -33,7 +33,7 @@
 	private static Route route(String name, String prefix, long goalMillis, int attempts, Set<RegionName> regions,
 			Route.Target... targets) {
 		return new Route(name, "songs.example", prefix, CallKind.IDEMPOTENT, false, false, 3000, goalMillis, 1,
-				attempts, List.of(targets), regions);
+				attempts, List.of(targets), Long.MAX_VALUE, regions);
 	}
 
 	private static Route route(String name, String prefix) {
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/ResidenciesTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/ResidenciesTests.java
@@ -41,7 +41,7 @@
 
 	private static Route route(Set<RegionName> regions) {
 		return new Route("route-1", "songs.example", "/songs/", CallKind.STREAM, true, false, 3000, 1000, 1, 2,
-				List.of(new Route.Target(SERVICE, 1)), regions);
+				List.of(new Route.Target(SERVICE, 1)), Long.MAX_VALUE, regions);
 	}
 
 	private static Optional<ServingConfiguration> configuration(Set<RegionName> route, Set<RegionName> account) {
--- a/catkingate-model/src/main/java/org/catkingate/model/registry/Route.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/registry/Route.java
@@ -23,13 +23,15 @@
  * @param maxRunners the maximum number of runners to which one call may be sent
  * @param targets the services, one of which is selected per call in proportion to its
  * weight
+ * @param patienceMillis the time without an event after which callers abandon a stream,
+ * also before its first event, in milliseconds; {@link Long#MAX_VALUE} if they do not
  * @param allowedRegions the regions in which the calls may be served; empty if all are
  * allowed
  * @since 0.1
  */
 public record Route(String name, String host, String pathPrefix, CallKind kind, boolean resumable,
 		boolean allowsAnonymousCalls, long timeoutMillis, long goalMillis, int priority, int maxRunners,
-		List<Target> targets, Set<RegionName> allowedRegions) {
+		List<Target> targets, long patienceMillis, Set<RegionName> allowedRegions) {
 
 	public Route {
 		Objects.requireNonNull(name, "name must not be null");
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
@@ -264,7 +264,7 @@
 	static ServingConfiguration configuration(long version, CallKind kind, Set<RegionName> routeRegions,
 			Set<RegionName> accountRegions) {
 		Route route = new Route("route-1", HOST, "/songs/", kind, true, false, 3000, 1000, 1, 2,
-				List.of(new Route.Target(SERVICE, 1)), routeRegions);
+				List.of(new Route.Target(SERVICE, 1)), Long.MAX_VALUE, routeRegions);
 		return new ServingConfiguration(version, RouteTable.of(List.of(route)),
 				Map.of(SERVICE,
 						new RegisteredService(SERVICE, 100, Optional.empty(), Optional.empty(), Optional.empty())),
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/VersionChangeTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/VersionChangeTests.java
@@ -66,7 +66,7 @@
 		EngineProfile engine = new EngineProfile(16, 5, 9.27, 0.0232, 0, 20.7, 0, 2048, 979, 92, Long.MAX_VALUE, 64,
 				List.of(MODEL));
 		Route route = new Route("route-1", TestGateway.HOST, "/songs/", CallKind.STREAM, resumable, true,
-				TIMEOUT_MILLIS, 1000, 1, 2, List.of(new Route.Target(SERVICE, 1)), Set.of());
+				TIMEOUT_MILLIS, 1000, 1, 2, List.of(new Route.Target(SERVICE, 1)), Long.MAX_VALUE, Set.of());
 		return new ServingConfiguration(7, RouteTable.of(List.of(route)),
 				Map.of(SERVICE,
 						new RegisteredService(SERVICE, 100, Optional.of(engine), Optional.empty(), Optional.empty())),
