--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/FirstEventPredictor.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/FirstEventPredictor.java
@@ -30,7 +30,7 @@
 		double tokens = option.pendingPromptTokens() + promptTokens;
 		double passes = Math.ceil(tokens / engine.promptTokensPerStep());
 		double untilSlotMillis = Math.max(0, option.responding() + option.pending() + 1 - engine.slots())
-				* completionIntervalMillis(engine);
+				* engine.completionIntervalMillis();
 		return untilSlotMillis + passMillis / 2 + tokens / engine.promptTokensPerMilli() + passes * passMillis;
 	}
 
@@ -83,19 +83,6 @@
 				+ engine.stepMillisPerContextToken() * (engine.meanPromptTokens() + engine.meanResponseTokens() / 2));
 	}
 
-	/**
-	 * Returns the mean interval between two completed requests of an engine whose slots
-	 * are all in use.
-	 * @param engine the engine
-	 * @return the interval in milliseconds
-	 */
-	static double completionIntervalMillis(EngineProfile engine) {
-		double events = Math.max(1, engine.meanResponseTokens() / engine.tokensPerEvent());
-		double decodingMillis = events * engine.tokensPerEvent()
-				* (engine.stepMillis() + engine.stepMillisPerRequest() * engine.slots());
-		return decodingMillis / engine.slots() + engine.meanPromptTokens() / engine.promptTokensPerMilli();
-	}
-
 	/**
 	 * Predicts the response time at a service without an engine.
 	 * @param option the known state of the runner
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/competition/ServiceCompetition.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/competition/ServiceCompetition.java
@@ -55,8 +55,8 @@
 	private static final double SHORTAGE_MILLIS = 2000;
 
 	/**
-	 * The part of its calls that find no place, or start late, from which a level lacks
-	 * places. Less urgent calls are not limited before, since nothing would be gained.
+	 * The part of its calls that find no place from which a level lacks places. Less
+	 * urgent calls are not limited before, since nothing would be gained.
 	 */
 	private static final double SHORTAGE_PART = 0.1;
 
@@ -113,7 +113,8 @@
 	/**
 	 * Returns whether a call that has waited for runners to load may be sent now. When
 	 * the runners begin to serve, all gateways see them idle and have many such calls.
-	 * They send them as fast as the runners together read prompts, and not all at once.
+	 * They send them as fast as the runners together complete requests, and not all at
+	 * once: what is sent faster takes the slots from calls that can be on time.
 	 * @param nowMillis the time now, in monotonic milliseconds
 	 * @return whether it may be sent
 	 */
@@ -123,14 +124,15 @@
 
 	/**
 	 * Records that a call that has waited for runners to load is sent.
-	 * @param promptMillis the time in which a runner reads a prompt, in milliseconds
+	 * @param intervalMillis the mean interval between two requests that a busy runner
+	 * completes, in milliseconds
 	 * @param runners the number of runners that can serve the call
 	 * @param gateways the number of gateways that send such calls
 	 * @param nowMillis the time now, in monotonic milliseconds
 	 */
-	public void recordRelease(double promptMillis, int runners, int gateways, long nowMillis) {
+	public void recordRelease(double intervalMillis, int runners, int gateways, long nowMillis) {
 		this.nextReleaseMillis = Math.max(this.nextReleaseMillis, nowMillis - RELEASE_BURST_MILLIS)
-				+ promptMillis * gateways / Math.max(1, runners);
+				+ intervalMillis * gateways / Math.max(1, runners);
 	}
 
 	/**
@@ -153,7 +155,7 @@
 	}
 
 	/**
-	 * Records that a call that can be on time has found no place, or has started late.
+	 * Records that a call that can be on time has found no place.
 	 * @param call the call
 	 * @param nowMillis the time now, in monotonic milliseconds
 	 */
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/competition/CompetingLoadTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/competition/CompetingLoadTests.java
@@ -354,7 +354,7 @@
 					return;
 				}
 				if (!entry.followsRate()) {
-					this.competition.recordRelease(ENGINE.meanPromptTokens() / ENGINE.promptTokensPerMilli(),
+					this.competition.recordRelease(ENGINE.completionIntervalMillis(),
 							CompetingLoadTests.this.runners.size(), CompetingLoadTests.this.gateways.size(), now);
 				}
 				this.queue.remove(entry);
@@ -440,9 +440,6 @@
 			call.startedAt = CompetingLoadTests.this.now;
 			call.gateway.correction = call.gateway.correction.withObservation(call.predicted,
 					call.startedAt - call.sentAt);
-			if (!call.late && call.startedAt - call.sentAt > call.type.goalMillis()) {
-				call.gateway.competition.recordUnplaced(call.competitor(), CompetingLoadTests.this.now);
-			}
 			call.eventsLeft--;
 			this.responding.add(call);
 		}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/CallAdmission.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/CallAdmission.java
@@ -100,16 +100,6 @@
 		follow(decision);
 	}
 
-	/**
-	 * Records that the response has begun.
-	 * @param elapsedMillis the time since the call was sent, in milliseconds
-	 */
-	void recordResponseStart(long elapsedMillis) {
-		if (!this.late && elapsedMillis > this.admitted.route().goalMillis()) {
-			recordUnplaced();
-		}
-	}
-
 	private void recordUnplaced() {
 		this.sharedState.competitions().recordUnplaced(this.admitted.service(), this.competitor, now());
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -301,7 +301,6 @@
 	public void onResponseStart(RunnerAttempt from, long elapsedMillis) {
 		if (!isStale(from)) {
 			this.log.addResponseStart(from, elapsedMillis);
-			this.admission.recordResponseStart(elapsedMillis);
 			this.sharedState.recordResponseStart(this.admitted.service(), this.predictedMillis, elapsedMillis);
 			// the runner has read the prompt, so that another one can be sent
 			this.sharedState.waitingCalls().check(this.admitted.service());
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/SharedCallState.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/SharedCallState.java
@@ -14,6 +14,7 @@
 import org.catkingate.model.ModelName;
 import org.catkingate.model.RunnerId;
 import org.catkingate.model.ServiceName;
+import org.catkingate.model.registry.EngineProfile;
 import org.catkingate.runtime.MonotonicClock;
 import org.catkingate.runtime.calls.HeaderCodec;
 
@@ -158,11 +159,9 @@
 	 * @param service the service
 	 */
 	void recordRelease(ServiceName service) {
-		double promptMillis = this.runners.engine(service)
-			.map((engine) -> engine.meanPromptTokens() / engine.promptTokensPerMilli())
-			.orElse(0.0);
+		double intervalMillis = this.runners.engine(service).map(EngineProfile::completionIntervalMillis).orElse(0.0);
 		this.competitions.of(service, this.clock.millis())
-			.recordRelease(promptMillis, this.runners.count(service), this.gatewayCount.getAsInt(),
+			.recordRelease(intervalMillis, this.runners.count(service), this.gatewayCount.getAsInt(),
 					this.clock.millis());
 	}
 
--- a/catkingate-model/src/main/java/org/catkingate/model/registry/EngineProfile.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/registry/EngineProfile.java
@@ -43,4 +43,16 @@
 		models = List.copyOf(models);
 	}
 
+	/**
+	 * Returns the mean interval between two completed requests of an engine whose slots
+	 * are all in use.
+	 * @return the interval in milliseconds
+	 */
+	public double completionIntervalMillis() {
+		double events = Math.max(1, this.meanResponseTokens / this.tokensPerEvent);
+		double decodingMillis = events * this.tokensPerEvent
+				* (this.stepMillis + this.stepMillisPerRequest * this.slots);
+		return decodingMillis / this.slots + this.meanPromptTokens / this.promptTokensPerMilli;
+	}
+
 }
