Let only as many calls wait for a version as can be sent in time

Change: the number follows from the rate of completed requests and the time between the ready runner and the end of the callers' patience; others are rejected at once with a time to come back.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
@@ -129,12 +129,14 @@
 	 * milliseconds
 	 * @param readyInMillis the time until the first runner is reported to serve, in
 	 * milliseconds; empty if it is unknown
+	 * @param releasesPerSecond the waiting calls that this gateway can send per second
+	 * once the runners serve
 	 * @param call the requirements of the call
 	 * @param draw a random number from 0 to 1
 	 * @return the decision, never null
 	 */
-	public static AdmissionDecision whileLoading(long elapsedMillis, OptionalLong readyInMillis, CallRequirements call,
-			double draw) {
+	public static AdmissionDecision whileLoading(long elapsedMillis, OptionalLong readyInMillis,
+			double releasesPerSecond, CallRequirements call, double draw) {
 		long untilLoadedMillis = readyInMillis.orElse(EXPECTED_LOAD_MILLIS - elapsedMillis);
 		long patienceMillis = call.patienceMillis() - MIN_START_MILLIS;
 		long helpfulMillis = Math.min(call.remainingMillis() - MIN_SERVING_MILLIS, patienceMillis);
@@ -146,7 +148,10 @@
 		if (helps) {
 			long onTimeMillis = (long) (CompetingLevels.GOAL_FRACTION * call.goalMillis()) - call.elapsedMillis();
 			return new AdmissionDecision.Wait(AdmissionDecision.Wait.Cause.LOADING,
-					Math.max(0, Math.min(onTimeMillis, maxWaitMillis)), maxWaitMillis, MAX_CALLS_WAITING_FOR_LOADING,
+					Math.max(0, Math.min(onTimeMillis, maxWaitMillis)), maxWaitMillis,
+					readyInMillis.isPresent()
+							? maxCallsWaitingForLoading(releasesPerSecond, helpfulMillis - untilLoadedMillis)
+							: MAX_CALLS_WAITING_FOR_LOADING,
 					new AdmissionDecision.Reject(readyInMillis.isPresent() ? retryAfterMillis : maxWaitMillis,
 							Double.NaN, "its runners have not loaded weights in time"));
 		}
@@ -154,6 +159,15 @@
 				"most runners that serve this are loading weights");
 	}
 
+	/*
+	 * The calls that can be sent between the moment at which runners serve and the one
+	 * from which sending this call does not help any more. More would wait in vain.
+	 */
+	private static int maxCallsWaitingForLoading(double releasesPerSecond, long millis) {
+		double calls = Math.ceil(releasesPerSecond * millis / MILLIS_PER_SECOND);
+		return (int) Math.max(1, Math.min(MAX_CALLS_WAITING_FOR_LOADING, calls));
+	}
+
 	/*
 	 * Callers wait for part of their remaining time only, and return once. One that
 	 * returns before the runners serve waits here for the rest, as far as it is patient;
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/admission/AdmissionPoliciesTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/admission/AdmissionPoliciesTests.java
@@ -249,6 +249,15 @@
 	@Nested
 	class CallersWhileAllRunnersLoadWeights {
 
+		// Load pattern: more calls arrive while no runner serves than can be sent before
+		// their callers abandon them. Guards against calls that are held in vain.
+		@Test
+		void waitOnlyInTheNumberThatCanBeSentInTime() {
+			CallRequirements call = new CallRequirements(1000, 400, 5600, 1, 0, 3200, CompetingLevels.none());
+			assertThat(AdmissionPolicies.whileLoading(0, OptionalLong.of(1900), 10, call, 0.5)).isInstanceOfSatisfying(
+					AdmissionDecision.Wait.class, (wait) -> assertThat(wait.maxCalls()).isBetween(1, 13));
+		}
+
 		// Load pattern: no runner serves for longer than callers wait for a first event.
 		// Guards against calls that wait until their callers abandon them.
 		@Test
@@ -256,10 +265,10 @@
 			CallRequirements call = new CallRequirements(1000, 400, 5600, 1, 0, 3200, CompetingLevels.none());
 			for (int i = 0; i <= 10; i++) {
 				AdmissionDecision.Reject rejection = (AdmissionDecision.Reject) AdmissionPolicies.whileLoading(0,
-						OptionalLong.of(3500), call, i / 10.0);
+						OptionalLong.of(3500), 100, call, i / 10.0);
 				assertThat(rejection.retryAfterMillis()).isBetween(3500L - 3200, 5600L / 3);
 			}
-			assertThat(AdmissionPolicies.whileLoading(0, OptionalLong.of(2500), call, 0.5)).isInstanceOfSatisfying(
+			assertThat(AdmissionPolicies.whileLoading(0, OptionalLong.of(2500), 100, call, 0.5)).isInstanceOfSatisfying(
 					AdmissionDecision.Wait.class, (wait) -> assertThat(wait.maxMillis()).isLessThan(3200));
 		}
 
@@ -270,7 +279,7 @@
 		private final Random random = new Random(SEED);
 
 		private AdmissionDecision decide(long elapsedMillis, long remainingMillis) {
-			return AdmissionPolicies.whileLoading(elapsedMillis, OptionalLong.empty(),
+			return AdmissionPolicies.whileLoading(elapsedMillis, OptionalLong.empty(), 100,
 					new CallRequirements(1000, 400, remainingMillis, 1), this.random.nextDouble());
 		}
 
@@ -314,10 +323,13 @@
 		@Test
 		void waitForAReportedArrivalAsFarAsTheirDeadlineAllows() {
 			CallRequirements call = new CallRequirements(1000, 400, REMAINING_MILLIS, 1);
-			assertThat(((AdmissionDecision.Wait) AdmissionPolicies.whileLoading(60_000, OptionalLong.of(3500), call, 0))
+			assertThat(((AdmissionDecision.Wait) AdmissionPolicies.whileLoading(60_000, OptionalLong.of(3500), 100,
+					call, 0))
 				.maxMillis()).isEqualTo(REMAINING_MILLIS - 1000);
-			assertThat(((AdmissionDecision.Reject) AdmissionPolicies.whileLoading(0, OptionalLong.of(4100), call, 0))
-				.retryAfterMillis()).isEqualTo(4100);
+			assertThat(
+					((AdmissionDecision.Reject) AdmissionPolicies.whileLoading(0, OptionalLong.of(4100), 100, call, 0))
+						.retryAfterMillis())
+				.isEqualTo(4100);
 		}
 
 		@Test
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/competition/CompetingLoadTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/competition/CompetingLoadTests.java
@@ -284,7 +284,7 @@
 					this.competition.competitionOf(CompetingLoadTests.this.levels, call.competitor(), now));
 			CallRequirements requirements = call.late ? regular.afterWaiting() : regular;
 			if (now < CompetingLoadTests.this.readyAt) {
-				return AdmissionPolicies.whileLoading(0, OptionalLong.of(CompetingLoadTests.this.readyAt - now),
+				return AdmissionPolicies.whileLoading(0, OptionalLong.of(CompetingLoadTests.this.readyAt - now), 100,
 						requirements, draw);
 			}
 			List<RunnerOption> options = CompetingLoadTests.this.runners.stream()
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -48,6 +48,8 @@
 	private static final Set<SendCondition> END_OF_PAUSE_SUFFICES = EnumSet.of(SendCondition.NOT_PAUSED,
 			SendCondition.WITHIN_LIMIT, SendCondition.WITHIN_COLD_ALLOWANCE);
 
+	private static final double MILLIS_PER_SECOND = 1000;
+
 	private final Map<RunnerId, RunnerState> runners = new HashMap<>();
 
 	private final RememberedIntakes rememberedIntakes = new RememberedIntakes();
@@ -210,7 +212,8 @@
 		}
 		if (!scope.models().isEmpty() && areMostLoading(scope, nowMillis)) {
 			return AdmissionPolicies.whileLoading(recordLoading(scope.service(), nowMillis),
-					readyInMillis(scope, nowMillis), call.requirements(), draw);
+					readyInMillis(scope, nowMillis), releasesPerSecond(scope, engine, otherGateways + 1),
+					call.requirements(), draw);
 		}
 		if (options.isEmpty() && unmet.containsKey(SendCondition.WITHIN_COLD_ALLOWANCE)) {
 			return AdmissionPolicies.whileCold(coldPerSecond, call.requirements().remainingMillis(), draw);
@@ -288,6 +291,16 @@
 			.min();
 	}
 
+	/*
+	 * Returns the part of this gateway of the rate at which the runners of a pool
+	 * complete requests.
+	 */
+	private double releasesPerSecond(CallScope scope, Optional<EngineProfile> engine, int gateways) {
+		long pool = this.runners.values().stream().filter((state) -> isInPool(state, scope)).count();
+		return engine.map((profile) -> MILLIS_PER_SECOND * pool / profile.completionIntervalMillis() / gateways)
+			.orElse(0.0);
+	}
+
 	/**
 	 * Returns the time until a runner of a service serves again.
 	 * @param service the service
