Notice callers that have left before a request is sent; slower release after a gap

After a gap, waiting calls took the capacity that new calls need (85 of 330 on time in the two seconds after it). Change: the connection is read once before the first send. Calls that have waited get half of the rate of completed requests. Result: GatewayResponseTests, StreamContinuationTests, VersionChangeTests, RunnerPauseTests and the decision tests pass; there is no test of the close that arrives before the first read.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/competition/ServiceCompetition.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/competition/ServiceCompetition.java
@@ -75,6 +75,13 @@
 	 */
 	private static final double RELEASE_BURST_MILLIS = 50;
 
+	/**
+	 * The part of the rate at which runners complete requests that is used for calls that
+	 * have waited for them to load. Their responses are late; the rest is left to new
+	 * calls, which can be on time.
+	 */
+	public static final double RELEASED_PART = 0.5;
+
 	private final Map<Urgency, Long> lastSeenMillis = new HashMap<>();
 
 	private final Map<Urgency, SlidingWindowCounter> sent = new HashMap<>();
@@ -113,8 +120,8 @@
 	/**
 	 * Returns whether a call that has waited for runners to load may be sent now. When
 	 * the runners begin to serve, all gateways see them idle and have many such calls.
-	 * They send them as fast as the runners together complete requests, and not all at
-	 * once: what is sent faster takes the slots from calls that can be on time.
+	 * They send them at a part of the rate at which the runners together complete
+	 * requests: what is sent faster takes the slots from calls that can be on time.
 	 * @param nowMillis the time now, in monotonic milliseconds
 	 * @return whether it may be sent
 	 */
@@ -132,7 +139,7 @@
 	 */
 	public void recordRelease(double intervalMillis, int runners, int gateways, long nowMillis) {
 		this.nextReleaseMillis = Math.max(this.nextReleaseMillis, nowMillis - RELEASE_BURST_MILLIS)
-				+ intervalMillis * gateways / Math.max(1, runners);
+				+ intervalMillis / RELEASED_PART * gateways / Math.max(1, runners);
 	}
 
 	/**
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -125,11 +125,13 @@
 			handleExchangeEnd();
 			next.proceed();
 		});
-		CallerDisconnectWatcher.watch(this.exchange, this::handleCallerDisconnect);
 		this.timer = this.exchange.getIoThread()
 			.executeAfter(this::handleTimeout, Math.max(1, remainingMillis()) + RUNNER_RESPONSE_GRACE_MILLIS,
 					TimeUnit.MILLISECONDS);
-		tryNextRunner();
+		CallerDisconnectWatcher.watchAndCheck(this.exchange, this::handleCallerDisconnect);
+		if (!this.finished) {
+			tryNextRunner();
+		}
 	}
 
 	private long remainingMillis() {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -19,6 +19,7 @@
 import org.catkingate.decisions.admission.AdmissionPolicy;
 import org.catkingate.decisions.admission.CallDescription;
 import org.catkingate.decisions.admission.RunnerOption;
+import org.catkingate.decisions.competition.ServiceCompetition;
 import org.catkingate.decisions.registry.RegistryView;
 import org.catkingate.decisions.sending.CallScope;
 import org.catkingate.decisions.sending.Residency;
@@ -292,12 +293,14 @@
 	}
 
 	/*
-	 * Returns the part of this gateway of the rate at which the runners of a pool
-	 * complete requests.
+	 * Returns the part of this gateway of the rate at which the runners of a pool take
+	 * calls that have waited for them to load.
 	 */
 	private double releasesPerSecond(CallScope scope, Optional<EngineProfile> engine, int gateways) {
 		long pool = this.runners.values().stream().filter((state) -> isInPool(state, scope)).count();
-		return engine.map((profile) -> MILLIS_PER_SECOND * pool / profile.completionIntervalMillis() / gateways)
+		return engine
+			.map((profile) -> ServiceCompetition.RELEASED_PART * MILLIS_PER_SECOND * pool
+					/ profile.completionIntervalMillis() / gateways)
 			.orElse(0.0);
 	}
 
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerDisconnectWatcher.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerDisconnectWatcher.java
@@ -39,6 +39,23 @@
 		}
 	}
 
+	/**
+	 * Starts to watch like {@link #watch}, and notices a connection that has been closed
+	 * already. A process that starts or is overloaded may read a request after its caller
+	 * has left.
+	 * @param exchange the exchange
+	 * @param onDisconnect runs when the caller has closed its side of the connection,
+	 * possibly before this method returns
+	 */
+	public static void watchAndCheck(HttpServerExchange exchange, Runnable onDisconnect) {
+		if (exchange.getConnection() instanceof AbstractServerConnection connection
+				&& connection.getExtraBytes() == null) {
+			CallerDisconnectWatcher watcher = new CallerDisconnectWatcher(connection, onDisconnect);
+			watcher.start();
+			watcher.onReadable(connection.getChannel().getSourceChannel());
+		}
+	}
+
 	private void start() {
 		ConduitStreamSourceChannel source = this.connection.getChannel().getSourceChannel();
 		source.setConduit(this.connection.getOriginalSourceConduit());
