--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
@@ -336,7 +336,9 @@
 			AdmissionDecision.Reject rejection) {
 		long onTimeMillis = Math.max(0, (long) (CompetingLevels.GOAL_FRACTION * requirements.goalMillis()
 				- requirements.elapsedMillis() - idleMillis));
-		long maxMillis = Math.min(onTimeMillis + LATE_WAIT_MILLIS, requirements.remainingMillis() - MIN_SERVING_MILLIS);
+		long helpfulMillis = Math.min(requirements.remainingMillis() - MIN_SERVING_MILLIS,
+				requirements.patienceMillis() - MIN_START_MILLIS);
+		long maxMillis = Math.min(onTimeMillis + LATE_WAIT_MILLIS, helpfulMillis);
 		return (maxMillis > 0) ? new AdmissionDecision.Wait(AdmissionDecision.Wait.Cause.PLACE,
 				Math.min(onTimeMillis, maxMillis), maxMillis, Integer.MAX_VALUE, rejection) : rejection;
 	}
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/competition/CompetingLevels.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/competition/CompetingLevels.java
@@ -111,7 +111,7 @@
 		return switch (this.standing) {
 			case REGULAR -> moreUrgent;
 			// one more for the other accounts of its level
-			case OVER_SHARE -> (count() > 1) ? moreUrgent + 1 : 0;
+			case OVER_SHARE -> this.exist ? moreUrgent + 1 : 0;
 			case BELOW_MINIMUM -> 0;
 			case LATE -> this.exist ? count() : 0;
 		};
@@ -144,7 +144,7 @@
 		/** Nothing is known that sets it back or forth. */
 		REGULAR,
 
-		/** Its account has received more than its share. */
+		/** Its account has received more than its share, while its level lacks places. */
 		OVER_SHARE,
 
 		/** Its request type or its account has received less than the minimum share. */
--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/competition/ServiceCompetition.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/competition/ServiceCompetition.java
@@ -273,7 +273,9 @@
 				|| isBelowMinimum(this.accounts.get(call.account()), served, nowMillis)) {
 			return CompetingLevels.Standing.BELOW_MINIMUM;
 		}
-		return isOverShare(call, nowMillis) ? CompetingLevels.Standing.OVER_SHARE : CompetingLevels.Standing.REGULAR;
+		// an account takes nothing from others while they find places
+		return (lacksPlaces(call.urgency(), nowMillis) && isOverShare(call, nowMillis))
+				? CompetingLevels.Standing.OVER_SHARE : CompetingLevels.Standing.REGULAR;
 	}
 
 	private static boolean isBelowMinimum(Share share, double servedOfAll, long nowMillis) {
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/admission/AdmissionPoliciesTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/admission/AdmissionPoliciesTests.java
@@ -74,6 +74,21 @@
 			.isInstanceOf(AdmissionDecision.Reject.class);
 	}
 
+	// Load pattern: no place is free, and the caller is about to abandon its call. Guards
+	// against calls that are held although their callers will not see the response.
+	@Test
+	void aCallDoesNotWaitForAPlaceLongerThanItsCaller() {
+		CompetingLevels levels = new CompetingLevels(List.of(), 0, true, CompetingLevels.Standing.REGULAR);
+		List<RunnerOption> busy = List.of(runner("a", Distance.DATA_CENTRE, 16, 12));
+		assertThat(this.policy.decide(busy, call(new CallRequirements(1000, 400, 6000, 1, 2000, 1500, levels)), ENGINE,
+				0.5))
+			.isInstanceOfSatisfying(AdmissionDecision.Wait.class,
+					(wait) -> assertThat(wait.maxMillis()).isLessThan(1500));
+		assertThat(this.policy.decide(busy, call(new CallRequirements(1000, 400, 6000, 1, 3000, 200, levels)), ENGINE,
+				0.5))
+			.isInstanceOf(AdmissionDecision.Reject.class);
+	}
+
 	@Nested
 	class ACall {
 
--- a/catkingate-decisions/src/test/java/org/catkingate/decisions/competition/ServiceCompetitionTests.java
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/competition/ServiceCompetitionTests.java
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Test;
 
 import org.catkingate.decisions.sending.Urgency;
+import org.catkingate.model.AccountName;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -63,6 +64,33 @@
 		assertThat(urgent.limitMillis(300, 100)).isEqualTo(300);
 	}
 
+	// Load pattern: one account with most of the traffic, first with room for all calls
+	// and then without. Guards against an account that is held to an equal share while
+	// the others find places, and against one that takes the places of the others.
+	@Test
+	void anAccountWithMostOfTheTrafficIsLimitedOnlyInAShortage() {
+		ServiceCompetition.Competitor large = new ServiceCompetition.Competitor(URGENT, "route",
+				new AccountName("large"), 1000);
+		ServiceCompetition.Competitor small = new ServiceCompetition.Competitor(URGENT, "route",
+				new AccountName("small"), 1000);
+		for (int call = 0; call < 100; call++) {
+			ServiceCompetition.Competitor next = (call % 10 == 0) ? small : large;
+			this.competition.recordArrival(next, 20_000);
+			this.competition.recordSend(next, false, 20_000);
+			this.competition.recordArrival(call(PATIENT), 20_000);
+		}
+		CompetingLevels withRoom = this.competition.competitionOf(this.levels, large, 20_001);
+		assertThat(withRoom.limitMillis(300, 100)).isEqualTo(300);
+		assertThat(withRoom.reservedCalls()).isZero();
+		for (int call = 0; call < 30; call++) {
+			this.competition.recordUnplaced(small, 20_001);
+		}
+		CompetingLevels inShortage = this.competition.competitionOf(this.levels, large, 20_002);
+		assertThat(inShortage.limitMillis(300, 100)).isLessThan(300);
+		assertThat(inShortage.reservedCalls()).isEqualTo(1);
+		assertThat(this.competition.competitionOf(this.levels, small, 20_002).limitMillis(300, 100)).isEqualTo(300);
+	}
+
 	// Guards against limits that stay when the shortage is over.
 	@Test
 	void theLimitEndsSomeSecondsAfterTheShortage() {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestCost.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestCost.java
@@ -23,9 +23,7 @@
 
 	private boolean complete;
 
-	private boolean lineEmpty = true;
-
-	private boolean insideEvent;
+	private EventCounter events = new EventCounter();
 
 	/**
 	 * Creates the cost of a call that has not been sent.
@@ -56,8 +54,7 @@
 	 * part of the response.
 	 */
 	void beginAttempt() {
-		this.lineEmpty = true;
-		this.insideEvent = false;
+		this.events = new EventCounter();
 	}
 
 	Optional<CallCost> expected() {
@@ -90,20 +87,9 @@
 		if (this.tokensPerEvent == 0) {
 			return false;
 		}
-		int events = 0;
-		for (byte character : bytes) {
-			if (character == '\n') {
-				events += (this.lineEmpty && this.insideEvent) ? 1 : 0;
-				this.insideEvent &= !this.lineEmpty;
-				this.lineEmpty = true;
-			}
-			else if (character != '\r') {
-				this.lineEmpty = false;
-				this.insideEvent = true;
-			}
-		}
-		this.produced += events * this.tokensPerEvent;
-		return events > 0;
+		int ended = this.events.add(bytes);
+		this.produced += ended * this.tokensPerEvent;
+		return ended > 0;
 	}
 
 	/**
