--- a/review/2/EndlessBody.java
+++ b/review/2/EndlessBody.java
@@ -1,3 +1,4 @@
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -13,7 +14,7 @@
 
 /**
  * Clients under an even load before seven runners, of which one refuses some requests. With
- * the disruption, the body of one of its refusals has no end, until the caller closes.
+ * the disruption, the bodies of its refusals have no end, until the caller closes.
  */
 final class EndlessBody {
 
@@ -37,7 +38,9 @@
 	/** The share of its requests that the runner in trouble refuses. */
 	private static final double REFUSED = 0.4;
 
-	private static final int CHUNK_BYTES = 4096;
+	private static final int CHUNK_BYTES = 65_536;
+
+	private static final int CHUNKS_PER_WRITE = 16;
 
 	private final Map<String, Integer> ends = new TreeMap<>();
 
@@ -178,7 +181,7 @@
 				int number = this.requests.incrementAndGet();
 				if (EndlessBody.this.inTrouble.get() == this && this.refusals.get() + 1 <= REFUSED * number) {
 					this.refusals.incrementAndGet();
-					refuse(requestId, out);
+					refuse(requestId, channel, out);
 				}
 				else {
 					Thread.sleep(60);
@@ -188,26 +191,30 @@
 			}
 		}
 
-		private void refuse(String requestId, OutputStream out) throws IOException {
-			if (!Rig.TROUBLE || !EndlessBody.this.endless.compareAndSet(0, 1)) {
+		private void refuse(String requestId, Socket channel, OutputStream out) throws IOException {
+			if (!Rig.TROUBLE) {
 				Rig.write(out, "503 Service Unavailable", Map.of("X-Not-Executed", "1", "X-Request-Id", requestId),
 						new byte[0]);
 				return;
 			}
+			EndlessBody.this.endless.incrementAndGet();
 			EndlessBody.this.rig.note(this.id + " refuses " + requestId + "; its bytes do not end");
 			out.write(("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Request-Id: " + requestId
 					+ "\r\nTransfer-Encoding: chunked\r\n\r\n")
 				.getBytes(StandardCharsets.ISO_8859_1));
-			byte[] size = (Integer.toHexString(CHUNK_BYTES) + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
-			byte[] data = new byte[CHUNK_BYTES + 2];
-			data[CHUNK_BYTES] = '\r';
-			data[CHUNK_BYTES + 1] = '\n';
+			out.flush();
+			ByteArrayOutputStream chunks = new ByteArrayOutputStream();
+			for (int i = 0; i < CHUNKS_PER_WRITE; i++) {
+				chunks.write((Integer.toHexString(CHUNK_BYTES) + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+				chunks.write(new byte[CHUNK_BYTES]);
+				chunks.write("\r\n".getBytes(StandardCharsets.ISO_8859_1));
+			}
+			byte[] block = chunks.toByteArray();
 			long written = 0;
 			try {
 				while (true) {
-					out.write(size);
-					out.write(data);
-					written += CHUNK_BYTES;
+					channel.getOutputStream().write(block);
+					written += block.length;
 				}
 			}
 			finally {
--- a/review/5/ForeignEntry.java
+++ b/review/5/ForeignEntry.java
@@ -7,24 +7,32 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Runners under an even load, of which one leaves as planned and a new one comes. With the
- * disruption, another writer has put an entry among those of the runners before.
+ * Runners under an even load, of which four are replaced as planned, one after the other.
+ * With the disruption, another writer has put an entry among those of the runners before.
  */
 final class ForeignEntry {
 
-	private static final int CLIENTS = 8;
+	private static final int GATEWAYS = 4;
+
+	private static final int RUNNERS = 8;
+
+	/** The runners that are replaced, one after the other: a share of 0.5. */
+	private static final int REPLACED = 4;
+
+	private static final int CLIENTS = 16;
 
 	private static final long REQUEST_INTERVAL_MILLIS = 100;
 
 	private static final long DRAIN_MILLIS = 2_000;
 
 	/** For how long the leaving runner still serves after its report. */
-	private static final long SERVES_MILLIS = 6_000;
+	private static final long SERVES_MILLIS = 4_000;
 
-	private static final long AFTER_MILLIS = 8_000;
+	private static final long AFTER_MILLIS = 3_000;
 
 	private final AtomicInteger served = new AtomicInteger();
 
@@ -41,7 +49,7 @@
 	}
 
 	private int play() throws Exception {
-		this.rig = new Rig("review/5", 1);
+		this.rig = new Rig("review/5", GATEWAYS);
 		try (Rig rig = this.rig) {
 			rig.store.put("op/config", "{\"Version\":7,\"Routes\":[{\"Name\":\"r-songs\",\"Host\":\"songs.example\","
 					+ "\"PathPrefix\":\"/songs/\",\"Type\":\"idempotent\",\"TimeoutMs\":800,\"GoalMs\":300,"
@@ -49,22 +57,31 @@
 					+ "\"Resumable\":false}],\"Services\":[{\"Name\":\"songs\",\"HealthPath\":\"/healthz\","
 					+ "\"MaxConns\":96,\"Protocol\":\"h1\",\"Tls\":false}],\"Limits\":{\"MaxHeaderBytes\":16384,"
 					+ "\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},\"Tenants\":[]}");
-			Runner leaving = new Runner("i-leaving");
-			Runner staying = new Runner("i-staying");
+			List<Runner> runners = new CopyOnWriteArrayList<>();
+			for (int i = 0; i < RUNNERS; i++) {
+				runners.add(new Runner("i-old-" + i));
+			}
 			Rig.thread("status reports", () -> {
 				for (int seq = 1;; seq++) {
-					leaving.register(seq);
-					staying.register(seq);
+					for (Runner runner : runners) {
+						runner.register(seq);
+					}
 					Thread.sleep(1200);
 				}
 			});
-			Rig.Node gateway = rig.start("gateway", 0, Map.of());
-			if (!gateway.awaitReady(15_000)) {
-				return Rig.NOT_RUN;
+			List<Rig.Node> gateways = new ArrayList<>();
+			for (int i = 0; i < GATEWAYS; i++) {
+				gateways.add(rig.start("gateway", i, Map.of()));
+			}
+			for (Rig.Node gateway : gateways) {
+				if (!gateway.awaitReady(15_000)) {
+					return Rig.NOT_RUN;
+				}
 			}
 			List<Thread> clients = new ArrayList<>();
 			for (int i = 0; i < CLIENTS; i++) {
 				int client = i;
+				Rig.Node gateway = gateways.get(i % GATEWAYS);
 				clients.add(Rig.thread("client", () -> use(client, gateway.port("Listen.Frontend"))));
 			}
 			Thread.sleep(3000);
@@ -75,22 +92,25 @@
 				rig.note("another writer has put servers/i-other-writer");
 			}
 			Thread.sleep(2000);
-			Runner coming = new Runner("i-coming");
-			coming.register(1);
-			leaving.state = "draining";
-			leaving.register(1000);
-			leaving.drainingSince = rig.millis();
-			rig.note("the store has accepted that i-leaving is draining, and i-coming");
-			Thread.sleep(SERVES_MILLIS);
-			leaving.end();
+			List<Runner> replaced = List.copyOf(runners).subList(0, REPLACED);
+			for (Runner leaving : replaced) {
+				Runner coming = new Runner("i-new" + leaving.id.substring("i-old".length()));
+				coming.register(1);
+				runners.add(coming);
+				Thread.sleep(1000);
+				leaving.drain();
+				Thread.sleep(SERVES_MILLIS);
+				leaving.end();
+			}
 			Thread.sleep(AFTER_MILLIS);
 			this.ended = true;
 			for (Thread client : clients) {
 				client.join();
 			}
-			rig.note("runs of i-leaving: " + leaving.runs + ", i-staying: " + staying.runs + ", i-coming: "
-					+ coming.runs + "; answered 200: " + this.served + ", otherwise: " + this.otherwise);
-			rig.note("requests that reached i-leaving over " + DRAIN_MILLIS + " ms after the ack: " + this.late);
+			runners.forEach((runner) -> rig.note("runs of " + runner.id + ": " + runner.runs));
+			rig.note("answered 200: " + this.served + ", otherwise: " + this.otherwise);
+			rig.note("requests that reached a runner over " + DRAIN_MILLIS + " ms after the ack of its leaving: "
+					+ this.late);
 			return (this.late.get() > 0) ? Rig.BROKEN : Rig.HELD;
 		}
 	}
@@ -145,6 +165,13 @@
 			}
 		}
 
+		private synchronized void drain() {
+			this.state = "draining";
+			register(1000);
+			this.drainingSince = ForeignEntry.this.rig.millis();
+			ForeignEntry.this.rig.note("the store has accepted that " + this.id + " is draining");
+		}
+
 		private synchronized void end() throws IOException {
 			this.gone = true;
 			ForeignEntry.this.rig.store.delete("servers/" + this.id);
