Compare the id of a response before taking it for a rejection

Cause: GatewayCall.onHead acted on X-Not-Executed and 421 before it compared X-Request-Id, so a late copy of the rejection of an earlier request on a kept connection ended the next one, which the runner went on to run. The connection then went back to the pool with an answer outstanding.

Change: the id is compared first on every path that reads a head. A rejection without an id counts only on a connection that has carried no other request. Calls that may run once only, streams included, are sent on new connections. A late copy no longer changes what is known of the runner (pause, limit, load).

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -173,10 +173,11 @@
 	private void send(RunnerState runner) {
 		RunnerHead head = new RunnerHead(runner.runner().id(), Math.max(1, remainingMillis()), this.admitted.account(),
 				this.relay.lastEventId(), this.admission.priority());
-		boolean onNewConnection = this.route.kind() == CallKind.NON_IDEMPOTENT;
+		boolean onNewConnection = !this.route.canRunAgain();
 		RunnerAttempt.OutgoingRequest request = new RunnerAttempt.OutgoingRequest(
 				RunnerRequestFactory.create(this.exchange, this.admitted, this.sharedState.codec(), head),
-				this.admitted.body(), this.admission.cost(), onNewConnection, this.admission::scope);
+				this.admitted.body(), this.admission.cost(), onNewConnection, this.admission::scope,
+				this.responseCheck);
 		this.attempt = RunnerAttempt.start(runner, request, this.sharedState.codec(), this.exchange.getIoThread(),
 				this.sharedState.clock(), this);
 		RunnerAttempt awaited = this.attempt;
@@ -255,6 +256,11 @@
 			return false;
 		}
 		RunnerResponseHead response = from.responseHead();
+		Optional<ResponseCheck.Flaw> flaw = this.responseCheck.find(response, head, from.wasOnUnusedConnection());
+		if (flaw.isPresent()) {
+			failAttempt(from, flaw.get().outcome(), flaw.get().reason());
+			return false;
+		}
 		if (response.notRun()) {
 			this.sharedState.prompts().recordEnd(from, false);
 			recordRejection(from.runner(), response);
@@ -265,11 +271,6 @@
 					() -> rejectOrAbort(this.admission.retryAfterMillis(), "every runner that was asked has no place"));
 			return true;
 		}
-		Optional<ResponseCheck.Flaw> flaw = this.responseCheck.find(response, head);
-		if (flaw.isPresent()) {
-			failAttempt(from, flaw.get().outcome(), flaw.get().reason());
-			return false;
-		}
 		this.mayHaveRun = true;
 		boolean eventStream = this.route.kind() == CallKind.STREAM && head.getResponseCode() < MIN_FAILURE_STATUS;
 		if (!this.relay.receiveHead(head, eventStream)) {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
@@ -60,6 +60,8 @@
 
 	private RunnerResponseHead responseHead;
 
+	private boolean onUnusedConnection;
+
 	private boolean successful;
 
 	private boolean responseStarted;
@@ -146,6 +148,7 @@
 		this.memory = Optional
 			.of(this.runner.work().memory().reserve(this.outgoing.scope().get().memory(), this.sentAtMillis));
 		this.listener.onSend(this);
+		this.onUnusedConnection = StreamedCall.isUnused(connection);
 		this.call = StreamedCall.start(connection, this.outgoing.request(), this.outgoing.body(), this);
 	}
 
@@ -225,6 +228,14 @@
 		return this.call != null;
 	}
 
+	/**
+	 * Returns whether the request was the first on its connection.
+	 * @return whether no response to another request can arrive on the connection
+	 */
+	boolean wasOnUnusedConnection() {
+		return this.onUnusedConnection;
+	}
+
 	/**
 	 * Returns whether the body of the response has started.
 	 * @return whether a first byte of the body has arrived
@@ -277,8 +288,12 @@
 		int status = response.getResponseCode();
 		this.responseHead = this.codec.readResponseHead(status, response.getResponseHeaders());
 		this.successful = status < MIN_FAILURE_STATUS;
-		// also if the response itself is not used any more
-		this.runner.recordResponseHead(status, this.responseHead, this.sentAtMillis, this.clock.millis());
+		// also if the response itself is not used any more, but not from a late copy,
+		// which
+		// describes an earlier state of the runner
+		if (this.outgoing.responseCheck().isOwn(this.responseHead, this.onUnusedConnection)) {
+			this.runner.recordResponseHead(status, this.responseHead, this.sentAtMillis, this.clock.millis());
+		}
 		if (this.finished) {
 			return false;
 		}
@@ -345,9 +360,10 @@
 	 * @param onNewConnection whether a new connection is required, which the runner
 	 * cannot have closed, and which cannot carry the response to another request
 	 * @param scope returns what restricts at this moment where the request may be sent
+	 * @param responseCheck tells the response to the request from those to others
 	 */
 	record OutgoingRequest(ClientRequest request, byte[] body, RequestCost cost, boolean onNewConnection,
-			Supplier<CallScope> scope) {
+			Supplier<CallScope> scope, ResponseCheck responseCheck) {
 
 	}
 
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/ResponseCheckTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/ResponseCheckTests.java
@@ -33,7 +33,7 @@
 	}
 
 	private static Optional<String> outcome(ResponseCheck check, RunnerResponseHead response, ClientResponse head) {
-		return check.find(response, head).map(ResponseCheck.Flaw::outcome);
+		return check.find(response, head, false).map(ResponseCheck.Flaw::outcome);
 	}
 
 	@Test
@@ -62,6 +62,23 @@
 		assertThat(outcome(new ResponseCheck("r1", "gzip", false), metadata("r1", true), encoded)).isEmpty();
 	}
 
+	private static RunnerResponseHead rejection(String requestId) {
+		return new RunnerResponseHead(requestId, false, true, false, Optional.empty(), 0, false, RequestedPause.NONE,
+				StatedLimit.NONE);
+	}
+
+	// Guards against a late copy of the rejection of another request (REFUSED, TWICE).
+	@Test
+	void findsRejectionsThatMayBeThoseOfOtherRequests() {
+		ResponseCheck check = new ResponseCheck("r1", null, false);
+		assertThat(outcome(check, rejection("r1"), head(503, null))).isEmpty();
+		assertThat(outcome(check, rejection("r2"), head(503, null))).contains("stray");
+		assertThat(outcome(check, rejection(null), head(503, null))).contains("stray");
+		assertThat(check.find(rejection(null), head(503, null), true)).isEmpty();
+		assertThat(check.find(rejection("r2"), head(503, null), true)).isPresent();
+		assertThat(outcome(check, rejection("r1"), head(103, null))).isPresent();
+	}
+
 	// Guards against a stream whose events cannot be told apart.
 	@Test
 	void findsAnyEncodingOfAStream() {
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerAttemptTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerAttemptTests.java
@@ -90,7 +90,8 @@
 	private void startAttempt(RunnerState runner, Outcome listener) {
 		ClientRequest request = new ClientRequest().setMethod(Methods.GET).setPath("/songs/1");
 		RunnerAttempt.start(runner,
-				new RunnerAttempt.OutgoingRequest(request, new byte[0], RequestCost.unknown(0), true, listener::scope),
+				new RunnerAttempt.OutgoingRequest(request, new byte[0], RequestCost.unknown(0), true, listener::scope,
+						new ResponseCheck("r1", null, false)),
 				null, this.worker.getIoThread(), MonotonicClock.system(), listener);
 	}
 
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/StreamedCall.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/StreamedCall.java
@@ -79,6 +79,7 @@
 		if (body.length > 0 || !isBodiless(request.getMethod())) {
 			request.getRequestHeaders().put(Headers.CONTENT_LENGTH, Integer.toString(body.length));
 		}
+		ConnectionUse.startCall(connection);
 		connection.addCloseListener((closed) -> call.connectionClosed());
 		call.receiveLimit.expectHead();
 		connection.sendRequest(request, new ClientCallback<>() {
@@ -97,6 +98,16 @@
 		return call;
 	}
 
+	/**
+	 * Returns whether no call has started on a connection, so that whatever arrives first
+	 * belongs to the next one. Must be called on the I/O thread of the connection.
+	 * @param connection the connection
+	 * @return whether the next call is the first one
+	 */
+	public static boolean isUnused(ClientConnection connection) {
+		return ConnectionUse.isUnused(connection);
+	}
+
 	// During a read, the result of the read shows whether the response is complete.
 	private void connectionClosed() {
 		if (!this.reading) {
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
@@ -74,6 +74,16 @@
 		return start(items(kind, runners), FreePorts.next(), (client, address) -> null);
 	}
 
+	/**
+	 * Starts a gateway with one route for streams that may not be resumed.
+	 * @param runners the addresses of the runners of its service
+	 * @return the gateway, after it has read its configuration
+	 */
+	static TestGateway startWithStreamsThatMayNotBeResumed(InetSocketAddress... runners) throws Exception {
+		return start(items(configuration(7, CallKind.STREAM, false, Set.of(), Set.of()), runners), FreePorts.next(),
+				(client, address) -> null);
+	}
+
 	/**
 	 * Creates the content of a registry with one route.
 	 * @param kind the kind of the route's calls
@@ -81,9 +91,12 @@
 	 * @return the items
 	 */
 	static List<RegistryItem> items(CallKind kind, InetSocketAddress... runners) {
+		return items(configuration(7, kind, Set.of(), Set.of()), runners);
+	}
+
+	private static List<RegistryItem> items(ServingConfiguration configuration, InetSocketAddress... runners) {
 		List<RegistryItem> items = new ArrayList<>();
-		items.add(new RegistryItem("configuration", 1,
-				new RegistryValue.Configuration(configuration(7, kind, Set.of(), Set.of()))));
+		items.add(new RegistryItem("configuration", 1, new RegistryValue.Configuration(configuration)));
 		for (int i = 0; i < runners.length; i++) {
 			RegisteredRunner runner = new RegisteredRunner(new RunnerId("runner-" + i), 1, SERVICE, runners[i],
 					new DataCentreName("a"), 4, false, Map.of(), 0);
@@ -263,7 +276,12 @@
 	 */
 	static ServingConfiguration configuration(long version, CallKind kind, Set<RegionName> routeRegions,
 			Set<RegionName> accountRegions) {
-		Route route = new Route("route-1", HOST, "/songs/", kind, true, false, 3000, 1000, 1, 2,
+		return configuration(version, kind, true, routeRegions, accountRegions);
+	}
+
+	private static ServingConfiguration configuration(long version, CallKind kind, boolean resumable,
+			Set<RegionName> routeRegions, Set<RegionName> accountRegions) {
+		Route route = new Route("route-1", HOST, "/songs/", kind, resumable, false, 3000, 1000, 1, 2,
 				List.of(new Route.Target(SERVICE, 1)), Long.MAX_VALUE, routeRegions);
 		return new ServingConfiguration(version, RouteTable.of(List.of(route)),
 				Map.of(SERVICE,
