Limit what is read of a response that nobody needs

Cause: RunnerAttempt.discard read the rest of a rejection without a limit. StreamedCall.read handed over by adding itself to the queue of the I/O thread, which XNIO empties before it handles events and timers, so that one connection whose bytes come without a pause kept the only traffic thread.

Change: a discarded response is read for 64 KiB and 1 s at most, then its connection is closed. Between two turns a read waits 1 ms, so that events of other connections are handled.

Evidence: ARejectionWithoutEnd (4 forms) and aResponseThatArrivesWithoutAPauseDoesNotDelayOthers fail before (each connection open after 20 s; no answer within 10 s) and pass now.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
@@ -254,12 +254,13 @@
 	}
 
 	/**
-	 * Discards the response, which is still read to its end so that the connection can be
-	 * reused. The listener is not notified any more.
+	 * Discards the response. Its rest is read only if it is short, so that the connection
+	 * can be reused. The listener is not notified any more.
 	 */
 	void discard() {
 		if (!this.finished) {
 			finish();
+			this.call.discard();
 		}
 	}
 
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/StreamedCall.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/StreamedCall.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
@@ -13,6 +14,7 @@
 import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
 import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSourceChannel;
 
 /**
@@ -39,6 +41,22 @@
 	 */
 	private static final int MAX_PARTS_PER_TURN = 8;
 
+	/**
+	 * The pause after such a turn, in milliseconds. The I/O thread runs the tasks in its
+	 * queue before it handles the events of connections, also tasks that are added
+	 * meanwhile, but not tasks with a delay.
+	 */
+	private static final long PAUSE_BETWEEN_TURNS_MILLIS = 1;
+
+	/**
+	 * The maximum number of bytes of a response that are read although nobody needs them,
+	 * so that the connection can be reused.
+	 */
+	private static final int MAX_DISCARDED_BYTES = 64 * 1024;
+
+	/** The time in which a discarded response must end, in milliseconds. */
+	private static final long MAX_DISCARD_MILLIS = 1000;
+
 	private static final ThreadLocal<ByteBuffer> READ_BUFFER = ThreadLocal
 		.withInitial(() -> ByteBuffer.allocateDirect(READ_BYTES));
 
@@ -56,6 +74,12 @@
 
 	private boolean reading;
 
+	/** The bytes that may still be read, unlimited unless the response is discarded. */
+	private long remainingBytes = Long.MAX_VALUE;
+
+	/** Null unless the response is discarded. */
+	private XnioExecutor.Key discardTimer;
+
 	private boolean finished;
 
 	private StreamedCall(ClientConnection connection, Listener listener) {
@@ -147,7 +171,7 @@
 		}
 		this.delimited = ResponseFraming.isDelimited(exchange.getRequest(), response);
 		if (!this.listener.onHead(response)) {
-			this.finished = true;
+			markFinished();
 			closeSocket();
 			return;
 		}
@@ -166,7 +190,8 @@
 			for (int part = 0; !this.finished; part++) {
 				if (part >= MAX_PARTS_PER_TURN) {
 					this.source.suspendReads();
-					resume();
+					this.connection.getIoThread()
+						.executeAfter(this::continueReading, PAUSE_BETWEEN_TURNS_MILLIS, TimeUnit.MILLISECONDS);
 					return;
 				}
 				if (!this.listener.canAccept()) {
@@ -212,13 +237,40 @@
 		if (buffer.hasRemaining()) {
 			byte[] bytes = new byte[buffer.remaining()];
 			buffer.get(bytes);
+			this.remainingBytes -= bytes.length;
+			if (this.remainingBytes < 0) {
+				fail("more than " + MAX_DISCARDED_BYTES + " bytes followed that are not needed");
+				return;
+			}
 			this.receiveLimit.expectData();
 			this.listener.onData(bytes);
 		}
 	}
 
-	private void end() {
+	/**
+	 * Discards the rest of the response. It is read only if it is short, so that the
+	 * connection can be reused; otherwise the connection is closed. The listener is
+	 * notified as before. Must be called on the I/O thread of the connection.
+	 */
+	public void discard() {
+		if (this.finished || this.discardTimer != null) {
+			return;
+		}
+		this.remainingBytes = MAX_DISCARDED_BYTES;
+		this.discardTimer = this.connection.getIoThread()
+			.executeAfter(() -> fail("a response that is not needed did not end within " + MAX_DISCARD_MILLIS + " ms"),
+					MAX_DISCARD_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private void markFinished() {
 		this.finished = true;
+		if (this.discardTimer != null) {
+			this.discardTimer.remove();
+		}
+	}
+
+	private void end() {
+		markFinished();
 		this.listener.onEnd(new Completion(this.connection, this.delimited, this.requestSent));
 	}
 
@@ -229,7 +281,7 @@
 
 	private void fail(String reason) {
 		if (!this.finished) {
-			this.finished = true;
+			markFinished();
 			closeSocket();
 			this.listener.onFailure(reason);
 		}
@@ -252,11 +304,13 @@
 	 * Resumes reading after the listener could not accept more data.
 	 */
 	public void resume() {
-		this.connection.getIoThread().execute(() -> {
-			if (!this.finished && this.source != null) {
-				read();
-			}
-		});
+		this.connection.getIoThread().execute(this::continueReading);
+	}
+
+	private void continueReading() {
+		if (!this.finished && this.source != null) {
+			read();
+		}
 	}
 
 	/**
--- a/catkingate-runtime/src/test/java/org/catkingate/runtime/http/StreamedCallTests.java
+++ b/catkingate-runtime/src/test/java/org/catkingate/runtime/http/StreamedCallTests.java
@@ -5,11 +5,13 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientRequest;
@@ -17,6 +19,7 @@
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
+import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -134,6 +137,54 @@
 		}
 	}
 
+	// Guards against an I/O thread that does nothing but read one response whose bytes
+	// come without a pause.
+	@Test
+	void aResponseThatArrivesWithoutAPauseDoesNotDelayOthers() throws Exception {
+		try (RawServer endless = RawServer
+			.respondingWith(() -> RawServer.Response.withoutEnd("HTTP/1.1 200 OK\r\n\r\n", "x"));
+				RawServer server = RawServer.respondingWith(CHUNKED + "3\r\nabc\r\n0\r\n\r\n")) {
+			connectionsTo(endless).acquire(false,
+					(connection) -> StreamedCall.start(connection,
+							new ClientRequest().setMethod(Methods.GET).setPath("/x"), new byte[0], new SlowListener()),
+					(ex) -> this.notifications.add("not connected"));
+			Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> endless.fillerBytes() > 32 * 1024 * 1024);
+			call(connectionsTo(server));
+			assertThat(notificationsUntil("ended reusable")).containsExactly("200", "abc", "ended reusable");
+		}
+	}
+
+	/**
+	 * Accepts everything, more slowly than a server on the same machine can send, so that
+	 * there is always more to read.
+	 */
+	private static final class SlowListener implements StreamedCall.Listener {
+
+		@Override
+		public boolean onHead(ClientResponse response) {
+			return true;
+		}
+
+		@Override
+		public boolean canAccept() {
+			return true;
+		}
+
+		@Override
+		public void onData(byte[] bytes) {
+			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1));
+		}
+
+		@Override
+		public void onEnd(StreamedCall.Completion completion) {
+		}
+
+		@Override
+		public void onFailure(String reason) {
+		}
+
+	}
+
 	/**
 	 * Records the notifications.
 	 */
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/EndlessResponseTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/EndlessResponseTests.java
@@ -64,6 +64,56 @@
 		}
 	}
 
+	/**
+	 * The forms of a rejection whose body has no end.
+	 */
+	enum EndlessRejection {
+
+		IN_CHUNKS("Transfer-Encoding: chunked\r\n\r\n", chunk("x".repeat(4000)), 0),
+
+		UNTIL_THE_END_OF_THE_CONNECTION("\r\n", "x", 0),
+
+		LONG("Content-Length: 999999999999\r\n\r\n", "x", 0),
+
+		TRICKLING("Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", 20);
+
+		private final RawServer.Response response;
+
+		EndlessRejection(String rest, String filler, long pauseMillis) {
+			String start = "HTTP/1.1 503 Full\r\nX-Request-Id: " + RawServer.REQUEST_ID_PLACEHOLDER
+					+ "\r\nX-Not-Executed: 1\r\n" + rest;
+			this.response = (pauseMillis > 0) ? RawServer.Response.trickling(start, filler, pauseMillis)
+					: RawServer.Response.withoutEnd(start, filler);
+		}
+
+	}
+
+	@Nested
+	class ARejectionWithoutEnd {
+
+		// Guards against a gateway that does nothing but read rejections whose bodies do
+		// not end (CONFIG), and against connections that are never closed.
+		@ParameterizedTest
+		@EnumSource(EndlessRejection.class)
+		void isCutWhileOtherRequestsAreServed(EndlessRejection rejection) throws Exception {
+			try (RawServer rejecting = RawServer.respondingWith(() -> rejection.response);
+					RawServer sound = RawServer.respondingWith(() -> PLAIN_RESPONSE);
+					TestGateway gateway = TestGateway.start(CallKind.NON_IDEMPOTENT, rejecting.address(),
+							sound.address());
+					RawCaller caller = gateway.connect()) {
+				for (int i = 0; rejecting.requestHeads().isEmpty(); i++) {
+					assertThat(caller.post("r" + i, "/songs/1", "hello").readResponse()).as("response %d", i)
+						.endsWith("whole");
+				}
+				assertThat(gateway.isReady()).isTrue();
+				int closing = rejecting.requestHeads().size();
+				Awaitility.await().atMost(TIMEOUT).until(() -> rejecting.connectionsClosedByPeer() >= closing);
+				assertThat(rejecting.fillerBytes()).isLessThan(MAX_SENT_BYTES);
+			}
+		}
+
+	}
+
 	/**
 	 * The places at which a response may have no end. In each of them, nothing has been
 	 * forwarded to the caller, so that another runner can respond.
