Reject addresses of runners that are none, and apply each registration by itself

Cause: JsonFields.address let numbers above 255 pass. The Java library looked the text up as a host name and left the address unresolved, and RunnerTable.update ended with a NullPointerException in the middle of all runners, at each change.

Change: addresses are parsed strictly and never looked up, also in settings; RegisteredRunner holds only usable ones.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -20,6 +20,7 @@
 import io.undertow.server.DefaultByteBufferPool;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
 import org.catkingate.decisions.admission.AdmissionPolicies;
@@ -292,12 +293,12 @@
 	}
 
 	private void applyView(RegistryView view) {
-		this.worker.getIoThread().execute(() -> {
-			this.coldRunners.update(view, this.clock.millis());
-			this.runners.update(view, this.clock.millis());
-			this.peers.update(view);
-			this.callerServer.updateLimits(view.configuration().map(ServingConfiguration::limits));
-		});
+		// separate tasks, so that one that fails does not keep the others from the view
+		XnioIoThread traffic = this.worker.getIoThread();
+		traffic.execute(() -> this.coldRunners.update(view, this.clock.millis()));
+		traffic.execute(() -> this.runners.update(view, this.clock.millis()));
+		traffic.execute(() -> this.peers.update(view));
+		traffic.execute(() -> this.callerServer.updateLimits(view.configuration().map(ServingConfiguration::limits)));
 		if (view.configuration().isPresent() && this.readiness.phase() == Readiness.Phase.STARTING) {
 			this.readiness.markReady();
 			logger.atInfo()
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -14,6 +14,9 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
 import org.catkingate.decisions.admission.AdmissionDecision;
 import org.catkingate.decisions.admission.AdmissionPolicies;
 import org.catkingate.decisions.admission.AdmissionPolicy;
@@ -39,6 +42,8 @@
  */
 final class RunnerTable {
 
+	private static final Logger logger = LoggerFactory.getLogger(RunnerTable.class);
+
 	/**
 	 * The time without a rejected call after which runners that load weights are
 	 * considered to have begun anew.
@@ -143,17 +148,29 @@
 			}
 			return removed;
 		});
-		next.runners().forEach((id, runner) -> {
-			RunnerState state = this.runners.computeIfAbsent(id, (key) -> createState(runner));
-			state.updateRegistration(runner);
-			state.setEvacuated(next.evacuated().contains(runner.dataCentre()));
-		});
+		next.runners().values().forEach(this::updateState);
 		this.runnersByAddress = this.runners.values()
 			.stream()
 			.collect(Collectors.groupingBy((state) -> state.runner().addressText()));
 		this.runners.values().stream().map(RunnerState::service).distinct().forEach(this.changeListener);
 	}
 
+	private void updateState(RegisteredRunner registered) {
+		try {
+			RunnerState state = this.runners.computeIfAbsent(registered.id(), (id) -> createState(registered));
+			state.updateRegistration(registered);
+			state.setEvacuated(this.view.evacuated().contains(registered.dataCentre()));
+		}
+		catch (RuntimeException ex) {
+			// one registration must not keep the others from being applied
+			logger.atError()
+				.addKeyValue("event", "registration-failed")
+				.addKeyValue("runner", registered)
+				.setCause(ex)
+				.log("failed to apply the registration of a runner; report this as a defect with this log line");
+		}
+	}
+
 	private RunnerState createState(RegisteredRunner runner) {
 		RunnerState state = this.stateFactory.apply(runner);
 		this.rememberedIntakes.restoreTo(state);
--- a/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
+++ b/catkingate-gateway/src/test/java/org/catkingate/gateway/RunnerTableTests.java
@@ -69,11 +69,33 @@
 	private final ColdRunners coldRunners = new ColdRunners(new GatewaySettings.ColdRunners(1.5, 5),
 			new KnownGateways(new InstanceId("gateway-1"), 0, false, 0), () -> 0, () -> 0);
 
-	private final RunnerTable table = new RunnerTable((runner) -> new RunnerState(runner, Optional.empty(),
-			Distance.DATA_CENTRE, ConnectionPool.to(runner.address(), null, null, 1, MonotonicClock.system()),
-			this.intakeLog, this.permits, this.coldRunners.of(runner)), AdmissionPolicies.earliestFirstEvent(),
+	private final RunnerTable table = new RunnerTable(this::createState, AdmissionPolicies.earliestFirstEvent(),
 			this.versions);
 
+	private RunnerState createState(RegisteredRunner runner) {
+		return new RunnerState(runner, Optional.empty(), Distance.DATA_CENTRE,
+				ConnectionPool.to(runner.address(), null, null, 1, MonotonicClock.system()), this.intakeLog,
+				this.permits, this.coldRunners.of(runner));
+	}
+
+	// Guards against runners that get requests although they leave because the
+	// registration of another one could not be applied (DRAIN).
+	@Test
+	void registrationThatCannotBeAppliedDoesNotKeepOthersFromBeingApplied() {
+		RunnerTable failing = new RunnerTable((runner) -> {
+			if (runner.id().value().startsWith("bad")) {
+				throw new IllegalStateException("expected by the test");
+			}
+			return createState(runner);
+		}, AdmissionPolicies.earliestFirstEvent(), this.versions);
+		RegisteredRunner[] registered = new RegisteredRunner[16];
+		for (int i = 0; i < registered.length; i++) {
+			registered[i] = runner(((i % 2 == 0) ? "bad-" : "good-") + i, false, Map.of());
+		}
+		failing.update(view(Map.of(), registered), 1000);
+		assertThat(failing.count(SERVICE)).isEqualTo(registered.length / 2);
+	}
+
 	private static RegistryView view(Map<ModelName, Long> versions, RegisteredRunner... runners) {
 		ServingConfiguration configuration = new ServingConfiguration(1, RouteTable.of(List.of()),
 				Map.of(SERVICE,
--- a/catkingate-model/src/main/java/org/catkingate/model/AddressFormatter.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/AddressFormatter.java
@@ -12,7 +12,14 @@
  */
 public final class AddressFormatter {
 
-	private static final Pattern ADDRESS = Pattern.compile("([0-9.]+|\\[[0-9a-fA-F:]+\\]):([0-9]{1,5})");
+	private static final String OCTET = "(?:25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])";
+
+	/**
+	 * An IPv4 address in its full form, or an IPv6 address in brackets. The Java library
+	 * would look up a text of another form as the name of a host.
+	 */
+	private static final Pattern ADDRESS = Pattern
+		.compile("(" + OCTET + "(?:\\." + OCTET + "){3}|\\[[0-9a-fA-F:]+\\]):([0-9]{1,5})");
 
 	private static final int MAX_PORT = 65535;
 
@@ -28,9 +35,17 @@
 	public static InetSocketAddress parse(String text) {
 		Matcher matcher = ADDRESS.matcher(text);
 		if (!matcher.matches() || Integer.parseInt(matcher.group(2)) > MAX_PORT) {
-			throw new IllegalArgumentException("write IP:PORT with a numeric IP address");
+			throw invalid();
 		}
-		return new InetSocketAddress(matcher.group(1), Integer.parseInt(matcher.group(2)));
+		InetSocketAddress address = new InetSocketAddress(matcher.group(1), Integer.parseInt(matcher.group(2)));
+		if (address.isUnresolved()) {
+			throw invalid();
+		}
+		return address;
+	}
+
+	private static IllegalArgumentException invalid() {
+		return new IllegalArgumentException("write IP:PORT with a numeric IP address and a port up to " + MAX_PORT);
 	}
 
 	/**
--- a/catkingate-model/src/main/java/org/catkingate/model/registry/RegisteredRunner.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/registry/RegisteredRunner.java
@@ -18,7 +18,7 @@
  * @param startedAtEpochMillis the time at which it started, in milliseconds since the
  * epoch, which distinguishes restarts under one identifier; 0 if it is unknown
  * @param service the service that it belongs to
- * @param address the address at which it accepts calls
+ * @param address the address at which it accepts calls, resolved and with a port
  * @param dataCentre the data centre in which it runs
  * @param slots the number of requests that it processes at the same time
  * @param draining whether it is leaving and must not receive new requests
@@ -36,6 +36,9 @@
 		Objects.requireNonNull(service, "service must not be null");
 		Objects.requireNonNull(address, "address must not be null");
 		Objects.requireNonNull(dataCentre, "dataCentre must not be null");
+		if (address.isUnresolved() || address.getPort() < 1) {
+			throw new IllegalArgumentException("runner " + id + " must have a numeric IP address and a port");
+		}
 		if (slots < 1) {
 			throw new IllegalArgumentException("runner " + id + " must have at least one slot");
 		}
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/ControlLoop.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/ControlLoop.java
@@ -162,17 +162,34 @@
 		try {
 			ReductionResult<S> result = this.reducer.reduce(this.state, this.clock.millis(), event);
 			this.state = result.state();
-			result.effects().forEach(this.effectExecutor);
+			result.effects().forEach(this::execute);
 		}
 		catch (RuntimeException ex) {
-			logger.atError()
-				.addKeyValue("event", "control-event-failed")
-				.addKeyValue("kind", event.getClass().getSimpleName())
-				.setCause(ex)
-				.log("failed to handle an event; report this as a defect and include this log line");
+			logFailure(event, ex);
 		}
 	}
 
+	/*
+	 * An effect that fails must not keep the others of the same event, such as the next
+	 * call to the registry, from being executed.
+	 */
+	private void execute(Effect effect) {
+		try {
+			this.effectExecutor.accept(effect);
+		}
+		catch (RuntimeException ex) {
+			logFailure(effect, ex);
+		}
+	}
+
+	private static void logFailure(Object eventOrEffect, RuntimeException failure) {
+		logger.atError()
+			.addKeyValue("event", "control-event-failed")
+			.addKeyValue("kind", eventOrEffect.getClass().getSimpleName())
+			.setCause(failure)
+			.log("failed to handle an event; report this as a defect and include this log line");
+	}
+
 	/**
 	 * Stops the thread and discards events that have not been reduced. Waits up to 2 s
 	 * for the thread to end.
--- a/catkingate-runtime/src/test/java/org/catkingate/runtime/ControlLoopTests.java
+++ b/catkingate-runtime/src/test/java/org/catkingate/runtime/ControlLoopTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Consumer;
 
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.Test;
@@ -61,6 +62,25 @@
 		}
 	}
 
+	// Guards against a call to the registry that is never made because another effect of
+	// the same event failed.
+	@Test
+	void anEffectThatFailsDoesNotKeepTheOthersFromBeingExecuted() {
+		Reducer<Integer> twice = (state, nowMillis, event) -> new ReductionResult<>(state,
+				(event instanceof Add) ? List.of(new Report(1), new Report(2)) : List.of());
+		Consumer<Effect> failingOnce = (effect) -> {
+			if (effect.equals(new Report(1))) {
+				throw new IllegalStateException("expected by the test");
+			}
+			this.effects.add(effect);
+		};
+		try (ControlLoop<Integer> loop = ControlLoop.start(0, twice, failingOnce, MonotonicClock.system(), Tick::new,
+				LONG_TICK_MILLIS)) {
+			loop.submit(new Add(1));
+			Awaitility.await().atMost(TIMEOUT).until(() -> this.effects.contains(new Report(2)));
+		}
+	}
+
 	private record Add(int count) implements Event {
 
 	}
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/ScriptedRegistry.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/ScriptedRegistry.java
@@ -21,8 +21,11 @@
 import org.catkingate.model.registry.RegisteredRunner;
 import org.catkingate.model.registry.RegistryItem;
 import org.catkingate.model.registry.RegistryPage;
+import org.catkingate.model.registry.RegistryScope;
 import org.catkingate.model.registry.RegistryValue;
 import org.catkingate.model.registry.ServingConfiguration;
+import org.catkingate.platform.PlatformRegistry;
+import org.catkingate.runtime.platform.PlatformException;
 import org.catkingate.runtime.registry.Registry;
 
 /**
@@ -33,6 +36,9 @@
 
 	private static final long FIRST_REVISION = 100;
 
+	/** Decodes entries; it makes no calls. */
+	private static final Registry PLATFORM = PlatformRegistry.at(null, null, RegistryScope.EVERYTHING);
+
 	private static final long WATCH_MILLIS = 50;
 
 	private final List<RegistryItem> initialItems;
@@ -45,6 +51,8 @@
 
 	private volatile boolean away;
 
+	private volatile boolean historyGone;
+
 	private ScriptedRegistry(List<RegistryItem> initialItems) {
 		this.initialItems = initialItems.stream().map(this::item).toList();
 	}
@@ -127,6 +135,23 @@
 				evacuated ? new RegistryValue.Evacuation(new DataCentreName(dataCentre)) : null);
 	}
 
+	/**
+	 * Writes an entry as another writer may have left it in the platform's store.
+	 * @param key its key in the store
+	 * @param content its content
+	 * @return this registry
+	 */
+	synchronized ScriptedRegistry write(String key, String content) {
+		return add(key, PLATFORM.decode(key, content.getBytes(StandardCharsets.UTF_8)));
+	}
+
+	/**
+	 * Discards the history, so that the registry has to be read as a whole again.
+	 */
+	void discardHistory() {
+		this.historyGone = true;
+	}
+
 	/**
 	 * Removes the registration of a runner.
 	 * @param id the runner
@@ -203,6 +228,11 @@
 
 	@Override
 	public CompletableFuture<RegistryPage> watch(long afterRevision, long waitMillis) {
+		if (this.historyGone) {
+			this.historyGone = false;
+			return CompletableFuture.failedFuture(
+					new PlatformException(PlatformException.Kind.HISTORY_GONE, "the history has been discarded"));
+		}
 		return this.away ? failure() : CompletableFuture.supplyAsync(() -> changesSince(afterRevision),
 				CompletableFuture.delayedExecutor(WATCH_MILLIS, TimeUnit.MILLISECONDS));
 	}
