Keep nothing of earlier calls on connections to runners

Cause: StreamedCall.start added a close listener to the connection for each call. Listeners stay until the connection closes, and each held its call, the request with its body and the caller's exchange. Two timers of a request, one of them two seconds or more, held the same until they were due.

Change: a connection has one close listener, which refers to the call in progress (ConnectionUse). The timers are removed when a response starts or the request ends.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -56,6 +56,8 @@
 	/** The number of unreachable runners after which the request is rejected. */
 	private static final int MAX_UNREACHABLE_RUNNERS = 3;
 
+	private static final XnioExecutor.Key NO_TIMER = () -> false;
+
 	private static final int MIN_FAILURE_STATUS = 300;
 
 	/** The status that is logged if the caller disconnects before there is one. */
@@ -101,6 +103,12 @@
 
 	private XnioExecutor.Key timer;
 
+	/** Fails the attempt in progress if no response has started. */
+	private XnioExecutor.Key startTimer = NO_TIMER;
+
+	/** Checks whether the attempt in progress may still start on its runner's version. */
+	private XnioExecutor.Key versionTimer = NO_TIMER;
+
 	GatewayCall(AdmittedRequest admitted, HttpServerExchange exchange, SharedCallState sharedState) {
 		this.admitted = admitted;
 		this.route = admitted.route();
@@ -171,6 +179,7 @@
 	}
 
 	private void send(RunnerState runner) {
+		removeStartTimers();
 		RunnerHead head = new RunnerHead(runner.runner().id(), Math.max(1, remainingMillis()), this.admitted.account(),
 				this.relay.lastEventId(), this.admission.priority());
 		boolean onNewConnection = !this.route.canRunAgain();
@@ -182,13 +191,21 @@
 				this.sharedState.clock(), this);
 		RunnerAttempt awaited = this.attempt;
 		if (this.route.canRunAgain() && this.sends + 1 < this.route.maxRunners()) {
-			this.exchange.getIoThread()
+			this.startTimer = this.exchange.getIoThread()
 				.executeAfter(() -> abandonIfNotStarted(awaited),
 						Math.max(MIN_RESPONSE_START_TIMEOUT_MILLIS, 2 * this.route.goalMillis()),
 						TimeUnit.MILLISECONDS);
 		}
 	}
 
+	/*
+	 * A timer that is not removed would keep the request in memory until it is due.
+	 */
+	private void removeStartTimers() {
+		this.startTimer.remove();
+		this.versionTimer.remove();
+	}
+
 	private void abandonIfNotStarted(RunnerAttempt awaited) {
 		if (!isStale(awaited) && !awaited.isResponseStarted()) {
 			failAttempt(awaited, "mute", "no answer has begun");
@@ -206,7 +223,7 @@
 		}
 		long startWithin = this.sharedState.startWithinMillis(this.admitted.service(), serving);
 		if (startWithin > 0) {
-			this.exchange.getIoThread()
+			this.versionTimer = this.exchange.getIoThread()
 				.executeAfter(() -> withdrawIfNotStarted(awaited, serving),
 						Math.min(startWithin, VERSION_CHECK_INTERVAL_MILLIS), TimeUnit.MILLISECONDS);
 		}
@@ -303,6 +320,7 @@
 	@Override
 	public void onResponseStart(RunnerAttempt from, long elapsedMillis) {
 		if (!isStale(from)) {
+			removeStartTimers();
 			this.log.addResponseStart(from, elapsedMillis);
 			this.sharedState.recordResponseStart(this.admitted.service(), this.predictedMillis, elapsedMillis);
 			// the runner has read the prompt, so that another one can be sent
@@ -502,6 +520,7 @@
 
 	private void finish(String outcome, int status) {
 		this.finished = true;
+		removeStartTimers();
 		this.admission.end();
 		if (isTrial()) {
 			this.sharedState.prompts().cancelTrial(this.trialPart);
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/StreamedCall.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/StreamedCall.java
@@ -62,6 +62,8 @@
 
 	private final ClientConnection connection;
 
+	private final ConnectionUse use;
+
 	private final ReceiveLimit receiveLimit;
 
 	private final Listener listener;
@@ -86,6 +88,7 @@
 		this.connection = connection;
 		this.receiveLimit = ReceiveLimit.of(connection);
 		this.listener = listener;
+		this.use = ConnectionUse.startCall(connection, this::connectionClosed);
 	}
 
 	/**
@@ -103,8 +106,6 @@
 		if (body.length > 0 || !isBodiless(request.getMethod())) {
 			request.getRequestHeaders().put(Headers.CONTENT_LENGTH, Integer.toString(body.length));
 		}
-		ConnectionUse.startCall(connection);
-		connection.addCloseListener((closed) -> call.connectionClosed());
 		call.receiveLimit.expectHead();
 		connection.sendRequest(request, new ClientCallback<>() {
 
@@ -264,6 +265,7 @@
 
 	private void markFinished() {
 		this.finished = true;
+		this.use.endCall();
 		if (this.discardTimer != null) {
 			this.discardTimer.remove();
 		}
--- a/catkingate-runtime/src/test/java/org/catkingate/runtime/http/StreamedCallTests.java
+++ b/catkingate-runtime/src/test/java/org/catkingate/runtime/http/StreamedCallTests.java
@@ -1,5 +1,6 @@
 package org.catkingate.runtime.http;
 
+import java.lang.ref.WeakReference;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -70,15 +71,18 @@
 	}
 
 	private void call(ConnectionPool connections) {
-		connections.acquire(false, (connection) -> start(connections, connection),
+		call(connections, new RecordingListener(connections));
+	}
+
+	private void call(ConnectionPool connections, RecordingListener listener) {
+		connections.acquire(false, (connection) -> start(connection, listener),
 				(ex) -> this.notifications.add("not connected"));
 	}
 
-	private void start(ConnectionPool connections, ClientConnection connection) {
+	private static void start(ClientConnection connection, RecordingListener listener) {
 		ClientRequest request = new ClientRequest().setMethod(Methods.POST).setPath("/x");
 		request.getRequestHeaders().put(Headers.HOST, "a");
-		StreamedCall.start(connection, request, "body".getBytes(StandardCharsets.UTF_8),
-				new RecordingListener(connections));
+		StreamedCall.start(connection, request, "body".getBytes(StandardCharsets.UTF_8), listener);
 	}
 
 	private List<String> notificationsUntil(String end) throws InterruptedException {
@@ -120,6 +124,28 @@
 		}
 	}
 
+	// Guards against memory that fills with each call on a connection that is kept.
+	@Test
+	void aConnectionThatIsReusedHoldsNothingOfEarlierCalls() throws Exception {
+		try (RawServer server = RawServer.respondingWith(CHUNKED + "3\r\nabc\r\n0\r\n\r\n")) {
+			ConnectionPool connections = connectionsTo(server);
+			List<WeakReference<Object>> earlier = new ArrayList<>();
+			for (int i = 0; i < 3; i++) {
+				RecordingListener listener = new RecordingListener(connections);
+				earlier.add(new WeakReference<>(listener));
+				call(connections, listener);
+				notificationsUntil("ended reusable");
+			}
+			call(connections);
+			notificationsUntil("ended reusable");
+			assertThat(server.acceptedConnections()).isEqualTo(1);
+			Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> {
+				System.gc();
+				return earlier.stream().allMatch((listener) -> listener.get() == null);
+			});
+		}
+	}
+
 	@Test
 	void aResponseWithoutALengthEndsWithItsConnection() throws Exception {
 		try (RawServer server = RawServer.respondingAndClosing("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "abc",
