--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/CallerConnections.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/CallerConnections.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.ServerConnection;
@@ -19,12 +20,23 @@
 
 	private final Map<ServerConnection, Boolean> busyByConnection = new HashMap<>();
 
+	private final Consumer<ServerConnection> requestEndListener;
+
 	private boolean draining;
 
 	private boolean closingIdle;
 
 	private boolean ended;
 
+	/**
+	 * Creates a record without connections.
+	 * @param requestEndListener receives each connection on which a request has ended or
+	 * that has closed
+	 */
+	CallerConnections(Consumer<ServerConnection> requestEndListener) {
+		this.requestEndListener = requestEndListener;
+	}
+
 	/**
 	 * Records that a request has arrived, and tracks its connection until it closes.
 	 * @param exchange the exchange of the request
@@ -32,7 +44,7 @@
 	void track(HttpServerExchange exchange) {
 		ServerConnection connection = exchange.getConnection();
 		if (this.busyByConnection.put(connection, true) == null) {
-			connection.addCloseListener(this.busyByConnection::remove);
+			connection.addCloseListener(this::remove);
 		}
 		if (this.draining) {
 			exchange.setPersistent(false);
@@ -44,7 +56,13 @@
 		});
 	}
 
+	private void remove(ServerConnection connection) {
+		this.busyByConnection.remove(connection);
+		this.requestEndListener.accept(connection);
+	}
+
 	private void markIdle(ServerConnection connection) {
+		this.requestEndListener.accept(connection);
 		this.busyByConnection.replace(connection, false);
 		if (this.closingIdle) {
 			IoUtils.safeClose(connection);
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
@@ -40,6 +40,8 @@
 
 	private final Counter slowReaders;
 
+	private final Counter withoutMemory;
+
 	private final Gauge inProgress;
 
 	private final Histogram timeToFirstByte;
@@ -94,6 +96,10 @@
 			.name("catkingate_gateway_slow_readers_cut")
 			.help("Responses cut since their callers did not read and the memory for such responses was used up")
 			.register(registry);
+		this.withoutMemory = Counter.builder()
+			.name("catkingate_gateway_requests_without_memory")
+			.help("Requests that were rejected since the memory for the bodies of requests was used up")
+			.register(registry);
 		this.inProgress = Gauge.builder()
 			.name("catkingate_gateway_requests_in_progress")
 			.help("Requests in progress")
@@ -164,6 +170,10 @@
 		this.slowReaders.inc();
 	}
 
+	void countWithoutMemory() {
+		this.withoutMemory.inc();
+	}
+
 	void countRejected(String outcome) {
 		this.requests.labelValues(outcome).inc();
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -155,7 +155,9 @@
 
 	private final WaitingCalls waitingCalls;
 
-	private final CallerConnections connections = new CallerConnections();
+	private final RequestBodies requestBodies;
+
+	private final CallerConnections connections;
 
 	private GatewayProcess(GatewaySettings settings, RegistryFactory registry, PieceOriginFactory origins,
 			HeaderCodec codec, MonotonicClock clock) throws IOException {
@@ -165,6 +167,8 @@
 		HandshakeMessage.PeerIdentity identity = ProcessIdentities
 			.toPeerIdentity(ProcessIdentities.of(settings.process()));
 		this.callerServer = CallerServer.bind(settings.callers(), this.worker, this.buffers);
+		this.requestBodies = new RequestBodies(settings.requestBodyBytes(), Runtime.getRuntime().maxMemory());
+		this.connections = new CallerConnections(this.requestBodies::release);
 		this.origins = origins;
 		this.gatewayMetrics = GatewayMetrics.registerIn(this.metrics);
 		this.intakeLog = new RunnerIntakeLog(this.gatewayMetrics);
@@ -203,8 +207,8 @@
 				this::state);
 		this.gracefulShutdown = GracefulShutdown.create(settings.shutdown(), this.readiness, clock);
 		this.follower.start();
-		this.callerServer
-			.startAccepting(new RequestHandler(sharedCallState, this.registry, this.connections, clock.millis()));
+		this.callerServer.startAccepting(new RequestHandler(sharedCallState, this.registry, this.connections,
+				this.requestBodies, clock.millis()));
 	}
 
 	/*
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestHandler.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestHandler.java
@@ -1,6 +1,8 @@
 package org.catkingate.gateway;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -9,6 +11,7 @@
 import io.undertow.server.Connectors;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import org.xnio.IoUtils;
@@ -40,6 +43,8 @@
 
 	private final CallerConnections connections;
 
+	private final RequestBodies bodies;
+
 	private final long startedAtMillis;
 
 	/**
@@ -47,10 +52,12 @@
 	 * @param sharedState the state that all calls share
 	 * @param registry the copy of the registry
 	 * @param connections tracks the connections of callers
+	 * @param bodies bounds the memory for the bodies of requests
 	 * @param startedAtMillis when the process started, in monotonic milliseconds
 	 */
 	RequestHandler(SharedCallState sharedState, RegistryCopy registry, CallerConnections connections,
-			long startedAtMillis) {
+			RequestBodies bodies, long startedAtMillis) {
+		this.bodies = bodies;
 		this.startedAtMillis = startedAtMillis;
 		this.sharedState = sharedState;
 		this.registry = registry;
@@ -164,17 +171,48 @@
 			start(exchange, admitted);
 			return;
 		}
-		exchange.setMaxEntitySize(configuration.limits().maxBodyBytes());
+		long maxBodyBytes = configuration.limits().maxBodyBytes();
+		long length = exchange.getRequestContentLength();
+		if (length >= 0 && length <= maxBodyBytes && !this.bodies.reserve(exchange.getConnection(), length)) {
+			rejectWithoutMemory(exchange, admitted);
+			return;
+		}
+		exchange.setMaxEntitySize(maxBodyBytes);
 		XnioExecutor.Key bodyTimeout = exchange.getIoThread()
 			.executeAfter(() -> IoUtils.safeClose(exchange.getConnection()), configuration.limits().idleTimeoutMillis(),
 					TimeUnit.MILLISECONDS);
-		exchange.getRequestReceiver().receiveFullBytes((received, body) -> {
-			bodyTimeout.remove();
-			start(received, admitted.withBody(body));
-		}, (failedExchange, error) -> {
+		Receiver.ErrorCallback onFailure = (failedExchange, error) -> {
 			bodyTimeout.remove();
 			handleBodyFailure(failedExchange, admitted.head(), error);
-		});
+		};
+		if (length >= 0) {
+			exchange.getRequestReceiver().receiveFullBytes((received, body) -> {
+				bodyTimeout.remove();
+				start(received, admitted.withBody(body));
+			}, onFailure);
+			return;
+		}
+		BodyInParts body = new BodyInParts(exchange.getConnection());
+		exchange.getRequestReceiver().receivePartialBytes((received, part, last) -> {
+			body.add(part);
+			if (last) {
+				bodyTimeout.remove();
+				body.whole()
+					.ifPresentOrElse((bytes) -> start(received, admitted.withBody(bytes)),
+							() -> rejectWithoutMemory(received, admitted));
+			}
+		}, onFailure);
+	}
+
+	/*
+	 * Memory is free again when other requests have been answered, usually within the
+	 * goal for the response time.
+	 */
+	private void rejectWithoutMemory(HttpServerExchange exchange, AdmittedRequest admitted) {
+		this.sharedState.metrics().countWithoutMemory();
+		reject(exchange, admitted.head(),
+				Rejection.notRun(Math.max(RejectionWriter.DEFAULT_RETRY_AFTER_MILLIS, admitted.route().goalMillis()),
+						"the memory for the bodies of requests is used up; use another entry or retry later"));
 	}
 
 	private void handleBodyFailure(HttpServerExchange exchange, CallerHead head, IOException error) {
@@ -197,4 +235,40 @@
 		RejectionWriter.write(exchange, this.sharedState.codec(), requestId, rejection);
 	}
 
+	/**
+	 * A body whose length is not known before its end. Once there is no room for it, the
+	 * rest is read and dropped, so that the caller reads the rejection.
+	 */
+	private final class BodyInParts {
+
+		private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+
+		private final ServerConnection connection;
+
+		private boolean fits = true;
+
+		private BodyInParts(ServerConnection connection) {
+			this.connection = connection;
+		}
+
+		private void add(byte[] part) {
+			this.fits = this.fits && RequestHandler.this.bodies.reserve(this.connection, part.length);
+			if (this.fits) {
+				this.bytes.writeBytes(part);
+			}
+			else {
+				RequestHandler.this.bodies.release(this.connection);
+			}
+		}
+
+		/**
+		 * Returns the body after its last part.
+		 * @return the body, empty if there was no room for it
+		 */
+		private Optional<byte[]> whole() {
+			return this.fits ? Optional.of(this.bytes.toByteArray()) : Optional.empty();
+		}
+
+	}
+
 }
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/GatewaySettings.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/GatewaySettings.java
@@ -38,17 +38,19 @@
  * @param routing how runners are chosen
  * @param slowReaderBytes the memory for what callers have not read yet, over all
  * responses
+ * @param requestBodyBytes the memory for the bodies of all requests in progress
  * @param replacedValues the values that could not be read and were replaced by safe ones
  * @since 0.1
  */
 public record GatewaySettings(ProcessSettings.Process process, Map<DataCentreName, RegionName> regions,
 		RegistrySettings registry, InetSocketAddress callers, PeerSettings peers, ProcessSettings.Operators operators,
 		ProcessSettings.Shutdown shutdown, long keyValidityMillis, RetryAllowance retries, Weights weights,
-		ColdRunners coldRunners, Routing routing, long slowReaderBytes,
+		ColdRunners coldRunners, Routing routing, long slowReaderBytes, long requestBodyBytes,
 		List<ConfigurationProblem> replacedValues) implements RoleSettings {
 
 	private static final List<String> SECTIONS = List.of("process", "data-centres", "registry", "callers", "peers",
-			"operators", "shutdown", "keys", "retries", "weights", "cold-runners", "routing", "slow-readers");
+			"operators", "shutdown", "keys", "retries", "weights", "cold-runners", "routing", "slow-readers",
+			"request-bodies");
 
 	private static final int MAX_DURATION_MILLIS = 24 * 60 * 60 * 1000;
 
@@ -68,6 +70,13 @@
 
 	private static final int MAX_SLOW_READER_KB = 1024 * 1024;
 
+	/** A fourth of the usual heap of a gateway. */
+	private static final int DEFAULT_REQUEST_BODY_KB = 16 * 1024;
+
+	private static final int MIN_REQUEST_BODY_KB = 16;
+
+	private static final int MAX_REQUEST_BODY_KB = 1024 * 1024;
+
 	private static final long BYTES_PER_KB = 1024;
 
 	public GatewaySettings {
@@ -122,9 +131,10 @@
 		ColdRunners coldRunners = coldRunners(sections.reader("cold-runners"), replaced);
 		Routing routing = routing(sections.reader("routing"), replaced);
 		long slowReaderBytes = slowReaderBytes(sections.reader("slow-readers"));
+		long requestBodyBytes = requestBodyBytes(sections.reader("request-bodies"));
 		sections.problems().throwIfAny();
 		return new GatewaySettings(process, regions, registry, callers, peers, operators, shutdown, keyValidityMillis,
-				retries, weights, coldRunners, routing, slowReaderBytes, replacedValues);
+				retries, weights, coldRunners, routing, slowReaderBytes, requestBodyBytes, replacedValues);
 	}
 
 	private static long slowReaderBytes(SectionReader reader) {
@@ -133,6 +143,12 @@
 		return kilobytes * BYTES_PER_KB;
 	}
 
+	private static long requestBodyBytes(SectionReader reader) {
+		int kilobytes = reader.number("memory-kb", DEFAULT_REQUEST_BODY_KB, MIN_REQUEST_BODY_KB, MAX_REQUEST_BODY_KB);
+		reader.checkUnknownKeys();
+		return kilobytes * BYTES_PER_KB;
+	}
+
 	private static Map<DataCentreName, RegionName> regions(SettingsSections sections) {
 		SectionReader reader = sections.reader("data-centres");
 		Map<DataCentreName, RegionName> regions = new HashMap<>();
