Validate the chunks of runners' responses

Plain responses were cut short as whole.

Cause: the HTTP client takes a line that does not begin with a hexadecimal digit for a chunk of size zero. Bodies of callers were validated, those of runners, peers' stores and origins were not.

Change: ResponseBytes reads along on each connection of the client with ChunkedBodyValidator, which moves to runtime.http. A malformed body fails the attempt; a delimited body is complete only if its end has been seen. Bytes behind a response keep its connection from being used again.

Evidence: 24 cases of StreamContinuationTests, one of BufferedHttpClientTests and two of StreamedCallTests fail before (the second runner is not asked, and the caller's response ends as complete) and pass now.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/ValidatingSourceConduit.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/ValidatingSourceConduit.java
@@ -15,6 +15,8 @@
 import org.xnio.conduits.Conduits;
 import org.xnio.conduits.StreamSourceConduit;
 
+import org.catkingate.runtime.http.ChunkedBodyValidator;
+
 /**
  * The source of a caller's connection, in front of the HTTP parser. While a request with
  * a body in chunks is read, it validates the raw bytes, because the parser accepts some
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/BufferedHttpClient.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/BufferedHttpClient.java
@@ -105,7 +105,7 @@
 			Deque<ClientConnection> connections = this.idleConnections.get(base.getAuthority());
 			while (connections != null && !connections.isEmpty()) {
 				ClientConnection connection = connections.pop();
-				if (connection.isOpen()) {
+				if (connection.isOpen() && ResponseBytes.of(connection).isAtEnd()) {
 					return connection;
 				}
 			}
@@ -117,7 +117,8 @@
 		synchronized (this.idleConnections) {
 			Deque<ClientConnection> connections = this.idleConnections.computeIfAbsent(base.getAuthority(),
 					(authority) -> new ArrayDeque<>());
-			if (connection.isOpen() && connections.size() < MAX_IDLE_CONNECTIONS_PER_ADDRESS) {
+			if (connection.isOpen() && ResponseBytes.of(connection).isAtEnd()
+					&& connections.size() < MAX_IDLE_CONNECTIONS_PER_ADDRESS) {
 				connections.push(connection);
 				return;
 			}
@@ -281,6 +282,7 @@
 
 		private void send(ClientConnection opened) {
 			ReceiveLimit.of(opened).expectHead();
+			ResponseBytes.of(opened).expectHead();
 			opened.sendRequest(this.request, new ClientCallback<>() {
 
 				@Override
@@ -307,6 +309,13 @@
 						return;
 					}
 					ReceiveLimit.of(Call.this.connection).expectData();
+					try {
+						ResponseBytes.of(Call.this.connection).expectBody(result.getRequest(), result.getResponse());
+					}
+					catch (IOException ex) {
+						fail(ex);
+						return;
+					}
 					read(result, result.getResponseChannel());
 				}
 
@@ -351,6 +360,11 @@
 		}
 
 		private void finish(ClientExchange exchange) {
+			if (ResponseFraming.isDelimited(exchange.getRequest(), exchange.getResponse())
+					&& !ResponseBytes.of(this.connection).isEnded()) {
+				fail(new IOException("the body of the response of " + this.base + " broke off"));
+				return;
+			}
 			Response response = new Response(exchange.getResponse().getResponseCode(),
 					exchange.getResponse().getResponseHeaders(), this.received.toByteArray());
 			if (this.responseFuture.isDone()) {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/ChunkedBodyValidator.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ChunkedBodyValidator.java
@@ -1,4 +1,4 @@
-package org.catkingate.gateway;
+package org.catkingate.runtime.http;
 
 import java.nio.ByteBuffer;
 
@@ -7,8 +7,10 @@
  * implementation reads the same way: lines end with CR LF, a chunk is as long as its
  * size, and lines hold no control characters. All chunks together hold at most as many
  * bytes as a body may have. Not thread-safe.
+ *
+ * @since 0.1
  */
-final class ChunkedBodyValidator {
+public final class ChunkedBodyValidator {
 
 	/** The maximum number of digits of a size, including leading zeros. */
 	private static final int MAX_SIZE_DIGITS = 15;
@@ -40,7 +42,7 @@
 	 * @param maxBodyBytes the maximum length of the body without sizes and trailers, in
 	 * bytes
 	 */
-	ChunkedBodyValidator(long maxBodyBytes) {
+	public ChunkedBodyValidator(long maxBodyBytes) {
 		this.maxBodyBytes = maxBodyBytes;
 	}
 
@@ -50,7 +52,7 @@
 	 * @return the result so far; once it is not {@link Result#INCOMPLETE} it does not
 	 * change
 	 */
-	Result read(ByteBuffer bytes) {
+	public Result read(ByteBuffer bytes) {
 		while (bytes.hasRemaining() && !this.state.isEnd()) {
 			if (this.state == State.DATA) {
 				skipData(bytes);
@@ -163,7 +165,7 @@
 	/**
 	 * The result of the bytes read so far.
 	 */
-	enum Result {
+	public enum Result {
 
 		/** More bytes are expected. */
 		INCOMPLETE,
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ConnectionPool.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ConnectionPool.java
@@ -111,7 +111,8 @@
 	private ClientConnection takeIdle() {
 		IdleConnection next = this.idleConnections.pollFirst();
 		while (next != null) {
-			if (next.connection().isOpen() && this.clock.millis() < next.usableUntilMillis()) {
+			if (next.connection().isOpen() && ResponseBytes.of(next.connection()).isAtEnd()
+					&& this.clock.millis() < next.usableUntilMillis()) {
 				return next.connection();
 			}
 			IoUtils.safeClose(next.connection());
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/LimitedConnections.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/LimitedConnections.java
@@ -4,6 +4,7 @@
 import java.net.SocketAddress;
 import java.net.URI;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
@@ -17,8 +18,8 @@
 import org.xnio.XnioWorker;
 
 /**
- * Opens HTTP connections that have a {@link ReceiveLimit}. Stateless and safe for use by
- * any thread.
+ * Opens HTTP connections that have a {@link ReceiveLimit} and whose {@link ResponseBytes}
+ * are validated. Stateless and safe for use by any thread.
  */
 final class LimitedConnections {
 
@@ -36,11 +37,13 @@
 	static void open(URI uri, XnioWorker worker, ByteBufferPool buffers, OptionMap options,
 			ClientCallback<ClientConnection> callback) {
 		ReceiveLimit limit = new ReceiveLimit();
+		ResponseBytes responseBytes = new ResponseBytes();
 		UndertowClient.getInstance().connect(new ClientCallback<>() {
 
 			@Override
 			public void completed(ClientConnection connection) {
 				limit.attachTo(connection);
+				responseBytes.attachTo(connection);
 				callback.completed(connection);
 			}
 
@@ -49,7 +52,10 @@
 				callback.failed(ex);
 			}
 
-		}, uri, new LimitingThread(worker.getIoThread(), limit), buffers, options);
+		}, uri, new LimitingThread(worker.getIoThread(), (connection) -> {
+			limit.install(connection);
+			responseBytes.install(connection);
+		}), buffers, options);
 	}
 
 	/**
@@ -61,19 +67,19 @@
 
 		private final XnioIoThread thread;
 
-		private final ReceiveLimit limit;
+		private final Consumer<StreamConnection> preparation;
 
-		private LimitingThread(XnioIoThread thread, ReceiveLimit limit) {
+		private LimitingThread(XnioIoThread thread, Consumer<StreamConnection> preparation) {
 			super(thread.getWorker(), thread.getNumber());
 			this.thread = thread;
-			this.limit = limit;
+			this.preparation = preparation;
 		}
 
 		@Override
 		public IoFuture<StreamConnection> openStreamConnection(SocketAddress destination,
 				ChannelListener<? super StreamConnection> openListener, OptionMap options) {
 			return this.thread.openStreamConnection(destination, (connection) -> {
-				this.limit.install(connection);
+				this.preparation.accept(connection);
 				openListener.handleEvent(connection);
 			}, options);
 		}
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ResponseFraming.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ResponseFraming.java
@@ -41,8 +41,17 @@
 	 */
 	static boolean isDelimited(ClientRequest request, ClientResponse response) {
 		return response.getResponseHeaders().contains(Headers.CONTENT_LENGTH)
-				|| response.getResponseHeaders().contains(Headers.TRANSFER_ENCODING)
-				|| request.getMethod().equals(Methods.HEAD) || response.getResponseCode() == StatusCodes.NO_CONTENT
+				|| response.getResponseHeaders().contains(Headers.TRANSFER_ENCODING) || isBodiless(request, response);
+	}
+
+	/**
+	 * Returns whether a response has no body, whatever its headers are.
+	 * @param request the request
+	 * @param response the status and the headers
+	 * @return whether the response ends with its head
+	 */
+	static boolean isBodiless(ClientRequest request, ClientResponse response) {
+		return request.getMethod().equals(Methods.HEAD) || response.getResponseCode() == StatusCodes.NO_CONTENT
 				|| response.getResponseCode() == StatusCodes.NOT_MODIFIED;
 	}
 
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/StreamedCall.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/StreamedCall.java
@@ -66,6 +66,8 @@
 
 	private final ReceiveLimit receiveLimit;
 
+	private final ResponseBytes responseBytes;
+
 	private final Listener listener;
 
 	private StreamSourceChannel source;
@@ -87,6 +89,7 @@
 	private StreamedCall(ClientConnection connection, Listener listener) {
 		this.connection = connection;
 		this.receiveLimit = ReceiveLimit.of(connection);
+		this.responseBytes = ResponseBytes.of(connection);
 		this.listener = listener;
 		this.use = ConnectionUse.startCall(connection, this::connectionClosed);
 	}
@@ -107,6 +110,7 @@
 			request.getRequestHeaders().put(Headers.CONTENT_LENGTH, Integer.toString(body.length));
 		}
 		call.receiveLimit.expectHead();
+		call.responseBytes.expectHead();
 		connection.sendRequest(request, new ClientCallback<>() {
 
 			@Override
@@ -180,6 +184,13 @@
 			return;
 		}
 		this.receiveLimit.expectData();
+		try {
+			this.responseBytes.expectBody(exchange.getRequest(), response);
+		}
+		catch (IOException ex) {
+			fail(reason(ex));
+			return;
+		}
 		this.source = exchange.getResponseChannel();
 		this.source.getReadSetter().set((channel) -> read());
 		read();
@@ -272,6 +283,10 @@
 	}
 
 	private void end() {
+		if (this.delimited && !this.responseBytes.isEnded()) {
+			fail("the body of the response broke off");
+			return;
+		}
 		markFinished();
 		this.listener.onEnd(new Completion(this.connection, this.delimited, this.requestSent));
 	}
@@ -335,10 +350,12 @@
 
 		/**
 		 * Returns whether the connection can be used for another call.
-		 * @return whether request and response are complete and the connection is open
+		 * @return whether request and response are complete, nothing has followed the
+		 * response and the connection is open
 		 */
 		public boolean isReusable() {
-			return this.delimited && this.requestSent && this.connection.isOpen();
+			return this.delimited && this.requestSent && this.connection.isOpen()
+					&& ResponseBytes.of(this.connection).isAtEnd();
 		}
 
 		/**
--- a/catkingate-runtime/src/test/java/org/catkingate/runtime/http/BufferedHttpClientTests.java
+++ b/catkingate-runtime/src/test/java/org/catkingate/runtime/http/BufferedHttpClientTests.java
@@ -1,5 +1,6 @@
 package org.catkingate.runtime.http;
 
+import java.io.IOException;
 import java.net.URI;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -101,6 +102,23 @@
 
 	}
 
+	@Nested
+	class AResponseInChunks {
+
+		// Guards against a page or a piece that is taken for whole because the head of
+		// another response stands in the middle of it.
+		@Test
+		void failsIfTheHeadOfAnotherResponseStandsInIt() throws Exception {
+			try (RawServer server = RawServer.respondingWith(
+					"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+					"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n")) {
+				assertThatThrownBy(() -> call(server)).isInstanceOf(ExecutionException.class)
+					.hasRootCauseInstanceOf(IOException.class);
+			}
+		}
+
+	}
+
 	@Nested
 	class AResponseThatDoesNotStart {
 
--- a/catkingate-runtime/src/test/java/org/catkingate/runtime/http/StreamedCallTests.java
+++ b/catkingate-runtime/src/test/java/org/catkingate/runtime/http/StreamedCallTests.java
@@ -9,7 +9,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -24,6 +26,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -146,6 +150,40 @@
 		}
 	}
 
+	// Guards against a response that arrives before its request has been sent, taken for
+	// the response to the next request on the connection.
+	@ParameterizedTest
+	@ValueSource(strings = { CHUNKED + "3\r\nabc\r\n0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc" })
+	void aConnectionIsNotReusedIfBytesFollowTheResponse(String response) throws Exception {
+		Queue<RawServer.Response> responses = new ConcurrentLinkedQueue<>(
+				List.of(new RawServer.Response(List.of(response + response), false),
+						new RawServer.Response(List.of(response, response), false),
+						new RawServer.Response(List.of(response), false)));
+		try (RawServer server = RawServer.respondingWith(responses::poll)) {
+			ConnectionPool connections = connectionsTo(server);
+			call(connections);
+			assertThat(notificationsUntil("ended")).containsExactly("200", "abc", "ended");
+			call(connections);
+			assertThat(notificationsUntil("ended reusable")).containsExactly("200", "abc", "ended reusable");
+			Thread.sleep(300);
+			call(connections);
+			assertThat(notificationsUntil("ended reusable")).containsExactly("200", "abc", "ended reusable");
+			assertThat(server.acceptedConnections()).isEqualTo(3);
+		}
+	}
+
+	// Guards against the interim response, which the client skips, taken for a malformed
+	// body.
+	@Test
+	void aBodyInChunksMayFollowAnInterimResponse() throws Exception {
+		try (RawServer server = RawServer.respondingWith("HTTP/1.1 100 Continue\r\n\r\n" + CHUNKED + "3\r\na",
+				"bc\r\n0\r\n\r", "\n")) {
+			ConnectionPool connections = connectionsTo(server);
+			call(connections);
+			assertThat(String.join("", notificationsUntil("ended reusable"))).isEqualTo("200abcended reusable");
+		}
+	}
+
 	@Test
 	void aResponseWithoutALengthEndsWithItsConnection() throws Exception {
 		try (RawServer server = RawServer.respondingAndClosing("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "abc",
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/StreamContinuationTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/StreamContinuationTests.java
@@ -150,6 +150,68 @@
 
 	}
 
+	@Nested
+	class AStreamInWhichSomethingElseStandsInPlaceOfAChunk {
+
+		// Guards against a stream that ends as complete where its runner puts the head of
+		// another response, or text, in the middle of it (ORDER, MIXED).
+		@ParameterizedTest
+		@EnumSource(Intrusion.class)
+		void isContinuedByAnotherRunner(Intrusion intrusion) throws Exception {
+			RawServer.Response first = new RawServer.Response(
+					List.of(STREAM_HEAD + httpChunk(event(1)) + httpChunk(event(2)), intrusion.bytes), false);
+			RawServer.Response second = new RawServer.Response(List.of(STREAM_HEAD + httpChunk(event(3)) + LAST_CHUNK),
+					false);
+			assertThat(request(first, second)).containsOnlyOnce("id: 1\n")
+				.containsOnlyOnce("id: 2\n")
+				.containsOnlyOnce("id: 3\n")
+				.doesNotContain("unusable")
+				.endsWith("\r\n" + LAST_CHUNK);
+		}
+
+		// Guards against the same in the part that another runner adds.
+		@ParameterizedTest
+		@EnumSource(Intrusion.class)
+		void isVisiblyIncompleteIfItsContinuationHasItToo(Intrusion intrusion) throws Exception {
+			RawServer.Response second = new RawServer.Response(
+					List.of(STREAM_HEAD + httpChunk(event(3)), intrusion.bytes), false);
+			assertThat(request(brokenOff(STREAM_HEAD + httpChunk(event(1)) + httpChunk(event(2))), second))
+				.containsOnlyOnce("id: 3\n")
+				.doesNotContain("unusable")
+				.doesNotContain("\r\n" + LAST_CHUNK)
+				.endsWith("<closed>");
+		}
+
+		// Guards against an empty stream that ends as complete.
+		@ParameterizedTest
+		@EnumSource(Intrusion.class)
+		void isServedByAnotherRunnerIfItHasNoEvent(Intrusion intrusion) throws Exception {
+			for (List<String> parts : List.of(List.of(STREAM_HEAD, intrusion.bytes),
+					List.of(STREAM_HEAD + intrusion.bytes))) {
+				RawServer.Response second = new RawServer.Response(
+						List.of(STREAM_HEAD + httpChunk(event(1)) + LAST_CHUNK), false);
+				assertThat(request(new RawServer.Response(parts, false), second)).as("%s parts", parts.size())
+					.startsWith("HTTP/1.1 200 ")
+					.containsOnlyOnce("id: 1\n")
+					.endsWith("\r\n" + LAST_CHUNK);
+			}
+		}
+
+		// Guards against the same for a response that is no stream.
+		@ParameterizedTest
+		@EnumSource(Intrusion.class)
+		void isNotForwardedAsAWholeBody(Intrusion intrusion) throws Exception {
+			String start = "HTTP/1.1 200 OK\r\n" + SIGNED + "Transfer-Encoding: chunked\r\n\r\n" + httpChunk("part");
+			try (RawServer runner = RawServer.respondingWith(start, intrusion.bytes);
+					TestGateway gateway = TestGateway.start(CallKind.NON_IDEMPOTENT, runner.address());
+					RawCaller caller = gateway.connect()) {
+				assertThat(caller.post("r1", "/songs/1", "hello").readResponse()).startsWith("HTTP/1.1 502 ")
+					.doesNotContain("unusable");
+			}
+		}
+
+	}
+
 	@Nested
 	class AStreamWithNeitherALengthNorChunks {
 
@@ -226,6 +288,32 @@
 
 	}
 
+	/**
+	 * What a runner may put in place of a chunk.
+	 */
+	enum Intrusion {
+
+		HEAD("HTTP/1.1 500 Error\r\nContent-Length: 8\r\n\r\nunusable"),
+
+		WHOLE_RESPONSE("HTTP/1.1 200 OK\r\n" + EVENT_STREAM + "Transfer-Encoding: chunked\r\n\r\n"
+				+ httpChunk("unusable") + LAST_CHUNK),
+
+		TEXT("unusable text\r\n\r\n"),
+
+		EMPTY_LINE("\r\n\r\n"),
+
+		NEGATIVE_SIZE("-1\r\n\r\n"),
+
+		SIZE_WITH_A_PREFIX("0x0\r\n\r\n");
+
+		private final String bytes;
+
+		Intrusion(String bytes) {
+			this.bytes = bytes;
+		}
+
+	}
+
 	/**
 	 * The responses to a resumption that do not continue the stream.
 	 */
