Let the test of endless rejections wait for both connections

The test sent requests until one of two runners happened to be chosen; a run opened 10,101 connections until then and failed for lack of ports. Now one runner sends the endless rejection first.

--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/EndlessResponseTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/EndlessResponseTests.java
@@ -24,6 +24,9 @@
 
 	private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
+	/** Longer than the time for which a runner counts as full after a rejection. */
+	private static final long BACKOFF_MILLIS = 300;
+
 	/** More than the limits of the gateway and the buffers of both sockets. */
 	private static final long MAX_SENT_BYTES = 32L * 1024 * 1024;
 
@@ -96,18 +99,17 @@
 		@ParameterizedTest
 		@EnumSource(EndlessRejection.class)
 		void isCutWhileOtherRequestsAreServed(EndlessRejection rejection) throws Exception {
-			try (RawServer rejecting = RawServer.respondingWith(() -> rejection.response);
-					RawServer sound = RawServer.respondingWith(() -> PLAIN_RESPONSE);
-					TestGateway gateway = TestGateway.start(CallKind.NON_IDEMPOTENT, rejecting.address(),
-							sound.address());
+			Queue<RawServer.Response> responses = new ConcurrentLinkedQueue<>(
+					List.of(rejection.response, PLAIN_RESPONSE, PLAIN_RESPONSE));
+			try (RawServer rejecting = RawServer.respondingWith(responses::poll);
+					TestGateway gateway = TestGateway.start(CallKind.NON_IDEMPOTENT, rejecting.address());
 					RawCaller caller = gateway.connect()) {
-				for (int i = 0; rejecting.requestHeads().isEmpty(); i++) {
-					assertThat(caller.post("r" + i, "/songs/1", "hello").readResponse()).as("response %d", i)
-						.endsWith("whole");
-				}
+				assertThat(caller.post("r1", "/songs/1", "hello").readResponse()).startsWith("HTTP/1.1 503 ");
+				Thread.sleep(BACKOFF_MILLIS);
+				assertThat(caller.post("r2", "/songs/1", "hello").readResponse()).endsWith("whole");
 				assertThat(gateway.isReady()).isTrue();
-				int closing = rejecting.requestHeads().size();
-				Awaitility.await().atMost(TIMEOUT).until(() -> rejecting.connectionsClosedByPeer() >= closing);
+				// the connection of the rejection, and that of the second request
+				Awaitility.await().atMost(TIMEOUT).until(() -> rejecting.connectionsClosedByPeer() == 2);
 				assertThat(rejecting.fillerBytes()).isLessThan(MAX_SENT_BYTES);
 			}
 		}
