Compare the id of a response of an engine with that of the request

Change: RunnerCall fails if the response states another X-Request-Id; one without an id is accepted as before, since plain services need not state it. AgentRequest releases only reusable connections.

--- a/catkingate-agent/src/main/java/org/catkingate/agent/requests/AgentRequest.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/requests/AgentRequest.java
@@ -15,6 +15,7 @@
 import org.catkingate.decisions.idempotency.StoredResponse;
 import org.catkingate.decisions.idempotency.VouchingEvaluator;
 import org.catkingate.runtime.http.ConnectionPool;
+import org.catkingate.runtime.http.StreamedCall;
 import org.catkingate.runtime.peers.PeerConnection;
 import org.catkingate.wire.RequestMessage;
 
@@ -327,8 +328,13 @@
 	}
 
 	@Override
-	public void onEnd(ClientConnection connection) {
-		this.connectionPool.release(connection);
+	public void onEnd(StreamedCall.Completion end) {
+		if (end.isReusable()) {
+			this.connectionPool.release(end.connection());
+		}
+		else {
+			end.close();
+		}
 		if (this.permit != null) {
 			this.permit.complete();
 		}
--- a/catkingate-agent/src/main/java/org/catkingate/agent/requests/RunnerCall.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/requests/RunnerCall.java
@@ -21,6 +21,10 @@
 
 	private static final String EVENT_STREAM_TYPE = "text/event-stream";
 
+	private static final HttpString REQUEST_ID = new HttpString("X-Request-Id");
+
+	private final String requestId;
+
 	private final Listener listener;
 
 	private final EventStreamEndDetector endDetector = new EventStreamEndDetector();
@@ -29,7 +33,8 @@
 
 	private boolean eventStream;
 
-	private RunnerCall(Listener listener) {
+	private RunnerCall(String requestId, Listener listener) {
+		this.requestId = requestId;
 		this.listener = listener;
 	}
 
@@ -43,7 +48,7 @@
 	 */
 	static RunnerCall start(ClientConnection connection, String authority, RequestMessage.Dispatch dispatch,
 			Listener listener) {
-		RunnerCall call = new RunnerCall(listener);
+		RunnerCall call = new RunnerCall(dispatch.request().toString(), listener);
 		call.call = StreamedCall.start(connection, request(authority, dispatch), dispatch.body(), call);
 		return call;
 	}
@@ -59,7 +64,7 @@
 			}
 		}
 		request.getRequestHeaders().put(Headers.HOST, authority);
-		request.getRequestHeaders().put(new HttpString("X-Request-Id"), dispatch.request().toString());
+		request.getRequestHeaders().put(REQUEST_ID, dispatch.request().toString());
 		request.getRequestHeaders().put(new HttpString("X-Priority"), Integer.toString(dispatch.priority()));
 		if (dispatch.idempotencyKey() != null) {
 			request.getRequestHeaders().put(new HttpString("Idempotency-Key"), dispatch.idempotencyKey());
@@ -69,6 +74,12 @@
 
 	@Override
 	public boolean onHead(ClientResponse response) {
+		String answeredId = response.getResponseHeaders().getFirst(REQUEST_ID);
+		if (answeredId != null && !answeredId.equals(this.requestId)) {
+			// a late response to an earlier request on the connection
+			this.listener.onFailure("the runner answered another request");
+			return false;
+		}
 		String type = response.getResponseHeaders().getFirst(Headers.CONTENT_TYPE);
 		this.eventStream = type != null && type.startsWith(EVENT_STREAM_TYPE);
 		return this.listener.onHead(response.getResponseCode(), headers(response));
@@ -101,7 +112,7 @@
 	public void onEnd(StreamedCall.Completion end) {
 		boolean complete = (this.eventStream) ? this.endDetector.isComplete() : end.delimited();
 		if (complete) {
-			this.listener.onEnd(end.connection());
+			this.listener.onEnd(end);
 			return;
 		}
 		end.close();
@@ -155,9 +166,9 @@
 
 		/**
 		 * Called when the response is complete.
-		 * @param connection the connection, which can be reused
+		 * @param end the completion, whose connection may be reusable
 		 */
-		void onEnd(ClientConnection connection);
+		void onEnd(StreamedCall.Completion end);
 
 		/**
 		 * Called when the response was cut off or did not arrive.
--- /dev/null
+++ b/catkingate-agent/src/test/java/org/catkingate/agent/requests/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the calls of an agent to its runners.
+ */
+package org.catkingate.agent.requests;
