Judge lost requests, memory and repeated signals in the soak

The soak did not see requests that a runner had and that ended without a response, nor memory that fills, and its callers read at once.

New promises: ANSWERED and MEMORY, each planted in JudgeTests. New fault: several SIGTERM and SIGHUP to one gateway with configurations in between. One caller in five reads at 100 KB a second; one response in ten has 60 KB.

--- a/catkingate-soak/src/test/java/org/catkingate/soak/CallerConnection.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/CallerConnection.java
@@ -10,6 +10,8 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -26,6 +28,8 @@
 
 	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.1 ([0-9]{3}) .*");
 
+	private static final int SLOW_BUFFER_BYTES = 4096;
+
 	private static final int MAX_LINE_CHARS = 16_384;
 
 	private final String gateway;
@@ -36,19 +40,29 @@
 
 	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
-	private CallerConnection(String gateway, Socket socket) throws IOException {
+	private final int bytesPerSecond;
+
+	private CallerConnection(String gateway, Socket socket, int bytesPerSecond) throws IOException {
+		this.bytesPerSecond = bytesPerSecond;
 		this.gateway = gateway;
 		this.socket = socket;
 		this.input = new BufferedInputStream(socket.getInputStream());
 	}
 
-	static CallerConnection open(String gateway, InetSocketAddress address) throws IOException {
+	/**
+	 * Opens a connection.
+	 * @param bytesPerSecond the rate at which bodies are read at most
+	 */
+	static CallerConnection open(String gateway, InetSocketAddress address, int bytesPerSecond) throws IOException {
 		Socket socket = new Socket();
 		try {
+			if (bytesPerSecond < Integer.MAX_VALUE) {
+				socket.setReceiveBufferSize(SLOW_BUFFER_BYTES);
+			}
 			socket.connect(address, CONNECT_TIMEOUT_MILLIS);
 			socket.setSoTimeout(READ_TIMEOUT_MILLIS);
 			socket.setTcpNoDelay(true);
-			return new CallerConnection(gateway, socket);
+			return new CallerConnection(gateway, socket, bytesPerSecond);
 		}
 		catch (IOException ex) {
 			socket.close();
@@ -130,6 +144,9 @@
 
 	private void readBytes(int count) throws IOException {
 		for (int i = 0; i < count; i++) {
+			if (this.bytesPerSecond < Integer.MAX_VALUE && i % SLOW_BUFFER_BYTES == SLOW_BUFFER_BYTES - 1) {
+				LockSupport.parkNanos(TimeUnit.SECONDS.toNanos(SLOW_BUFFER_BYTES) / this.bytesPerSecond);
+			}
 			int next = this.input.read();
 			if (next < 0) {
 				throw new IOException("the connection has ended inside a body");
--- a/catkingate-soak/src/test/java/org/catkingate/soak/Judge.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/Judge.java
@@ -79,6 +79,8 @@
 
 	private final UrgencyJudge urgency = new UrgencyJudge();
 
+	private final LossJudge losses = new LossJudge();
+
 	/**
 	 * Reports a key of an account, before the first request with it.
 	 */
@@ -178,6 +180,37 @@
 		this.pauses.keySet().removeIf((link) -> link.runner().equals(runner));
 	}
 
+	/**
+	 * Reports that the process of a gateway is killed, before it is.
+	 */
+	synchronized void gatewayKilled(String gateway) {
+		this.losses.gatewayKilled(gateway);
+	}
+
+	/**
+	 * Reports that a runner ends without notice, before it does.
+	 */
+	synchronized void runnerCrashed(String runner) {
+		this.losses.runnerCrashed(runner);
+	}
+
+	/**
+	 * Reports that a runner does not send a whole response to a request.
+	 */
+	synchronized void responseWithheld(String requestId) {
+		this.losses.responseWithheld(requestId);
+	}
+
+	/**
+	 * Reports the heap that a gateway occupies after a collection without requests.
+	 */
+	synchronized void heapMeasured(String gateway, long usedBytes, long maxBytes) {
+		if (usedBytes > maxBytes / 2) {
+			add(Promise.MEMORY,
+					"%s occupies %d of %d bytes after a collection".formatted(gateway, usedBytes, maxBytes));
+		}
+	}
+
 	private boolean isDisturbed(String processOrRunner, long nowMillis) {
 		Long until = this.disturbedUntilMillis.get(processOrRunner);
 		return until != null && (until == Long.MAX_VALUE || nowMillis < until + CONTACT_MILLIS);
@@ -192,6 +225,7 @@
 			add(Promise.UNCHANGED_REQUEST, runner + " received request " + requestId + ", which no caller has sent");
 			return;
 		}
+		this.losses.requestArrived(requestId, runner);
 		this.placement.judge(request, this.accountsByKey.get(request.key()), runner).ifPresent(this.breaches::add);
 		if (!isDisturbed(runner, nowMillis) && !isDisturbed(request.gateway(), nowMillis)) {
 			this.coldRunners.judge(request, runner, nowMillis).ifPresent(this.breaches::add);
@@ -302,6 +336,10 @@
 				Integer::sum);
 		this.urgency.responseReceived(request, this.accountsByKey.get(request.key()),
 				response.isSuccess() && response.complete());
+		if (!isDisturbed(request.gateway(), nowMillis)
+				&& this.losses.runners(requestId).stream().noneMatch((runner) -> isDisturbed(runner, nowMillis))) {
+			this.losses.judge(request, response, nowMillis).ifPresent(this.breaches::add);
+		}
 		RunnerRun run = this.runsBySignature.get(response.header("x-server-seal"));
 		checkOrigin(request, response, run);
 		if (response.isSuccess() && run != null) {
--- a/catkingate-soak/src/test/java/org/catkingate/soak/JudgeTests.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/JudgeTests.java
@@ -70,6 +70,76 @@
 		return this.judge.breaches().stream().map(Breach::promise).distinct().toList();
 	}
 
+	@Nested
+	class RequestsThatReachedARunner {
+
+		private SoakRequest sendAndArrive() {
+			SoakRequest request = send("a", RequestKind.READ);
+			JudgeTests.this.judge.requestArrived("a", RUNNER, 5);
+			run(request, "s1");
+			return request;
+		}
+
+		@Test
+		void areFoundIfTheyEndWithoutAWholeResponse() {
+			receive(sendAndArrive(), 200, "s1", "response", false);
+			assertThat(broken()).containsExactly(Promise.ANSWERED);
+		}
+
+		@Test
+		void areFoundIfTheyAreNotAnsweredAfterTheirDeadline() {
+			SoakRequest request = sendAndArrive();
+			JudgeTests.this.judge.responseReceived(request.id(), CallerResponse.none(),
+					SoakCallers.DEADLINE_MILLIS + 2000);
+			assertThat(broken()).containsExactly(Promise.ANSWERED);
+		}
+
+		@Test
+		void areAcceptedIfTheirDeadlineHasPassed() {
+			SoakRequest request = sendAndArrive();
+			JudgeTests.this.judge.responseReceived(request.id(), CallerResponse.none(),
+					SoakCallers.DEADLINE_MILLIS + 100);
+			assertThat(broken()).isEmpty();
+		}
+
+		@Test
+		void areAcceptedIfTheirRunnerEnded() {
+			JudgeTests.this.judge.runnerCrashed(RUNNER);
+			receive(sendAndArrive(), 200, "s1", "response", false);
+			assertThat(broken()).isEmpty();
+		}
+
+		@Test
+		void areAcceptedIfTheirGatewayIsKilled() {
+			SoakRequest request = sendAndArrive();
+			JudgeTests.this.judge.gatewayKilled(GATEWAY);
+			receive(request, 200, "s1", "response", false);
+			assertThat(broken()).isEmpty();
+		}
+
+		@Test
+		void areAcceptedIfTheirRunnerSendsNoWholeResponse() {
+			SoakRequest request = sendAndArrive();
+			JudgeTests.this.judge.responseWithheld(request.id());
+			receive(request, 200, "s1", "response", false);
+			assertThat(broken()).isEmpty();
+		}
+
+	}
+
+	@Nested
+	class AHeap {
+
+		@Test
+		void isFoundIfMoreThanHalfOfItIsOccupied() {
+			JudgeTests.this.judge.heapMeasured(GATEWAY, 50, 100);
+			assertThat(broken()).isEmpty();
+			JudgeTests.this.judge.heapMeasured(GATEWAY, 51, 100);
+			assertThat(broken()).containsExactly(Promise.MEMORY);
+		}
+
+	}
+
 	@Nested
 	class Responses {
 
--- a/catkingate-soak/src/test/java/org/catkingate/soak/Promise.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/Promise.java
@@ -47,6 +47,12 @@
 	/** A cold runner gets no more requests in any second than it tolerates. */
 	COLD_RUNNER,
 
+	/** A request that reached a sound runner gets a whole response. */
+	ANSWERED,
+
+	/** A gateway holds nothing of requests that have ended. */
+	MEMORY,
+
 	/** Requests of a more urgent account are not served less often. */
 	URGENCY
 
--- a/catkingate-soak/src/test/java/org/catkingate/soak/RunnerStandIn.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/RunnerStandIn.java
@@ -3,8 +3,10 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.regex.Matcher;
@@ -28,8 +30,17 @@
 
 	private static final long EVENT_PAUSE_MILLIS = 25;
 
+	private static final int SHORT_BODY_CHARS = 200;
+
+	/** More than a caller that reads slowly has on the way. */
+	private static final int LONG_BODY_CHARS = 60_000;
+
 	private static final Pattern HEADER = Pattern.compile("(?m)^([^:\r\n]+): *([^\r\n]*)");
 
+	/** The behaviours with which a runner sends whole responses and nothing else. */
+	private static final Set<RunnerBehaviour> WHOLE = EnumSet.of(RunnerBehaviour.SOUND, RunnerBehaviour.FAILING,
+			RunnerBehaviour.BUSY);
+
 	private static final AtomicLong NEXT_RUN = new AtomicLong();
 
 	private final AtomicInteger running = new AtomicInteger();
@@ -140,11 +151,14 @@
 		}
 		else {
 			pieces.add(status + " for " + requestId + " by " + signature + " ");
-			pieces.add("x".repeat(200));
+			pieces.add("x".repeat(requestId.endsWith("0") ? LONG_BODY_CHARS : SHORT_BODY_CHARS));
 		}
 		this.judge.runStarted(new RunnerRun(signature, requestId, this.id, this.service, path, request.body(),
 				header(request, "X-Tenant"), !header(request, "Authorization").isEmpty(), resumesAfter, status,
 				String.join("", pieces), this.weights == null || this.weights.areWhole(), this.clock.millis()));
+		if (!WHOLE.contains(current)) {
+			this.judge.responseWithheld(requestId);
+		}
 		if (!stream) {
 			pause(EVENT_PAUSE_MILLIS);
 		}
--- a/catkingate-soak/src/test/java/org/catkingate/soak/Soak.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/Soak.java
@@ -26,6 +26,9 @@
 	/** The time that callers go on after the last recovery, in milliseconds. */
 	private static final long CALM_MILLIS = 3000;
 
+	/** The maximum size of the heap of a gateway in the deploy file. */
+	private static final long MAX_HEAP_BYTES = 64L * 1024 * 1024;
+
 	/** Upper bound for the last recovery, in seconds. */
 	private static final long RECOVERY_LIMIT_SECONDS = 60;
 
@@ -81,6 +84,19 @@
 		finally {
 			callers.close();
 		}
+		measureHeaps();
+	}
+
+	private void measureHeaps() {
+		for (SoakProcess gateway : this.fleet.gateways()) {
+			try {
+				gateway.usedHeapBytes()
+					.ifPresent((bytes) -> this.judge.heapMeasured(gateway.boot(), bytes, MAX_HEAP_BYTES));
+			}
+			catch (IOException ex) {
+				this.failures.add(ex);
+			}
+		}
 	}
 
 	private void inject(FaultSchedule.Step step, CountDownLatch recoveries) {
--- a/catkingate-soak/src/test/java/org/catkingate/soak/SoakCallers.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakCallers.java
@@ -17,7 +17,13 @@
 
 	private static final int ABANDONED_PERCENT = 4;
 
-	private static final long DEADLINE_MILLIS = 2500;
+	/** The time within which callers expect a response, in milliseconds. */
+	static final long DEADLINE_MILLIS = 2500;
+
+	/** The part of the connections over which callers read slowly. */
+	private static final int SLOW_PERCENT = 20;
+
+	private static final int SLOW_BYTES_PER_SECOND = 100_000;
 
 	private static final long STOP_LIMIT_MILLIS = TimeUnit.SECONDS.toMillis(30);
 
@@ -61,7 +67,9 @@
 				try {
 					if (connection == null) {
 						SoakProcess gateway = this.gateways.get(random.nextInt(this.gateways.size()));
-						connection = CallerConnection.open(gateway.boot(), gateway.address());
+						boolean slow = random.nextInt(100) < SLOW_PERCENT;
+						connection = CallerConnection.open(gateway.boot(), gateway.address(),
+								slow ? SLOW_BYTES_PER_SECOND : Integer.MAX_VALUE);
 					}
 					if (!sendOne(connection, random)) {
 						connection.close();
--- a/catkingate-soak/src/test/java/org/catkingate/soak/SoakFault.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakFault.java
@@ -87,12 +87,23 @@
 	/** A gateway is shut down in an orderly way and started again. */
 	GATEWAY_TERMINATED((soak, random) -> terminate(pick(soak.fleet().gateways(), random))),
 
+	/** A gateway is told to shut down several times, with changes in between. */
+	GATEWAY_TERMINATED_REPEATEDLY(
+			(soak, random) -> terminateRepeatedly(soak, pick(soak.fleet().gateways(), random), random)),
+
 	/** A gateway is killed and started again. */
-	GATEWAY_KILLED((soak, random) -> kill(pick(soak.fleet().gateways(), random))),
+	GATEWAY_KILLED((soak, random) -> {
+		SoakProcess gateway = pick(soak.fleet().gateways(), random);
+		soak.judge().gatewayKilled(gateway.boot());
+		return kill(gateway);
+	}),
 
 	/** All gateways are killed at the same moment and started again. */
 	ALL_GATEWAYS_KILLED((soak, random) -> {
-		soak.fleet().gateways().forEach(SoakProcess::kill);
+		soak.fleet().gateways().forEach((gateway) -> {
+			soak.judge().gatewayKilled(gateway.boot());
+			gateway.kill();
+		});
 		return () -> {
 			for (SoakProcess gateway : soak.fleet().gateways()) {
 				gateway.startUnlessAlive();
@@ -234,6 +245,10 @@
 		return SoakFault::doNothing;
 	});
 
+	private static final int REPEATED_SIGNALS = 4;
+
+	private static final int MAX_SIGNAL_GAP_MILLIS = 400;
+
 	private final Injection injection;
 
 	SoakFault(Injection injection) {
@@ -297,6 +312,22 @@
 		return () -> process.awaitEndAndStart(boot);
 	}
 
+	private static Recovery terminateRepeatedly(Soak soak, SoakProcess gateway, SplittableRandom random)
+			throws InterruptedException {
+		int boot = gateway.terminate();
+		for (int i = 0; i < REPEATED_SIGNALS; i++) {
+			Thread.sleep(random.nextInt(MAX_SIGNAL_GAP_MILLIS));
+			if (random.nextBoolean()) {
+				gateway.hangUp();
+			}
+			else {
+				gateway.terminate();
+			}
+			soak.fleet().operator().publish();
+		}
+		return () -> gateway.awaitEndAndStart(boot);
+	}
+
 	/**
 	 * The injection of a fault.
 	 */
--- a/catkingate-soak/src/test/java/org/catkingate/soak/SoakProcess.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakProcess.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -30,6 +31,10 @@
 
 	private static final int PROBE_TIMEOUT_MILLIS = 2000;
 
+	private static final int GENERATIONS = 2;
+
+	private static final long BYTES_PER_KB = 1024;
+
 	private final Path directory;
 
 	private final String role;
@@ -179,6 +184,24 @@
 		return this.process.isAlive();
 	}
 
+	/**
+	 * Measures the heap after a full collection.
+	 * @return the number of bytes in use, empty if the process is not running
+	 */
+	synchronized OptionalLong usedHeapBytes() throws IOException {
+		if (!this.process.isAlive()) {
+			return OptionalLong.empty();
+		}
+		this.process.command("GC.run");
+		Matcher matcher = Pattern.compile("used ([0-9]+)K").matcher(this.process.command("GC.heap_info"));
+		long kilobytes = 0;
+		// one line for each generation, and then one for the classes
+		for (int generation = 0; generation < GENERATIONS && matcher.find(); generation++) {
+			kilobytes += Long.parseLong(matcher.group(1));
+		}
+		return OptionalLong.of(kilobytes * BYTES_PER_KB);
+	}
+
 	boolean isReady() {
 		try {
 			HttpURLConnection connection = (HttpURLConnection) URI
--- a/catkingate-soak/src/test/java/org/catkingate/soak/SoakRunner.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakRunner.java
@@ -87,6 +87,7 @@
 	 */
 	synchronized void crash() {
 		if (this.runner != null) {
+			this.judge.runnerCrashed(this.runner.id());
 			this.proxy.configure("--refuse", "true");
 			this.proxy.resetConnections();
 			this.runner.close();
--- a/catkingate-tests/src/test/java/org/catkingate/tests/harness/ChildProcess.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/harness/ChildProcess.java
@@ -151,6 +151,19 @@
 		}
 	}
 
+	/**
+	 * Runs a diagnostic command of the Java virtual machine in the process.
+	 * @param command the command
+	 * @return its output
+	 * @throws IOException if the tool of the JDK cannot be started
+	 */
+	public String command(String command) throws IOException {
+		String tool = Path.of(System.getProperty("java.home"), "bin", "jcmd").toString();
+		Process jcmd = new ProcessBuilder(tool, Long.toString(this.process.pid()), command).redirectErrorStream(true)
+			.start();
+		return new String(jcmd.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+	}
+
 	private void signal(String name) {
 		try {
 			Process kill = new ProcessBuilder("kill", "-" + name, Long.toString(this.process.pid())).start();
