Close connections that cannot be reused, and split the reading of bodies

RequestHandler reads bodies in parts in a method of its own. Heads whose lines end with LF only are followed too.

Evidence: aResponseWithALengthThatIsNoNumberFails (4 lengths) and the tests of the classes concerned pass.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -360,7 +360,8 @@
 	 * of the state is still shown.
 	 */
 	private Object workByRunner() {
-		return callTraffic(() -> (Object) this.runners.describeWork(this.clock.millis())).orElse("unknown");
+		return callTraffic(() -> this.runners.describeWork(this.clock.millis())).<Object>map((work) -> work)
+			.orElse("unknown");
 	}
 
 	/*
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestHandler.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestHandler.java
@@ -191,8 +191,14 @@
 				bodyTimeout.remove();
 				start(received, admitted.withBody(body));
 			}, onFailure);
-			return;
 		}
+		else {
+			readBodyInParts(exchange, admitted, bodyTimeout, onFailure);
+		}
+	}
+
+	private void readBodyInParts(HttpServerExchange exchange, AdmittedRequest admitted, XnioExecutor.Key bodyTimeout,
+			Receiver.ErrorCallback onFailure) {
 		BodyInParts body = new BodyInParts(exchange.getConnection());
 		exchange.getRequestReceiver().receivePartialBytes((received, part, last) -> {
 			body.add(part);
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -142,27 +142,26 @@
 			RegisteredRunner registered = next.runners().get(entry.getKey());
 			boolean removed = registered == null || !isSameProcess(registered, entry.getValue().runner());
 			if (removed) {
-				this.rememberedIntakes.add(entry.getValue());
-				this.removalListener.accept(entry.getValue());
-				entry.getValue().close();
+				applyAlone(entry.getValue().runner(), () -> recordRemoval(entry.getValue()));
 			}
 			return removed;
 		});
-		next.runners().values().forEach(this::updateState);
+		next.runners().values().forEach((registered) -> applyAlone(registered, () -> updateState(registered)));
 		this.runnersByAddress = this.runners.values()
 			.stream()
 			.collect(Collectors.groupingBy((state) -> state.runner().addressText()));
 		this.runners.values().stream().map(RunnerState::service).distinct().forEach(this.changeListener);
 	}
 
-	private void updateState(RegisteredRunner registered) {
+	/*
+	 * One registration that cannot be applied must not keep the others from being
+	 * applied.
+	 */
+	private static void applyAlone(RegisteredRunner registered, Runnable change) {
 		try {
-			RunnerState state = this.runners.computeIfAbsent(registered.id(), (id) -> createState(registered));
-			state.updateRegistration(registered);
-			state.setEvacuated(this.view.evacuated().contains(registered.dataCentre()));
+			change.run();
 		}
 		catch (RuntimeException ex) {
-			// one registration must not keep the others from being applied
 			logger.atError()
 				.addKeyValue("event", "registration-failed")
 				.addKeyValue("runner", registered)
@@ -171,6 +170,18 @@
 		}
 	}
 
+	private void recordRemoval(RunnerState removed) {
+		this.rememberedIntakes.add(removed);
+		this.removalListener.accept(removed);
+		removed.close();
+	}
+
+	private void updateState(RegisteredRunner registered) {
+		RunnerState state = this.runners.computeIfAbsent(registered.id(), (id) -> createState(registered));
+		state.updateRegistration(registered);
+		state.setEvacuated(this.view.evacuated().contains(registered.dataCentre()));
+	}
+
 	private RunnerState createState(RegisteredRunner runner) {
 		RunnerState state = this.stateFactory.apply(runner);
 		this.rememberedIntakes.restoreTo(state);
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/BufferedHttpClient.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/BufferedHttpClient.java
@@ -108,6 +108,7 @@
 				if (connection.isOpen() && ResponseBytes.of(connection).isAtEnd()) {
 					return connection;
 				}
+				IoUtils.safeClose(connection);
 			}
 			return null;
 		}
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ResponseBytes.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ResponseBytes.java
@@ -3,7 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientRequest;
@@ -20,20 +19,19 @@
  * accepts chunks that are malformed: it takes the head of another response in the middle
  * of a body for the end of that body. Here such a body fails. Bytes behind the end of a
  * response, which belong to no request, are noticed, so that the connection is not used
- * again. Used by the I/O thread of the connection only.
+ * again. Used by the I/O thread of the connection only, except for {@link #isAtEnd()}.
  */
 final class ResponseBytes {
 
 	private static final AttachmentKey<ResponseBytes> KEY = AttachmentKey.create(ResponseBytes.class);
 
-	private static final byte[] END_OF_HEAD = "\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
-
 	/** The HTTP client skips such interim responses. */
 	private static final String START_OF_SKIPPED_HEAD = "HTTP/1.1 100";
 
-	private Phase phase = Phase.IDLE;
+	private volatile Phase phase = Phase.IDLE;
 
-	private int matchedEnd;
+	/** The bytes of the current line of the head, without its end. */
+	private int lineBytes;
 
 	private final StringBuilder startOfHead = new StringBuilder();
 
@@ -42,7 +40,7 @@
 
 	private BodyEnd bodyEnd = BodyEnd.NONE;
 
-	private boolean surplus;
+	private volatile boolean surplus;
 
 	/**
 	 * Returns the bytes of a connection.
@@ -66,7 +64,7 @@
 	 */
 	void expectHead() {
 		this.phase = Phase.HEAD;
-		this.matchedEnd = 0;
+		this.lineBytes = 0;
 		this.startOfHead.setLength(0);
 		this.early.reset();
 	}
@@ -94,7 +92,8 @@
 	}
 
 	/**
-	 * Returns whether the response has ended and nothing has followed it.
+	 * Returns whether the response has ended and nothing has followed it. May be called
+	 * by any thread.
 	 * @return whether the connection can carry another request
 	 */
 	boolean isAtEnd() {
@@ -120,22 +119,26 @@
 	}
 
 	private void readHead(byte next) {
-		if (this.startOfHead.length() < START_OF_SKIPPED_HEAD.length()) {
-			this.startOfHead.append((char) next);
-		}
-		if (next == END_OF_HEAD[this.matchedEnd]) {
-			this.matchedEnd++;
-		}
-		else {
-			this.matchedEnd = (next == END_OF_HEAD[0]) ? 1 : 0;
+		if (next == '\n') {
+			if (this.lineBytes == 0 && !this.startOfHead.isEmpty()) {
+				endHead();
+			}
+			this.lineBytes = 0;
 		}
-		if (this.matchedEnd == END_OF_HEAD.length) {
-			boolean skipped = this.startOfHead.toString().equals(START_OF_SKIPPED_HEAD);
-			expectHead();
-			this.phase = skipped ? Phase.HEAD : Phase.HEAD_ENDED;
+		else if (next != '\r') {
+			this.lineBytes++;
+			if (this.startOfHead.length() < START_OF_SKIPPED_HEAD.length()) {
+				this.startOfHead.append((char) next);
+			}
 		}
 	}
 
+	private void endHead() {
+		boolean skipped = this.startOfHead.toString().equals(START_OF_SKIPPED_HEAD);
+		expectHead();
+		this.phase = skipped ? Phase.HEAD : Phase.HEAD_ENDED;
+	}
+
 	private void readBody(ByteBuffer bytes) throws IOException {
 		if (this.bodyEnd.isReached(bytes)) {
 			this.phase = Phase.IDLE;
@@ -180,7 +183,7 @@
 				return ofChunks(new ChunkedBodyValidator(Long.MAX_VALUE));
 			}
 			String length = response.getResponseHeaders().getFirst(Headers.CONTENT_LENGTH);
-			return (length != null) ? new FixedLength(Long.parseLong(length.strip())) : OF_CONNECTION;
+			return (length != null) ? new FixedLength(Long.parseLong(length)) : OF_CONNECTION;
 		}
 
 		private static BodyEnd ofChunks(ChunkedBodyValidator validator) {
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ResponseFraming.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ResponseFraming.java
@@ -1,5 +1,7 @@
 package org.catkingate.runtime.http;
 
+import java.util.regex.Pattern;
+
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
 import io.undertow.util.HeaderValues;
@@ -12,13 +14,16 @@
  */
 final class ResponseFraming {
 
+	private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
+
 	private ResponseFraming() {
 	}
 
 	/**
-	 * Returns whether the headers do not tell where the body ends: several lengths, a
-	 * length beside an encoding, or an encoding that the HTTP client does not decode. The
-	 * client and the next receiver could read different bodies from such a response.
+	 * Returns whether the headers do not tell where the body ends: several lengths, one
+	 * that is no number, a length beside an encoding, or an encoding that the HTTP client
+	 * does not decode. The client and the next receiver could read different bodies from
+	 * such a response.
 	 * @param response the status and the headers
 	 * @return whether the response must not be used
 	 */
@@ -26,7 +31,7 @@
 		HeaderValues lengths = response.getResponseHeaders().get(Headers.CONTENT_LENGTH);
 		HeaderValues encodings = response.getResponseHeaders().get(Headers.TRANSFER_ENCODING);
 		if (encodings == null) {
-			return lengths != null && lengths.size() > 1;
+			return lengths != null && (lengths.size() > 1 || !LENGTH.matcher(lengths.getFirst()).matches());
 		}
 		return lengths != null || encodings.size() > 1
 				|| !encodings.getFirst().equalsIgnoreCase(Headers.CHUNKED.toString());
--- a/catkingate-runtime/src/test/java/org/catkingate/runtime/http/StreamedCallTests.java
+++ b/catkingate-runtime/src/test/java/org/catkingate/runtime/http/StreamedCallTests.java
@@ -184,6 +184,17 @@
 		}
 	}
 
+	// Guards against a length that the check of the bytes cannot read.
+	@ParameterizedTest
+	@ValueSource(strings = { "-1", "x", "", "99999999999999999999" })
+	void aResponseWithALengthThatIsNoNumberFails(String length) throws Exception {
+		try (RawServer server = RawServer
+			.respondingWith("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\nabc")) {
+			call(connectionsTo(server));
+			assertThat(notificationsUntil("failed")).containsExactly("failed");
+		}
+	}
+
 	@Test
 	void aResponseWithoutALengthEndsWithItsConnection() throws Exception {
 		try (RawServer server = RawServer.respondingAndClosing("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "abc",
