Satisfy the linter

Checkstyle runs after the tests and had not been run on the new files: an assignment in the arrow of a switch, and a test class with static members only.

--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ResponseBytes.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ResponseBytes.java
@@ -114,7 +114,9 @@
 				this.early.writeBytes(arrived);
 			}
 			case BODY -> readBody(bytes);
-			default -> this.surplus = true;
+			default -> {
+				this.surplus = true;
+			}
 		}
 	}
 
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/OddEntryTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/OddEntryTests.java
@@ -57,7 +57,7 @@
 		return "servers/odd-" + number;
 	}
 
-	private static void assertReplacementIsFollowed(ScriptedRegistry registry, Runnable oddity) throws Exception {
+	private void assertReplacementIsFollowed(ScriptedRegistry registry, Runnable oddity) throws Exception {
 		try (RawServer old = RawServer.respondingWith(RESPONSE); RawServer fresh = RawServer.respondingWith(RESPONSE)) {
 			registry.register("old", 1, old.address());
 			oddity.run();
