--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/LateRejectionTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/LateRejectionTests.java
@@ -42,9 +42,8 @@
 				List.of(new RawServer.Response(List.of(first), false), new RawServer.Response(List.of(second), false)));
 	}
 
-	// Guards against a stream that may not be resumed, runs, and is answered as not run
-	// or
-	// runs at a second runner (REFUSED, TWICE).
+	// Guards against a stream that may not be resumed, runs, and is answered as not run,
+	// or runs at a second runner (REFUSED, TWICE).
 	@Test
 	void doNotEndAStreamThatMayNotBeResumed() throws Exception {
 		String rejection = rejection("X-Request-Id: r1\r\n");
