--- a/catkingate-model/src/main/java/org/catkingate/model/AddressFormatter.java
+++ b/catkingate-model/src/main/java/org/catkingate/model/AddressFormatter.java
@@ -45,7 +45,7 @@
 	}
 
 	private static IllegalArgumentException invalid() {
-		return new IllegalArgumentException("write IP:PORT with a numeric IP address and a port up to " + MAX_PORT);
+		return new IllegalArgumentException("write IP:PORT with a numeric IP address");
 	}
 
 	/**
