Take from a late response that its runner leaves

A runner that leaves says so in all its responses and does not revoke it, so a late one shows it as well; a pause, a limit and a load are of the time when it was written.

Change: RunnerState.recordLeaving is called for such responses, recordResponseHead for the others. RunnerLeavingTests, LateRejectionTests and RunnerPauseTests pass.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
@@ -289,11 +289,15 @@
 		int status = response.getResponseCode();
 		this.responseHead = this.codec.readResponseHead(status, response.getResponseHeaders());
 		this.successful = status < MIN_FAILURE_STATUS;
-		// also if the response itself is not used any more; a late copy of another one
-		// describes an earlier state of the runner
+		// also if the response itself is not used any more
 		if (this.outgoing.responseCheck().isOwn(this.responseHead, this.onUnusedConnection)) {
 			this.runner.recordResponseHead(status, this.responseHead, this.sentAtMillis, this.clock.millis());
 		}
+		else {
+			// a late copy describes an earlier state of the runner, of which only leaving
+			// lasts
+			this.runner.recordLeaving(status, this.responseHead);
+		}
 		if (this.finished) {
 			return false;
 		}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerState.java
@@ -252,16 +252,26 @@
 	 */
 	void recordResponseHead(int status, RunnerResponseHead response, long sentAtMillis, long nowMillis) {
 		response.load().ifPresent((load) -> this.work.recordResponseLoad(load, nowMillis));
+		recordLeaving(status, response);
+		recordPause(status, response, nowMillis);
+		if (!response.misdirected()) {
+			this.permits.record(this.runner, response, sentAtMillis, nowMillis);
+		}
+	}
+
+	/**
+	 * Records whether the head of a response states that the runner leaves, which is not
+	 * revoked as long as it runs.
+	 * @param status the status of the response
+	 * @param response the head of the response, possibly to an earlier request
+	 */
+	void recordLeaving(int status, RunnerResponseHead response) {
 		// a misdirected request may have reached another runner at the same address
 		if (response.leaving() && !response.misdirected() && !this.intake.leaving()) {
 			this.intake = this.intake.withLeaving();
 			this.connections.close();
 			this.intakeLog.recordLeaving(this.runner, status, response);
 		}
-		recordPause(status, response, nowMillis);
-		if (!response.misdirected()) {
-			this.permits.record(this.runner, response, sentAtMillis, nowMillis);
-		}
 	}
 
 	private void recordPause(int status, RunnerResponseHead response, long nowMillis) {
