--- a/catkingate-soak/src/test/java/org/catkingate/soak/SoakProcess.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakProcess.java
@@ -156,6 +156,18 @@
 		return this.boots;
 	}
 
+	/**
+	 * Signals a process that was told to terminate once more. The next boot gets no
+	 * signal, since nothing would start another one.
+	 * @param terminatedBoot the number of the boot
+	 * @param hangUp whether it is told to read its settings, instead of to terminate
+	 */
+	synchronized void signalAgain(int terminatedBoot, boolean hangUp) {
+		if (this.boots == terminatedBoot && this.process.isAlive()) {
+			signal(hangUp ? ChildProcess::hangUp : ChildProcess::terminate);
+		}
+	}
+
 	/**
 	 * Waits for the end of a process that was told to terminate, kills it if it does not
 	 * end in time, and starts the next one.
