Keep nothing of earlier requests on callers' connections to entries

A connection that is kept held each reader with its exchange.

Change: ConnectionUse becomes CloseHandler, which adds one listener to a connection of either side and refers to the request in progress. StreamedCall and RequestBodyReader use it.

--- a/catkingate-entry/src/main/java/org/catkingate/entry/RequestBodyReader.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/RequestBodyReader.java
@@ -5,10 +5,12 @@
 
 import io.undertow.io.Receiver;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 
 import org.catkingate.model.published.ClientAccount;
+import org.catkingate.runtime.http.CloseHandler;
 
 /**
  * A reader of the complete body of one request. If the caller closes the connection or
@@ -26,6 +28,8 @@
 
 	private final XnioExecutor.Key timeoutTask;
 
+	private CloseHandler closeHandler;
+
 	private boolean ended;
 
 	RequestBodyReader(HttpServerExchange exchange, RequestDispatcher dispatcher, ClientAccount account,
@@ -37,10 +41,12 @@
 	}
 
 	void read(Consumer<byte[]> onComplete) {
-		this.exchange.getConnection().addCloseListener((closed) -> abort());
+		ServerConnection connection = this.exchange.getConnection();
+		this.closeHandler = CloseHandler.of(connection,
+				(onClose) -> connection.addCloseListener((closed) -> onClose.run()));
+		this.closeHandler.set(this::abort);
 		this.exchange.getRequestReceiver().receiveFullBytes((completed, body) -> {
-			this.ended = true;
-			this.timeoutTask.remove();
+			end();
 			onComplete.accept(body);
 		}, (failed, error) -> fail(error));
 	}
@@ -55,10 +61,15 @@
 		IoUtils.safeClose(this.exchange.getConnection());
 	}
 
+	private void end() {
+		this.ended = true;
+		this.timeoutTask.remove();
+		this.closeHandler.clear();
+	}
+
 	private void abort() {
 		if (!this.ended) {
-			this.ended = true;
-			this.timeoutTask.remove();
+			end();
 			this.dispatcher.releaseLimits(this.account);
 		}
 	}
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/StreamedCall.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/StreamedCall.java
@@ -10,6 +10,7 @@
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
+import io.undertow.util.Attachable;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
@@ -62,7 +63,7 @@
 
 	private final ClientConnection connection;
 
-	private final ConnectionUse use;
+	private final CloseHandler closeHandler;
 
 	private final ReceiveLimit receiveLimit;
 
@@ -91,7 +92,9 @@
 		this.receiveLimit = ReceiveLimit.of(connection);
 		this.responseBytes = ResponseBytes.of(connection);
 		this.listener = listener;
-		this.use = ConnectionUse.startCall(connection, this::connectionClosed);
+		this.closeHandler = CloseHandler.of((Attachable) connection,
+				(onClose) -> connection.addCloseListener((closed) -> onClose.run()));
+		this.closeHandler.set(this::connectionClosed);
 	}
 
 	/**
@@ -134,7 +137,7 @@
 	 * @return whether the next call is the first one
 	 */
 	public static boolean isUnused(ClientConnection connection) {
-		return ConnectionUse.isUnused(connection);
+		return !CloseHandler.isPresent((Attachable) connection);
 	}
 
 	// During a read, the result of the read shows whether the response is complete.
@@ -276,7 +279,7 @@
 
 	private void markFinished() {
 		this.finished = true;
-		this.use.endCall();
+		this.closeHandler.clear();
 		if (this.discardTimer != null) {
 			this.discardTimer.remove();
 		}
