Go on with periodic checks after a failure

Found by reading: a failure while waiting calls or limits are checked ended the periodic check for good. WaitingCalls stayed "scheduled" with no check due, so calls that wait would be left until their deadline.

Change: the next check is scheduled in any case. WaitingCallsTests and RunnerLimitTests pass; no run showed such a failure.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerPermits.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerPermits.java
@@ -204,9 +204,13 @@
 
 	private void update() {
 		this.updating = false;
-		this.limits.update(this.clock.millis());
-		this.permitListener.run();
-		execute();
+		try {
+			this.limits.update(this.clock.millis());
+			this.permitListener.run();
+		}
+		finally {
+			execute();
+		}
 	}
 
 	private void execute(PermitEffect effect) {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/WaitingCalls.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/WaitingCalls.java
@@ -146,6 +146,19 @@
 	}
 
 	private void check(XnioExecutor executor) {
+		try {
+			checkAll();
+		}
+		finally {
+			// also after a failure, since the calls that wait would be left alone
+			this.scheduled = this.count > 0;
+			if (this.scheduled) {
+				scheduleCheck(executor);
+			}
+		}
+	}
+
+	private void checkAll() {
 		check();
 		Map<String, String> descriptions = new TreeMap<>();
 		for (ServiceName service : Set.copyOf(this.queues.keySet())) {
@@ -162,10 +175,6 @@
 					+ "; " + this.competitions.describe(service, now));
 		}
 		this.described = descriptions;
-		this.scheduled = this.count > 0;
-		if (this.scheduled) {
-			scheduleCheck(executor);
-		}
 	}
 
 	int count() {
