Let an error end an event, not the control thread

Found by reading: ControlLoop caught exceptions only. An error, such as a stack that overflows, ended the thread, and the process ran on without following the registry.

Change: an error is logged and ends its event or effect. anErrorEndsItsEventOnly passes now; the thread ended before, as the code shows.

--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/ControlLoop.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/ControlLoop.java
@@ -158,13 +158,17 @@
 		}
 	}
 
+	/*
+	 * An error, such as a stack that overflows, ends an event like an exception. It must
+	 * not end the thread, without which the process runs on and follows nothing.
+	 */
 	private void reduce(Event event) {
 		try {
 			ReductionResult<S> result = this.reducer.reduce(this.state, this.clock.millis(), event);
 			this.state = result.state();
 			result.effects().forEach(this::execute);
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | Error ex) {
 			logFailure(event, ex);
 		}
 	}
@@ -177,12 +181,12 @@
 		try {
 			this.effectExecutor.accept(effect);
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | Error ex) {
 			logFailure(effect, ex);
 		}
 	}
 
-	private static void logFailure(Object eventOrEffect, RuntimeException failure) {
+	private static void logFailure(Object eventOrEffect, Throwable failure) {
 		logger.atError()
 			.addKeyValue("event", "control-event-failed")
 			.addKeyValue("kind", eventOrEffect.getClass().getSimpleName())
--- a/catkingate-runtime/src/test/java/org/catkingate/runtime/ControlLoopTests.java
+++ b/catkingate-runtime/src/test/java/org/catkingate/runtime/ControlLoopTests.java
@@ -62,6 +62,22 @@
 		}
 	}
 
+	// Guards against a process that runs on and follows nothing, since an error has ended
+	// its control thread.
+	@Test
+	void anErrorEndsItsEventOnly() {
+		try (ControlLoop<Integer> loop = ControlLoop.start(0, (state, nowMillis, event) -> {
+			if (event instanceof Fail) {
+				throw new StackOverflowError("expected by the test");
+			}
+			return SUM.reduce(state, nowMillis, event);
+		}, this.effects::add, MonotonicClock.system(), Tick::new, LONG_TICK_MILLIS)) {
+			loop.submit(new Fail());
+			loop.submit(new Add(1));
+			Awaitility.await().atMost(TIMEOUT).until(() -> loop.state() == 1);
+		}
+	}
+
 	// Guards against a call to the registry that is never made because another effect of
 	// the same event failed.
 	@Test
