Separate the count of requests in progress from the end of the intake

CallerConnections.countInProgress counted and, at zero, made later requests be rejected, which its name did not say. Now inProgress counts and endIfIdle ends. A traffic thread that does not respond is logged instead of passed over.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/CallerConnections.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/CallerConnections.java
@@ -77,17 +77,25 @@
 	}
 
 	/**
-	 * Counts the requests in progress. Once idle connections are closed and no request is
-	 * in progress, this instance ends: requests that arrive later must be rejected, since
-	 * the process may be gone before they are answered.
-	 * @return the number of connections with a request in progress
+	 * Returns the number of connections with a request in progress.
+	 * @return the number
 	 */
-	int countInProgress() {
-		int count = (int) this.busyByConnection.values().stream().filter((busy) -> busy).count();
-		this.ended = this.ended || (this.closingIdle && count == 0);
-		return count;
+	int inProgress() {
+		return (int) this.busyByConnection.values().stream().filter((busy) -> busy).count();
 	}
 
+	/**
+	 * Ends the intake if idle connections are closed and no request is in progress.
+	 */
+	void endIfIdle() {
+		this.ended = this.ended || (this.closingIdle && inProgress() == 0);
+	}
+
+	/**
+	 * Returns whether requests that arrive now must be rejected, since the process may be
+	 * gone before they are answered.
+	 * @return whether the intake has ended
+	 */
 	boolean isEnded() {
 		return this.ended;
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -378,6 +378,10 @@
 			return Optional.empty();
 		}
 		catch (ExecutionException | TimeoutException ex) {
+			logger.atWarn()
+				.addKeyValue("event", "traffic-thread-silent")
+				.setCause(ex)
+				.log("the traffic thread did not respond in time or failed; its state is unknown");
 			return Optional.empty();
 		}
 	}
@@ -393,7 +397,10 @@
 	 * While it does not respond, a request may be in progress.
 	 */
 	private long requestsInProgress() {
-		return callTraffic(this.connections::countInProgress).orElse(1);
+		return callTraffic(() -> {
+			this.connections.endIfIdle();
+			return this.connections.inProgress();
+		}).orElse(1);
 	}
 
 	private void stopAccepting() {
