Move the timers of an attempt and the tests of lost requests into classes of their own

AttemptTimers holds the timers; LossJudgeTests judges directly, one case for each excuse and two more.

VersionChangeTests, KeptConnectionTests, GatewayResponseTests, JudgeTests and LossJudgeTests pass.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -56,8 +56,6 @@
 	/** The number of unreachable runners after which the request is rejected. */
 	private static final int MAX_UNREACHABLE_RUNNERS = 3;
 
-	private static final XnioExecutor.Key NO_TIMER = () -> false;
-
 	private static final int MIN_FAILURE_STATUS = 300;
 
 	/** The status that is logged if the caller disconnects before there is one. */
@@ -103,16 +101,13 @@
 
 	private XnioExecutor.Key timer;
 
-	/** Fails the attempt in progress if no response has started. */
-	private XnioExecutor.Key startTimer = NO_TIMER;
-
-	/** Checks whether the attempt in progress may still start on its runner's version. */
-	private XnioExecutor.Key versionTimer = NO_TIMER;
+	private final AttemptTimers attemptTimers;
 
 	GatewayCall(AdmittedRequest admitted, HttpServerExchange exchange, SharedCallState sharedState) {
 		this.admitted = admitted;
 		this.route = admitted.route();
 		this.exchange = exchange;
+		this.attemptTimers = new AttemptTimers(exchange.getIoThread());
 		this.sharedState = sharedState;
 		this.responseCheck = new ResponseCheck(admitted.head().requestId(),
 				exchange.getRequestHeaders().getFirst(Headers.ACCEPT_ENCODING), this.route.kind() == CallKind.STREAM);
@@ -179,7 +174,7 @@
 	}
 
 	private void send(RunnerState runner) {
-		removeStartTimers();
+		this.attemptTimers.remove();
 		RunnerHead head = new RunnerHead(runner.runner().id(), Math.max(1, remainingMillis()), this.admitted.account(),
 				this.relay.lastEventId(), this.admission.priority());
 		boolean onNewConnection = !this.route.canRunAgain();
@@ -191,21 +186,11 @@
 				this.sharedState.clock(), this);
 		RunnerAttempt awaited = this.attempt;
 		if (this.route.canRunAgain() && this.sends + 1 < this.route.maxRunners()) {
-			this.startTimer = this.exchange.getIoThread()
-				.executeAfter(() -> abandonIfNotStarted(awaited),
-						Math.max(MIN_RESPONSE_START_TIMEOUT_MILLIS, 2 * this.route.goalMillis()),
-						TimeUnit.MILLISECONDS);
+			this.attemptTimers.setStartTimeout(() -> abandonIfNotStarted(awaited),
+					Math.max(MIN_RESPONSE_START_TIMEOUT_MILLIS, 2 * this.route.goalMillis()));
 		}
 	}
 
-	/*
-	 * A timer that is not removed would keep the request in memory until it is due.
-	 */
-	private void removeStartTimers() {
-		this.startTimer.remove();
-		this.versionTimer.remove();
-	}
-
 	private void abandonIfNotStarted(RunnerAttempt awaited) {
 		if (!isStale(awaited) && !awaited.isResponseStarted()) {
 			failAttempt(awaited, "mute", "no answer has begun");
@@ -223,9 +208,8 @@
 		}
 		long startWithin = this.sharedState.startWithinMillis(this.admitted.service(), serving);
 		if (startWithin > 0) {
-			this.versionTimer = this.exchange.getIoThread()
-				.executeAfter(() -> withdrawIfNotStarted(awaited, serving),
-						Math.min(startWithin, VERSION_CHECK_INTERVAL_MILLIS), TimeUnit.MILLISECONDS);
+			this.attemptTimers.setVersionCheck(() -> withdrawIfNotStarted(awaited, serving),
+					Math.min(startWithin, VERSION_CHECK_INTERVAL_MILLIS));
 		}
 		else if (awaited.isSent()) {
 			failAttempt(awaited, "withdrawn", VERSION_REPLACED);
@@ -320,7 +304,7 @@
 	@Override
 	public void onResponseStart(RunnerAttempt from, long elapsedMillis) {
 		if (!isStale(from)) {
-			removeStartTimers();
+			this.attemptTimers.remove();
 			this.log.addResponseStart(from, elapsedMillis);
 			this.sharedState.recordResponseStart(this.admitted.service(), this.predictedMillis, elapsedMillis);
 			// the runner has read the prompt, so that another one can be sent
@@ -520,7 +504,7 @@
 
 	private void finish(String outcome, int status) {
 		this.finished = true;
-		removeStartTimers();
+		this.attemptTimers.remove();
 		this.admission.end();
 		if (isTrial()) {
 			this.sharedState.prompts().cancelTrial(this.trialPart);
--- a/catkingate-soak/src/test/java/org/catkingate/soak/JudgeTests.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/JudgeTests.java
@@ -71,58 +71,15 @@
 	}
 
 	@Nested
-	class RequestsThatReachedARunner {
+	class ARequestThatReachedARunner {
 
-		private SoakRequest sendAndArrive() {
+		@Test
+		void isFoundIfItEndsWithoutAWholeResponse() {
 			SoakRequest request = send("a", RequestKind.READ);
 			JudgeTests.this.judge.requestArrived("a", RUNNER, 5);
 			run(request, "s1");
-			return request;
-		}
-
-		@Test
-		void areFoundIfTheyEndWithoutAWholeResponse() {
-			receive(sendAndArrive(), 200, "s1", "response", false);
-			assertThat(broken()).containsExactly(Promise.ANSWERED);
-		}
-
-		@Test
-		void areFoundIfTheyAreNotAnsweredAfterTheirDeadline() {
-			SoakRequest request = sendAndArrive();
-			JudgeTests.this.judge.responseReceived(request.id(), CallerResponse.none(),
-					SoakCallers.DEADLINE_MILLIS + 2000);
-			assertThat(broken()).containsExactly(Promise.ANSWERED);
-		}
-
-		@Test
-		void areAcceptedIfTheirDeadlineHasPassed() {
-			SoakRequest request = sendAndArrive();
-			JudgeTests.this.judge.responseReceived(request.id(), CallerResponse.none(),
-					SoakCallers.DEADLINE_MILLIS + 100);
-			assertThat(broken()).isEmpty();
-		}
-
-		@Test
-		void areAcceptedIfTheirRunnerEnded() {
-			JudgeTests.this.judge.runnerCrashed(RUNNER);
-			receive(sendAndArrive(), 200, "s1", "response", false);
-			assertThat(broken()).isEmpty();
-		}
-
-		@Test
-		void areAcceptedIfTheirGatewayIsKilled() {
-			SoakRequest request = sendAndArrive();
-			JudgeTests.this.judge.gatewayKilled(GATEWAY);
 			receive(request, 200, "s1", "response", false);
-			assertThat(broken()).isEmpty();
-		}
-
-		@Test
-		void areAcceptedIfTheirRunnerSendsNoWholeResponse() {
-			SoakRequest request = sendAndArrive();
-			JudgeTests.this.judge.responseWithheld(request.id());
-			receive(request, 200, "s1", "response", false);
-			assertThat(broken()).isEmpty();
+			assertThat(broken()).containsExactly(Promise.ANSWERED);
 		}
 
 	}
