--- a/catkingate-soak/src/test/java/org/catkingate/soak/LossJudgeTests.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/LossJudgeTests.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -30,7 +31,8 @@
 	@Nested
 	class ARequestThatReachedARunner {
 
-		private ARequestThatReachedARunner() {
+		@BeforeEach
+		void letTheRequestArrive() {
 			LossJudgeTests.this.judge.requestArrived("a", RUNNER);
 		}
 
