Release the buffers of a response that have been written

What callers saw: a gateway whose heap was full, and which ended, with all requests that it held (LOST). Cause: the HTTP server refers to all buffers of the write that sends the head of a response until the response ends, so that up to 1 MB of each response stayed in memory after it had been written. Change: the first write has one buffer. Evidence: CallerResponseWriterTests fails before (ten buffers are held after the caller has read them) and passes now.

--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerResponseWriter.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerResponseWriter.java
@@ -174,13 +174,15 @@
 
 	private boolean writePending() throws IOException {
 		while (!this.pending.isEmpty()) {
-			ByteBuffer[] buffers = this.pending.stream().limit(MAX_BUFFERS_PER_WRITE).toArray(ByteBuffer[]::new);
-			long count = this.sink.write(buffers, 0, buffers.length);
-			if (count == 0) {
+			// the server refers to the buffers of its first write until the response ends
+			int count = (this.writtenBytes == 0) ? 1 : MAX_BUFFERS_PER_WRITE;
+			ByteBuffer[] buffers = this.pending.stream().limit(count).toArray(ByteBuffer[]::new);
+			long written = this.sink.write(buffers, 0, buffers.length);
+			if (written == 0) {
 				return false;
 			}
-			this.writtenBytes += count;
-			this.pendingBytes -= count;
+			this.writtenBytes += written;
+			this.pendingBytes -= written;
 			while (!this.pending.isEmpty() && !this.pending.peek().hasRemaining()) {
 				this.pending.poll();
 			}
