Bound the memory of responses that are collected until they are complete

What callers saw: 400 plain responses of 255 KB, whose runners took 4 s for the last bytes, ended a gateway with all requests that it held (LOST). Cause: a plain response is collected until it is complete, up to 256 KB each. SlowReaders bounded only what callers had not read; neither such responses nor the incomplete event of a stream counted. Change: ResponseMemory, as it is called now, counts both. Once the memory is used up, the response that has been held for the longest is forwarded as far as it has come, or cut if that frees nothing. A response that has started is forwarded as it arrives.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/memory/UnreadResponses.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/memory/UnreadResponses.java
@@ -9,7 +9,7 @@
 /**
  * The bytes that a gateway holds for callers that have not read them yet, over all
  * responses. The sum is bounded; above it, the responses that have been unread for the
- * longest are cut. Not thread-safe.
+ * longest have to give up their memory. Not thread-safe.
  *
  * @param <R> the type of a response, compared by identity
  * @since 0.1
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -111,7 +111,7 @@
 		this.sharedState = sharedState;
 		this.responseCheck = new ResponseCheck(admitted.head().requestId(),
 				exchange.getRequestHeaders().getFirst(Headers.ACCEPT_ENCODING), this.route.kind() == CallKind.STREAM);
-		this.relay = new ResponseRelay(exchange, sharedState.slowReaders(), this::handleCallerWritable,
+		this.relay = new ResponseRelay(exchange, sharedState.responseMemory(), this::handleCallerWritable,
 				this::handleCallerDisconnect);
 		this.log = RequestLog.of(admitted);
 		this.parts = new ArrayList<>(admitted.head().sharedParts());
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
@@ -94,7 +94,7 @@
 			.register(registry);
 		this.slowReaders = Counter.builder()
 			.name("catkingate_gateway_slow_readers_cut")
-			.help("Responses cut since their callers did not read and the memory for such responses was used up")
+			.help("Responses cut since their callers did not read, or an event was not completed, and the memory for responses was used up")
 			.register(registry);
 		this.withoutMemory = Counter.builder()
 			.name("catkingate_gateway_requests_without_memory")
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -191,7 +191,7 @@
 		this.runners.onRemoval(prompts::recordRemoval);
 		SharedCallState sharedCallState = new SharedCallState(this.runners, codec, settings.retries(),
 				this::gatewayCount, this::assumedGatewayCount, clock, this.gatewayMetrics, prompts,
-				new RequestCosts(settings.routing().byCost(), this.gatewayMetrics), SlowReaders
+				new RequestCosts(settings.routing().byCost(), this.gatewayMetrics), ResponseMemory
 					.create(settings.slowReaderBytes(), Runtime.getRuntime().maxMemory(), clock, this.gatewayMetrics));
 		this.peers = GatewayPeers.start(identity, settings.peers(), this.worker, this::publishedOrigin,
 				this::openOrigin, settings.regions()::get, this.runners, this.versions, copies, prompts, this.permits,
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/ResponseRelay.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/ResponseRelay.java
@@ -1,6 +1,5 @@
 package org.catkingate.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.Optional;
 
@@ -15,8 +14,8 @@
  * A relay that forwards the response of one or more runners to a caller. An event stream
  * is forwarded in complete events, each of them once, even if another runner continues
  * the stream; only a response that is provably its rest does. Any other response is
- * buffered until it is complete or exceeds {@link #MAX_BUFFERED_BYTES}. Used by the
- * traffic thread only.
+ * buffered until it is complete, exceeds {@link #MAX_BUFFERED_BYTES} or has to give up
+ * its memory to others. Used by the traffic thread only.
  */
 final class ResponseRelay {
 
@@ -33,11 +32,9 @@
 
 	private final EventSplitter events = new EventSplitter();
 
-	private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
-
 	private final CallerResponseWriter callerResponse;
 
-	private final SlowReaders slowReaders;
+	private final ResponseMemory memory;
 
 	private final Runnable disconnected;
 
@@ -52,21 +49,22 @@
 	/** Whether an event of the current runner has been placed in the stream. */
 	private boolean eventPlaced;
 
+	/** The bytes received of a response that is not a stream of events. */
 	private long plainBytes;
 
 	/**
 	 * Creates a relay that has not written anything yet.
 	 * @param exchange the caller's exchange
-	 * @param slowReaders bounds what is held for all callers together
+	 * @param memory bounds what is held for all callers together
 	 * @param writable run when the caller's connection becomes writable
 	 * @param disconnected run if a write finds the caller's connection closed, or the
 	 * caller is disconnected since it does not read
 	 */
-	ResponseRelay(HttpServerExchange exchange, SlowReaders slowReaders, Runnable writable, Runnable disconnected) {
-		this.slowReaders = slowReaders;
+	ResponseRelay(HttpServerExchange exchange, ResponseMemory memory, Runnable writable, Runnable disconnected) {
+		this.memory = memory;
 		this.disconnected = disconnected;
 		exchange.addExchangeCompleteListener((completed, next) -> {
-			slowReaders.remove(this);
+			memory.remove(this);
 			next.proceed();
 		});
 		this.callerResponse = new CallerResponseWriter(exchange, writable, disconnected);
@@ -96,9 +94,12 @@
 	 */
 	void discardBuffered() {
 		this.events.clear();
-		this.buffer.reset();
 		this.plainBytes = 0;
 		this.unplaceableEvent = false;
+		if (!isStarted()) {
+			this.callerResponse.clear();
+		}
+		recordHeldBytes();
 	}
 
 	/**
@@ -123,7 +124,7 @@
 	 * @return whether there is room for bytes that wait for the caller
 	 */
 	boolean canAccept() {
-		return this.slowReaders.hasRoom(this.callerResponse.heldBytes());
+		return this.memory.hasRoom(this.callerResponse.heldBytes());
 	}
 
 	/**
@@ -170,17 +171,35 @@
 	void receiveData(byte[] bytes) {
 		if (this.streaming) {
 			this.events.add(bytes, this::forward);
-			if (this.callerResponse.isStarted()) {
-				flush();
+		}
+		else {
+			this.plainBytes += bytes.length;
+			this.callerResponse.add(ByteBuffer.wrap(bytes));
+			if (this.plainBytes > MAX_BUFFERED_BYTES || !canAccept()) {
+				startIfNeeded();
 			}
-			return;
 		}
-		this.plainBytes += bytes.length;
-		this.buffer.writeBytes(bytes);
-		if (this.buffer.size() > MAX_BUFFERED_BYTES) {
-			forwardBuffered();
+		if (isStarted()) {
 			flush();
 		}
+		else {
+			recordHeldBytes();
+		}
+	}
+
+	/**
+	 * Forwards what has been buffered of a response that is not complete, so that it need
+	 * not be held any more. If its runner fails from now on, no other one can respond.
+	 * @return whether a response was buffered; not so if its caller does not read, or if
+	 * it consists of an incomplete event
+	 */
+	boolean forwardIncomplete() {
+		if (this.streaming || isStarted()) {
+			return false;
+		}
+		startIfNeeded();
+		flush();
+		return true;
 	}
 
 	/**
@@ -210,14 +229,6 @@
 		this.callerResponse.add(ByteBuffer.wrap(event.bytes()));
 	}
 
-	private void forwardBuffered() {
-		startIfNeeded();
-		if (this.buffer.size() > 0) {
-			this.callerResponse.add(ByteBuffer.wrap(this.buffer.toByteArray()));
-			this.buffer.reset();
-		}
-	}
-
 	private void startIfNeeded() {
 		if (!this.callerResponse.isStarted()) {
 			this.progress.start(this.runnerResponse);
@@ -240,10 +251,10 @@
 	void end() {
 		HeaderMap headers = this.runnerResponse.getResponseHeaders();
 		if (!this.callerResponse.isStarted() && !this.streaming && !headers.contains(Headers.CONTENT_LENGTH)) {
-			headers.put(Headers.CONTENT_LENGTH, Integer.toString(this.buffer.size()));
+			headers.put(Headers.CONTENT_LENGTH, Long.toString(this.plainBytes));
 			headers.remove(Headers.TRANSFER_ENCODING);
 		}
-		forwardBuffered();
+		startIfNeeded();
 		this.callerResponse.end();
 	}
 
@@ -252,11 +263,17 @@
 	 */
 	void flush() {
 		this.callerResponse.writePendingBytes();
-		this.slowReaders.record(this, this.callerResponse.heldBytes(), this.callerResponse.writtenBytes());
+		recordHeldBytes();
+	}
+
+	private void recordHeldBytes() {
+		this.memory.record(this, this.callerResponse.heldBytes() + this.events.incompleteBytes(),
+				this.callerResponse.writtenBytes());
 	}
 
 	/**
-	 * Disconnects the caller, which does not read. The response is visibly incomplete.
+	 * Disconnects the caller, which does not read or whose stream does not get on. The
+	 * response is visibly incomplete.
 	 */
 	void cut() {
 		abort();
@@ -268,7 +285,8 @@
 	 * detects that it is incomplete.
 	 */
 	void abort() {
-		this.slowReaders.remove(this);
+		this.events.clear();
+		this.memory.remove(this);
 		this.callerResponse.abort();
 	}
 
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/SharedCallState.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/SharedCallState.java
@@ -50,7 +50,7 @@
 
 	private final RequestCosts costs;
 
-	private final SlowReaders slowReaders;
+	private final ResponseMemory responseMemory;
 
 	/**
 	 * Creates the state, without any calls.
@@ -64,11 +64,11 @@
 	 * @param metrics the metrics
 	 * @param prompts detects parts of prompts that crash runners
 	 * @param costs estimates the cost of calls
-	 * @param slowReaders bounds what is held for callers that read slowly
+	 * @param responseMemory bounds what is held of responses
 	 */
 	SharedCallState(RunnerTable runners, HeaderCodec codec, RetryAllowance retryAllowance, IntSupplier gatewayCount,
 			IntSupplier assumedGatewayCount, MonotonicClock clock, GatewayMetrics metrics, PromptGuard prompts,
-			RequestCosts costs, SlowReaders slowReaders) {
+			RequestCosts costs, ResponseMemory responseMemory) {
 		this.runners = runners;
 		this.codec = codec;
 		this.retryAllowance = retryAllowance;
@@ -80,7 +80,7 @@
 		this.competitions = new ServiceCompetitions(runners::configuration);
 		this.waitingCalls = new WaitingCalls(this.competitions, runners::servesInMillis, clock);
 		this.costs = costs;
-		this.slowReaders = slowReaders;
+		this.responseMemory = responseMemory;
 	}
 
 	HeaderCodec codec() {
@@ -173,8 +173,8 @@
 		return this.waitingCalls;
 	}
 
-	SlowReaders slowReaders() {
-		return this.slowReaders;
+	ResponseMemory responseMemory() {
+		return this.responseMemory;
 	}
 
 	/**
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/GatewaySettings.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/GatewaySettings.java
@@ -36,8 +36,8 @@
  * @param weights the times for changing the version of weights
  * @param coldRunners how many requests may be sent to cold runners
  * @param routing how runners are chosen
- * @param slowReaderBytes the memory for what callers have not read yet, over all
- * responses
+ * @param slowReaderBytes the memory for what callers have not read yet or what is not
+ * complete, over all responses
  * @param requestBodyBytes the memory for the bodies of all requests in progress
  * @param replacedValues the values that could not be read and were replaced by safe ones
  * @since 0.1
