Bound the memory of request bodies at entries

Callers could fill the heap of an entry with the bodies of their requests, which ends the process and loses what it holds. Cause: an entry limited each body and the number of connections, not the sum of the bodies. Change: RequestBodies, now in the runtime and safe for use by any thread, bounds the sum at entries too, by a fourth of the heap. A body in chunks reserves the longest allowed length until its end is known. What is reserved is released by the record itself when a connection closes. Evidence: RejectionTests#bodiesForWhichThereIsNoMemoryUntilOthersHaveEnded passes; it needs a setting that the code before does not know. RequestBodyTests pass as before.

--- a/catkingate-bench/src/main/java/org/catkingate/bench/requests/RequestFleet.java
+++ b/catkingate-bench/src/main/java/org/catkingate/bench/requests/RequestFleet.java
@@ -99,8 +99,8 @@
 
 	private static EntrySettings settings() {
 		InetSocketAddress listenAddress = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-		return new EntrySettings(listenAddress, ENTRY_IO_THREADS, 1 << 20, 1 << 14, 40_000, 10_000, 10_000, 60_000,
-				60_000, 600_000, 3000);
+		return new EntrySettings(listenAddress, ENTRY_IO_THREADS, 1 << 20, Long.MAX_VALUE, 1 << 14, 40_000, 10_000,
+				10_000, 60_000, 60_000, 600_000, 3000);
 	}
 
 	static RequestFleet start(EntryPolicies policies, int runners, int slots, int queued, String... engineOptions)
--- a/catkingate-entry/src/main/java/org/catkingate/entry/AdmissionHandler.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/AdmissionHandler.java
@@ -23,6 +23,7 @@
 import org.catkingate.model.published.PublishedConfiguration;
 import org.catkingate.model.published.RoutingRule;
 import org.catkingate.model.published.Service;
+import org.catkingate.runtime.http.RequestBodies;
 import org.catkingate.wire.RequestMessage;
 
 /**
@@ -47,10 +48,13 @@
 
 	private final EntrySettings settings;
 
+	private final RequestBodies bodies;
+
 	private final BooleanSupplier shuttingDown;
 
 	AdmissionHandler(RequestDispatcher dispatcher, IdempotencyKeyEndpoint keyEndpoint, EntrySettings settings,
-			BooleanSupplier shuttingDown) {
+			RequestBodies bodies, BooleanSupplier shuttingDown) {
+		this.bodies = bodies;
 		this.dispatcher = dispatcher;
 		this.keyEndpoint = keyEndpoint;
 		this.settings = settings;
@@ -91,9 +95,26 @@
 		if (!decision.isAllowed()) {
 			throw new RequestRejectedException(Failure.of(decision));
 		}
+		reserveMemory(exchange, account);
 		readBody(exchange, new AdmittedHead(id, account, rule, service, this.dispatcher.nowMillis()));
 	}
 
+	/*
+	 * The length of a body in chunks is not known before its end.
+	 */
+	private void reserveMemory(HttpServerExchange exchange, ClientAccount account) throws RequestRejectedException {
+		long length = exchange.getRequestContentLength();
+		if (!this.bodies.reserve(exchange.getConnection(), (length >= 0) ? length : this.settings.maxBodyBytes())) {
+			this.dispatcher.releaseLimits(account);
+			throw new RequestRejectedException(Failure.withDefaultRetryAfter(FailureKind.NOT_RUN,
+					"the memory for the bodies of requests is used up; use another entry or retry later"));
+		}
+		exchange.addExchangeCompleteListener((completed, next) -> {
+			this.bodies.release(completed.getConnection());
+			next.proceed();
+		});
+	}
+
 	private void checkHead(HttpServerExchange exchange) throws RequestRejectedException {
 		if (this.shuttingDown.getAsBoolean()) {
 			throw new RequestRejectedException(
@@ -152,6 +173,7 @@
 	}
 
 	private void start(HttpServerExchange exchange, AdmittedHead admitted, byte[] body) {
+		this.bodies.reduce(exchange.getConnection(), body.length);
 		ActiveRequest request = new ActiveRequest(createRequest(exchange, admitted, body), exchange, this.dispatcher);
 		exchange.dispatch(SameThreadExecutor.INSTANCE, request::start);
 	}
--- a/catkingate-entry/src/main/java/org/catkingate/entry/EntryProcess.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/EntryProcess.java
@@ -87,9 +87,9 @@
 	private static EntrySettings entrySettings(ProcessSettings.Callers callers) {
 		EntrySettings defaults = EntrySettings.withDefaults(callers.listen());
 		return new EntrySettings(callers.listen(), callers.ioThreads(), callers.maxBodyBytes(),
-				callers.maxHeaderBytes(), defaults.maxConnections(), defaults.headTimeoutMillis(),
-				defaults.bodyTimeoutMillis(), defaults.idleTimeoutMillis(), callers.requestTimeoutMillis(),
-				defaults.maxDeadlineMillis(), defaults.reattachTimeoutMillis());
+				defaults.maxTotalBodyBytes(), callers.maxHeaderBytes(), defaults.maxConnections(),
+				defaults.headTimeoutMillis(), defaults.bodyTimeoutMillis(), defaults.idleTimeoutMillis(),
+				callers.requestTimeoutMillis(), defaults.maxDeadlineMillis(), defaults.reattachTimeoutMillis());
 	}
 
 	private void updateReadiness() {
--- a/catkingate-entry/src/main/java/org/catkingate/entry/EntryServer.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/EntryServer.java
@@ -17,6 +17,7 @@
 import org.catkingate.decisions.membership.FleetSnapshot;
 import org.catkingate.decisions.routing.Location;
 import org.catkingate.runtime.MonotonicClock;
+import org.catkingate.runtime.http.RequestBodies;
 import org.catkingate.runtime.peers.PeerConnection;
 import org.catkingate.runtime.peers.PeerConnections;
 import org.catkingate.runtime.peers.PeerListener;
@@ -73,8 +74,10 @@
 		RequestDispatcher dispatcher = new RequestDispatcher(fleet, connections, policies,
 				new AccountLimits(entryCount, clock), location, clock, settings.reattachTimeoutMillis());
 		EntryServer entryServer = new EntryServer(dispatcher);
-		entryServer.server = createServer(settings, new AdmissionHandler(dispatcher, entryServer.keyEndpoint, settings,
-				() -> entryServer.rejectingRequests));
+		entryServer.server = createServer(settings,
+				new AdmissionHandler(dispatcher, entryServer.keyEndpoint, settings,
+						new RequestBodies(settings.maxTotalBodyBytes(), Runtime.getRuntime().maxMemory()),
+						() -> entryServer.rejectingRequests));
 		try {
 			entryServer.server.start();
 		}
--- a/catkingate-entry/src/main/java/org/catkingate/entry/EntrySettings.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/EntrySettings.java
@@ -9,6 +9,8 @@
  * @param listen the address that callers connect to; port 0 for any free port
  * @param ioThreads the number of I/O threads that serve callers
  * @param maxBodyBytes the maximum size of a request's body, in bytes
+ * @param maxTotalBodyBytes the memory for the bodies of all requests in progress, in
+ * bytes; a fourth of the heap is the maximum in any case
  * @param maxHeaderBytes the maximum size of a request's head, in bytes
  * @param maxConnections the maximum number of open connections of callers
  * @param headTimeoutMillis the time limit for receiving the head of a request, in
@@ -24,8 +26,8 @@
  * is lost waits for another one, in milliseconds
  * @since 0.1
  */
-public record EntrySettings(InetSocketAddress listen, int ioThreads, int maxBodyBytes, int maxHeaderBytes,
-		int maxConnections, int headTimeoutMillis, int bodyTimeoutMillis, int idleTimeoutMillis,
+public record EntrySettings(InetSocketAddress listen, int ioThreads, int maxBodyBytes, long maxTotalBodyBytes,
+		int maxHeaderBytes, int maxConnections, int headTimeoutMillis, int bodyTimeoutMillis, int idleTimeoutMillis,
 		long defaultDeadlineMillis, long maxDeadlineMillis, long reattachTimeoutMillis) {
 
 	private static final int DEFAULT_MAX_BODY_BYTES = 1024 * 1024;
@@ -48,8 +50,8 @@
 	 * @return the settings, never null
 	 */
 	public static EntrySettings withDefaults(InetSocketAddress listen) {
-		return new EntrySettings(listen, 4, DEFAULT_MAX_BODY_BYTES, DEFAULT_MAX_HEADER_BYTES, 40_000, 10_000, 10_000,
-				60_000, 60_000, 600_000, 3000);
+		return new EntrySettings(listen, 4, DEFAULT_MAX_BODY_BYTES, Long.MAX_VALUE, DEFAULT_MAX_HEADER_BYTES, 40_000,
+				10_000, 10_000, 60_000, 60_000, 600_000, 3000);
 	}
 
 }
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/CallerConnections.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/CallerConnections.java
@@ -31,8 +31,7 @@
 
 	/**
 	 * Creates a record without connections.
-	 * @param requestEndListener receives each connection on which a request has ended or
-	 * that has closed
+	 * @param requestEndListener receives each connection on which a request has ended
 	 */
 	CallerConnections(Consumer<ServerConnection> requestEndListener) {
 		this.requestEndListener = requestEndListener;
@@ -45,7 +44,7 @@
 	void track(HttpServerExchange exchange) {
 		ServerConnection connection = exchange.getConnection();
 		if (this.busyByConnection.put(connection, true) == null) {
-			connection.addCloseListener(this::remove);
+			connection.addCloseListener(this.busyByConnection::remove);
 		}
 		exchange.addResponseCommitListener(this::announceClose);
 		exchange.addExchangeCompleteListener((completed, next) -> {
@@ -73,11 +72,6 @@
 		return connection instanceof AbstractServerConnection received && received.getExtraBytes() != null;
 	}
 
-	private void remove(ServerConnection connection) {
-		this.busyByConnection.remove(connection);
-		this.requestEndListener.accept(connection);
-	}
-
 	/*
 	 * A connection that is not persistent is closed by the server, which first lets the
 	 * caller read the response.
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -44,6 +44,7 @@
 import org.catkingate.runtime.http.BufferedHttpClient;
 import org.catkingate.runtime.http.ConnectionPool;
 import org.catkingate.runtime.http.IoThreads;
+import org.catkingate.runtime.http.RequestBodies;
 import org.catkingate.runtime.operators.OperatorsEndpoint;
 import org.catkingate.runtime.operators.Readiness;
 import org.catkingate.runtime.process.GracefulShutdown;
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestHandler.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestHandler.java
@@ -26,6 +26,7 @@
 import org.catkingate.runtime.calls.CallerHead;
 import org.catkingate.runtime.calls.MalformedHeadException;
 import org.catkingate.runtime.http.ChunkedBodyValidator;
+import org.catkingate.runtime.http.RequestBodies;
 
 /**
  * The HTTP handler that admits callers' requests. It validates the head, finds the route,
--- a/catkingate-tests/src/test/java/org/catkingate/tests/requests/LocalFleet.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/requests/LocalFleet.java
@@ -101,16 +101,28 @@
 	 */
 	static LocalFleet startOnOneThread(RoutingPolicy routing) throws IOException {
 		EntrySettings defaultSettings = settings();
-		EntrySettings settings = new EntrySettings(defaultSettings.listen(), 1, defaultSettings.maxBodyBytes(),
-				defaultSettings.maxHeaderBytes(), defaultSettings.maxConnections(), defaultSettings.headTimeoutMillis(),
-				defaultSettings.bodyTimeoutMillis(), defaultSettings.idleTimeoutMillis(),
-				defaultSettings.defaultDeadlineMillis(), defaultSettings.maxDeadlineMillis(),
-				defaultSettings.reattachTimeoutMillis());
+		EntrySettings settings = settings(1, defaultSettings.maxTotalBodyBytes());
 		EntryPolicies defaultPolicies = EntryPolicies.defaults(1);
 		return new LocalFleet(settings, new EntryPolicies(routing, defaultPolicies.retries(),
 				defaultPolicies.retryBudget(), defaultPolicies.seed()));
 	}
 
+	/**
+	 * Starts a fleet whose entry has little memory for the bodies of requests.
+	 * @param bytes the memory for all bodies together
+	 */
+	static LocalFleet startWithBodyMemory(long bytes) throws IOException {
+		return new LocalFleet(settings(settings().ioThreads(), bytes), EntryPolicies.defaults(1));
+	}
+
+	private static EntrySettings settings(int ioThreads, long maxTotalBodyBytes) {
+		EntrySettings defaults = settings();
+		return new EntrySettings(defaults.listen(), ioThreads, defaults.maxBodyBytes(), maxTotalBodyBytes,
+				defaults.maxHeaderBytes(), defaults.maxConnections(), defaults.headTimeoutMillis(),
+				defaults.bodyTimeoutMillis(), defaults.idleTimeoutMillis(), defaults.defaultDeadlineMillis(),
+				defaults.maxDeadlineMillis(), defaults.reattachTimeoutMillis());
+	}
+
 	private static EntrySettings settings() {
 		return EntrySettings.withDefaults(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
 	}
--- a/catkingate-tests/src/test/java/org/catkingate/tests/requests/RejectionTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/requests/RejectionTests.java
@@ -142,6 +142,27 @@
 			assertThat(send(request).statusCode()).isEqualTo(413);
 		}
 
+		// Guards against a heap that callers fill with the bodies of their requests, so
+		// that the entry and all that it holds are lost.
+		@Test
+		void bodiesForWhichThereIsNoMemoryUntilOthersHaveEnded() throws Exception {
+			RejectionTests test = RejectionTests.this;
+			try (LocalFleet little = LocalFleet.startWithBodyMemory(64 * 1024)) {
+				little.addEngine("ahd-1", test.engine.address());
+				HttpRequest second = little.completion("x".repeat(40_000), 1);
+				assertThat(send(second).statusCode()).isEqualTo(200);
+				try (Socket first = new Socket("127.0.0.1", little.entry().address().getPort())) {
+					first.getOutputStream()
+						.write(("POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer callers-key\r\n"
+								+ "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n")
+							.getBytes(StandardCharsets.US_ASCII));
+					Awaitility.await().atMost(LocalFleet.TIMEOUT).until(() -> send(second).statusCode() == 503);
+					assertThat(send(second).headers().firstValueAsLong("Retry-After").orElseThrow()).isPositive();
+				}
+				Awaitility.await().atMost(LocalFleet.TIMEOUT).until(() -> send(second).statusCode() == 200);
+			}
+		}
+
 		@Test
 		void requestsBeyondTheRequestRateOfAnAccount() throws Exception {
 			RejectionTests test = RejectionTests.this;
