Send load commands on new connections

What callers saw: nothing so far; found on a path related to the late copies of rejections (REFUSED). A late copy of the response to an earlier load command was taken for the response to the next one. Cause: responses to load commands bear no id, and the loader sent them on connections that had carried others. Change: BufferedHttpClient#callOnNewConnection, used for load commands only.

--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/BufferedHttpClient.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/BufferedHttpClient.java
@@ -87,9 +87,7 @@
 	 */
 	public CompletableFuture<Response> call(URI base, ClientRequest request, Body body, int maxBytes,
 			Timeouts timeouts) {
-		request.getRequestHeaders().put(Headers.HOST, base.getAuthority());
-		Call call = new Call(base, request, body, maxBytes, timeouts);
-		call.startTimers();
+		Call call = createCall(base, request, body, maxBytes, timeouts);
 		ClientConnection idleConnection = takeIdle(base);
 		if (idleConnection != null) {
 			call.completed(idleConnection);
@@ -100,6 +98,30 @@
 		return call.responseFuture;
 	}
 
+	/**
+	 * Sends a request on a new connection, on which a late copy of the response to an
+	 * earlier request cannot be taken for the response to this one.
+	 * @param base the scheme, host and port
+	 * @param request the request; its host header is set here
+	 * @param body the body of the request
+	 * @param maxBytes the maximum length of the response body, in bytes
+	 * @param timeoutMillis the timeout for the complete response, in milliseconds
+	 * @return the complete response, whatever its status, or the failure
+	 */
+	public CompletableFuture<Response> callOnNewConnection(URI base, ClientRequest request, Body body, int maxBytes,
+			long timeoutMillis) {
+		Call call = createCall(base, request, body, maxBytes, new Timeouts(timeoutMillis, timeoutMillis));
+		LimitedConnections.open(base, this.worker, this.buffers, OptionMap.EMPTY, call);
+		return call.responseFuture;
+	}
+
+	private Call createCall(URI base, ClientRequest request, Body body, int maxBytes, Timeouts timeouts) {
+		request.getRequestHeaders().put(Headers.HOST, base.getAuthority());
+		Call call = new Call(base, request, body, maxBytes, timeouts);
+		call.startTimers();
+		return call;
+	}
+
 	private ClientConnection takeIdle(URI base) {
 		synchronized (this.idleConnections) {
 			Deque<ClientConnection> connections = this.idleConnections.get(base.getAuthority());
