--- a/catkingate-runtime/src/test/java/org/catkingate/runtime/http/CallerResponseWriterTests.java
+++ b/catkingate-runtime/src/test/java/org/catkingate/runtime/http/CallerResponseWriterTests.java
@@ -55,9 +55,8 @@
 		return this.buffers.stream().filter((buffer) -> buffer.get() != null).count();
 	}
 
-	// Guards against a heap that is filled by responses whose parts callers have read,
-	// but
-	// which have not ended.
+	// Guards against a heap that is filled by responses of which callers have read all
+	// that has arrived, and that have not ended.
 	@Test
 	void holdsNoMoreThanOneBufferThatHasBeenWritten() throws Exception {
 		Undertow server = Undertow.builder()
