--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerResponseWriter.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerResponseWriter.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.List;
 import java.util.Set;
 
 import io.undertow.server.HttpServerExchange;
@@ -28,6 +30,12 @@
 
 	private static final int MAX_BUFFERS_PER_WRITE = 32;
 
+	/**
+	 * The maximum number of bytes of the write that sends the head, unless its first
+	 * buffer is longer. The server refers to its buffers until the response ends.
+	 */
+	private static final int MAX_FIRST_WRITE_BYTES = 16 * 1024;
+
 	/**
 	 * The memory that a buffer occupies beside its bytes, in bytes: the buffer, its array
 	 * and its place in the queue.
@@ -174,9 +182,7 @@
 
 	private boolean writePending() throws IOException {
 		while (!this.pending.isEmpty()) {
-			// the server refers to the buffers of its first write until the response ends
-			int count = (this.writtenBytes == 0) ? 1 : MAX_BUFFERS_PER_WRITE;
-			ByteBuffer[] buffers = this.pending.stream().limit(count).toArray(ByteBuffer[]::new);
+			ByteBuffer[] buffers = nextBuffers();
 			long written = this.sink.write(buffers, 0, buffers.length);
 			if (written == 0) {
 				return false;
@@ -190,6 +196,20 @@
 		return true;
 	}
 
+	private ByteBuffer[] nextBuffers() {
+		long maxBytes = (this.writtenBytes == 0) ? MAX_FIRST_WRITE_BYTES : Long.MAX_VALUE;
+		List<ByteBuffer> buffers = new ArrayList<>();
+		long bytes = 0;
+		for (ByteBuffer buffer : this.pending) {
+			bytes += buffer.remaining();
+			if (buffers.size() == MAX_BUFFERS_PER_WRITE || (bytes > maxBytes && !buffers.isEmpty())) {
+				break;
+			}
+			buffers.add(buffer);
+		}
+		return buffers.toArray(ByteBuffer[]::new);
+	}
+
 	private boolean finishWriting() throws IOException {
 		if (this.ended && !this.writesShutDown) {
 			this.writesShutDown = true;
