Await a late response while the service has no other runner

What callers saw: 502 for an idempotent request whose only runner was slow to begin; the run was cancelled. Cause: a request whose response has not started is cancelled at its runner after twice its goal, so that it can be sent to another one, also if there is none to which it has not been sent. Change: it is cancelled only if the service has such a runner; otherwise this is checked every 200 ms. Evidence: GatewayResponseTests$APlainResponse#thatStartsLateIsForwardedIfThereIsNoOtherRunner fails before and passes now.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/CallAdmission.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/CallAdmission.java
@@ -266,6 +266,14 @@
 						this.sharedState.runners().engine(this.admitted.service())));
 	}
 
+	/**
+	 * Returns whether the service has a runner to which the call has not been sent.
+	 * @return whether another runner may serve the call, now or later
+	 */
+	boolean hasUntriedRunner() {
+		return this.sharedState.runners().count(this.admitted.service(), this.triedRunners) > 0;
+	}
+
 	/**
 	 * Returns the delay after which a new request would find a place.
 	 * @return the delay in milliseconds, 0 if it would find one now
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -51,6 +51,12 @@
 	 */
 	private static final long VERSION_CHECK_INTERVAL_MILLIS = 500;
 
+	/**
+	 * The interval between checks whether the service has another runner, to which a
+	 * request can be sent whose response has not started.
+	 */
+	private static final long RUNNER_CHECK_INTERVAL_MILLIS = 200;
+
 	private static final String VERSION_REPLACED = "it has not begun and its runner's version is replaced";
 
 	/** The number of unreachable runners after which the request is rejected. */
@@ -191,10 +197,20 @@
 		}
 	}
 
+	/*
+	 * While the service has no other runner, a late response is the only one that the
+	 * caller can get.
+	 */
 	private void abandonIfNotStarted(RunnerAttempt awaited) {
-		if (!isStale(awaited) && !awaited.isResponseStarted()) {
+		if (isStale(awaited) || awaited.isResponseStarted()) {
+			return;
+		}
+		if (this.admission.hasUntriedRunner()) {
 			failAttempt(awaited, "mute", "no answer has begun");
 		}
+		else {
+			this.attemptTimers.setStartTimeout(() -> abandonIfNotStarted(awaited), RUNNER_CHECK_INTERVAL_MILLIS);
+		}
 	}
 
 	/*
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -127,7 +127,21 @@
 	}
 
 	int count(ServiceName service) {
-		return (int) this.runners.values().stream().filter((state) -> state.runner().service().equals(service)).count();
+		return count(service, Set.of());
+	}
+
+	/**
+	 * Counts the runners of a service.
+	 * @param service the service
+	 * @param except the runners that do not count
+	 * @return the number of the others, whatever their state is
+	 */
+	int count(ServiceName service, Set<RunnerId> except) {
+		return (int) this.runners.values()
+			.stream()
+			.map(RunnerState::runner)
+			.filter((runner) -> runner.service().equals(service) && !except.contains(runner.id()))
+			.count();
 	}
 
 	void update(RegistryView next, long nowMillis) {
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/GatewayResponseTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/GatewayResponseTests.java
@@ -25,6 +25,12 @@
 	private static final String STREAM_HEAD = HEAD
 			+ "Transfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n\r\n";
 
+	/**
+	 * Longer than twice the goal for the start of a response, and less than the timeout
+	 * of the route.
+	 */
+	private static final long LATE_MILLIS = 2300;
+
 	private static String httpChunk(String text) {
 		return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
 	}
@@ -100,6 +106,24 @@
 			}
 		}
 
+		// Guards against a request that is cancelled at its runner so that it can be sent
+		// to
+		// another one, although there is none.
+		@Test
+		void thatStartsLateIsForwardedIfThereIsNoOtherRunner() throws Exception {
+			RawServer.Response late = new RawServer.Response(List.of("", HEAD + "Content-Length: 5\r\n\r\nwhole"),
+					RawServer.Ending.KEEP_OPEN, LATE_MILLIS);
+			try (RawServer runner = RawServer.respondingWith(() -> late);
+					TestGateway gateway = TestGateway.start(CallKind.IDEMPOTENT, runner.address());
+					RawCaller caller = gateway.connect()) {
+				caller.send("POST /songs/1 HTTP/1.1\r\nHost: " + TestGateway.HOST
+						+ "\r\nX-Request-Id: r1\r\nAuthorization: Bearer " + TestGateway.API_KEY
+						+ "\r\nContent-Length: 0\r\n\r\n");
+				assertThat(caller.readResponse()).endsWith("\r\n\r\nwhole");
+				assertThat(runner.acceptedConnections()).isEqualTo(1);
+			}
+		}
+
 		@Test
 		void withoutALengthIsCompleteWhenItsConnectionEnds() throws Exception {
 			try (RawServer runner = RawServer.respondingAndClosing(HEAD + "Connection: close\r\n\r\n", "who", "le");
