Reserve no memory at an entry for requests without a body

What callers saw: nothing so far. A request without a body was rejected as if its body had no room. Change: nothing is reserved for a request that is complete with its head. Evidence: the lines added to RejectionTests#bodiesForWhichThereIsNoMemoryUntilOthersHaveEnded fail before and pass now.

--- a/catkingate-entry/src/main/java/org/catkingate/entry/AdmissionHandler.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/AdmissionHandler.java
@@ -103,6 +103,9 @@
 	 * The length of a body in chunks is not known before its end.
 	 */
 	private void reserveMemory(HttpServerExchange exchange, ClientAccount account) throws RequestRejectedException {
+		if (exchange.isRequestComplete()) {
+			return;
+		}
 		long length = exchange.getRequestContentLength();
 		if (!this.bodies.reserve(exchange.getConnection(), (length >= 0) ? length : this.settings.maxBodyBytes())) {
 			this.dispatcher.releaseLimits(account);
--- a/catkingate-tests/src/test/java/org/catkingate/tests/requests/RejectionTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/requests/RejectionTests.java
@@ -158,6 +158,8 @@
 							.getBytes(StandardCharsets.US_ASCII));
 					Awaitility.await().atMost(LocalFleet.TIMEOUT).until(() -> send(second).statusCode() == 503);
 					assertThat(send(second).headers().firstValueAsLong("Retry-After").orElseThrow()).isPositive();
+					HttpRequest withoutBody = little.request("/lookups/1").build();
+					assertThat(send(withoutBody).body()).contains("not-run").doesNotContain("memory");
 				}
 				Awaitility.await().atMost(LocalFleet.TIMEOUT).until(() -> send(second).statusCode() == 200);
 			}
