--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayMetrics.java
@@ -52,6 +52,8 @@
 
 	private final Histogram startError;
 
+	private final Histogram trafficDelay;
+
 	private GatewayMetrics(PrometheusRegistry registry) {
 		this.requests = Counter.builder()
 			.name("catkingate_gateway_requests")
@@ -112,6 +114,8 @@
 				"The length of complete responses in proportion to the estimated mean", BUCKET_BOUNDS_RATIO);
 		this.startError = histogram(registry, "catkingate_gateway_start_error_ratio",
 				"The time to the start of responses in proportion to the predicted time", BUCKET_BOUNDS_RATIO);
+		this.trafficDelay = histogram(registry, "catkingate_gateway_traffic_delay_seconds",
+				"By how much the traffic thread runs its periodic tasks too late", BUCKET_BOUNDS_SECONDS);
 	}
 
 	static GatewayMetrics registerIn(PrometheusRegistry registry) {
@@ -162,6 +166,10 @@
 		this.startError.observe(ratio);
 	}
 
+	void recordTrafficDelay(double seconds) {
+		this.trafficDelay.observe(seconds);
+	}
+
 	void countUnmet(SendCondition condition) {
 		this.unmetConditions.labelValues(condition.name().toLowerCase(Locale.ROOT)).inc();
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -203,6 +203,7 @@
 		this.worker.getIoThread()
 			.executeAtInterval(() -> this.coldRunners.update(clock.millis()), COLD_UPDATE_INTERVAL_MILLIS,
 					TimeUnit.MILLISECONDS);
+		TrafficDelay.measure(this.worker.getIoThread(), clock, this.gatewayMetrics::recordTrafficDelay);
 		registerMetrics();
 		this.operators = OperatorsEndpoint.start(settings.operators().addresses(), this.readiness, this.metrics,
 				this::state);
