--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
@@ -36,6 +36,7 @@
 import org.catkingate.model.registry.RouteTable;
 import org.catkingate.model.registry.ServingConfiguration;
 import org.catkingate.platform.PlatformHeaderCodec;
+import org.catkingate.runtime.calls.HeaderCodec;
 import org.catkingate.runtime.registry.Registry;
 import org.catkingate.runtime.settings.GatewaySettings;
 import org.catkingate.runtime.staging.PieceOriginFactory;
@@ -160,6 +161,19 @@
 		return gateway;
 	}
 
+	/**
+	 * Starts a gateway that reads headers in a way of the test's own.
+	 * @param registry the registry it follows
+	 * @param peers the address on which it listens for other processes
+	 * @param codec reads and writes the headers
+	 * @return the gateway, after it has read its configuration
+	 */
+	static TestGateway start(Registry registry, InetSocketAddress peers, HeaderCodec codec) throws Exception {
+		TestGateway gateway = startWithoutWaiting(registry, peers, (client, address) -> null, 8000, "", "", codec);
+		Awaitility.await().atMost(Duration.ofSeconds(20)).until(gateway::isReady);
+		return gateway;
+	}
+
 	/**
 	 * Starts a gateway and does not wait until it has received a configuration.
 	 * @param registry the registry it follows
@@ -189,6 +203,13 @@
 
 	private static TestGateway startWithoutWaiting(Registry registry, InetSocketAddress peers,
 			PieceOriginFactory originFactory, long changeMillis, String seeds, String moreSettings) throws Exception {
+		return startWithoutWaiting(registry, peers, originFactory, changeMillis, seeds, moreSettings,
+				new PlatformHeaderCodec());
+	}
+
+	private static TestGateway startWithoutWaiting(Registry registry, InetSocketAddress peers,
+			PieceOriginFactory originFactory, long changeMillis, String seeds, String moreSettings, HeaderCodec codec)
+			throws Exception {
 		InetSocketAddress callers = FreePorts.next();
 		InetSocketAddress operators = FreePorts.next();
 		GatewaySettings settings = GatewaySettings.parse("""
@@ -223,8 +244,7 @@
 				change-ms = %d
 				%s""".formatted(peers.getPort(), callers.getPort(), operators.getPort(), peers.getPort(), seeds,
 				changeMillis, moreSettings));
-		GatewayProcess process = GatewayProcess.start(settings, (client, url) -> registry, originFactory,
-				new PlatformHeaderCodec());
+		GatewayProcess process = GatewayProcess.start(settings, (client, url) -> registry, originFactory, codec);
 		return new TestGateway(process, callers, operators);
 	}
 
