Limit the connections of callers to a gateway

Cause: the number of callers' connections had no limit but the process's descriptors. Rejected callers come back on another connection and leave the former one open until its idle time ends. Class: a resource that callers use up in sum, without a bound (as in docs/incidents/2026-12-lost.md, there for memory).

Change: half of the descriptors beyond a reserve serve callers, since each request has a connection to a runner too; the heap bounds them as well. At the limit the connection that has been idle for longest is closed; from three quarters of it on, rejections close theirs. Metrics show the connections and those that were closed.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/CallerConnections.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/CallerConnections.java
@@ -4,12 +4,12 @@
 import java.util.Map;
 import java.util.function.Consumer;
 
-import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.ServerConnection;
-import io.undertow.util.Headers;
 import org.xnio.IoUtils;
 
+import org.catkingate.runtime.http.CallerServer;
+
 /**
  * The connections of callers, and which of them have a request in progress: from the
  * arrival of its head until the response is handed over to the operating system. While
@@ -58,20 +58,11 @@
 	 * that arrived before the process was draining.
 	 */
 	private void announceClose(HttpServerExchange exchange) {
-		if (this.draining && !hasNextRequest(exchange.getConnection())) {
-			exchange.setPersistent(false);
-			exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
+		if (this.draining && !CallerServer.hasNextRequest(exchange.getConnection())) {
+			CallerServer.announceClose(exchange);
 		}
 	}
 
-	/*
-	 * Returns whether bytes of another request have been read. Its caller could not tell
-	 * whether it has run if the connection were closed without a response to it.
-	 */
-	private static boolean hasNextRequest(ServerConnection connection) {
-		return connection instanceof AbstractServerConnection received && received.getExtraBytes() != null;
-	}
-
 	/*
 	 * A connection that is not persistent is closed by the server, which first lets the
 	 * caller read the response.
@@ -79,7 +70,7 @@
 	private void endRequest(HttpServerExchange exchange) {
 		ServerConnection connection = exchange.getConnection();
 		this.requestEndListener.accept(connection);
-		boolean continues = exchange.isPersistent() && hasNextRequest(connection);
+		boolean continues = exchange.isPersistent() && CallerServer.hasNextRequest(connection);
 		this.busyByConnection.replace(connection, continues);
 		if (this.closingIdle && exchange.isPersistent() && !continues) {
 			IoUtils.safeClose(connection);
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -42,12 +42,16 @@
 import org.catkingate.runtime.MonotonicClock;
 import org.catkingate.runtime.calls.HeaderCodec;
 import org.catkingate.runtime.http.BufferedHttpClient;
+import org.catkingate.runtime.http.CallerConnectionLimit;
+import org.catkingate.runtime.http.CallerConnectionMetrics;
+import org.catkingate.runtime.http.CallerServer;
 import org.catkingate.runtime.http.ConnectionPool;
 import org.catkingate.runtime.http.IoThreads;
 import org.catkingate.runtime.http.RequestBodies;
 import org.catkingate.runtime.operators.OperatorsEndpoint;
 import org.catkingate.runtime.operators.Readiness;
 import org.catkingate.runtime.process.GracefulShutdown;
+import org.catkingate.runtime.process.OpenFileLimit;
 import org.catkingate.runtime.process.ProcessIdentities;
 import org.catkingate.runtime.process.RunningProcess;
 import org.catkingate.runtime.registry.RegistryFactory;
@@ -146,6 +150,8 @@
 
 	private final RegistryCopy registry;
 
+	private final CallerConnectionLimit connectionLimit;
+
 	private final CallerServer callerServer;
 
 	private final GatewayPeers peers;
@@ -167,7 +173,10 @@
 		this.worker = IoThreads.start("traffic", 1);
 		HandshakeMessage.PeerIdentity identity = ProcessIdentities
 			.toPeerIdentity(ProcessIdentities.of(settings.process()));
-		this.callerServer = CallerServer.bind(settings.callers(), this.worker, this.buffers);
+		this.connectionLimit = CallerConnectionLimit.of(settings.callers().openFiles().orElseGet(OpenFileLimit::read),
+				Runtime.getRuntime().maxMemory());
+		this.callerServer = CallerServer.bind(settings.callers().listen(), this.worker, this.buffers,
+				CallerServerOptions.of(Optional.empty()), ValidatingSourceConduit::install, this.connectionLimit);
 		this.requestBodies = new RequestBodies(settings.requestBodyBytes(), Runtime.getRuntime().maxMemory());
 		this.connections = new CallerConnections(this.requestBodies::release);
 		this.origins = origins;
@@ -307,7 +316,8 @@
 		traffic.execute(() -> this.coldRunners.update(view, this.clock.millis()));
 		traffic.execute(() -> this.runners.update(view, this.clock.millis()));
 		traffic.execute(() -> this.peers.update(view));
-		traffic.execute(() -> this.callerServer.updateLimits(view.configuration().map(ServingConfiguration::limits)));
+		traffic.execute(() -> this.callerServer
+			.updateOptions(CallerServerOptions.of(view.configuration().map(ServingConfiguration::limits))));
 		if (view.configuration().isPresent() && this.readiness.phase() == Readiness.Phase.STARTING) {
 			this.readiness.markReady();
 			logger.atInfo()
@@ -319,6 +329,7 @@
 
 	private void registerMetrics() {
 		this.follower.registerMetrics(this.metrics);
+		CallerConnectionMetrics.register(this.connectionLimit, this.metrics);
 		GaugeWithCallback.builder()
 			.name("catkingate_configuration_version")
 			.help("The version of the configuration in force")
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RejectionWriter.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RejectionWriter.java
@@ -6,6 +6,7 @@
 import io.undertow.util.Headers;
 
 import org.catkingate.runtime.calls.HeaderCodec;
+import org.catkingate.runtime.http.CallerServer;
 
 /**
  * A writer of rejections as HTTP responses. Stateless.
@@ -35,8 +36,7 @@
 						String.format(Locale.ROOT, "%.2f", rejection.retryAfterMillis() / MILLIS_PER_SECOND));
 		}
 		if (rejection.kind().closesConnection()) {
-			exchange.setPersistent(false);
-			exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
+			CallerServer.announceClose(exchange);
 		}
 		exchange.getResponseSender().send(rejection.message() + "\n");
 	}
--- /dev/null
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerServer.java
@@ -0,0 +1,172 @@
+package org.catkingate.runtime.http;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.AbstractServerConnection;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
+import io.undertow.server.protocol.http.HttpOpenListener;
+import io.undertow.util.Headers;
+import io.undertow.util.StatusCodes;
+import org.xnio.ChannelListener;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+
+/**
+ * The HTTP server that callers connect to. The address is bound before the rest of the
+ * process has started, and connections wait in the backlog until
+ * {@link #startAccepting(HttpHandler)} is called. The number of connections is limited.
+ * Safe for use by any thread.
+ *
+ * @since 0.1
+ */
+public final class CallerServer implements AutoCloseable {
+
+	private static final int BACKLOG = 1024;
+
+	private final HttpOpenListener listener;
+
+	private final Consumer<StreamConnection> preparation;
+
+	private final CallerConnectionLimit limit;
+
+	private final AcceptingChannel<StreamConnection> channel;
+
+	private CallerServer(InetSocketAddress address, XnioWorker worker, HttpOpenListener listener,
+			Consumer<StreamConnection> preparation, CallerConnectionLimit limit) throws IOException {
+		this.listener = listener;
+		this.preparation = preparation;
+		this.limit = limit;
+		OptionMap socket = OptionMap.builder()
+			.set(Options.TCP_NODELAY, true)
+			.set(Options.REUSE_ADDRESSES, true)
+			.set(Options.BACKLOG, BACKLOG)
+			.getMap();
+		this.channel = worker.createStreamConnectionServer(address, ChannelListeners.openListenerAdapter(this::accept),
+				socket);
+	}
+
+	/**
+	 * Binds the address.
+	 * @param address the address; port 0 for any free port
+	 * @param worker the I/O threads
+	 * @param buffers the pool of I/O buffers
+	 * @param options the options of the HTTP server
+	 * @param preparation prepares each connection before it is read
+	 * @param limit limits the number of connections
+	 * @return the server, which does not accept connections yet
+	 * @throws IOException if the address cannot be used
+	 */
+	public static CallerServer bind(InetSocketAddress address, XnioWorker worker, ByteBufferPool buffers,
+			OptionMap options, Consumer<StreamConnection> preparation, CallerConnectionLimit limit) throws IOException {
+		return new CallerServer(address, worker, new HttpOpenListener(buffers, options), preparation, limit);
+	}
+
+	/**
+	 * Starts to accept connections.
+	 * @param handler handles the requests
+	 */
+	public void startAccepting(HttpHandler handler) {
+		this.listener.setRootHandler((exchange) -> {
+			track(exchange);
+			handler.handleRequest(exchange);
+		});
+		this.channel.resumeAccepts();
+	}
+
+	/**
+	 * Changes the options of the HTTP server, for new connections only.
+	 * @param options the options
+	 */
+	public void updateOptions(OptionMap options) {
+		this.listener.setUndertowOptions(options);
+	}
+
+	private void accept(StreamConnection connection) {
+		if (!this.limit.add(connection)) {
+			IoUtils.safeClose(connection);
+			return;
+		}
+		start(connection);
+	}
+
+	private void start(StreamConnection connection) {
+		this.preparation.accept(connection);
+		this.listener.handleEvent(connection);
+		// the HTTP server has set a listener of its own
+		ChannelListener<? super StreamConnection> next = connection.getCloseListener();
+		connection.setCloseListener((closed) -> {
+			this.limit.remove(closed);
+			ChannelListeners.invokeChannelListener(closed, next);
+		});
+		if (!connection.isOpen()) {
+			this.limit.remove(connection);
+		}
+	}
+
+	private void track(HttpServerExchange exchange) {
+		StreamConnection connection = ((AbstractServerConnection) exchange.getConnection()).getChannel();
+		this.limit.markBusy(connection);
+		exchange.addResponseCommitListener(this::closeIfScarce);
+		exchange.addExchangeCompleteListener((completed, next) -> {
+			this.limit.markIdle(connection);
+			next.proceed();
+		});
+	}
+
+	/*
+	 * A caller that is rejected returns on another connection.
+	 */
+	private void closeIfScarce(HttpServerExchange exchange) {
+		if (exchange.getStatusCode() >= StatusCodes.BAD_REQUEST && this.limit.isScarce()
+				&& !hasNextRequest(exchange.getConnection())) {
+			announceClose(exchange);
+		}
+	}
+
+	/**
+	 * Announces in the response that has not been sent yet that its connection closes
+	 * after it.
+	 * @param exchange the exchange of the response
+	 */
+	public static void announceClose(HttpServerExchange exchange) {
+		exchange.setPersistent(false);
+		exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
+	}
+
+	/**
+	 * Returns whether bytes of another request have been read. Its caller could not tell
+	 * whether it has run if the connection were closed without a response to it.
+	 * @param connection the connection
+	 * @return whether another request has arrived
+	 */
+	public static boolean hasNextRequest(ServerConnection connection) {
+		return connection instanceof AbstractServerConnection received && received.getExtraBytes() != null;
+	}
+
+	/**
+	 * Returns the address that callers connect to.
+	 * @return the address, never null
+	 */
+	public InetSocketAddress address() {
+		return this.channel.getLocalAddress(InetSocketAddress.class);
+	}
+
+	/**
+	 * Stops accepting connections.
+	 */
+	@Override
+	public void close() {
+		IoUtils.safeClose(this.channel);
+	}
+
+}
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/GatewaySettings.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/GatewaySettings.java
@@ -9,10 +9,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalInt;
 import java.util.function.Consumer;
 import java.util.function.Function;
 
 import org.catkingate.decisions.retries.RetryAllowance;
+import org.catkingate.model.AddressFormatter;
 import org.catkingate.model.DataCentreName;
 import org.catkingate.model.RegionName;
 import org.catkingate.model.Role;
@@ -26,7 +28,7 @@
  * @param process the identity and location of the process
  * @param regions the region of each data centre
  * @param registry the address of the registry and how it is watched
- * @param callers the address on which callers connect
+ * @param callers where callers connect, and the descriptors of the process
  * @param peers the connections to other processes
  * @param operators the addresses of the endpoint for operators
  * @param shutdown the times of a graceful shutdown
@@ -43,7 +45,7 @@
  * @since 0.1
  */
 public record GatewaySettings(ProcessSettings.Process process, Map<DataCentreName, RegionName> regions,
-		RegistrySettings registry, InetSocketAddress callers, PeerSettings peers, ProcessSettings.Operators operators,
+		RegistrySettings registry, Callers callers, PeerSettings peers, ProcessSettings.Operators operators,
 		ProcessSettings.Shutdown shutdown, long keyValidityMillis, RetryAllowance retries, Weights weights,
 		ColdRunners coldRunners, Routing routing, long slowReaderBytes, long requestBodyBytes,
 		List<ConfigurationProblem> replacedValues) implements RoleSettings {
@@ -121,7 +123,7 @@
 		ProcessSettings.Process process = SectionParsers.process(sections.reader("process"), Role.ENTRY);
 		Map<DataCentreName, RegionName> regions = regions(sections);
 		RegistrySettings registry = RegistrySettings.of(sections.reader("registry"));
-		InetSocketAddress callers = SectionParsers.listen(sections.reader("callers"));
+		Callers callers = callers(sections.reader("callers"), replaced);
 		PeerSettings peers = PeerSettings.listening(sections.reader("peers"));
 		ProcessSettings.Operators operators = SectionParsers.operators(sections.reader("operators"));
 		ProcessSettings.Shutdown shutdown = SectionParsers.shutdown(sections.reader("shutdown"));
@@ -137,6 +139,16 @@
 				retries, weights, coldRunners, routing, slowReaderBytes, requestBodyBytes, replacedValues);
 	}
 
+	/*
+	 * Without a readable value the limit of the operating system applies.
+	 */
+	private static Callers callers(SectionReader reader, Consumer<ConfigurationProblem> replaced) {
+		InetSocketAddress listen = reader.value("listen", null, AddressFormatter::parse);
+		int openFiles = reader.limitOrElse("max-open-files", "0", 0, Integer.MAX_VALUE, 0, replaced);
+		reader.checkUnknownKeys();
+		return new Callers(listen, (openFiles > 0) ? OptionalInt.of(openFiles) : OptionalInt.empty());
+	}
+
 	private static long slowReaderBytes(SectionReader reader) {
 		int kilobytes = reader.number("memory-kb", DEFAULT_SLOW_READER_KB, MIN_SLOW_READER_KB, MAX_SLOW_READER_KB);
 		reader.checkUnknownKeys();
@@ -276,6 +288,17 @@
 		throw new IllegalArgumentException("write a number from 0 to 1");
 	}
 
+	/**
+	 * Where callers connect. Immutable.
+	 *
+	 * @param listen the address
+	 * @param openFiles the number of files and sockets that the process may open, empty
+	 * for the limit of the operating system
+	 */
+	public record Callers(InetSocketAddress listen, OptionalInt openFiles) {
+
+	}
+
 	/**
 	 * The times for changing the version of weights. Immutable.
 	 *
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/SectionParsers.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/SectionParsers.java
@@ -103,12 +103,6 @@
 		return new ProcessSettings.Operators(listen, Optional.ofNullable(alsoListen));
 	}
 
-	static InetSocketAddress listen(SectionReader reader) {
-		InetSocketAddress listen = reader.value("listen", null, AddressFormatter::parse);
-		reader.checkUnknownKeys();
-		return listen;
-	}
-
 	static ProcessSettings.Shutdown shutdown(SectionReader reader) {
 		int noticeSeconds = reader.number("notice-s", DEFAULT_SHUTDOWN_NOTICE_SECONDS, 0, MAX_DURATION_SECONDS);
 		int limitSeconds = reader.number("limit-s", DEFAULT_SHUTDOWN_LIMIT_SECONDS, 0, MAX_DURATION_SECONDS);
