Begin to read a few new connections of callers at a time

Cause: a gateway has one traffic thread. Each turn of it read all new connections that had come meanwhile, so that in a burst a turn took seconds, while a registry read, a piece of weights or a connection to a gateway need several turns. Class: control work that waits behind callers without a bound.

Change: 16 new connections begin to be read before the thread handles its other events. In an overload the newest come first, and those that have waited for 800 ms are closed unread, which tells their callers that they may go elsewhere.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -176,7 +176,8 @@
 		this.connectionLimit = CallerConnectionLimit.of(settings.callers().openFiles().orElseGet(OpenFileLimit::read),
 				Runtime.getRuntime().maxMemory());
 		this.callerServer = CallerServer.bind(settings.callers().listen(), this.worker, this.buffers,
-				CallerServerOptions.of(Optional.empty()), ValidatingSourceConduit::install, this.connectionLimit);
+				CallerServerOptions.of(Optional.empty()), ValidatingSourceConduit::install, this.connectionLimit,
+				clock);
 		this.requestBodies = new RequestBodies(settings.requestBodyBytes(), Runtime.getRuntime().maxMemory());
 		this.connections = new CallerConnections(this.requestBodies::release);
 		this.origins = origins;
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerServer.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerServer.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 
 import io.undertow.connector.ByteBufferPool;
@@ -18,14 +20,18 @@
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
 
+import org.catkingate.runtime.MonotonicClock;
+
 /**
  * The HTTP server that callers connect to. The address is bound before the rest of the
  * process has started, and connections wait in the backlog until
- * {@link #startAccepting(HttpHandler)} is called. The number of connections is limited.
- * Safe for use by any thread.
+ * {@link #startAccepting(HttpHandler)} is called. The number of connections is limited,
+ * and so is the number that begin to be read at the same time. Safe for use by any
+ * thread.
  *
  * @since 0.1
  */
@@ -33,19 +39,25 @@
 
 	private static final int BACKLOG = 1024;
 
+	private final Map<XnioIoThread, ConnectionIntake> intakes = new ConcurrentHashMap<>();
+
 	private final HttpOpenListener listener;
 
 	private final Consumer<StreamConnection> preparation;
 
 	private final CallerConnectionLimit limit;
 
+	private final MonotonicClock clock;
+
 	private final AcceptingChannel<StreamConnection> channel;
 
 	private CallerServer(InetSocketAddress address, XnioWorker worker, HttpOpenListener listener,
-			Consumer<StreamConnection> preparation, CallerConnectionLimit limit) throws IOException {
+			Consumer<StreamConnection> preparation, CallerConnectionLimit limit, MonotonicClock clock)
+			throws IOException {
 		this.listener = listener;
 		this.preparation = preparation;
 		this.limit = limit;
+		this.clock = clock;
 		OptionMap socket = OptionMap.builder()
 			.set(Options.TCP_NODELAY, true)
 			.set(Options.REUSE_ADDRESSES, true)
@@ -63,12 +75,14 @@
 	 * @param options the options of the HTTP server
 	 * @param preparation prepares each connection before it is read
 	 * @param limit limits the number of connections
+	 * @param clock the clock
 	 * @return the server, which does not accept connections yet
 	 * @throws IOException if the address cannot be used
 	 */
 	public static CallerServer bind(InetSocketAddress address, XnioWorker worker, ByteBufferPool buffers,
-			OptionMap options, Consumer<StreamConnection> preparation, CallerConnectionLimit limit) throws IOException {
-		return new CallerServer(address, worker, new HttpOpenListener(buffers, options), preparation, limit);
+			OptionMap options, Consumer<StreamConnection> preparation, CallerConnectionLimit limit,
+			MonotonicClock clock) throws IOException {
+		return new CallerServer(address, worker, new HttpOpenListener(buffers, options), preparation, limit, clock);
 	}
 
 	/**
@@ -96,7 +110,18 @@
 			IoUtils.safeClose(connection);
 			return;
 		}
-		start(connection);
+		XnioIoThread thread = connection.getIoThread();
+		if (thread == Thread.currentThread()) {
+			intakeOf(thread).add(connection);
+		}
+		else {
+			thread.execute(() -> intakeOf(thread).add(connection));
+		}
+	}
+
+	private ConnectionIntake intakeOf(XnioIoThread thread) {
+		return this.intakes.computeIfAbsent(thread,
+				(key) -> new ConnectionIntake(key, this.clock, this::start, this.limit::remove));
 	}
 
 	private void start(StreamConnection connection) {
--- /dev/null
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ConnectionIntake.java
@@ -0,0 +1,128 @@
+package org.catkingate.runtime.http;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
+
+import org.catkingate.runtime.MonotonicClock;
+
+/**
+ * The new connections of callers on one I/O thread, of which a few at a time begin to be
+ * read. Between them the thread handles its other events, so that a burst of callers does
+ * not delay connections to runners, other processes and the registry. Used by its I/O
+ * thread only.
+ */
+final class ConnectionIntake {
+
+	/**
+	 * The number of connections that begin to be read before other events are handled.
+	 */
+	private static final int MAX_PER_TURN = 16;
+
+	private static final long TURN_MILLIS = 1;
+
+	/**
+	 * The wait from which the newest connections come first. Callers that have waited for
+	 * longer are more likely to have given up, so that in an overload some are served in
+	 * time instead of all too late.
+	 */
+	private static final long FIRST_COME_FIRST_SERVED_MILLIS = 100;
+
+	/**
+	 * The wait after which a connection is closed unread, shortly before callers give up.
+	 * That tells the caller at once that its request has not run.
+	 */
+	private static final long MAX_WAIT_MILLIS = 800;
+
+	private final Deque<Waiting> waiting = new ArrayDeque<>();
+
+	private final XnioExecutor thread;
+
+	private final MonotonicClock clock;
+
+	private final Consumer<StreamConnection> starter;
+
+	private final Consumer<StreamConnection> giveUpListener;
+
+	private int leftInTurn;
+
+	private boolean turnScheduled;
+
+	/**
+	 * Creates an intake without connections.
+	 * @param thread the I/O thread
+	 * @param clock the clock
+	 * @param starter begins to read a connection
+	 * @param giveUpListener receives each connection that was closed unread
+	 */
+	ConnectionIntake(XnioExecutor thread, MonotonicClock clock, Consumer<StreamConnection> starter,
+			Consumer<StreamConnection> giveUpListener) {
+		this.thread = thread;
+		this.clock = clock;
+		this.starter = starter;
+		this.giveUpListener = giveUpListener;
+	}
+
+	void add(StreamConnection connection) {
+		this.waiting.addLast(new Waiting(connection, this.clock.millis()));
+		if (!this.turnScheduled) {
+			this.leftInTurn = MAX_PER_TURN;
+			scheduleTurn();
+		}
+		startWaiting();
+	}
+
+	private void scheduleTurn() {
+		this.turnScheduled = true;
+		this.thread.executeAfter(this::startTurn, TURN_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private void startTurn() {
+		this.turnScheduled = false;
+		this.leftInTurn = MAX_PER_TURN;
+		if (!this.waiting.isEmpty()) {
+			scheduleTurn();
+			startWaiting();
+		}
+	}
+
+	private void startWaiting() {
+		long now = this.clock.millis();
+		while (!this.waiting.isEmpty() && this.waiting.getFirst().isLongerThan(MAX_WAIT_MILLIS, now)) {
+			giveUp(this.waiting.removeFirst().connection());
+		}
+		while (this.leftInTurn > 0 && !this.waiting.isEmpty()) {
+			boolean newestFirst = this.waiting.getFirst().isLongerThan(FIRST_COME_FIRST_SERVED_MILLIS, now);
+			StreamConnection next = (newestFirst ? this.waiting.removeLast() : this.waiting.removeFirst()).connection();
+			if (next.isOpen()) {
+				this.leftInTurn--;
+				this.starter.accept(next);
+			}
+		}
+	}
+
+	private void giveUp(StreamConnection connection) {
+		IoUtils.safeClose(connection);
+		this.giveUpListener.accept(connection);
+	}
+
+	/**
+	 * A connection that has been accepted and not been read.
+	 *
+	 * @param connection the connection
+	 * @param sinceMillis when it was accepted, in monotonic milliseconds
+	 */
+	private record Waiting(StreamConnection connection, long sinceMillis) {
+
+		private boolean isLongerThan(long millis, long nowMillis) {
+			return nowMillis - this.sinceMillis > millis;
+		}
+
+	}
+
+}
