Limit the connections of callers to an entry in the same way

Seen: caller 365 of an entry with 400 descriptors got no answer, and the endpoint of operators did not respond.

Cause: the same as at gateways. An entry's fixed limit of 40,000 connections had nothing to do with its descriptors, and at the limit it would not have accepted any more, although idle connections held the places.

Change: entries use the same server of callers as gateways. The limit follows from the descriptors and the heap.

Result: CallerBurstTests.isServedByAProcessWithFewerFileDescriptorsThanThereAreCallers(entry) failed before, and passes.

--- a/catkingate-entry/src/main/java/org/catkingate/entry/EntryProcess.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/EntryProcess.java
@@ -19,6 +19,7 @@
 import org.catkingate.runtime.fleet.Fleet;
 import org.catkingate.runtime.fleet.FleetDump;
 import org.catkingate.runtime.fleet.FleetSettings;
+import org.catkingate.runtime.http.CallerConnectionMetrics;
 import org.catkingate.runtime.operators.OperatorsEndpoint;
 import org.catkingate.runtime.operators.Readiness;
 import org.catkingate.runtime.process.GracefulShutdown;
@@ -101,6 +102,7 @@
 
 	private void registerMetrics() {
 		JvmMetrics.builder().register(this.metrics);
+		CallerConnectionMetrics.register(this.server.connections(), this.metrics);
 		RequestCounters counters = this.server.counters();
 		registerCounter("catkingate_requests_started", "Requests taken in", counters.started());
 		registerCounter("catkingate_requests_answered", "Requests answered whole", counters.responded());
--- a/catkingate-entry/src/main/java/org/catkingate/entry/EntryServer.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/EntryServer.java
@@ -9,18 +9,23 @@
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 
-import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
-import org.xnio.Options;
+import io.undertow.server.DefaultByteBufferPool;
+import org.xnio.OptionMap;
 import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
 
 import org.catkingate.decisions.membership.FleetSnapshot;
 import org.catkingate.decisions.routing.Location;
 import org.catkingate.runtime.MonotonicClock;
+import org.catkingate.runtime.http.CallerConnectionLimit;
+import org.catkingate.runtime.http.CallerServer;
+import org.catkingate.runtime.http.IoThreads;
 import org.catkingate.runtime.http.RequestBodies;
 import org.catkingate.runtime.peers.PeerConnection;
 import org.catkingate.runtime.peers.PeerConnections;
 import org.catkingate.runtime.peers.PeerListener;
+import org.catkingate.runtime.process.OpenFileLimit;
 import org.catkingate.wire.IdempotencyKeyMessage;
 import org.catkingate.wire.Message;
 import org.catkingate.wire.RequestMessage;
@@ -36,6 +41,8 @@
  */
 public final class EntryServer implements PeerListener, AutoCloseable {
 
+	private static final int BUFFER_BYTES = 16 * 1024;
+
 	private static final int MAX_HEADERS = 100;
 
 	private final Map<XnioIoThread, IoThreadInbox> inboxes = new ConcurrentHashMap<>();
@@ -44,15 +51,31 @@
 
 	private final IdempotencyKeyEndpoint keyEndpoint;
 
-	private volatile Undertow server;
+	private final XnioWorker worker;
+
+	private final CallerConnectionLimit connectionLimit;
+
+	private final CallerServer server;
 
 	private volatile boolean shutdownAnnounced;
 
 	private volatile boolean rejectingRequests;
 
-	private EntryServer(RequestDispatcher dispatcher) {
+	private EntryServer(EntrySettings settings, RequestDispatcher dispatcher, MonotonicClock clock) throws IOException {
 		this.dispatcher = dispatcher;
 		this.keyEndpoint = new IdempotencyKeyEndpoint(dispatcher);
+		this.worker = IoThreads.start("callers", settings.ioThreads());
+		this.connectionLimit = new CallerConnectionLimit(Math.min(settings.maxConnections(),
+				CallerConnectionLimit.limitFor(OpenFileLimit.read(), Runtime.getRuntime().maxMemory())));
+		try {
+			this.server = CallerServer.bind(settings.listen(), this.worker,
+					new DefaultByteBufferPool(true, BUFFER_BYTES), options(settings), (connection) -> {
+					}, this.connectionLimit, clock);
+		}
+		catch (IOException ex) {
+			this.worker.shutdownNow();
+			throw new IOException("cannot listen on " + settings.listen() + "; choose another [callers] listen", ex);
+		}
 	}
 
 	/**
@@ -73,41 +96,25 @@
 			throws IOException {
 		RequestDispatcher dispatcher = new RequestDispatcher(fleet, connections, policies,
 				new AccountLimits(entryCount, clock), location, clock, settings.reattachTimeoutMillis());
-		EntryServer entryServer = new EntryServer(dispatcher);
-		entryServer.server = createServer(settings,
-				new AdmissionHandler(dispatcher, entryServer.keyEndpoint, settings,
-						new RequestBodies(settings.maxTotalBodyBytes(), Runtime.getRuntime().maxMemory()),
-						() -> entryServer.rejectingRequests));
-		try {
-			entryServer.server.start();
-		}
-		catch (RuntimeException ex) {
-			throw new IOException("cannot listen on " + settings.listen() + "; choose another [callers] listen", ex);
-		}
-		entryServer.server.getWorker()
-			.getIoThread()
+		EntryServer entryServer = new EntryServer(settings, dispatcher, clock);
+		entryServer.server.startAccepting(new AdmissionHandler(dispatcher, entryServer.keyEndpoint, settings,
+				new RequestBodies(settings.maxTotalBodyBytes(), Runtime.getRuntime().maxMemory()),
+				() -> entryServer.rejectingRequests));
+		entryServer.worker.getIoThread()
 			.executeAtInterval(dispatcher::checkForPause, RequestDispatcher.PAUSE_CHECK_INTERVAL_MILLIS,
 					TimeUnit.MILLISECONDS);
 		return entryServer;
 	}
 
-	private static Undertow createServer(EntrySettings settings, AdmissionHandler handler) {
-		return Undertow.builder()
-			.addHttpListener(settings.listen().getPort(), settings.listen().getAddress().getHostAddress())
-			.setIoThreads(settings.ioThreads())
-			.setWorkerThreads(1)
-			.setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) settings.maxBodyBytes())
-			.setServerOption(UndertowOptions.MAX_HEADER_SIZE, settings.maxHeaderBytes())
-			.setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
-			.setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, settings.headTimeoutMillis())
-			.setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, settings.idleTimeoutMillis())
-			.setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
-			.setSocketOption(Options.TCP_NODELAY, true)
-			.setSocketOption(Options.REUSE_ADDRESSES, true)
-			.setSocketOption(Options.CONNECTION_HIGH_WATER, settings.maxConnections())
-			.setSocketOption(Options.CONNECTION_LOW_WATER, settings.maxConnections())
-			.setHandler(handler)
-			.build();
+	private static OptionMap options(EntrySettings settings) {
+		return OptionMap.builder()
+			.set(UndertowOptions.MAX_ENTITY_SIZE, (long) settings.maxBodyBytes())
+			.set(UndertowOptions.MAX_HEADER_SIZE, settings.maxHeaderBytes())
+			.set(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+			.set(UndertowOptions.REQUEST_PARSE_TIMEOUT, settings.headTimeoutMillis())
+			.set(UndertowOptions.NO_REQUEST_TIMEOUT, settings.idleTimeoutMillis())
+			.set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+			.getMap();
 	}
 
 	/**
@@ -115,7 +122,7 @@
 	 * @return the address, never null
 	 */
 	public InetSocketAddress address() {
-		return (InetSocketAddress) this.server.getListenerInfo().get(0).getAddress();
+		return this.server.address();
 	}
 
 	@Override
@@ -190,6 +197,14 @@
 		return counters.started().sum() - counters.finished().sum();
 	}
 
+	/**
+	 * Returns the connections of callers.
+	 * @return the connections, which keep changing
+	 */
+	CallerConnectionLimit connections() {
+		return this.connectionLimit;
+	}
+
 	/**
 	 * Returns the counters of requests and their outcomes.
 	 * @return the counters, which keep changing
@@ -203,7 +218,8 @@
 	 */
 	@Override
 	public void close() {
-		this.server.stop();
+		this.server.close();
+		this.worker.shutdownNow();
 	}
 
 }
--- a/catkingate-entry/src/main/java/org/catkingate/entry/EntrySettings.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/EntrySettings.java
@@ -12,7 +12,8 @@
  * @param maxTotalBodyBytes the memory for the bodies of all requests in progress, in
  * bytes; a fourth of the heap is the maximum in any case
  * @param maxHeaderBytes the maximum size of a request's head, in bytes
- * @param maxConnections the maximum number of open connections of callers
+ * @param maxConnections the maximum number of open connections of callers, if the
+ * descriptors and the heap of the process allow as many
  * @param headTimeoutMillis the time limit for receiving the head of a request, in
  * milliseconds
  * @param bodyTimeoutMillis the time limit for receiving the body of a request, in
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -173,8 +173,8 @@
 		this.worker = IoThreads.start("traffic", 1);
 		HandshakeMessage.PeerIdentity identity = ProcessIdentities
 			.toPeerIdentity(ProcessIdentities.of(settings.process()));
-		this.connectionLimit = CallerConnectionLimit.of(settings.callers().openFiles().orElseGet(OpenFileLimit::read),
-				Runtime.getRuntime().maxMemory());
+		this.connectionLimit = new CallerConnectionLimit(CallerConnectionLimit
+			.limitFor(settings.callers().openFiles().orElseGet(OpenFileLimit::read), Runtime.getRuntime().maxMemory()));
 		this.callerServer = CallerServer.bind(settings.callers().listen(), this.worker, this.buffers,
 				CallerServerOptions.of(Optional.empty()), ValidatingSourceConduit::install, this.connectionLimit,
 				clock);
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerConnectionLimit.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerConnectionLimit.java
@@ -61,15 +61,15 @@
 	}
 
 	/**
-	 * Creates a record whose limit follows from the resources of the process.
+	 * Returns the limit that follows from the resources of a process.
 	 * @param openFiles the number of files and sockets that the process may open
 	 * @param heapBytes the maximum size of the heap, in bytes
-	 * @return the record, never null
+	 * @return the maximum number of connections
 	 */
-	public static CallerConnectionLimit of(int openFiles, long heapBytes) {
+	public static int limitFor(int openFiles, long heapBytes) {
 		long byFiles = (openFiles - RESERVED_FILES) / FILES_PER_CONNECTION;
 		long max = Math.min(Math.min(byFiles, heapBytes / BYTES_PER_CONNECTION), Integer.MAX_VALUE);
-		return new CallerConnectionLimit((int) Math.max(MIN_CONNECTIONS, max));
+		return (int) Math.max(MIN_CONNECTIONS, max);
 	}
 
 	/**
