Let an I/O thread handle its events between new connections

XNIO runs tasks that have become due before it handles events, and a turn takes longer, so that the thread went from turn to turn.

Change: the pause counts from the end of a turn and is as long as the turn. In calm, a new connection is read at once.

Result: CallerBurstTests.doesNotDelayRequestsInProgressAsLongAsItLasts failed before (no answer within 10 s), and passes.

--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ConnectionIntake.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ConnectionIntake.java
@@ -24,7 +24,8 @@
 	 */
 	private static final int MAX_PER_TURN = 16;
 
-	private static final long TURN_MILLIS = 1;
+	/** The minimum time between two turns. */
+	private static final long MIN_PAUSE_MILLIS = 1;
 
 	/**
 	 * The wait from which the newest connections come first. Callers that have waited for
@@ -49,8 +50,6 @@
 
 	private final Consumer<StreamConnection> giveUpListener;
 
-	private int leftInTurn;
-
 	private boolean turnScheduled;
 
 	/**
@@ -71,36 +70,36 @@
 	void add(StreamConnection connection) {
 		this.waiting.addLast(new Waiting(connection, this.clock.millis()));
 		if (!this.turnScheduled) {
-			this.leftInTurn = MAX_PER_TURN;
-			scheduleTurn();
+			startTurn();
 		}
-		startWaiting();
-	}
-
-	private void scheduleTurn() {
-		this.turnScheduled = true;
-		this.thread.executeAfter(this::startTurn, TURN_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
+	/*
+	 * The I/O thread also runs tasks that have become due before it handles events, so
+	 * the delay counts from the end of the turn and grows with its duration.
+	 */
 	private void startTurn() {
 		this.turnScheduled = false;
-		this.leftInTurn = MAX_PER_TURN;
-		if (!this.waiting.isEmpty()) {
-			scheduleTurn();
-			startWaiting();
+		if (this.waiting.isEmpty()) {
+			return;
 		}
+		long startedAtMillis = this.clock.millis();
+		startWaiting(startedAtMillis);
+		this.turnScheduled = true;
+		this.thread.executeAfter(this::startTurn, Math.max(MIN_PAUSE_MILLIS, this.clock.millis() - startedAtMillis),
+				TimeUnit.MILLISECONDS);
 	}
 
-	private void startWaiting() {
-		long now = this.clock.millis();
-		while (!this.waiting.isEmpty() && this.waiting.getFirst().isLongerThan(MAX_WAIT_MILLIS, now)) {
+	private void startWaiting(long nowMillis) {
+		while (!this.waiting.isEmpty() && this.waiting.getFirst().isLongerThan(MAX_WAIT_MILLIS, nowMillis)) {
 			giveUp(this.waiting.removeFirst().connection());
 		}
-		while (this.leftInTurn > 0 && !this.waiting.isEmpty()) {
-			boolean newestFirst = this.waiting.getFirst().isLongerThan(FIRST_COME_FIRST_SERVED_MILLIS, now);
+		int started = 0;
+		while (started < MAX_PER_TURN && !this.waiting.isEmpty()) {
+			boolean newestFirst = this.waiting.getFirst().isLongerThan(FIRST_COME_FIRST_SERVED_MILLIS, nowMillis);
 			StreamConnection next = (newestFirst ? this.waiting.removeLast() : this.waiting.removeFirst()).connection();
 			if (next.isOpen()) {
-				this.leftInTurn--;
+				started++;
 				this.starter.accept(next);
 			}
 		}
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/CallerBurstTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/CallerBurstTests.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 
@@ -60,6 +61,11 @@
 	/** The time that a gateway on a slow machine spends on one request. */
 	private static final long REQUEST_MILLIS = 5;
 
+	private static final int CALLER_THREADS = 8;
+
+	/** All threads together bring twice the requests that the gateway can handle. */
+	private static final long CALLER_PAUSE_MILLIS = 20;
+
 	/** Far more requests than are read between two events of a peer's connection. */
 	private static final int MAX_REQUESTS_BEFORE_PEER = 150;
 
@@ -181,6 +187,50 @@
 		}
 	}
 
+	// Guards against a gateway that does nothing but begin to read new connections as
+	// long
+	// as more come than it can handle, and reaches neither runners nor the registry
+	// (RECOVER).
+	@Test
+	void doesNotDelayRequestsInProgressAsLongAsItLasts() throws Exception {
+		SlowCodec codec = new SlowCodec();
+		codec.unblock();
+		AtomicBoolean ended = new AtomicBoolean();
+		try (RecordingRunner runner = RecordingRunner.start();
+				TestGateway gateway = TestGateway.start(
+						new TestGateway.InMemoryRegistry(TestGateway.items(CallKind.IDEMPOTENT, runner.address())),
+						FreePorts.next(), codec);
+				RawCaller kept = gateway.connect()) {
+			List<CompletableFuture<Void>> burst = Stream.generate(() -> CompletableFuture.runAsync(() -> {
+				while (!ended.get()) {
+					connectAndLeave(gateway);
+				}
+			}, (task) -> new Thread(task, "callers").start())).limit(CALLER_THREADS).toList();
+			try {
+				Awaitility.await().atMost(TIMEOUT).until(() -> codec.requests.get() > CALLERS);
+				assertThat(kept.post("kept", "/songs/1", "hello").readResponse()).startsWith("HTTP/1.1 200 ");
+			}
+			finally {
+				ended.set(true);
+				CompletableFuture.allOf(burst.toArray(CompletableFuture[]::new))
+					.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+			}
+		}
+	}
+
+	private static void connectAndLeave(TestGateway gateway) {
+		try (RawCaller caller = gateway.connect()) {
+			caller.post("burst", "/no-route", "hello");
+			Thread.sleep(CALLER_PAUSE_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		catch (Exception ex) {
+			// the gateway has closed the connection
+		}
+	}
+
 	/**
 	 * A codec that takes a while for each request, and blocks at the first one until it
 	 * is released.
