Leave descriptors for idle connections to runners, and pause after a failed accept

Idle connections are limited for each runner only, so that their sum grows with the number of runners. A process that could not accept another one's connection tried again without a pause and without a log line.

Change: idle connections to all runners share a limit, from 16 runners on below the one for each; up to 512 descriptors, a fourth of few, are reserved. A failed accept is logged and repeated after 250 ms.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -84,6 +84,12 @@
 	/** The maximum number of idle connections to one runner: two for each slot. */
 	private static final int MAX_IDLE_CONNECTIONS = 32;
 
+	/**
+	 * The maximum number of idle connections to all runners together, if there are fewer
+	 * runners. They use descriptors that are not left to callers.
+	 */
+	private static final int MAX_TOTAL_IDLE_CONNECTIONS = 384;
+
 	/** The number of gateways that may exist without being connected to this one. */
 	private static final int ASSUMED_UNCONNECTED_GATEWAYS = 2;
 
@@ -297,6 +303,7 @@
 	}
 
 	private RunnerState createRunnerState(RegisteredRunner runner) {
+		int share = MAX_TOTAL_IDLE_CONNECTIONS / Math.max(1, this.registry.view().runners().size());
 		int idleConnections = this.registry.view()
 			.configuration()
 			.map((published) -> published.services().get(runner.service()))
@@ -307,7 +314,7 @@
 			.distanceTo(runner.dataCentre(), region);
 		return new RunnerState(runner, Optional.ofNullable(region), distance,
 				ConnectionPool.to(runner.address(), this.worker, this.buffers,
-						Math.max(1, Math.min(MAX_IDLE_CONNECTIONS, idleConnections)), this.clock),
+						Math.max(1, Math.min(share, Math.min(MAX_IDLE_CONNECTIONS, idleConnections))), this.clock),
 				this.intakeLog, this.permits, this.coldRunners.of(runner));
 	}
 
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerConnectionLimit.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerConnectionLimit.java
@@ -24,7 +24,10 @@
 	 * The descriptors for files, other processes, the registry, operators and idle
 	 * connections to runners.
 	 */
-	private static final int RESERVED_FILES = 256;
+	private static final int MAX_RESERVED_FILES = 512;
+
+	/** The part that is reserved of few descriptors. */
+	private static final int RESERVED_DIVISOR = 4;
 
 	/** A request in progress has a connection to its runner as well. */
 	private static final int FILES_PER_CONNECTION = 2;
@@ -67,7 +70,8 @@
 	 * @return the maximum number of connections
 	 */
 	public static int limitFor(int openFiles, long heapBytes) {
-		long byFiles = (openFiles - RESERVED_FILES) / FILES_PER_CONNECTION;
+		int reserved = Math.min(MAX_RESERVED_FILES, openFiles / RESERVED_DIVISOR);
+		long byFiles = (openFiles - reserved) / FILES_PER_CONNECTION;
 		long max = Math.min(Math.min(byFiles, heapBytes / BYTES_PER_CONNECTION), Integer.MAX_VALUE);
 		return (int) Math.max(MIN_CONNECTIONS, max);
 	}
--- /dev/null
+++ b/catkingate-runtime/src/test/java/org/catkingate/runtime/process/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests for the shared parts of processes.
+ */
+package org.catkingate.runtime.process;
--- a/catkingate-wire/src/main/java/org/catkingate/wire/FrameTransport.java
+++ b/catkingate-wire/src/main/java/org/catkingate/wire/FrameTransport.java
@@ -3,8 +3,11 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Objects;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.IoFuture;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -21,8 +24,13 @@
  */
 public final class FrameTransport implements AutoCloseable {
 
+	private static final Logger logger = LoggerFactory.getLogger(FrameTransport.class);
+
 	private static final int BACKLOG = 1024;
 
+	/** The pause after a connection could not be accepted, as without descriptors. */
+	private static final long ACCEPT_RETRY_MILLIS = 250;
+
 	private final XnioWorker worker;
 
 	private final SharedKey key;
@@ -101,7 +109,11 @@
 		}
 		catch (IOException ex) {
 			channel.suspendAccepts();
-			channel.getIoThread().execute(channel::resumeAccepts);
+			channel.getIoThread().executeAfter(channel::resumeAccepts, ACCEPT_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+			logger.atWarn()
+				.addKeyValue("event", "peer-not-accepted")
+				.addKeyValue("reason", ex.getMessage())
+				.log("a connection of another process could not be accepted; trying again");
 		}
 	}
 
