Count connections that are closed unread, and go on after one that fails

Cause: reading the intake again: a connection that had waited for too long left no trace, and one whose start failed would have kept those behind it waiting until another one came.

Change: catkingate_caller_connections_closed has the reason unread; the next turn is scheduled whatever the last one met.

--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerConnectionLimit.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerConnectionLimit.java
@@ -48,6 +48,8 @@
 
 	private final LongAdder closedIdle = new LongAdder();
 
+	private final LongAdder closedUnread = new LongAdder();
+
 	private final LongAdder turnedAway = new LongAdder();
 
 	private final int maxConnections;
@@ -125,6 +127,18 @@
 		}
 	}
 
+	/**
+	 * Closes a connection whose caller has waited for too long to be read.
+	 * @param connection the connection
+	 */
+	void closeUnread(StreamConnection connection) {
+		if (connection.isOpen()) {
+			this.closedUnread.increment();
+			IoUtils.safeClose(connection);
+		}
+		remove(connection);
+	}
+
 	synchronized void remove(StreamConnection connection) {
 		this.idle.remove(connection);
 		this.busy.remove(connection);
@@ -149,11 +163,11 @@
 
 	/**
 	 * Returns the counters for operators.
-	 * @return the number of connections that were closed, by reason: idle for longest, or
-	 * all others busy
+	 * @return the number of connections that were closed, by reason: idle for longest,
+	 * all others busy, or not read in time
 	 */
 	public Map<String, Long> closedCounts() {
-		return Map.of("idle", this.closedIdle.sum(), "full", this.turnedAway.sum());
+		return Map.of("idle", this.closedIdle.sum(), "full", this.turnedAway.sum(), "unread", this.closedUnread.sum());
 	}
 
 }
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerServer.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerServer.java
@@ -121,7 +121,7 @@
 
 	private ConnectionIntake intakeOf(XnioIoThread thread) {
 		return this.intakes.computeIfAbsent(thread,
-				(key) -> new ConnectionIntake(key, this.clock, this::start, this.limit::remove));
+				(key) -> new ConnectionIntake(key, this.clock, this::start, this.limit::closeUnread));
 	}
 
 	private void start(StreamConnection connection) {
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ConnectionIntake.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ConnectionIntake.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
 
@@ -48,7 +47,7 @@
 
 	private final Consumer<StreamConnection> starter;
 
-	private final Consumer<StreamConnection> giveUpListener;
+	private final Consumer<StreamConnection> expired;
 
 	private boolean turnScheduled;
 
@@ -57,14 +56,14 @@
 	 * @param thread the I/O thread
 	 * @param clock the clock
 	 * @param starter begins to read a connection
-	 * @param giveUpListener receives each connection that was closed unread
+	 * @param expired closes a connection that has waited for too long
 	 */
 	ConnectionIntake(XnioExecutor thread, MonotonicClock clock, Consumer<StreamConnection> starter,
-			Consumer<StreamConnection> giveUpListener) {
+			Consumer<StreamConnection> expired) {
 		this.thread = thread;
 		this.clock = clock;
 		this.starter = starter;
-		this.giveUpListener = giveUpListener;
+		this.expired = expired;
 	}
 
 	void add(StreamConnection connection) {
@@ -84,15 +83,20 @@
 			return;
 		}
 		long startedAtMillis = this.clock.millis();
-		startWaiting(startedAtMillis);
-		this.turnScheduled = true;
-		this.thread.executeAfter(this::startTurn, Math.max(MIN_PAUSE_MILLIS, this.clock.millis() - startedAtMillis),
-				TimeUnit.MILLISECONDS);
+		try {
+			startWaiting(startedAtMillis);
+		}
+		finally {
+			// also after a failure, since the connections that wait would be left alone
+			this.turnScheduled = true;
+			this.thread.executeAfter(this::startTurn, Math.max(MIN_PAUSE_MILLIS, this.clock.millis() - startedAtMillis),
+					TimeUnit.MILLISECONDS);
+		}
 	}
 
 	private void startWaiting(long nowMillis) {
 		while (!this.waiting.isEmpty() && this.waiting.getFirst().isLongerThan(MAX_WAIT_MILLIS, nowMillis)) {
-			giveUp(this.waiting.removeFirst().connection());
+			this.expired.accept(this.waiting.removeFirst().connection());
 		}
 		int started = 0;
 		while (started < MAX_PER_TURN && !this.waiting.isEmpty()) {
@@ -105,11 +109,6 @@
 		}
 	}
 
-	private void giveUp(StreamConnection connection) {
-		IoUtils.safeClose(connection);
-		this.giveUpListener.accept(connection);
-	}
-
 	/**
 	 * A connection that has been accepted and not been read.
 	 *
