Bound the pause between new connections, and accept that no descriptors are stated

And by reading: a process that is suspended during a turn would not have read new connections for as long again.

Change: an empty max-open-files means the limit of the operating system, without a warning. The pause between two turns is 50 ms at most.

--- a/catkingate-entry/src/main/java/org/catkingate/entry/EntryServer.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/EntryServer.java
@@ -114,6 +114,7 @@
 			.set(UndertowOptions.REQUEST_PARSE_TIMEOUT, settings.headTimeoutMillis())
 			.set(UndertowOptions.NO_REQUEST_TIMEOUT, settings.idleTimeoutMillis())
 			.set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+			.set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
 			.getMap();
 	}
 
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ConnectionIntake.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ConnectionIntake.java
@@ -26,6 +26,12 @@
 	/** The minimum time between two turns. */
 	private static final long MIN_PAUSE_MILLIS = 1;
 
+	/**
+	 * The maximum time between two turns. A turn in which the process was suspended lasts
+	 * for as long as that.
+	 */
+	private static final long MAX_PAUSE_MILLIS = 50;
+
 	/**
 	 * The wait from which the newest connections come first. Callers that have waited for
 	 * longer are more likely to have given up, so that in an overload some are served in
@@ -75,7 +81,7 @@
 
 	/*
 	 * The I/O thread also runs tasks that have become due before it handles events, so
-	 * the delay counts from the end of the turn and grows with its duration.
+	 * the pause counts from the end of the turn and grows with its duration.
 	 */
 	private void startTurn() {
 		this.turnScheduled = false;
@@ -89,8 +95,9 @@
 		finally {
 			// also after a failure, since the connections that wait would be left alone
 			this.turnScheduled = true;
-			this.thread.executeAfter(this::startTurn, Math.max(MIN_PAUSE_MILLIS, this.clock.millis() - startedAtMillis),
-					TimeUnit.MILLISECONDS);
+			long pauseMillis = Math.min(MAX_PAUSE_MILLIS,
+					Math.max(MIN_PAUSE_MILLIS, this.clock.millis() - startedAtMillis));
+			this.thread.executeAfter(this::startTurn, pauseMillis, TimeUnit.MILLISECONDS);
 		}
 	}
 
--- a/catkingate-runtime/src/test/java/org/catkingate/runtime/settings/DeployTemplatesTests.java
+++ b/catkingate-runtime/src/test/java/org/catkingate/runtime/settings/DeployTemplatesTests.java
@@ -64,6 +64,16 @@
 		assertThat(LoaderSettings.parse(render("loader.ini")).weightsChangeMillis()).isEqualTo(8000);
 	}
 
+	// Guards against a gateway that starts only where the platform states how many files
+	// it may open.
+	@ParameterizedTest
+	@CsvSource({ "4200, 4200, 0", "4200.5, 4200, 0", "'', 0, 0", "many, 0, 1" })
+	void yieldTheDescriptorsIfThePlatformStatesThem(String value, int expected, int replacedValues) throws Exception {
+		this.fields.put("Limits.MaxFds", value);
+		assertThat(gateway().callers().openFiles().orElse(0)).isEqualTo(expected);
+		assertThat(gateway().replacedValues()).hasSize(replacedValues);
+	}
+
 	@Nested
 	class AFraction {
 
