Await the end of the request in EntryShutdownTests

Cause: the test. A request ends after its response has been handed over to the operating system, so that the caller may read it first.

Change: the test awaits that no request is in progress, with a bound; that it must come to be so is unchanged.

--- a/catkingate-tests/src/test/java/org/catkingate/tests/requests/EntryShutdownTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/requests/EntryShutdownTests.java
@@ -32,7 +32,9 @@
 			fleet.entry().rejectNewRequests();
 			fleet.entry().endRequests();
 			assertThat(response.get(3, TimeUnit.SECONDS).statusCode()).isEqualTo(502);
-			assertThat(fleet.entry().requestsInProgress()).isZero();
+			// a request ends after its response has been handed over to the operating
+			// system
+			Awaitility.await().atMost(LocalFleet.TIMEOUT).until(() -> fleet.entry().requestsInProgress() == 0);
 		}
 	}
 
