Reject requests whose bodies arrive after requests have been ended for a shutdown

Seen: by reading the change again. A request whose head had been read before, and whose body came in the last 250 ms of a shutdown, was sent to a runner and cut with the process.

Cause: whether requests have been ended was checked when a head arrives, not when a request starts, at gateways and entries.

Change: it is checked at the start as well; such a request gets 503, which is true, since it has not been sent.

--- a/catkingate-entry/src/main/java/org/catkingate/entry/AdmissionHandler.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/AdmissionHandler.java
@@ -52,13 +52,16 @@
 
 	private final BooleanSupplier shuttingDown;
 
+	private final BooleanSupplier requestsEnded;
+
 	AdmissionHandler(RequestDispatcher dispatcher, IdempotencyKeyEndpoint keyEndpoint, EntrySettings settings,
-			RequestBodies bodies, BooleanSupplier shuttingDown) {
+			RequestBodies bodies, BooleanSupplier shuttingDown, BooleanSupplier requestsEnded) {
 		this.bodies = bodies;
 		this.dispatcher = dispatcher;
 		this.keyEndpoint = keyEndpoint;
 		this.settings = settings;
 		this.shuttingDown = shuttingDown;
+		this.requestsEnded = requestsEnded;
 	}
 
 	@Override
@@ -120,8 +123,7 @@
 
 	private void checkHead(HttpServerExchange exchange) throws RequestRejectedException {
 		if (this.shuttingDown.getAsBoolean()) {
-			throw new RequestRejectedException(
-					Failure.withDefaultRetryAfter(FailureKind.LEAVING, "this entry is leaving; use another"));
+			throw new RequestRejectedException(leaving());
 		}
 		if (!exchange.getProtocol().equals(Protocols.HTTP_1_1)) {
 			throw rejection(FailureKind.HTTP_VERSION, "use HTTP/1.1");
@@ -136,6 +138,10 @@
 		}
 	}
 
+	private static Failure leaving() {
+		return Failure.withDefaultRetryAfter(FailureKind.LEAVING, "this entry is leaving; use another");
+	}
+
 	private void rejectAfterPause(HttpServerExchange exchange) throws RequestRejectedException {
 		if (exchange.getRequestHeaders().contains(IDEMPOTENCY_KEY_HEADER) && this.dispatcher.wasRecentlyPaused()) {
 			throw new RequestRejectedException(Failure.withDefaultRetryAfter(FailureKind.NOT_RUN,
@@ -176,6 +182,13 @@
 	}
 
 	private void start(HttpServerExchange exchange, AdmittedHead admitted, byte[] body) {
+		if (this.requestsEnded.getAsBoolean()) {
+			// the body arrived after the requests in progress had been ended
+			this.dispatcher.releaseLimits(admitted.account());
+			this.dispatcher.recordFailure(FailureKind.LEAVING);
+			FailureWriter.write(exchange, leaving());
+			return;
+		}
 		this.bodies.reduce(exchange.getConnection(), body.length);
 		ActiveRequest request = new ActiveRequest(createRequest(exchange, admitted, body), exchange, this.dispatcher);
 		exchange.dispatch(SameThreadExecutor.INSTANCE, request::start);
--- a/catkingate-entry/src/main/java/org/catkingate/entry/EntryServer.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/EntryServer.java
@@ -61,6 +61,8 @@
 
 	private volatile boolean rejectingRequests;
 
+	private volatile boolean requestsEnded;
+
 	private EntryServer(EntrySettings settings, RequestDispatcher dispatcher, MonotonicClock clock) throws IOException {
 		this.dispatcher = dispatcher;
 		this.keyEndpoint = new IdempotencyKeyEndpoint(dispatcher);
@@ -99,7 +101,7 @@
 		EntryServer entryServer = new EntryServer(settings, dispatcher, clock);
 		entryServer.server.startAccepting(new AdmissionHandler(dispatcher, entryServer.keyEndpoint, settings,
 				new RequestBodies(settings.maxTotalBodyBytes(), Runtime.getRuntime().maxMemory()),
-				() -> entryServer.rejectingRequests));
+				() -> entryServer.rejectingRequests, () -> entryServer.requestsEnded));
 		entryServer.worker.getIoThread()
 			.executeAtInterval(dispatcher::checkForPause, RequestDispatcher.PAUSE_CHECK_INTERVAL_MILLIS,
 					TimeUnit.MILLISECONDS);
@@ -183,9 +185,10 @@
 
 	/**
 	 * Ends the requests in progress with a failure, or breaks off responses that have
-	 * started.
+	 * started. Requests whose bodies arrive from now on are rejected.
 	 */
 	public void endRequests() {
+		this.requestsEnded = true;
 		for (ActiveRequest request : this.dispatcher.requestsInProgress()) {
 			request.exchange().getIoThread().execute(request::handleShutdown);
 		}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestHandler.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestHandler.java
@@ -70,8 +70,7 @@
 	public void handleRequest(HttpServerExchange exchange) {
 		this.connections.track(exchange);
 		if (this.connections.isEnded()) {
-			reject(exchange, null, Rejection.notRun(RejectionWriter.DEFAULT_RETRY_AFTER_MILLIS,
-					"the gateway is shutting down; use another entry"));
+			rejectAfterEnd(exchange, null);
 			return;
 		}
 		CallerHead head;
@@ -231,7 +230,17 @@
 		reject(exchange, head, Rejection.of(Rejection.Kind.MALFORMED, "the body cannot be read whole"));
 	}
 
+	private void rejectAfterEnd(HttpServerExchange exchange, CallerHead head) {
+		reject(exchange, head, Rejection.notRun(RejectionWriter.DEFAULT_RETRY_AFTER_MILLIS,
+				"the gateway is shutting down; use another entry"));
+	}
+
 	private void start(HttpServerExchange exchange, AdmittedRequest admitted) {
+		if (this.connections.isEnded()) {
+			// its body arrived after the requests in progress had been ended
+			rejectAfterEnd(exchange, admitted.head());
+			return;
+		}
 		GatewayCall call = new GatewayCall(admitted, exchange, this.sharedState);
 		this.connections.setEnding(exchange, call::handleShutdown);
 		exchange.dispatch(SameThreadExecutor.INSTANCE, call::start);
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/GatewayShutdownTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/GatewayShutdownTests.java
@@ -147,6 +147,35 @@
 		}
 	}
 
+	// Guards against a request whose body arrives after the others have been ended, and
+	// which is sent to a runner by a process about to close (LOST).
+	@Test
+	void rejectsRequestsWhoseBodiesArriveAfterTheEnd() throws Exception {
+		Set<String> reached = ConcurrentHashMap.newKeySet();
+		try (RawServer runner = RawServer.respondingTo((request) -> recordOnly(request, reached));
+				TestGateway gateway = TestGateway.start(CallKind.NON_IDEMPOTENT, runner.address());
+				RawCaller inProgress = gateway.connect();
+				RawCaller late = gateway.connect()) {
+			inProgress.post("in-progress", "/songs/1", "hello");
+			late.send("POST /songs/1 HTTP/1.1\r\nHost: " + TestGateway.HOST + "\r\nX-Request-Id: late\r\n"
+					+ "Authorization: Bearer " + TestGateway.API_KEY + "\r\nContent-Length: 2\r\n\r\n1");
+			Thread.sleep(100);
+			CompletableFuture<Void> shutdown = CompletableFuture.runAsync(gateway::close);
+			assertThat(inProgress.readResponse()).startsWith("HTTP/1.1 502");
+			late.send("2");
+			assertThat(late.readResponse()).satisfiesAnyOf(
+					(response) -> assertThat(response).startsWith("HTTP/1.1 503"),
+					(response) -> assertThat(response).isEqualTo("<closed>"));
+			shutdown.get(10, TimeUnit.SECONDS);
+			assertThat(reached).containsExactly("in-progress");
+		}
+	}
+
+	private static RawServer.Response recordOnly(RawServer.Request request, Set<String> reached) {
+		reached.add(id(request));
+		return new RawServer.Response(List.of(""), RawServer.Ending.KEEP_OPEN, 0);
+	}
+
 	private static RawServer.Response respondToTheFirstOnly(RawServer.Request request) {
 		return id(request).equals(FIRST) ? respondSlowlyToTheFirst(request)
 				: new RawServer.Response(List.of(""), RawServer.Ending.KEEP_OPEN, 0);
--- a/catkingate-tests/src/test/java/org/catkingate/tests/requests/EntryShutdownTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/requests/EntryShutdownTests.java
@@ -1,8 +1,12 @@
 package org.catkingate.tests.requests;
 
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.Socket;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -19,6 +23,32 @@
  */
 class EntryShutdownTests {
 
+	/** The time in which the head of a request is read. */
+	private static final long BEFORE_END_MILLIS = 200;
+
+	// Guards against a request whose body arrives after the others have been ended, and
+	// which is sent to a runner by a process about to close (LOST).
+	@Test
+	void rejectsRequestsWhoseBodiesArriveAfterTheEnd() throws Exception {
+		try (PlainService runner = PlainService.start();
+				LocalFleet fleet = LocalFleet.start();
+				Socket caller = new Socket(InetAddress.getLoopbackAddress(), fleet.entry().address().getPort())) {
+			LocalAgent agent = fleet.addPlain("ahd-1", runner.address());
+			caller.setSoTimeout((int) LocalFleet.TIMEOUT.toMillis());
+			OutputStream output = caller.getOutputStream();
+			output.write(("POST /purchases HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer callers-key\r\n"
+					+ "Content-Length: 2\r\n\r\n1")
+				.getBytes(StandardCharsets.US_ASCII));
+			Thread.sleep(BEFORE_END_MILLIS);
+			fleet.entry().rejectNewRequests();
+			fleet.entry().endRequests();
+			output.write('2');
+			String response = new String(caller.getInputStream().readNBytes(12), StandardCharsets.US_ASCII);
+			assertThat(response).isEqualTo("HTTP/1.1 503");
+			assertThat(agent.gate().inProgress()).isZero();
+		}
+	}
+
 	// Guards against a request that may not be repeated and is cut without an answer
 	// when the time for the shutdown is over (LOST).
 	@Test
