Change the options of the HTTP server only if the published limits have changed

Cause: by reading the change again. With the move of the server of callers the comparison with the limits before was lost, so that each new view of the registry made the HTTP server create a parser, more often the more runners change.

Change: the server compares the options. An absent max-open-files is read in one place.

Result: GatewaySettingsTests, DeployTemplatesTests and CallerBurstTests pass.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -85,8 +85,8 @@
 	private static final int MAX_IDLE_CONNECTIONS = 32;
 
 	/**
-	 * The maximum number of idle connections to all runners together, if there are fewer
-	 * runners. They use descriptors that are not left to callers.
+	 * The maximum number of idle connections to all runners together, but one to each may
+	 * be idle in any case. They use descriptors that are reserved from those for callers.
 	 */
 	private static final int MAX_TOTAL_IDLE_CONNECTIONS = 384;
 
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerServer.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerServer.java
@@ -102,7 +102,10 @@
 	 * @param options the options
 	 */
 	public void updateOptions(OptionMap options) {
-		this.listener.setUndertowOptions(options);
+		// the HTTP server creates a parser for each change
+		if (!options.equals(this.listener.getUndertowOptions())) {
+			this.listener.setUndertowOptions(options);
+		}
 	}
 
 	private void accept(StreamConnection connection) {
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/GatewaySettings.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/GatewaySettings.java
@@ -144,10 +144,8 @@
 	 */
 	private static Callers callers(SectionReader reader, Consumer<ConfigurationProblem> replaced) {
 		InetSocketAddress listen = reader.value("listen", null, AddressFormatter::parse);
-		boolean stated = !reader.text("max-open-files", "").isEmpty();
-		int openFiles = reader.limitOrElse("max-open-files", "0", 0, Integer.MAX_VALUE, 0,
-				stated ? replaced : (any) -> {
-				});
+		int openFiles = reader.text("max-open-files", "").isEmpty() ? 0
+				: reader.limitOrElse("max-open-files", "", 0, Integer.MAX_VALUE, 0, replaced);
 		reader.checkUnknownKeys();
 		return new Callers(listen, (openFiles > 0) ? OptionalInt.of(openFiles) : OptionalInt.empty());
 	}
