Log when requests arrive in a shutdown, when they are sent, and how long it takes

Change: the line of a request has in-shutdown-ms (its arrival after the beginning of the shutdown) and each send its after-ms; 'stopped' has took-ms. ShutdownTimes holds both times for the traffic thread. No decision changes.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/CallerConnections.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/CallerConnections.java
@@ -27,9 +27,7 @@
 
 	private final Consumer<ServerConnection> requestEndListener;
 
-	private long endsAtMillis = Long.MAX_VALUE;
-
-	private boolean draining;
+	private final ShutdownTimes shutdownTimes;
 
 	private boolean closingIdle;
 
@@ -37,9 +35,11 @@
 
 	/**
 	 * Creates a record without connections.
+	 * @param shutdownTimes when the process is shut down
 	 * @param requestEndListener receives each connection on which a request has ended
 	 */
-	CallerConnections(Consumer<ServerConnection> requestEndListener) {
+	CallerConnections(ShutdownTimes shutdownTimes, Consumer<ServerConnection> requestEndListener) {
+		this.shutdownTimes = shutdownTimes;
 		this.requestEndListener = requestEndListener;
 	}
 
@@ -67,7 +67,7 @@
 	 * that arrived before the process was draining.
 	 */
 	private void announceClose(HttpServerExchange exchange) {
-		if (this.draining && !CallerServer.hasNextRequest(exchange.getConnection())) {
+		if (this.shutdownTimes.isStarted() && !CallerServer.hasNextRequest(exchange.getConnection())) {
 			CallerServer.announceClose(exchange);
 		}
 	}
@@ -97,25 +97,6 @@
 		this.endingByConnection.put(exchange.getConnection(), ending);
 	}
 
-	/**
-	 * Starts draining: each response from now on closes its connection.
-	 * @param requestsEndAtMillis when requests in progress are ended, in monotonic
-	 * milliseconds
-	 */
-	void startDraining(long requestsEndAtMillis) {
-		this.draining = true;
-		this.endsAtMillis = requestsEndAtMillis;
-	}
-
-	/**
-	 * Returns when requests in progress are ended.
-	 * @return the time in monotonic milliseconds, {@link Long#MAX_VALUE} while the
-	 * process is not draining
-	 */
-	long endsAtMillis() {
-		return this.endsAtMillis;
-	}
-
 	/**
 	 * Ends the requests in progress and the intake.
 	 */
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -143,6 +143,10 @@
 		}
 	}
 
+	private long elapsedMillis() {
+		return this.sharedState.clock().millis() - this.admitted.arrivedAtMillis();
+	}
+
 	private long remainingMillis() {
 		return this.admitted.deadlineMillis() - this.sharedState.clock().millis();
 	}
@@ -166,7 +170,7 @@
 	public void onAdmitted(AdmissionDecision.Send send) {
 		RunnerState runner = this.sharedState.runners().state(send.runner());
 		Map<ModelName, Long> serving = runner.servedVersions(this.sharedState.clock().millis());
-		this.log.addSend(send, serving, this.admission.describeInputs(runner.work()));
+		this.log.addSend(send, serving, this.admission.describeInputs(runner.work()), elapsedMillis());
 		this.predictedMillis = send.predictedMillis();
 		send(runner);
 		if (!serving.isEmpty()) {
@@ -334,7 +338,7 @@
 			return;
 		}
 		if (this.firstByteMillis < 0) {
-			this.firstByteMillis = this.sharedState.clock().millis() - this.admitted.arrivedAtMillis();
+			this.firstByteMillis = elapsedMillis();
 		}
 		if (this.relay.status() < MIN_FAILURE_STATUS) {
 			this.sharedState.prompts().recordData(from);
@@ -538,9 +542,10 @@
 			this.sharedState.prompts().cancelTrial(this.trialPart);
 		}
 		this.attempt = null;
-		long totalMillis = this.sharedState.clock().millis() - this.admitted.arrivedAtMillis();
+		long totalMillis = elapsedMillis();
 		this.sharedState.metrics().recordFinished(outcome, this.firstByteMillis, totalMillis);
-		this.log.write(outcome, status, this.firstByteMillis, totalMillis);
+		this.log.write(outcome, status, this.firstByteMillis, totalMillis,
+				this.sharedState.shutdownTimes().sinceStartMillis(this.admitted.arrivedAtMillis()));
 		this.sharedState.waitingCalls().check(this.admitted.service());
 	}
 
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -170,6 +170,8 @@
 
 	private final RequestBodies requestBodies;
 
+	private final ShutdownTimes shutdownTimes = new ShutdownTimes();
+
 	private final CallerConnections connections;
 
 	private GatewayProcess(GatewaySettings settings, RegistryFactory registry, PieceOriginFactory origins,
@@ -185,7 +187,7 @@
 				CallerServerOptions.of(Optional.empty()), ValidatingSourceConduit::install, this.connectionLimit,
 				clock);
 		this.requestBodies = new RequestBodies(settings.requestBodyBytes(), Runtime.getRuntime().maxMemory());
-		this.connections = new CallerConnections(this.requestBodies::release);
+		this.connections = new CallerConnections(this.shutdownTimes, this.requestBodies::release);
 		this.origins = origins;
 		this.gatewayMetrics = GatewayMetrics.registerIn(this.metrics);
 		this.intakeLog = new RunnerIntakeLog(this.gatewayMetrics);
@@ -209,7 +211,8 @@
 		SharedCallState sharedCallState = new SharedCallState(this.runners, codec, settings.retries(),
 				this::gatewayCount, this::assumedGatewayCount, clock, this.gatewayMetrics, prompts,
 				new RequestCosts(settings.routing().byCost(), this.gatewayMetrics), ResponseMemory
-					.create(settings.slowReaderBytes(), Runtime.getRuntime().maxMemory(), clock, this.gatewayMetrics));
+					.create(settings.slowReaderBytes(), Runtime.getRuntime().maxMemory(), clock, this.gatewayMetrics),
+				this.shutdownTimes);
 		this.peers = GatewayPeers.start(identity, settings.peers(), this.worker, this::publishedOrigin,
 				this::openOrigin, settings.regions()::get, this.runners, this.versions, copies, prompts, this.permits,
 				this.coldRunners, clock);
@@ -409,9 +412,10 @@
 
 	@Override
 	public void stop() {
-		long endsAtMillis = this.clock.millis() + this.gracefulShutdown.requestMillis();
+		long startedAtMillis = this.clock.millis();
+		long endAtMillis = startedAtMillis + this.gracefulShutdown.requestMillis();
 		this.gracefulShutdown.run(
-				() -> this.worker.getIoThread().execute(() -> this.connections.startDraining(endsAtMillis)),
+				() -> this.worker.getIoThread().execute(() -> this.shutdownTimes.start(startedAtMillis, endAtMillis)),
 				this::stopAccepting, this::requestsInProgress,
 				() -> this.worker.getIoThread().execute(this.connections::endRequests), this::close);
 	}
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestHandler.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestHandler.java
@@ -164,7 +164,8 @@
 		return new AdmittedRequest(head, exchange.getRequestHeaders().getFirst(Headers.HOST), target, new byte[0],
 				route, route.selectService(ThreadLocalRandom.current().nextDouble()),
 				(account != null) ? account.name() : null, new Urgency(accountPriority, route.priority()), residency,
-				now, Math.min(now + timeoutMillis, this.connections.endsAtMillis()), this.registry.basis());
+				now, Math.min(now + timeoutMillis, this.sharedState.shutdownTimes().requestsEndAtMillis()),
+				this.registry.basis());
 	}
 
 	private void readBody(HttpServerExchange exchange, ServingConfiguration configuration, AdmittedRequest admitted) {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestLog.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestLog.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalLong;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -35,9 +36,9 @@
 		return new RequestLog(admitted);
 	}
 
-	void addSend(AdmissionDecision.Send send, Map<ModelName, Long> serving, String inputs) {
+	void addSend(AdmissionDecision.Send send, Map<ModelName, Long> serving, String inputs, long elapsedMillis) {
 		this.decisions.add("send " + send.runner() + " predicted-ms=" + Math.round(send.predictedMillis()) + " serving="
-				+ serving + (inputs.isEmpty() ? "" : " " + inputs));
+				+ serving + (inputs.isEmpty() ? "" : " " + inputs) + " after-ms=" + elapsedMillis);
 	}
 
 	void addResponseStart(RunnerAttempt attempt, long elapsedMillis) {
@@ -74,7 +75,17 @@
 		this.decisions.add(attempt.runner().runner().id() + " " + outcome + (reason.isEmpty() ? "" : ": " + reason));
 	}
 
-	void write(String outcome, int status, long firstByteMillis, long totalMillis) {
+	/**
+	 * Logs the request.
+	 * @param outcome how it ended
+	 * @param status the HTTP status, 0 if there is none
+	 * @param firstByteMillis the time until the first byte of the response, in
+	 * milliseconds, negative if there is none
+	 * @param totalMillis the time until the end, in milliseconds
+	 * @param inShutdownMillis the time between the beginning of the shutdown and the
+	 * arrival, in milliseconds, empty if the request arrived before
+	 */
+	void write(String outcome, int status, long firstByteMillis, long totalMillis, OptionalLong inShutdownMillis) {
 		logger.atInfo()
 			.addKeyValue("event", "request")
 			.addKeyValue("id", this.admitted.head().requestId())
@@ -92,6 +103,7 @@
 			.addKeyValue("status", status)
 			.addKeyValue("first-byte-ms", firstByteMillis)
 			.addKeyValue("whole-ms", totalMillis)
+			.addKeyValue("in-shutdown-ms", inShutdownMillis.isPresent() ? inShutdownMillis.getAsLong() : null)
 			.log("request ended");
 	}
 
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/SharedCallState.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/SharedCallState.java
@@ -52,6 +52,8 @@
 
 	private final ResponseMemory responseMemory;
 
+	private final ShutdownTimes shutdownTimes;
+
 	/**
 	 * Creates the state, without any calls.
 	 * @param runners the runners
@@ -65,10 +67,11 @@
 	 * @param prompts detects parts of prompts that crash runners
 	 * @param costs estimates the cost of calls
 	 * @param responseMemory bounds what is held of responses
+	 * @param shutdownTimes when the process is shut down
 	 */
 	SharedCallState(RunnerTable runners, HeaderCodec codec, RetryAllowance retryAllowance, IntSupplier gatewayCount,
 			IntSupplier assumedGatewayCount, MonotonicClock clock, GatewayMetrics metrics, PromptGuard prompts,
-			RequestCosts costs, ResponseMemory responseMemory) {
+			RequestCosts costs, ResponseMemory responseMemory, ShutdownTimes shutdownTimes) {
 		this.runners = runners;
 		this.codec = codec;
 		this.retryAllowance = retryAllowance;
@@ -81,6 +84,7 @@
 		this.waitingCalls = new WaitingCalls(this.competitions, runners::servesInMillis, clock);
 		this.costs = costs;
 		this.responseMemory = responseMemory;
+		this.shutdownTimes = shutdownTimes;
 	}
 
 	HeaderCodec codec() {
@@ -177,6 +181,10 @@
 		return this.responseMemory;
 	}
 
+	ShutdownTimes shutdownTimes() {
+		return this.shutdownTimes;
+	}
+
 	/**
 	 * Returns the factor that corrects predictions for a service.
 	 * @param service the service
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/process/GracefulShutdown.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/process/GracefulShutdown.java
@@ -86,6 +86,7 @@
 		if (!this.started.compareAndSet(false, true)) {
 			return;
 		}
+		long startedAtMillis = this.clock.millis();
 		this.readiness.markStopping();
 		announce.run();
 		logger.atInfo()
@@ -108,6 +109,7 @@
 		logger.atInfo()
 			.addKeyValue("event", "stopped")
 			.addKeyValue("cut-off", inProgress.getAsLong())
+			.addKeyValue("took-ms", this.clock.millis() - startedAtMillis)
 			.log("finished waiting for requests in progress; closing the process");
 		close.run();
 	}
