Take requests in a shutdown only if they can end before it does

Cause: admission compared the time left in a shutdown with the predicted first event of a stream, not with its end; after the notice period requests still arrived behind others, with bodies that ended late, or on connections that had not been used, and were cut with the process. Change: ShutdownSchedule decides before each send. In the notice period the 95th percentile of the recent responses of the service must fit into what is left; after it the request's own deadline must come first. All others are rejected at once as not run, also while they wait for a runner or for the rest of their body. All times of a shutdown count from its start, so that a busy process does not exceed its limit. Deadlines of requests that arrived before the shutdown are bounded by it, too. Why it works: after the notice no request can be in progress at the end, whatever an estimate says (ShutdownScheduleTests).

--- a/catkingate-agent/src/main/java/org/catkingate/agent/AgentProcess.java
+++ b/catkingate-agent/src/main/java/org/catkingate/agent/AgentProcess.java
@@ -248,8 +248,8 @@
 	@Override
 	public void stop() {
 		// the entries answer for requests whose connection to this agent closes
-		this.gracefulShutdown.run(this.fleet::drain, this.requestHandler::drain, this.requestHandler::inProgress,
-				() -> {
+		this.gracefulShutdown.run((schedule) -> this.fleet.drain(), this.requestHandler::drain,
+				this.requestHandler::inProgress, () -> {
 				}, this::close);
 	}
 
--- /dev/null
+++ b/catkingate-decisions/src/test/java/org/catkingate/decisions/shutdown/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the decisions in a shutdown.
+ */
+package org.catkingate.decisions.shutdown;
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/CallAdmission.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/CallAdmission.java
@@ -225,8 +225,8 @@
 		CompetingLevels competition = this.sharedState.competitions()
 			.competitionOf(this.admitted.service(), this.competitor, now);
 		return new CallRequirements(this.admitted.head().promptTokens(), this.admitted.route().goalMillis(),
-				this.admitted.deadlineMillis() - now, this.sharedState.correctionFactor(this.admitted.service()),
-				now - this.admitted.arrivedAtMillis(),
+				this.sharedState.shutdownState().deadlineMillis(this.admitted.deadlineMillis()) - now,
+				this.sharedState.correctionFactor(this.admitted.service()), now - this.admitted.arrivedAtMillis(),
 				this.admitted.route().patienceMillis() - (now - this.admitted.arrivedAtMillis()), competition);
 	}
 
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/CallerConnections.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/CallerConnections.java
@@ -23,11 +23,11 @@
 
 	private final Map<ServerConnection, Boolean> busyByConnection = new HashMap<>();
 
-	private final Map<ServerConnection, Runnable> endingByConnection = new HashMap<>();
+	private final Map<ServerConnection, ShutdownListener> listenerByConnection = new HashMap<>();
 
 	private final Consumer<ServerConnection> requestEndListener;
 
-	private final ShutdownTimes shutdownTimes;
+	private final ShutdownState shutdownState;
 
 	private boolean closingIdle;
 
@@ -35,11 +35,11 @@
 
 	/**
 	 * Creates a record without connections.
-	 * @param shutdownTimes when the process is shut down
+	 * @param shutdownState the shutdown of the process
 	 * @param requestEndListener receives each connection on which a request has ended
 	 */
-	CallerConnections(ShutdownTimes shutdownTimes, Consumer<ServerConnection> requestEndListener) {
-		this.shutdownTimes = shutdownTimes;
+	CallerConnections(ShutdownState shutdownState, Consumer<ServerConnection> requestEndListener) {
+		this.shutdownState = shutdownState;
 		this.requestEndListener = requestEndListener;
 	}
 
@@ -52,7 +52,7 @@
 		if (this.busyByConnection.put(connection, true) == null) {
 			connection.addCloseListener((closed) -> {
 				this.busyByConnection.remove(closed);
-				this.endingByConnection.remove(closed);
+				this.listenerByConnection.remove(closed);
 			});
 		}
 		exchange.addResponseCommitListener(this::announceClose);
@@ -67,7 +67,7 @@
 	 * that arrived before the process was draining.
 	 */
 	private void announceClose(HttpServerExchange exchange) {
-		if (this.shutdownTimes.isStarted() && !CallerServer.hasNextRequest(exchange.getConnection())) {
+		if (this.shutdownState.schedule().isPresent() && !CallerServer.hasNextRequest(exchange.getConnection())) {
 			CallerServer.announceClose(exchange);
 		}
 	}
@@ -78,7 +78,7 @@
 	 */
 	private void endRequest(HttpServerExchange exchange) {
 		ServerConnection connection = exchange.getConnection();
-		this.endingByConnection.remove(connection);
+		this.listenerByConnection.remove(connection);
 		this.requestEndListener.accept(connection);
 		boolean continues = exchange.isPersistent() && CallerServer.hasNextRequest(connection);
 		this.busyByConnection.replace(connection, continues);
@@ -88,13 +88,12 @@
 	}
 
 	/**
-	 * Sets how the request in progress is ended if there is no more time for its
-	 * response.
+	 * Sets what is notified of the progress of a shutdown until the request has ended.
 	 * @param exchange the exchange of the request
-	 * @param ending sends a failure to the caller, or breaks the response off
+	 * @param listener the listener, which replaces an earlier one
 	 */
-	void setEnding(HttpServerExchange exchange, Runnable ending) {
-		this.endingByConnection.put(exchange.getConnection(), ending);
+	void setShutdownListener(HttpServerExchange exchange, ShutdownListener listener) {
+		this.listenerByConnection.put(exchange.getConnection(), listener);
 	}
 
 	/**
@@ -102,7 +101,7 @@
 	 */
 	void endRequests() {
 		this.ended = true;
-		List.copyOf(this.endingByConnection.values()).forEach(Runnable::run);
+		List.copyOf(this.listenerByConnection.values()).forEach(ShutdownListener::onRequestsEnd);
 	}
 
 	/**
@@ -130,10 +129,12 @@
 	}
 
 	/**
-	 * Closes idle connections immediately and the others after their responses.
+	 * Ends the notice period: idle connections are closed immediately, the others after
+	 * their responses.
 	 */
-	void closeIdle() {
+	void endNotice() {
 		this.closingIdle = true;
+		List.copyOf(this.listenerByConnection.values()).forEach(ShutdownListener::onNoticeEnd);
 		Map.copyOf(this.busyByConnection).forEach((connection, isBusy) -> {
 			if (!isBusy) {
 				IoUtils.safeClose(connection);
@@ -141,4 +142,23 @@
 		});
 	}
 
+	/**
+	 * A request in progress while the process shuts down.
+	 */
+	interface ShutdownListener {
+
+		/**
+		 * Called when the notice period ends: a request that has not been sent to a
+		 * runner and can no longer be is rejected.
+		 */
+		void onNoticeEnd();
+
+		/**
+		 * Called when requests in progress are ended: the caller is sent a failure, or
+		 * the response is broken off.
+		 */
+		void onRequestsEnd();
+
+	}
+
 }
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -28,7 +28,7 @@
  * routes where a second run does no harm, and is never rejected as not run. Used by the
  * traffic thread only.
  */
-final class GatewayCall implements RunnerAttempt.Listener, CallAdmission.Listener {
+final class GatewayCall implements RunnerAttempt.Listener, CallAdmission.Listener, CallerConnections.ShutdownListener {
 
 	/**
 	 * The time after the deadline for which the runner's response is still awaited. The
@@ -148,10 +148,14 @@
 	}
 
 	private long remainingMillis() {
-		return this.admitted.deadlineMillis() - this.sharedState.clock().millis();
+		return this.sharedState.shutdownState().deadlineMillis(this.admitted.deadlineMillis())
+				- this.sharedState.clock().millis();
 	}
 
 	private void tryNextRunner() {
+		if (rejectInShutdown()) {
+			return;
+		}
 		PromptVerdict verdict = this.sharedState.prompts().admit(this.admitted.head().requestId(), this.parts);
 		if (verdict.kind() == PromptVerdict.Kind.QUARANTINED) {
 			this.log.addQuarantine(verdict);
@@ -166,8 +170,23 @@
 		this.admission.decide();
 	}
 
+	/*
+	 * A stream that has started goes on as long as possible, since its caller has a part
+	 * of it already.
+	 */
+	private boolean rejectInShutdown() {
+		if (this.relay.isStarted() || this.sharedState.allowsSending(this.admitted)) {
+			return false;
+		}
+		rejectOrAbort(0, RequestHandler.SHUTTING_DOWN);
+		return true;
+	}
+
 	@Override
 	public void onAdmitted(AdmissionDecision.Send send) {
+		if (rejectInShutdown()) {
+			return;
+		}
 		RunnerState runner = this.sharedState.runners().state(send.runner());
 		Map<ModelName, Long> serving = runner.servedVersions(this.sharedState.clock().millis());
 		this.log.addSend(send, serving, this.admission.describeInputs(runner.work()), elapsedMillis());
@@ -383,6 +402,7 @@
 
 	private void completeResponse(RunnerAttempt from) {
 		this.log.addAttemptEnd(from, "answered", "status " + this.relay.status());
+		this.sharedState.recordDuration(this.admitted.service(), from.elapsedMillis());
 		this.relay.end();
 		finish("answered", this.relay.status());
 		this.relay.flush();
@@ -490,16 +510,21 @@
 		reject(rejection);
 	}
 
-	/**
-	 * Ends the call since the process ends.
-	 */
-	void handleShutdown() {
+	@Override
+	public void onNoticeEnd() {
+		if (!this.finished && this.attempt == null) {
+			rejectInShutdown();
+		}
+	}
+
+	@Override
+	public void onRequestsEnd() {
 		if (this.finished) {
 			return;
 		}
 		this.mayHaveRun |= this.attempt != null && this.attempt.isSent();
 		cancelAttempt("shut-down");
-		rejectOrAbort(0, "the gateway is shutting down; use another entry");
+		rejectOrAbort(0, RequestHandler.SHUTTING_DOWN);
 	}
 
 	private void handleCallerWritable() {
@@ -545,7 +570,7 @@
 		long totalMillis = elapsedMillis();
 		this.sharedState.metrics().recordFinished(outcome, this.firstByteMillis, totalMillis);
 		this.log.write(outcome, status, this.firstByteMillis, totalMillis,
-				this.sharedState.shutdownTimes().sinceStartMillis(this.admitted.arrivedAtMillis()));
+				this.sharedState.shutdownState().sinceStartMillis(this.admitted.arrivedAtMillis()));
 		this.sharedState.waitingCalls().check(this.admitted.service());
 	}
 
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -170,7 +170,7 @@
 
 	private final RequestBodies requestBodies;
 
-	private final ShutdownTimes shutdownTimes = new ShutdownTimes();
+	private final ShutdownState shutdownState = new ShutdownState();
 
 	private final CallerConnections connections;
 
@@ -187,7 +187,7 @@
 				CallerServerOptions.of(Optional.empty()), ValidatingSourceConduit::install, this.connectionLimit,
 				clock);
 		this.requestBodies = new RequestBodies(settings.requestBodyBytes(), Runtime.getRuntime().maxMemory());
-		this.connections = new CallerConnections(this.shutdownTimes, this.requestBodies::release);
+		this.connections = new CallerConnections(this.shutdownState, this.requestBodies::release);
 		this.origins = origins;
 		this.gatewayMetrics = GatewayMetrics.registerIn(this.metrics);
 		this.intakeLog = new RunnerIntakeLog(this.gatewayMetrics);
@@ -212,7 +212,7 @@
 				this::gatewayCount, this::assumedGatewayCount, clock, this.gatewayMetrics, prompts,
 				new RequestCosts(settings.routing().byCost(), this.gatewayMetrics), ResponseMemory
 					.create(settings.slowReaderBytes(), Runtime.getRuntime().maxMemory(), clock, this.gatewayMetrics),
-				this.shutdownTimes);
+				this.shutdownState);
 		this.peers = GatewayPeers.start(identity, settings.peers(), this.worker, this::publishedOrigin,
 				this::openOrigin, settings.regions()::get, this.runners, this.versions, copies, prompts, this.permits,
 				this.coldRunners, clock);
@@ -412,10 +412,8 @@
 
 	@Override
 	public void stop() {
-		long startedAtMillis = this.clock.millis();
-		long endAtMillis = startedAtMillis + this.gracefulShutdown.requestMillis();
 		this.gracefulShutdown.run(
-				() -> this.worker.getIoThread().execute(() -> this.shutdownTimes.start(startedAtMillis, endAtMillis)),
+				(schedule) -> this.worker.getIoThread().execute(() -> this.shutdownState.start(schedule)),
 				this::stopAccepting, this::requestsInProgress,
 				() -> this.worker.getIoThread().execute(this.connections::endRequests), this::close);
 	}
@@ -433,7 +431,7 @@
 
 	private void stopAccepting() {
 		this.callerServer.close();
-		this.worker.getIoThread().execute(this.connections::closeIdle);
+		this.worker.getIoThread().execute(this.connections::endNotice);
 	}
 
 	private void close() {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestHandler.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestHandler.java
@@ -25,6 +25,7 @@
 import org.catkingate.model.registry.ServingConfiguration;
 import org.catkingate.runtime.calls.CallerHead;
 import org.catkingate.runtime.calls.MalformedHeadException;
+import org.catkingate.runtime.http.CallerServer;
 import org.catkingate.runtime.http.ChunkedBodyValidator;
 import org.catkingate.runtime.http.RequestBodies;
 
@@ -39,6 +40,8 @@
 	/** The priority of calls without a client account. */
 	private static final int MOST_URGENT = 0;
 
+	static final String SHUTTING_DOWN = "the gateway is shutting down; use another entry";
+
 	private final SharedCallState sharedState;
 
 	private final RegistryCopy registry;
@@ -70,7 +73,7 @@
 	public void handleRequest(HttpServerExchange exchange) {
 		this.connections.track(exchange);
 		if (this.connections.isEnded()) {
-			rejectAfterEnd(exchange, null);
+			rejectInShutdown(exchange, null);
 			return;
 		}
 		CallerHead head;
@@ -164,8 +167,7 @@
 		return new AdmittedRequest(head, exchange.getRequestHeaders().getFirst(Headers.HOST), target, new byte[0],
 				route, route.selectService(ThreadLocalRandom.current().nextDouble()),
 				(account != null) ? account.name() : null, new Urgency(accountPriority, route.priority()), residency,
-				now, Math.min(now + timeoutMillis, this.sharedState.shutdownTimes().requestsEndAtMillis()),
-				this.registry.basis());
+				now, now + timeoutMillis, this.registry.basis());
 	}
 
 	private void readBody(HttpServerExchange exchange, ServingConfiguration configuration, AdmittedRequest admitted) {
@@ -173,12 +175,19 @@
 			start(exchange, admitted);
 			return;
 		}
+		// what has arrived of the body may be followed by another request, which is known
+		// once the body has been read
+		if (!CallerServer.hasNextRequest(exchange.getConnection()) && !this.sharedState.allowsSending(admitted)) {
+			rejectInShutdown(exchange, admitted.head());
+			return;
+		}
 		long maxBodyBytes = configuration.limits().maxBodyBytes();
 		long length = exchange.getRequestContentLength();
 		if (length >= 0 && length <= maxBodyBytes && !this.bodies.reserve(exchange.getConnection(), length)) {
 			rejectWithoutMemory(exchange, admitted);
 			return;
 		}
+		this.connections.setShutdownListener(exchange, new IncompleteRequest(exchange, admitted));
 		exchange.setMaxEntitySize(maxBodyBytes);
 		XnioExecutor.Key bodyTimeout = exchange.getIoThread()
 			.executeAfter(() -> IoUtils.safeClose(exchange.getConnection()), configuration.limits().idleTimeoutMillis(),
@@ -231,19 +240,18 @@
 		reject(exchange, head, Rejection.of(Rejection.Kind.MALFORMED, "the body cannot be read whole"));
 	}
 
-	private void rejectAfterEnd(HttpServerExchange exchange, CallerHead head) {
-		reject(exchange, head, Rejection.notRun(RejectionWriter.DEFAULT_RETRY_AFTER_MILLIS,
-				"the gateway is shutting down; use another entry"));
+	private void rejectInShutdown(HttpServerExchange exchange, CallerHead head) {
+		reject(exchange, head, Rejection.notRun(RejectionWriter.DEFAULT_RETRY_AFTER_MILLIS, SHUTTING_DOWN));
 	}
 
 	private void start(HttpServerExchange exchange, AdmittedRequest admitted) {
-		if (this.connections.isEnded()) {
-			// its body arrived after the requests in progress had been ended
-			rejectAfterEnd(exchange, admitted.head());
+		if (this.connections.isEnded() || !this.sharedState.allowsSending(admitted)) {
+			// its body was complete too late
+			rejectInShutdown(exchange, admitted.head());
 			return;
 		}
 		GatewayCall call = new GatewayCall(admitted, exchange, this.sharedState);
-		this.connections.setEnding(exchange, call::handleShutdown);
+		this.connections.setShutdownListener(exchange, call);
 		exchange.dispatch(SameThreadExecutor.INSTANCE, call::start);
 	}
 
@@ -254,6 +262,36 @@
 		RejectionWriter.write(exchange, this.sharedState.codec(), requestId, rejection);
 	}
 
+	/**
+	 * A request whose body has not arrived completely.
+	 */
+	private final class IncompleteRequest implements CallerConnections.ShutdownListener {
+
+		private final HttpServerExchange exchange;
+
+		private final AdmittedRequest admitted;
+
+		private IncompleteRequest(HttpServerExchange exchange, AdmittedRequest admitted) {
+			this.exchange = exchange;
+			this.admitted = admitted;
+		}
+
+		@Override
+		public void onNoticeEnd() {
+			if (!RequestHandler.this.sharedState.allowsSending(this.admitted)) {
+				onRequestsEnd();
+			}
+		}
+
+		@Override
+		public void onRequestsEnd() {
+			if (!this.exchange.isResponseStarted()) {
+				Connectors.executeRootHandler((same) -> rejectInShutdown(same, this.admitted.head()), this.exchange);
+			}
+		}
+
+	}
+
 	/**
 	 * A body whose length is not known before its end. Once there is no room for it, the
 	 * rest is read and dropped, so that the caller reads the rejection.
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
@@ -244,6 +244,14 @@
 		return this.responseStarted;
 	}
 
+	/**
+	 * Returns the time since the attempt was started.
+	 * @return the time in milliseconds
+	 */
+	long elapsedMillis() {
+		return this.clock.millis() - this.startedAtMillis;
+	}
+
 	/**
 	 * Returns the time since the body of the response has started.
 	 * @param nowMillis the time now, in monotonic milliseconds
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/SharedCallState.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/SharedCallState.java
@@ -11,9 +11,11 @@
 import org.catkingate.decisions.admission.PredictionCorrection;
 import org.catkingate.decisions.retries.RetryAllowance;
 import org.catkingate.decisions.retries.SlidingWindowCounter;
+import org.catkingate.decisions.shutdown.ResponseDurations;
 import org.catkingate.model.ModelName;
 import org.catkingate.model.RunnerId;
 import org.catkingate.model.ServiceName;
+import org.catkingate.model.registry.CallKind;
 import org.catkingate.model.registry.EngineProfile;
 import org.catkingate.runtime.MonotonicClock;
 import org.catkingate.runtime.calls.HeaderCodec;
@@ -52,7 +54,7 @@
 
 	private final ResponseMemory responseMemory;
 
-	private final ShutdownTimes shutdownTimes;
+	private final ShutdownState shutdownState;
 
 	/**
 	 * Creates the state, without any calls.
@@ -67,11 +69,11 @@
 	 * @param prompts detects parts of prompts that crash runners
 	 * @param costs estimates the cost of calls
 	 * @param responseMemory bounds what is held of responses
-	 * @param shutdownTimes when the process is shut down
+	 * @param shutdownState the shutdown of the process
 	 */
 	SharedCallState(RunnerTable runners, HeaderCodec codec, RetryAllowance retryAllowance, IntSupplier gatewayCount,
 			IntSupplier assumedGatewayCount, MonotonicClock clock, GatewayMetrics metrics, PromptGuard prompts,
-			RequestCosts costs, ResponseMemory responseMemory, ShutdownTimes shutdownTimes) {
+			RequestCosts costs, ResponseMemory responseMemory, ShutdownState shutdownState) {
 		this.runners = runners;
 		this.codec = codec;
 		this.retryAllowance = retryAllowance;
@@ -84,7 +86,7 @@
 		this.waitingCalls = new WaitingCalls(this.competitions, runners::servesInMillis, clock);
 		this.costs = costs;
 		this.responseMemory = responseMemory;
-		this.shutdownTimes = shutdownTimes;
+		this.shutdownState = shutdownState;
 	}
 
 	HeaderCodec codec() {
@@ -181,8 +183,40 @@
 		return this.responseMemory;
 	}
 
-	ShutdownTimes shutdownTimes() {
-		return this.shutdownTimes;
+	/**
+	 * Returns whether a request may be sent to a runner, as far as a shutdown of this
+	 * process is concerned.
+	 * @param request the request
+	 * @return whether its response is expected to end in time
+	 */
+	boolean allowsSending(AdmittedRequest request) {
+		return this.shutdownState.schedule()
+			.map((schedule) -> schedule.allows(request.deadlineMillis(), likelyMillis(request), this.clock.millis()))
+			.orElse(true);
+	}
+
+	/*
+	 * Without recent responses, a plain one is expected within its goal, and a stream,
+	 * whose goal is its first event, may take all of its time.
+	 */
+	private long likelyMillis(AdmittedRequest request) {
+		long unobservedMillis = (request.route().kind() == CallKind.STREAM) ? request.route().timeoutMillis()
+				: request.route().goalMillis();
+		return usage(request.service()).durations().likelyMillis(this.clock.millis()).orElse(unobservedMillis);
+	}
+
+	/**
+	 * Records a complete response.
+	 * @param service the service
+	 * @param durationMillis the time since the request was sent to its runner, in
+	 * milliseconds
+	 */
+	void recordDuration(ServiceName service, long durationMillis) {
+		usage(service).durations().record(durationMillis, this.clock.millis());
+	}
+
+	ShutdownState shutdownState() {
+		return this.shutdownState;
 	}
 
 	/**
@@ -210,16 +244,17 @@
 	private ServiceUsage usage(ServiceName service) {
 		return this.usages.computeIfAbsent(service,
 				(name) -> new ServiceUsage(SlidingWindowCounter.create(this.retryAllowance.windowMillis()),
-						SlidingWindowCounter.create(this.retryAllowance.windowMillis())));
+						SlidingWindowCounter.create(this.retryAllowance.windowMillis()), new ResponseDurations()));
 	}
 
 	/**
-	 * The calls and retries of a service within the current window.
+	 * The use of a service.
 	 *
-	 * @param calls the calls to it
+	 * @param calls the calls to it within the current window
 	 * @param retries the retries of these calls
+	 * @param durations the durations of its responses
 	 */
-	private record ServiceUsage(SlidingWindowCounter calls, SlidingWindowCounter retries) {
+	private record ServiceUsage(SlidingWindowCounter calls, SlidingWindowCounter retries, ResponseDurations durations) {
 
 	}
 
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/process/GracefulShutdown.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/process/GracefulShutdown.java
@@ -2,11 +2,13 @@
 
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import org.catkingate.decisions.shutdown.ShutdownSchedule;
 import org.catkingate.runtime.MonotonicClock;
 import org.catkingate.runtime.operators.Readiness;
 import org.catkingate.runtime.settings.ProcessSettings;
@@ -58,45 +60,42 @@
 		return new GracefulShutdown(settings, readiness, clock);
 	}
 
-	/**
-	 * Returns for how long a request that arrives when the shutdown begins may be in
-	 * progress.
-	 * @return the time in milliseconds
+	/*
+	 * All times count from the start, so that a busy process does not exceed the limit.
 	 */
-	public long requestMillis() {
-		return this.settings.noticeMillis() + this.settings.limitMillis() - endingMillis();
-	}
-
-	private long endingMillis() {
-		return Math.min(ENDING_MILLIS, this.settings.limitMillis() / 4);
+	private ShutdownSchedule createSchedule(long startMillis) {
+		long noticeEndMillis = startMillis + this.settings.noticeMillis();
+		long processEndMillis = noticeEndMillis + this.settings.limitMillis();
+		return new ShutdownSchedule(startMillis, noticeEndMillis,
+				processEndMillis - Math.min(ENDING_MILLIS, this.settings.limitMillis() / 4), processEndMillis);
 	}
 
 	/**
 	 * Runs the shutdown and blocks until it is complete. New requests are rejected after
 	 * the notice period; requests that are still in progress shortly before the time
 	 * limit are ended, and aborted at the limit.
-	 * @param announce announces to other processes that this one accepts no more requests
+	 * @param announce receives the schedule, and announces to other processes that this
+	 * one accepts no more requests
 	 * @param rejectNew rejects new requests from now on
 	 * @param inProgress returns the number of requests in progress
 	 * @param endRequests ends the requests in progress, if possible with a response
 	 * @param close closes all resources of the process
 	 */
-	public void run(Runnable announce, Runnable rejectNew, LongSupplier inProgress, Runnable endRequests,
-			Runnable close) {
+	public void run(Consumer<ShutdownSchedule> announce, Runnable rejectNew, LongSupplier inProgress,
+			Runnable endRequests, Runnable close) {
 		if (!this.started.compareAndSet(false, true)) {
 			return;
 		}
-		long startedAtMillis = this.clock.millis();
+		ShutdownSchedule schedule = createSchedule(this.clock.millis());
 		this.readiness.markStopping();
-		announce.run();
+		announce.accept(schedule);
 		logger.atInfo()
 			.addKeyValue("event", "stopping")
 			.addKeyValue("in-progress", inProgress.getAsLong())
 			.log("shutting down: finishing requests in progress, new requests will be rejected");
-		sleep(this.settings.noticeMillis());
+		sleep(Math.max(0, schedule.noticeEndMillis() - this.clock.millis()));
 		rejectNew.run();
-		long deadline = this.clock.millis() + this.settings.limitMillis();
-		awaitEnd(inProgress, deadline - endingMillis());
+		awaitEnd(inProgress, schedule.requestsEndMillis());
 		long unfinished = inProgress.getAsLong();
 		if (unfinished > 0) {
 			logger.atWarn()
@@ -104,12 +103,12 @@
 				.addKeyValue("in-progress", unfinished)
 				.log("the time for the shutdown is nearly over; ending the requests in progress");
 			endRequests.run();
-			awaitEnd(inProgress, deadline);
+			awaitEnd(inProgress, schedule.processEndMillis());
 		}
 		logger.atInfo()
 			.addKeyValue("event", "stopped")
 			.addKeyValue("cut-off", inProgress.getAsLong())
-			.addKeyValue("took-ms", this.clock.millis() - startedAtMillis)
+			.addKeyValue("took-ms", this.clock.millis() - schedule.startMillis())
 			.log("finished waiting for requests in progress; closing the process");
 		close.run();
 	}
