Close connections without any request when the notice period ends

Cause: only connections on which a request had arrived were known to the shutdown of a gateway; one that was opened before stayed open until the end of the process. Change: the server keeps the connections that are unused and closes them with the idle ones.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -431,6 +431,7 @@
 
 	private void stopAccepting() {
 		this.callerServer.close();
+		this.callerServer.closeUnused();
 		this.worker.getIoThread().execute(this.connections::endNotice);
 	}
 
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerServer.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerServer.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 
@@ -41,6 +42,9 @@
 
 	private final Map<XnioIoThread, ConnectionIntake> intakes = new ConcurrentHashMap<>();
 
+	/** The connections that are being read and on which no request has arrived. */
+	private final Set<StreamConnection> unused = ConcurrentHashMap.newKeySet();
+
 	private final HttpOpenListener listener;
 
 	private final Consumer<StreamConnection> preparation;
@@ -129,20 +133,27 @@
 
 	private void start(StreamConnection connection) {
 		this.preparation.accept(connection);
+		this.unused.add(connection);
 		this.listener.handleEvent(connection);
 		// the HTTP server has set a listener of its own
 		ChannelListener<? super StreamConnection> next = connection.getCloseListener();
 		connection.setCloseListener((closed) -> {
-			this.limit.remove(closed);
+			remove(closed);
 			ChannelListeners.invokeChannelListener(closed, next);
 		});
 		if (!connection.isOpen()) {
-			this.limit.remove(connection);
+			remove(connection);
 		}
 	}
 
+	private void remove(StreamConnection connection) {
+		this.unused.remove(connection);
+		this.limit.remove(connection);
+	}
+
 	private void track(HttpServerExchange exchange) {
 		StreamConnection connection = ((AbstractServerConnection) exchange.getConnection()).getChannel();
+		this.unused.remove(connection);
 		this.limit.markBusy(connection);
 		exchange.addResponseCommitListener(this::closeIfScarce);
 		exchange.addExchangeCompleteListener((completed, next) -> {
@@ -189,6 +200,18 @@
 		return this.channel.getLocalAddress(InetSocketAddress.class);
 	}
 
+	/**
+	 * Closes the connections on which no request has arrived, so that their callers use
+	 * another process.
+	 */
+	public void closeUnused() {
+		this.unused.forEach((connection) -> connection.getIoThread().execute(() -> {
+			if (this.unused.contains(connection)) {
+				IoUtils.safeClose(connection);
+			}
+		}));
+	}
+
 	/**
 	 * Stops accepting connections.
 	 */
