Reject requests whose bodies end after the notice period at an entry as well

Cause: the same as at a gateway: an entry rejects requests that arrive after the notice, but sent those to a runner whose heads had arrived before, even if their deadline lay behind the end of the process. Change: the schedule of the shutdown decides when the body is complete. Durations are not known to an entry, so in the notice period all are taken.

--- a/catkingate-entry/src/main/java/org/catkingate/entry/AdmissionHandler.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/AdmissionHandler.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongPredicate;
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
@@ -52,16 +53,16 @@
 
 	private final BooleanSupplier shuttingDown;
 
-	private final BooleanSupplier requestsEnded;
+	private final LongPredicate sendingAllowed;
 
 	AdmissionHandler(RequestDispatcher dispatcher, IdempotencyKeyEndpoint keyEndpoint, EntrySettings settings,
-			RequestBodies bodies, BooleanSupplier shuttingDown, BooleanSupplier requestsEnded) {
+			RequestBodies bodies, BooleanSupplier shuttingDown, LongPredicate sendingAllowed) {
 		this.bodies = bodies;
 		this.dispatcher = dispatcher;
 		this.keyEndpoint = keyEndpoint;
 		this.settings = settings;
 		this.shuttingDown = shuttingDown;
-		this.requestsEnded = requestsEnded;
+		this.sendingAllowed = sendingAllowed;
 	}
 
 	@Override
@@ -182,25 +183,28 @@
 	}
 
 	private void start(HttpServerExchange exchange, AdmittedHead admitted, byte[] body) {
-		if (this.requestsEnded.getAsBoolean()) {
-			// the body arrived after the requests in progress had been ended
+		long deadlineMillis = this.dispatcher.nowMillis() + timeoutMillis(exchange);
+		if (!this.sendingAllowed.test(deadlineMillis)) {
+			// the body was complete too late in a shutdown
 			this.dispatcher.releaseLimits(admitted.account());
 			this.dispatcher.recordFailure(FailureKind.LEAVING);
 			FailureWriter.write(exchange, leaving());
 			return;
 		}
 		this.bodies.reduce(exchange.getConnection(), body.length);
-		ActiveRequest request = new ActiveRequest(createRequest(exchange, admitted, body), exchange, this.dispatcher);
+		ActiveRequest request = new ActiveRequest(createRequest(exchange, admitted, body, deadlineMillis), exchange,
+				this.dispatcher);
 		exchange.dispatch(SameThreadExecutor.INSTANCE, request::start);
 	}
 
-	private AdmittedRequest createRequest(HttpServerExchange exchange, AdmittedHead admitted, byte[] body) {
+	private AdmittedRequest createRequest(HttpServerExchange exchange, AdmittedHead admitted, byte[] body,
+			long deadlineMillis) {
 		String method = exchange.getRequestMethod().toString();
 		boolean idempotent = admitted.service().isIdempotent(method, exchange.getRequestPath());
 		String key = exchange.getRequestHeaders().getFirst(IDEMPOTENCY_KEY_HEADER);
 		return new AdmittedRequest(admitted.id(), admitted.account(), admitted.rule(), admitted.service(), idempotent,
-				key, admitted.arrivedAtMillis(), this.dispatcher.nowMillis() + timeoutMillis(exchange), method,
-				target(exchange), forwardedHeaders(exchange), body);
+				key, admitted.arrivedAtMillis(), deadlineMillis, method, target(exchange), forwardedHeaders(exchange),
+				body);
 	}
 
 	private long timeoutMillis(HttpServerExchange exchange) {
--- a/catkingate-entry/src/main/java/org/catkingate/entry/EntryProcess.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/EntryProcess.java
@@ -149,7 +149,7 @@
 
 	@Override
 	public void stop() {
-		this.shutdown.run((schedule) -> this.server.announceShutdown(), this.server::rejectNewRequests,
+		this.shutdown.run(this.server::announceShutdown, this.server::rejectNewRequests,
 				this.server::requestsInProgress, this.server::endRequests, this::close);
 	}
 
--- a/catkingate-entry/src/main/java/org/catkingate/entry/EntryServer.java
+++ b/catkingate-entry/src/main/java/org/catkingate/entry/EntryServer.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -17,6 +18,7 @@
 
 import org.catkingate.decisions.membership.FleetSnapshot;
 import org.catkingate.decisions.routing.Location;
+import org.catkingate.decisions.shutdown.ShutdownSchedule;
 import org.catkingate.runtime.MonotonicClock;
 import org.catkingate.runtime.http.CallerConnectionLimit;
 import org.catkingate.runtime.http.CallerServer;
@@ -57,6 +59,8 @@
 
 	private final CallerServer server;
 
+	private volatile Optional<ShutdownSchedule> shutdown = Optional.empty();
+
 	private volatile boolean shutdownAnnounced;
 
 	private volatile boolean rejectingRequests;
@@ -101,7 +105,7 @@
 		EntryServer entryServer = new EntryServer(settings, dispatcher, clock);
 		entryServer.server.startAccepting(new AdmissionHandler(dispatcher, entryServer.keyEndpoint, settings,
 				new RequestBodies(settings.maxTotalBodyBytes(), Runtime.getRuntime().maxMemory()),
-				() -> entryServer.rejectingRequests, () -> entryServer.requestsEnded));
+				() -> entryServer.rejectingRequests, entryServer::allowsSending));
 		entryServer.worker.getIoThread()
 			.executeAtInterval(dispatcher::checkForPause, RequestDispatcher.PAUSE_CHECK_INTERVAL_MILLIS,
 					TimeUnit.MILLISECONDS);
@@ -170,8 +174,10 @@
 	/**
 	 * Makes {@link #isReady()} return false, so that the load balancer's health check
 	 * fails before requests are rejected.
+	 * @param schedule the schedule of the shutdown
 	 */
-	public void announceShutdown() {
+	public void announceShutdown(ShutdownSchedule schedule) {
+		this.shutdown = Optional.of(schedule);
 		this.shutdownAnnounced = true;
 	}
 
@@ -194,6 +200,16 @@
 		}
 	}
 
+	/*
+	 * The duration of a request is not known here. In the notice period one may be sent
+	 * whose deadline lies behind the end of the process.
+	 */
+	private boolean allowsSending(long deadlineMillis) {
+		return !this.requestsEnded
+				&& this.shutdown.map((schedule) -> schedule.allows(deadlineMillis, 0, this.dispatcher.nowMillis()))
+					.orElse(true);
+	}
+
 	/**
 	 * Returns whether the load balancer's health check should succeed.
 	 * @return whether no shutdown has been announced
