Do not count requests again at the end of a shutdown

Cause: each count of the requests in progress waits up to 500 ms for a busy traffic thread, and up to four counts in a row followed the end of the time for requests, so that a process with a limit of 7 s could last until about 8.7 s and be killed after 8 s, before its log was written. Change: the last count decides and is logged. Why it works: at most one count begins before each of the two times and ends after it. Result: in GracefulShutdownLimitTests, with counts of 500 ms and a limit of 5000 ms, the requests were ended at 5500 ms before, and are ended by 5250 ms and the process closed by 5500 ms now.

--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/process/GracefulShutdown.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/process/GracefulShutdown.java
@@ -95,28 +95,33 @@
 			.log("shutting down: finishing requests in progress, new requests will be rejected");
 		sleep(Math.max(0, schedule.noticeEndMillis() - this.clock.millis()));
 		rejectNew.run();
-		awaitEnd(inProgress, schedule.requestsEndMillis());
-		long unfinished = inProgress.getAsLong();
+		long unfinished = awaitEnd(inProgress, schedule.requestsEndMillis());
 		if (unfinished > 0) {
 			logger.atWarn()
 				.addKeyValue("event", "ending-requests")
 				.addKeyValue("in-progress", unfinished)
 				.log("the time for the shutdown is nearly over; ending the requests in progress");
 			endRequests.run();
-			awaitEnd(inProgress, schedule.processEndMillis());
+			unfinished = awaitEnd(inProgress, schedule.processEndMillis());
 		}
 		logger.atInfo()
 			.addKeyValue("event", "stopped")
-			.addKeyValue("cut-off", inProgress.getAsLong())
+			.addKeyValue("cut-off", unfinished)
 			.addKeyValue("took-ms", this.clock.millis() - schedule.startMillis())
 			.log("finished waiting for requests in progress; closing the process");
 		close.run();
 	}
 
-	private void awaitEnd(LongSupplier inProgress, long untilMillis) {
-		while (inProgress.getAsLong() > 0 && this.clock.millis() < untilMillis) {
+	/*
+	 * Returns the last count, since another one takes a long time in a busy process.
+	 */
+	private long awaitEnd(LongSupplier inProgress, long untilMillis) {
+		long count = inProgress.getAsLong();
+		while (count > 0 && this.clock.millis() < untilMillis) {
 			sleep(POLL_INTERVAL_MILLIS);
+			count = inProgress.getAsLong();
 		}
+		return count;
 	}
 
 	private static void sleep(long millis) {
