--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/TestGateway.java
@@ -169,7 +169,8 @@
 	 * @return the gateway, after it has read its configuration
 	 */
 	static TestGateway start(Registry registry, InetSocketAddress peers, HeaderCodec codec) throws Exception {
-		TestGateway gateway = startWithoutWaiting(registry, peers, (client, address) -> null, 8000, "", "", codec);
+		TestGateway gateway = startWithoutWaiting(registry, peers, (client, address) -> null, 8000, "", "", codec,
+				ShutdownTimes.SHORT);
 		Awaitility.await().atMost(Duration.ofSeconds(20)).until(gateway::isReady);
 		return gateway;
 	}
@@ -201,15 +202,32 @@
 		return gateway;
 	}
 
+	/**
+	 * Starts a gateway with other times of its shutdown.
+	 * @param noticeSeconds the notice period
+	 * @param limitSeconds the time limit after it
+	 * @param kind the kind of the route's calls
+	 * @param runners the addresses of the runners of its service
+	 * @return the gateway, after it has read its configuration
+	 */
+	static TestGateway startWithShutdown(int noticeSeconds, int limitSeconds, CallKind kind,
+			InetSocketAddress... runners) throws Exception {
+		TestGateway gateway = startWithoutWaiting(new InMemoryRegistry(items(kind, runners)), FreePorts.next(),
+				(client, address) -> null, 8000, "", "", new PlatformHeaderCodec(),
+				new ShutdownTimes(noticeSeconds, limitSeconds));
+		Awaitility.await().atMost(Duration.ofSeconds(20)).until(gateway::isReady);
+		return gateway;
+	}
+
 	private static TestGateway startWithoutWaiting(Registry registry, InetSocketAddress peers,
 			PieceOriginFactory originFactory, long changeMillis, String seeds, String moreSettings) throws Exception {
 		return startWithoutWaiting(registry, peers, originFactory, changeMillis, seeds, moreSettings,
-				new PlatformHeaderCodec());
+				new PlatformHeaderCodec(), ShutdownTimes.SHORT);
 	}
 
 	private static TestGateway startWithoutWaiting(Registry registry, InetSocketAddress peers,
-			PieceOriginFactory originFactory, long changeMillis, String seeds, String moreSettings, HeaderCodec codec)
-			throws Exception {
+			PieceOriginFactory originFactory, long changeMillis, String seeds, String moreSettings, HeaderCodec codec,
+			ShutdownTimes shutdown) throws Exception {
 		InetSocketAddress callers = FreePorts.next();
 		InetSocketAddress operators = FreePorts.next();
 		GatewaySettings settings = GatewaySettings.parse("""
@@ -232,8 +250,8 @@
 				seeds = %s
 				shared-key = only-for-these-tests
 				[shutdown]
-				notice-s = 0
-				limit-s = 1
+				notice-s = %d
+				limit-s = %d
 				[keys]
 				certain-ms = 5000
 				[retries]
@@ -243,7 +261,7 @@
 				[weights]
 				change-ms = %d
 				%s""".formatted(peers.getPort(), callers.getPort(), operators.getPort(), peers.getPort(), seeds,
-				changeMillis, moreSettings));
+				shutdown.noticeSeconds(), shutdown.limitSeconds(), changeMillis, moreSettings));
 		GatewayProcess process = GatewayProcess.start(settings, (client, url) -> registry, originFactory, codec);
 		return new TestGateway(process, callers, operators);
 	}
@@ -319,6 +337,18 @@
 		this.process.stop();
 	}
 
+	/**
+	 * The times of a graceful shutdown.
+	 *
+	 * @param noticeSeconds the notice period
+	 * @param limitSeconds the time limit after it
+	 */
+	private record ShutdownTimes(int noticeSeconds, int limitSeconds) {
+
+		private static final ShutdownTimes SHORT = new ShutdownTimes(0, 1);
+
+	}
+
 	/**
 	 * A registry that never changes.
 	 *
