Await in GatewayShutdownTests that requests have reached the runner

Cause: the test. It began the shutdown 100 ms after the request was written; a request that has not been sent by then is now rejected, as it must be. Change: five tests await the runner's connection in place of the pause; what they assert is unchanged.

--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/GatewayShutdownTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/GatewayShutdownTests.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
+import org.awaitility.Awaitility;
 import org.junit.jupiter.api.Test;
 
 import org.catkingate.model.registry.CallKind;
@@ -40,7 +41,7 @@
 				RawCaller waiting = gateway.connect()) {
 			assertThat(idle.post("r1", "/songs/1", "hello").readResponse()).endsWith("whole");
 			waiting.post("r2", "/songs/1", "hello");
-			Thread.sleep(100);
+			awaitConnections(runner, 2);
 			CompletableFuture<Void> shutdown = CompletableFuture.runAsync(gateway::close);
 			assertThat(idle.awaitClosed()).isTrue();
 			assertThat(waiting.readResponse()).endsWith("whole");
@@ -77,7 +78,7 @@
 				TestGateway gateway = TestGateway.start(CallKind.NON_IDEMPOTENT, runner.address());
 				RawCaller caller = gateway.connect()) {
 			caller.post(FIRST, "/songs/1", "hello");
-			Thread.sleep(100);
+			awaitConnections(runner, 1);
 			CompletableFuture<Void> shutdown = CompletableFuture.runAsync(gateway::close);
 			assertThat(caller.readResponse()).contains("Connection: close").endsWith("whole");
 			assertThat(caller.awaitClosed()).isTrue();
@@ -94,7 +95,7 @@
 				TestGateway gateway = TestGateway.start(CallKind.NON_IDEMPOTENT, runner.address());
 				RawCaller caller = gateway.connect()) {
 			caller.post(FIRST, "/songs/1", "hello").post("second", "/songs/1", "hello");
-			Thread.sleep(100);
+			awaitConnections(runner, 1);
 			CompletableFuture<Void> shutdown = CompletableFuture.runAsync(gateway::close);
 			assertThat(caller.readResponse()).endsWith("whole");
 			assertThat(caller.readResponse()).contains("X-Request-Id: second").contains("Connection: close");
@@ -138,7 +139,7 @@
 				TestGateway gateway = TestGateway.start(CallKind.NON_IDEMPOTENT, runner.address());
 				RawCaller caller = gateway.connect()) {
 			caller.post(FIRST, "/songs/1", "hello").post("second", "/songs/1", "hello");
-			Thread.sleep(100);
+			awaitConnections(runner, 1);
 			CompletableFuture<Void> shutdown = CompletableFuture.runAsync(gateway::close);
 			assertThat(caller.readResponse()).endsWith("whole");
 			assertThat(caller.readResponse()).startsWith("HTTP/1.1 50").contains("X-Request-Id: second");
@@ -159,7 +160,7 @@
 			inProgress.post("in-progress", "/songs/1", "hello");
 			late.send("POST /songs/1 HTTP/1.1\r\nHost: " + TestGateway.HOST + "\r\nX-Request-Id: late\r\n"
 					+ "Authorization: Bearer " + TestGateway.API_KEY + "\r\nContent-Length: 2\r\n\r\n1");
-			Thread.sleep(100);
+			awaitConnections(runner, 1);
 			CompletableFuture<Void> shutdown = CompletableFuture.runAsync(gateway::close);
 			assertThat(inProgress.readResponse()).startsWith("HTTP/1.1 502");
 			late.send("2");
@@ -171,6 +172,14 @@
 		}
 	}
 
+	/*
+	 * Each request that may not be repeated has a connection to the runner of its own.
+	 * One that has none when the shutdown begins is rejected.
+	 */
+	private static void awaitConnections(RawServer runner, int count) {
+		Awaitility.await().until(() -> runner.acceptedConnections() >= count);
+	}
+
 	private static RawServer.Response recordOnly(RawServer.Request request, Set<String> reached) {
 		reached.add(id(request));
 		return new RawServer.Response(List.of(""), RawServer.Ending.KEEP_OPEN, 0);
