Let LateStreamTests wait for what they depend on

Cause: isRejectedBehindAnotherOne failed once in the review (load average 51): its first stream of 400 ms and fixed pauses raced with the shutdown. Change: the runner responds once the second request has been sent and the gateway is not ready any more. The assertions are the same, and the first response is checked as well.

--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/LateStreamTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/LateStreamTests.java
@@ -159,15 +159,18 @@
 		// announce a close, and which is passed on to a runner and cut (LOST).
 		@Test
 		void isRejectedBehindAnotherOne() throws Exception {
-			try (RawServer runner = RawServer.respondingTo(LateStreamTests.this::stream);
-					TestGateway gateway = TestGateway.start(CallKind.STREAM, runner.address());
+			CountDownLatch released = new CountDownLatch(1);
+			try (RawServer runner = RawServer.respondingTo((request) -> streamOnceReleased(request, released));
+					TestGateway gateway = TestGateway.startWithShutdown(0, 2, CallKind.STREAM, runner.address());
 					RawCaller caller = gateway.connect()) {
-				caller.post(SHORT, "/songs/1", "hello").readUntil("id: 1\n");
+				caller.post(BRIEF, "/songs/1", "hello");
+				Awaitility.await().until(() -> runner.acceptedConnections() > 0);
 				CompletableFuture<Void> shutdown = CompletableFuture.runAsync(gateway::close);
-				Thread.sleep(100);
+				Awaitility.await().until(() -> !gateway.isReady());
 				caller.post("behind", "/songs/1", "hello");
-				assertThat(caller.readUntil("\r\n" + LAST_CHUNK).readResponse())
-					.satisfies((response) -> assertRejectedAsNotRun("behind", response));
+				released.countDown();
+				assertThat(caller.readResponse()).startsWith("HTTP/1.1 200 ").endsWith(LAST_CHUNK);
+				assertThat(caller.readResponse()).satisfies((response) -> assertRejectedAsNotRun("behind", response));
 				assertThat(caller.awaitClosed()).isTrue();
 				shutdown.get(10, TimeUnit.SECONDS);
 			}
