Forward a runner's failure in a shutdown if there is no time for another attempt

The durations that decide in the notice period contained failures of runners, too. Change: a retry is asked for only if it could still be sent; only successes are recorded.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -189,12 +189,16 @@
 	 * A stream that has started goes on as long as possible, since its caller has a part
 	 * of it already.
 	 */
+	private boolean isTooLateInShutdown() {
+		return !this.relay.isStarted() && !this.sharedState.allowsSending(this.admitted);
+	}
+
 	private boolean rejectInShutdown() {
-		if (this.relay.isStarted() || this.sharedState.allowsSending(this.admitted)) {
-			return false;
+		boolean tooLate = isTooLateInShutdown();
+		if (tooLate) {
+			rejectOrAbort(0, RequestHandler.SHUTTING_DOWN);
 		}
-		rejectOrAbort(0, RequestHandler.SHUTTING_DOWN);
-		return true;
+		return tooLate;
 	}
 
 	@Override
@@ -423,7 +427,9 @@
 
 	private void completeResponse(RunnerAttempt from) {
 		this.log.addAttemptEnd(from, "answered", "status " + this.relay.status());
-		this.sharedState.recordDuration(this.admitted.service(), from.elapsedMillis());
+		if (this.relay.status() < MIN_FAILURE_STATUS) {
+			this.sharedState.recordDuration(this.admitted.service(), from.elapsedMillis());
+		}
 		this.relay.end();
 		finish("answered", this.relay.status());
 		this.relay.flush();
@@ -486,11 +492,11 @@
 	}
 
 	/*
-	 * Retries at another runner if the route, the retry allowance and the deadline permit
-	 * it.
+	 * Retries at another runner if the route, the deadline, a shutdown and the retry
+	 * allowance permit it.
 	 */
 	private void retryOrElse(Runnable fallback) {
-		if (this.sends < this.route.maxRunners() && remainingMillis() > 0
+		if (this.sends < this.route.maxRunners() && remainingMillis() > 0 && !isTooLateInShutdown()
 				&& this.sharedState.acquireRetry(this.admitted.service())) {
 			tryNextRunner();
 			return;
