Send callers to another gateway at once when one shuts down

Cause: a caller that was rejected by a gateway that shuts down was told to wait 300 ms, more than half of the usual goals, although its next attempt reaches another gateway, which can serve it at once. Change: while other gateways are known, the delay is 50 to 100 ms, spread at random; without any it is 300 ms as before. Result: LateStreamTests, GatewayShutdownTests and RequestLogTests pass; the effect on callers is not measured.

--- a/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
+++ b/catkingate-decisions/src/main/java/org/catkingate/decisions/admission/AdmissionPolicies.java
@@ -50,6 +50,12 @@
 	 */
 	private static final long MIN_START_MILLIS = 300;
 
+	/**
+	 * The minimum retry delay sent to callers whom another process can serve at once, in
+	 * milliseconds.
+	 */
+	private static final long MIN_RETRY_ELSEWHERE_MILLIS = 50;
+
 	/** The part of its remaining time for which a caller waits before it returns. */
 	private static final double HONOURED_PART = 1.0 / 3;
 
@@ -119,6 +125,16 @@
 				: EXPECTED_LOAD_MILLIS + (long) (draw * LOAD_RETRY_SPREAD_MILLIS);
 	}
 
+	/**
+	 * Returns when a caller should come back that is rejected for a reason that concerns
+	 * this process only. The next attempt reaches another process.
+	 * @param draw a random number from 0 to 1
+	 * @return the delay in milliseconds
+	 */
+	public static long retryElsewhereAfterMillis(double draw) {
+		return (long) (MIN_RETRY_ELSEWHERE_MILLIS * (1 + draw));
+	}
+
 	/**
 	 * Decides on a call to a service most of whose runners may not serve and load
 	 * weights. It waits if they are expected to serve well before its deadline; many
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -195,7 +195,10 @@
 
 	private boolean rejectInShutdown() {
 		boolean tooLate = isTooLateInShutdown();
-		if (tooLate) {
+		if (tooLate && !this.mayHaveRun) {
+			reject(Rejection.notRun(this.sharedState.shutdownRetryAfterMillis(), RequestHandler.SHUTTING_DOWN));
+		}
+		else if (tooLate) {
 			rejectOrAbort(0, RequestHandler.SHUTTING_DOWN);
 		}
 		return tooLate;
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestHandler.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RequestHandler.java
@@ -252,7 +252,7 @@
 	}
 
 	private void rejectInShutdown(HttpServerExchange exchange, CallerHead head) {
-		reject(exchange, head, Rejection.notRun(RejectionWriter.DEFAULT_RETRY_AFTER_MILLIS, SHUTTING_DOWN));
+		reject(exchange, head, Rejection.notRun(this.sharedState.shutdownRetryAfterMillis(), SHUTTING_DOWN));
 	}
 
 	private void start(HttpServerExchange exchange, AdmittedRequest admitted) {
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/SharedCallState.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/SharedCallState.java
@@ -7,6 +7,7 @@
 import java.util.function.IntSupplier;
 
 import org.catkingate.decisions.admission.AdmissionDecision;
+import org.catkingate.decisions.admission.AdmissionPolicies;
 import org.catkingate.decisions.admission.CallDescription;
 import org.catkingate.decisions.admission.PredictionCorrection;
 import org.catkingate.decisions.retries.RetryAllowance;
@@ -206,7 +207,18 @@
 	}
 
 	/**
-	 * Records a complete response.
+	 * Returns when a caller should come back that is rejected since this process shuts
+	 * down.
+	 * @return the delay in milliseconds
+	 */
+	long shutdownRetryAfterMillis() {
+		return (this.gatewayCount.getAsInt() > 1)
+				? AdmissionPolicies.retryElsewhereAfterMillis(ThreadLocalRandom.current().nextDouble())
+				: RejectionWriter.DEFAULT_RETRY_AFTER_MILLIS;
+	}
+
+	/**
+	 * Records a successful response.
 	 * @param service the service
 	 * @param durationMillis the time since the request was sent to its runner, in
 	 * milliseconds
