--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -32,6 +32,7 @@
 import org.catkingate.decisions.registry.RegistryView;
 import org.catkingate.decisions.routing.Distance;
 import org.catkingate.decisions.routing.Location;
+import org.catkingate.decisions.shutdown.ShutdownSchedule;
 import org.catkingate.model.AddressFormatter;
 import org.catkingate.model.RegionName;
 import org.catkingate.model.registry.RegisteredRunner;
@@ -124,6 +125,9 @@
 	 */
 	private static final long STATE_TIMEOUT_MILLIS = 500;
 
+	/** That time when the process is about to end. */
+	private static final long MIN_STATE_TIMEOUT_MILLIS = 20;
+
 	private final Readiness readiness = Readiness.startingWhile(this::canAcceptKeys);
 
 	private final PrometheusRegistry metrics = new PrometheusRegistry();
@@ -172,6 +176,9 @@
 
 	private final ShutdownState shutdownState = new ShutdownState();
 
+	/** When the process ends at the latest, in monotonic milliseconds. */
+	private volatile long endMillis = Long.MAX_VALUE;
+
 	private final CallerConnections connections;
 
 	private final OpenRequests openRequests;
@@ -398,7 +405,7 @@
 	private <T> Optional<T> callTraffic(Supplier<T> supplier) {
 		try {
 			return Optional.of(CompletableFuture.supplyAsync(supplier, this.worker.getIoThread())
-				.get(STATE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+				.get(timeoutMillis(), TimeUnit.MILLISECONDS));
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
@@ -413,23 +420,19 @@
 		}
 	}
 
+	private long timeoutMillis() {
+		return Math.max(MIN_STATE_TIMEOUT_MILLIS, Math.min(STATE_TIMEOUT_MILLIS, this.endMillis - this.clock.millis()));
+	}
+
 	@Override
 	public void stop() {
-		this.gracefulShutdown.run(
-				(schedule) -> this.worker.getIoThread().execute(() -> this.shutdownState.start(schedule)),
-				this::stopAccepting, this::requestsInProgress,
+		this.gracefulShutdown.run(this::announceShutdown, this::stopAccepting, new RequestsInShutdown(),
 				() -> this.worker.getIoThread().execute(this.connections::endRequests), this::close);
 	}
 
-	/*
-	 * Counted by the traffic thread, behind the tasks that it has been given before.
-	 * While it does not respond, a request may be in progress.
-	 */
-	private long requestsInProgress() {
-		return callTraffic(() -> {
-			this.connections.endIfIdle();
-			return this.connections.inProgress();
-		}).orElse(1);
+	private void announceShutdown(ShutdownSchedule schedule) {
+		this.endMillis = schedule.processEndMillis();
+		this.worker.getIoThread().execute(() -> this.shutdownState.start(schedule));
 	}
 
 	private void stopAccepting() {
@@ -447,4 +450,30 @@
 		this.worker.shutdownNow();
 	}
 
+	/**
+	 * The requests in progress while the process shuts down.
+	 */
+	private final class RequestsInShutdown implements GracefulShutdown.RequestsInProgress {
+
+		/*
+		 * Counted by the traffic thread, behind the tasks that it has been given before.
+		 * While it does not respond, a request may be in progress.
+		 */
+		@Override
+		public long count() {
+			return callTraffic(() -> {
+				GatewayProcess.this.connections.endIfIdle();
+				return GatewayProcess.this.connections.inProgress();
+			}).orElse(1);
+		}
+
+		@Override
+		public Map<String, Object> details() {
+			Map<String, Object> details = new TreeMap<>(GatewayProcess.this.openRequests.countByPhase());
+			details.put("arrived", GatewayProcess.this.openRequests.arrivedInShutdown());
+			return details;
+		}
+
+	}
+
 }
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/process/GracefulShutdown.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/process/GracefulShutdown.java
@@ -1,9 +1,9 @@
 package org.catkingate.runtime.process;
 
+import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -77,11 +77,11 @@
 	 * @param announce receives the schedule, and announces to other processes that this
 	 * one accepts no more requests
 	 * @param rejectNew rejects new requests from now on
-	 * @param inProgress returns the number of requests in progress
+	 * @param inProgress counts the requests in progress
 	 * @param endRequests ends the requests in progress, if possible with a response
 	 * @param close closes all resources of the process
 	 */
-	public void run(Consumer<ShutdownSchedule> announce, Runnable rejectNew, LongSupplier inProgress,
+	public void run(Consumer<ShutdownSchedule> announce, Runnable rejectNew, RequestsInProgress inProgress,
 			Runnable endRequests, Runnable close) {
 		if (!this.started.compareAndSet(false, true)) {
 			return;
@@ -91,30 +91,32 @@
 		announce.accept(schedule);
 		logger.atInfo()
 			.addKeyValue("event", "stopping")
-			.addKeyValue("in-progress", inProgress.getAsLong())
+			.addKeyValue("in-progress", inProgress.count())
 			.log("shutting down: finishing requests in progress, new requests will be rejected");
 		sleep(Math.max(0, schedule.noticeEndMillis() - this.clock.millis()));
 		rejectNew.run();
 		awaitEnd(inProgress, schedule.requestsEndMillis());
-		long unfinished = inProgress.getAsLong();
+		long unfinished = inProgress.count();
 		if (unfinished > 0) {
 			logger.atWarn()
 				.addKeyValue("event", "ending-requests")
 				.addKeyValue("in-progress", unfinished)
+				.addKeyValue("details", inProgress.details())
 				.log("the time for the shutdown is nearly over; ending the requests in progress");
 			endRequests.run();
 			awaitEnd(inProgress, schedule.processEndMillis());
 		}
 		logger.atInfo()
 			.addKeyValue("event", "stopped")
-			.addKeyValue("cut-off", inProgress.getAsLong())
+			.addKeyValue("cut-off", inProgress.count())
+			.addKeyValue("details", inProgress.details())
 			.addKeyValue("took-ms", this.clock.millis() - schedule.startMillis())
 			.log("finished waiting for requests in progress; closing the process");
 		close.run();
 	}
 
-	private void awaitEnd(LongSupplier inProgress, long untilMillis) {
-		while (inProgress.getAsLong() > 0 && this.clock.millis() < untilMillis) {
+	private void awaitEnd(RequestsInProgress inProgress, long untilMillis) {
+		while (inProgress.count() > 0 && this.clock.millis() < untilMillis) {
 			sleep(POLL_INTERVAL_MILLIS);
 		}
 	}
@@ -128,4 +130,26 @@
 		}
 	}
 
+	/**
+	 * The requests in progress.
+	 */
+	@FunctionalInterface
+	public interface RequestsInProgress {
+
+		/**
+		 * Counts the requests in progress.
+		 * @return the number
+		 */
+		long count();
+
+		/**
+		 * Describes the requests for the log.
+		 * @return the description, by name
+		 */
+		default Map<String, Object> details() {
+			return Map.of();
+		}
+
+	}
+
 }
