Write the last lines for a slow reader, and count lines that are dropped

The queue of log lines dropped lines silently when the reader of standard output fell behind, and at the end of a process it gave that reader one second, whatever was left of the time for the shutdown; an exception or a delay in stopping kept the lines from being written at all.

The last lines are written until the limit of the shutdown, and for at least 250 ms. Lines that were not taken by then are counted on standard error. Stopping has 250 ms beyond its limit (stop-overdue); then the lines are written and the process ends.

--- a/catkingate-cli/src/main/java/org/catkingate/cli/ProcessCommand.java
+++ b/catkingate-cli/src/main/java/org/catkingate/cli/ProcessCommand.java
@@ -11,6 +11,7 @@
 import org.catkingate.model.ini.ConfigurationProblem;
 import org.catkingate.model.ini.InvalidConfigurationException;
 import org.catkingate.platform.PlatformEnvironment;
+import org.catkingate.runtime.MonotonicClock;
 import org.catkingate.runtime.logging.Logging;
 import org.catkingate.runtime.process.HangUpSignal;
 import org.catkingate.runtime.process.RunningProcess;
@@ -25,6 +26,14 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(ProcessCommand.class);
 
+	/** The time after the limit of the shutdown for closing what is left. */
+	private static final long CLOSING_MILLIS = 250;
+
+	/** The minimum time for writing the last lines of the log. */
+	private static final long MIN_FLUSH_MILLIS = 250;
+
+	private static final long REPORT_MILLIS = 50;
+
 	private final String name;
 
 	@Parameter(description = "FILE, the settings of the process; if it is missing, the file that "
@@ -56,9 +65,8 @@
 			RunningProcess process = start(settings);
 			CountDownLatch stopped = new CountDownLatch(1);
 			Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-				process.stop();
+				stop(process, settings.shutdownMillis());
 				stopped.countDown();
-				Logging.flush();
 				Runtime.getRuntime().halt(ExitCodes.SUCCESS);
 			}, "shutdown"));
 			stopped.await();
@@ -74,6 +82,44 @@
 		}
 	}
 
+	/*
+	 * The process must end within the grace period of the platform, and its last lines
+	 * must be written before, also if stopping it takes too long or fails.
+	 */
+	private static void stop(RunningProcess process, long limitMillis) {
+		MonotonicClock clock = MonotonicClock.system();
+		long limitEndMillis = clock.millis() + limitMillis;
+		Thread stop = startDaemon(process::stop, "stop");
+		join(stop, limitMillis + CLOSING_MILLIS);
+		if (stop.isAlive()) {
+			logger.atWarn().addKeyValue("event", "stop-overdue").log("stopping takes too long; the process ends now");
+		}
+		long unwritten = Logging.flush(Math.max(MIN_FLUSH_MILLIS, limitEndMillis - clock.millis()));
+		if (unwritten > 0) {
+			// standard error may be blocked as well
+			join(startDaemon(
+					() -> System.err.println("catkingate: " + unwritten
+							+ " lines of the log are lost, since the reader of standard output is too slow"),
+					"unwritten"), REPORT_MILLIS);
+		}
+	}
+
+	private static Thread startDaemon(Runnable task, String name) {
+		Thread thread = new Thread(task, name);
+		thread.setDaemon(true);
+		thread.start();
+		return thread;
+	}
+
+	private static void join(Thread thread, long maxMillis) {
+		try {
+			thread.join(maxMillis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	private void revalidateSettings(String path) {
 		try {
 			read(Path.of(path));
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/logging/Logging.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/logging/Logging.java
@@ -2,13 +2,10 @@
 
 import java.util.Objects;
 
-import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.encoder.JsonEncoder;
-import ch.qos.logback.classic.spi.ILoggingEvent;
-import ch.qos.logback.core.ConsoleAppender;
 import org.slf4j.LoggerFactory;
 
 /**
@@ -25,6 +22,8 @@
 	 */
 	private static final int QUEUE_CAPACITY_LINES = 2048;
 
+	private static final String QUEUE = "standard-output";
+
 	private static final String XNIO_LOGGER = "org.xnio";
 
 	private static final String UNDERTOW_LOGGER = "io.undertow";
@@ -41,37 +40,35 @@
 		Objects.requireNonNull(level, "level must not be null");
 		LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
 		context.reset();
-		ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
-		appender.setContext(context);
-		appender.setEncoder(encoder(context));
-		appender.start();
+		CountingAsyncAppender queue = new CountingAsyncAppender(QUEUE_CAPACITY_LINES, context.getLogger(Logging.class));
+		queue.setName(QUEUE);
+		queue.setContext(context);
+		queue.console().setContext(context);
+		queue.console().setEncoder(encoder(context));
+		queue.console().start();
+		queue.start();
 		Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
 		root.setLevel(Level.convertAnSLF4JLevel(level));
-		root.addAppender(nonBlocking(context, appender));
+		root.addAppender(queue);
 		context.getLogger(XNIO_LOGGER).setLevel(Level.WARN);
 		context.getLogger(UNDERTOW_LOGGER).setLevel(Level.WARN);
 	}
 
-	/*
-	 * Lines are dropped if the reader of standard output falls behind, so that logging
-	 * never blocks a thread.
-	 */
-	private static AsyncAppender nonBlocking(LoggerContext context, ConsoleAppender<ILoggingEvent> appender) {
-		AsyncAppender queue = new AsyncAppender();
-		queue.setContext(context);
-		queue.setQueueSize(QUEUE_CAPACITY_LINES);
-		queue.setDiscardingThreshold(0);
-		queue.setNeverBlock(true);
-		queue.addAppender(appender);
-		queue.start();
-		return queue;
-	}
-
 	/**
 	 * Writes the queued lines and stops the logging of the process.
+	 * @param maxMillis the maximum time for that, in milliseconds
+	 * @return the number of lines that the reader of standard output has not accepted in
+	 * that time
 	 */
-	public static void flush() {
-		((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
+	public static long flush(long maxMillis) {
+		LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+		long unwritten = 0;
+		if (context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME)
+			.getAppender(QUEUE) instanceof CountingAsyncAppender queue) {
+			unwritten = queue.close((int) Math.max(1, Math.min(maxMillis, Integer.MAX_VALUE)));
+		}
+		context.stop();
+		return unwritten;
 	}
 
 	private static JsonEncoder encoder(LoggerContext context) {
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/GatewaySettings.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/GatewaySettings.java
@@ -87,6 +87,11 @@
 		replacedValues = List.copyOf(replacedValues);
 	}
 
+	@Override
+	public long shutdownMillis() {
+		return this.shutdown.totalMillis();
+	}
+
 	/**
 	 * Reads settings from a file for a process that starts. Invalid limits on retries and
 	 * an invalid settling time are replaced by values that allow least, since the
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/ProcessSettings.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/ProcessSettings.java
@@ -42,6 +42,11 @@
 		runners = List.copyOf(runners);
 	}
 
+	@Override
+	public long shutdownMillis() {
+		return this.shutdown.totalMillis();
+	}
+
 	/**
 	 * The identity and location of the process.
 	 *
@@ -106,6 +111,14 @@
 	 */
 	public record Shutdown(long noticeMillis, long limitMillis) {
 
+		/**
+		 * Returns the time limit for the whole shutdown.
+		 * @return the time in milliseconds
+		 */
+		long totalMillis() {
+			return this.noticeMillis + this.limitMillis;
+		}
+
 	}
 
 	/**
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/RoleSettings.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/settings/RoleSettings.java
@@ -7,10 +7,21 @@
  */
 public interface RoleSettings {
 
+	/** The limit of roles that have no setting for it. */
+	long DEFAULT_SHUTDOWN_MILLIS = 5000;
+
 	/**
 	 * Returns the identity and location of the process.
 	 * @return the settings of the process, never null
 	 */
 	ProcessSettings.Process process();
 
+	/**
+	 * Returns how long a graceful shutdown may take.
+	 * @return the time in milliseconds
+	 */
+	default long shutdownMillis() {
+		return DEFAULT_SHUTDOWN_MILLIS;
+	}
+
 }
