--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/process/GracefulShutdown.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/process/GracefulShutdown.java
@@ -1,9 +1,9 @@
 package org.catkingate.runtime.process;
 
+import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -77,11 +77,11 @@
 	 * @param announce receives the schedule, and announces to other processes that this
 	 * one accepts no more requests
 	 * @param rejectNew rejects new requests from now on
-	 * @param inProgress returns the number of requests in progress
+	 * @param inProgress counts the requests in progress
 	 * @param endRequests ends the requests in progress, if possible with a response
 	 * @param close closes all resources of the process
 	 */
-	public void run(Consumer<ShutdownSchedule> announce, Runnable rejectNew, LongSupplier inProgress,
+	public void run(Consumer<ShutdownSchedule> announce, Runnable rejectNew, RequestsInProgress inProgress,
 			Runnable endRequests, Runnable close) {
 		if (!this.started.compareAndSet(false, true)) {
 			return;
@@ -91,7 +91,7 @@
 		announce.accept(schedule);
 		logger.atInfo()
 			.addKeyValue("event", "stopping")
-			.addKeyValue("in-progress", inProgress.getAsLong())
+			.addKeyValue("in-progress", inProgress.count())
 			.log("shutting down: finishing requests in progress, new requests will be rejected");
 		sleep(Math.max(0, schedule.noticeEndMillis() - this.clock.millis()));
 		rejectNew.run();
@@ -100,6 +100,7 @@
 			logger.atWarn()
 				.addKeyValue("event", "ending-requests")
 				.addKeyValue("in-progress", unfinished)
+				.addKeyValue("details", inProgress.details())
 				.log("the time for the shutdown is nearly over; ending the requests in progress");
 			endRequests.run();
 			unfinished = awaitEnd(inProgress, schedule.processEndMillis());
@@ -107,6 +108,7 @@
 		logger.atInfo()
 			.addKeyValue("event", "stopped")
 			.addKeyValue("cut-off", unfinished)
+			.addKeyValue("details", inProgress.details())
 			.addKeyValue("took-ms", this.clock.millis() - schedule.startMillis())
 			.log("finished waiting for requests in progress; closing the process");
 		close.run();
@@ -115,11 +117,11 @@
 	/*
 	 * Returns the last count, since another one takes a long time in a busy process.
 	 */
-	private long awaitEnd(LongSupplier inProgress, long untilMillis) {
-		long count = inProgress.getAsLong();
+	private long awaitEnd(RequestsInProgress inProgress, long untilMillis) {
+		long count = inProgress.count();
 		while (count > 0 && this.clock.millis() < untilMillis) {
 			sleep(POLL_INTERVAL_MILLIS);
-			count = inProgress.getAsLong();
+			count = inProgress.count();
 		}
 		return count;
 	}
@@ -133,4 +135,26 @@
 		}
 	}
 
+	/**
+	 * The requests in progress.
+	 */
+	@FunctionalInterface
+	public interface RequestsInProgress {
+
+		/**
+		 * Counts the requests in progress.
+		 * @return the number
+		 */
+		long count();
+
+		/**
+		 * Describes the requests for the log.
+		 * @return the description, by name
+		 */
+		default Map<String, Object> details() {
+			return Map.of();
+		}
+
+	}
+
 }
