Soak shutdowns with long streams, late bodies and requests behind others

The soak had streams of 150 ms and callers that sent one whole request at a time, so that no request could outlast a shutdown.

--- a/catkingate-soak/src/test/java/org/catkingate/soak/CallerConnection.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/CallerConnection.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -42,6 +43,8 @@
 
 	private final int bytesPerSecond;
 
+	private boolean responded;
+
 	private CallerConnection(String gateway, Socket socket, int bytesPerSecond) throws IOException {
 		this.bytesPerSecond = bytesPerSecond;
 		this.gateway = gateway;
@@ -86,11 +89,26 @@
 		this.socket.getOutputStream().flush();
 	}
 
+	/**
+	 * Returns whether the gateway has responded on this connection.
+	 */
+	boolean hasResponded() {
+		return this.responded;
+	}
+
+	/**
+	 * Returns whether bytes of a response have been received.
+	 */
+	boolean hasResponse() throws IOException {
+		return this.input.available() > 0;
+	}
+
 	/**
 	 * Reads one response. The connection can be used again if it is complete and does not
 	 * announce the end of the connection.
+	 * @param headListener receives the headers before the body is read
 	 */
-	CallerResponse readResponse() {
+	CallerResponse readResponse(Consumer<Map<String, String>> headListener) {
 		this.body.reset();
 		int status = CallerResponse.NONE;
 		Map<String, String> headers = new HashMap<>();
@@ -104,6 +122,8 @@
 			int receivedStatus = Integer.parseInt(matcher.group(1));
 			readHeaders(headers);
 			status = receivedStatus;
+			this.responded = true;
+			headListener.accept(headers);
 			readBody(headers);
 			complete = true;
 		}
--- a/catkingate-soak/src/test/java/org/catkingate/soak/FaultSchedule.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/FaultSchedule.java
@@ -4,7 +4,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.stream.Stream;
 
 /**
  * The faults of a soak. They come in series, and they overlap. The same seed gives the
@@ -14,8 +13,6 @@
  */
 record FaultSchedule(List<Step> steps) {
 
-	private static final int MAX_GAP_MILLIS = 900;
-
 	private static final int MAX_SERIES = 4;
 
 	private static final int SERIES_PERCENT = 25;
@@ -33,19 +30,19 @@
 		steps = List.copyOf(steps);
 	}
 
-	static FaultSchedule of(long seed, long durationMillis) {
+	static FaultSchedule of(SoakProfile profile, long seed, long durationMillis) {
 		SplittableRandom random = new SplittableRandom(seed);
 		List<Step> steps = new ArrayList<>();
-		long startMillis = random.nextInt(MAX_GAP_MILLIS);
+		long startMillis = random.nextInt(profile.maxGapMillis());
 		while (startMillis < durationMillis) {
-			SoakFault fault = pickFault(random.nextLong());
+			SoakFault fault = pickFault(profile, random.nextLong());
 			int repetitions = (random.nextInt(100) < SERIES_PERCENT) ? 1 + random.nextInt(MAX_SERIES) : 1;
 			for (int i = 0; i < repetitions; i++) {
 				long length = (random.nextInt(100) < LONG_DURATION_PERCENT) ? LONG_DURATION_MILLIS
 						: random.nextInt(MIN_DURATION_MILLIS, MAX_DURATION_MILLIS);
 				steps.add(new Step(startMillis + i * MIN_DURATION_MILLIS, fault, length, random.nextLong()));
 			}
-			startMillis += random.nextInt(MAX_GAP_MILLIS);
+			startMillis += random.nextInt(profile.maxGapMillis());
 		}
 		return new FaultSchedule(steps);
 	}
@@ -54,8 +51,9 @@
 	 * Each fault has its own random number, so that a new fault changes only the steps
 	 * for which it is picked, and old seeds stay of use.
 	 */
-	private static SoakFault pickFault(long stepSeed) {
-		return Stream.of(SoakFault.values())
+	private static SoakFault pickFault(SoakProfile profile, long stepSeed) {
+		return profile.faults()
+			.stream()
 			.max(Comparator
 				.comparingLong((fault) -> new SplittableRandom(stepSeed ^ fault.name().hashCode()).nextLong()))
 			.orElseThrow();
--- a/catkingate-soak/src/test/java/org/catkingate/soak/FaultScheduleTests.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/FaultScheduleTests.java
@@ -16,13 +16,14 @@
 
 	@Test
 	void isTheSameForTheSameSeed() {
-		assertThat(FaultSchedule.of(5, 20_000)).isEqualTo(FaultSchedule.of(5, 20_000))
-			.isNotEqualTo(FaultSchedule.of(6, 20_000));
+		assertThat(FaultSchedule.of(SoakProfile.ALL_FAULTS, 5, 20_000))
+			.isEqualTo(FaultSchedule.of(SoakProfile.ALL_FAULTS, 5, 20_000))
+			.isNotEqualTo(FaultSchedule.of(SoakProfile.ALL_FAULTS, 6, 20_000));
 	}
 
 	@Test
 	void containsEachFault() {
-		Set<SoakFault> faults = FaultSchedule.of(5, LONG_DURATION_MILLIS)
+		Set<SoakFault> faults = FaultSchedule.of(SoakProfile.ALL_FAULTS, 5, LONG_DURATION_MILLIS)
 			.steps()
 			.stream()
 			.map(FaultSchedule.Step::fault)
@@ -32,7 +33,7 @@
 
 	@Test
 	void overlaps() {
-		FaultSchedule schedule = FaultSchedule.of(5, 20_000);
+		FaultSchedule schedule = FaultSchedule.of(SoakProfile.ALL_FAULTS, 5, 20_000);
 		FaultSchedule.Step first = schedule.steps().get(0);
 		assertThat(schedule.steps())
 			.anyMatch((step) -> step != first && step.startMillis() < first.startMillis() + first.durationMillis());
--- a/catkingate-soak/src/test/java/org/catkingate/soak/Judge.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/Judge.java
@@ -187,6 +187,28 @@
 		this.losses.gatewayKilled(gateway);
 	}
 
+	/**
+	 * Reports that a gateway is told to shut down, before it is.
+	 */
+	synchronized void gatewayTerminated(String gateway, long nowMillis) {
+		this.losses.gatewayTerminated(gateway, nowMillis);
+	}
+
+	/**
+	 * Reports that the last byte of a request has been sent on a connection that the
+	 * gateway reads.
+	 */
+	synchronized void requestCompletelySent(String requestId, long nowMillis) {
+		this.losses.requestCompletelySent(requestId, nowMillis);
+	}
+
+	/**
+	 * Reports that no other request is before one on its connection.
+	 */
+	synchronized void requestIsNext(String requestId, long nowMillis) {
+		this.losses.requestIsNext(requestId, nowMillis);
+	}
+
 	/**
 	 * Reports that a runner ends without notice, before it does.
 	 */
@@ -225,7 +247,7 @@
 			add(Promise.UNCHANGED_REQUEST, runner + " received request " + requestId + ", which no caller has sent");
 			return;
 		}
-		this.losses.requestArrived(requestId, runner);
+		this.losses.requestArrived(requestId, runner, nowMillis);
 		this.placement.judge(request, this.accountsByKey.get(request.key()), runner).ifPresent(this.breaches::add);
 		if (!isDisturbed(runner, nowMillis) && !isDisturbed(request.gateway(), nowMillis)) {
 			this.coldRunners.judge(request, runner, nowMillis).ifPresent(this.breaches::add);
--- a/catkingate-soak/src/test/java/org/catkingate/soak/JudgeTests.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/JudgeTests.java
@@ -20,6 +20,8 @@
  */
 class JudgeTests {
 
+	private static final long DEADLINE_MILLIS = 2500;
+
 	private static final String GATEWAY = "gateway-0#1";
 
 	private static final String RUNNER = "shop0-1";
@@ -32,7 +34,7 @@
 	}
 
 	private SoakRequest send(String id, RequestKind kind, String path, long sentMillis) {
-		SoakRequest request = new SoakRequest(id, kind, GATEWAY, path, "body", "key1", sentMillis);
+		SoakRequest request = new SoakRequest(id, kind, GATEWAY, path, "body", "key1", sentMillis, 0, DEADLINE_MILLIS);
 		this.judge.requestSent(request);
 		return request;
 	}
@@ -642,7 +644,7 @@
 		private void respond(String key, int served) {
 			for (int i = 0; i < UrgencyJudge.MIN_REQUESTS; i++) {
 				SoakRequest request = new SoakRequest(key + "-" + i, RequestKind.READ, GATEWAY, "/catalogue/" + i,
-						"body", key, 0);
+						"body", key, 0, 0, DEADLINE_MILLIS);
 				JudgeTests.this.judge.requestSent(request);
 				if (i < served) {
 					receive(request, 200, "s" + key + i, run(request, "s" + key + i).response(), true);
--- a/catkingate-soak/src/test/java/org/catkingate/soak/RunnerStandIn.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/RunnerStandIn.java
@@ -28,7 +28,10 @@
 
 	private static final int EVENT_COUNT = 6;
 
-	private static final long EVENT_PAUSE_MILLIS = 25;
+	private static final long DEFAULT_PAUSE_MILLIS = 25;
+
+	/** The duration of a stream in milliseconds, at the end of its path. */
+	private static final Pattern WORK = Pattern.compile("/([0-9]+)$");
 
 	private static final int SHORT_BODY_CHARS = 200;
 
@@ -159,12 +162,15 @@
 		if (!WHOLE.contains(current)) {
 			this.judge.responseWithheld(requestId);
 		}
+		Matcher work = WORK.matcher(path);
+		// there is a pause after the head, too
+		long pauseMillis = work.find() ? Long.parseLong(work.group(1)) / (EVENT_COUNT + 1) : DEFAULT_PAUSE_MILLIS;
 		if (!stream) {
-			pause(EVENT_PAUSE_MILLIS);
+			pause(DEFAULT_PAUSE_MILLIS);
 		}
 		String headers = "X-Request-Id: " + requestId + "\r\nX-Server-Seal: " + signature + "\r\nX-Instance-Load: "
 				+ this.running.get() + ",0," + SLOTS + "\r\n" + leavingHeader();
-		return write(current, status, headers, pieces, stream && status == 200);
+		return write(current, status, headers, pieces, stream && status == 200, pauseMillis);
 	}
 
 	private static void pause(long millis) {
@@ -177,7 +183,7 @@
 	}
 
 	private RawServer.Response write(RunnerBehaviour current, int status, String headers, List<String> pieces,
-			boolean stream) {
+			boolean stream, long eventPauseMillis) {
 		String start = "HTTP/1.1 " + status + " Status\r\n" + headers
 				+ (stream ? "Content-Type: text/event-stream\r\n" : "Content-Type: text/plain\r\n");
 		List<String> parts = new ArrayList<>();
@@ -193,21 +199,24 @@
 		String previous = this.lastResponse;
 		this.lastResponse = String.join("", parts);
 		return switch (current) {
-			case SOUND, FAILING, BUSY -> end(parts, RawServer.Ending.KEEP_OPEN);
-			case BREAKING_OFF -> end(cutInTheMiddle(parts), RawServer.Ending.CLOSE);
-			case RESETTING -> end(cutInTheMiddle(parts), RawServer.Ending.RESET);
-			case GARBLED -> end(List.of("\u0016\u0003garbled " + pieces), RawServer.Ending.CLOSE);
-			case SURPLUS_BYTES -> end(append(parts, "surplus bytes\r\n\r\n"), RawServer.Ending.KEEP_OPEN);
-			case REPEATING_OLD_RESPONSE -> end(append(List.of(previous), parts), RawServer.Ending.KEEP_OPEN);
-			case UNFRAMED -> end(append(List.of(start + "Connection: close\r\n\r\n"), pieces), RawServer.Ending.CLOSE);
-			case UNFRAMED_AND_RESET ->
-				end(List.of(start + "Connection: close\r\n\r\n", pieces.get(0)), RawServer.Ending.RESET);
-			case SILENT -> end(List.of(), RawServer.Ending.KEEP_OPEN);
+			case SOUND, FAILING, BUSY -> end(parts, RawServer.Ending.KEEP_OPEN, eventPauseMillis);
+			case BREAKING_OFF -> end(cutInTheMiddle(parts), RawServer.Ending.CLOSE, eventPauseMillis);
+			case RESETTING -> end(cutInTheMiddle(parts), RawServer.Ending.RESET, eventPauseMillis);
+			case GARBLED -> end(List.of("\u0016\u0003garbled " + pieces), RawServer.Ending.CLOSE, eventPauseMillis);
+			case SURPLUS_BYTES ->
+				end(append(parts, "surplus bytes\r\n\r\n"), RawServer.Ending.KEEP_OPEN, eventPauseMillis);
+			case REPEATING_OLD_RESPONSE ->
+				end(append(List.of(previous), parts), RawServer.Ending.KEEP_OPEN, eventPauseMillis);
+			case UNFRAMED -> end(append(List.of(start + "Connection: close\r\n\r\n"), pieces), RawServer.Ending.CLOSE,
+					eventPauseMillis);
+			case UNFRAMED_AND_RESET -> end(List.of(start + "Connection: close\r\n\r\n", pieces.get(0)),
+					RawServer.Ending.RESET, eventPauseMillis);
+			case SILENT -> end(List.of(), RawServer.Ending.KEEP_OPEN, eventPauseMillis);
 		};
 	}
 
-	private static RawServer.Response end(List<String> parts, RawServer.Ending ending) {
-		return new RawServer.Response(parts, ending, EVENT_PAUSE_MILLIS);
+	private static RawServer.Response end(List<String> parts, RawServer.Ending ending, long pauseMillis) {
+		return new RawServer.Response(parts, ending, pauseMillis);
 	}
 
 	private static List<String> cutInTheMiddle(List<String> parts) {
--- a/catkingate-soak/src/test/java/org/catkingate/soak/Soak.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/Soak.java
@@ -43,33 +43,36 @@
 	/** Ends the processes if this JVM is terminated. */
 	private final Thread shutdownHook = new Thread(this::closeFleet, "soak-shutdown");
 
+	private final SoakProfile profile;
+
 	private final SoakFleet.Size size;
 
 	private final SoakFleet fleet;
 
-	private Soak(SoakFleet.Size size, Path directory) throws IOException {
+	private Soak(SoakProfile profile, SoakFleet.Size size, Path directory) throws IOException {
+		this.profile = profile;
 		this.size = size;
-		this.fleet = SoakFleet.start(size, directory, this.judge, this.clock);
+		this.fleet = SoakFleet.start(profile, size, directory, this.judge, this.clock);
 		Runtime.getRuntime().addShutdownHook(this.shutdownHook);
 	}
 
 	/**
 	 * Starts the fleet of a run.
 	 */
-	static Soak start(SoakFleet.Size size, Path directory) throws IOException {
-		return new Soak(size, directory);
+	static Soak start(SoakProfile profile, SoakFleet.Size size, Path directory) throws IOException {
+		return new Soak(profile, size, directory);
 	}
 
 	/**
 	 * Runs the schedule of a seed, recovers from all faults and stops the callers.
 	 */
 	void run(long seed, long durationMillis) throws InterruptedException {
-		FaultSchedule schedule = FaultSchedule.of(seed, durationMillis);
+		FaultSchedule schedule = FaultSchedule.of(this.profile, seed, durationMillis);
 		this.faultExecutor.scheduleAtFixedRate(
 				() -> this.fleet.runners().forEach((runner) -> runSafely(runner::register)), HEARTBEAT_MILLIS,
 				HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
 		CountDownLatch recoveries = new CountDownLatch(schedule.steps().size());
-		SoakCallers callers = SoakCallers.start(this.size.callers(), this.fleet, this.judge, this.clock,
+		SoakCallers callers = SoakCallers.start(this.size.callers(), this.profile, this.fleet, this.judge, this.clock,
 				new SplittableRandom(seed));
 		try {
 			schedule.steps()
--- a/catkingate-soak/src/test/java/org/catkingate/soak/SoakFault.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakFault.java
@@ -85,12 +85,15 @@
 	}),
 
 	/** A gateway is shut down in an orderly way and started again. */
-	GATEWAY_TERMINATED((soak, random) -> terminate(pick(soak.fleet().gateways(), random))),
+	GATEWAY_TERMINATED((soak, random) -> terminate(soak, pick(soak.fleet().gateways(), random))),
 
 	/** A gateway is told to shut down several times, with changes in between. */
 	GATEWAY_TERMINATED_REPEATEDLY(
 			(soak, random) -> terminateRepeatedly(soak, pick(soak.fleet().gateways(), random), random)),
 
+	/** A gateway is shut down and started again, twice in a row. */
+	GATEWAY_TERMINATED_TWICE((soak, random) -> terminateTwice(soak, pick(soak.fleet().gateways(), random), random)),
+
 	/** A gateway is killed and started again. */
 	GATEWAY_KILLED((soak, random) -> {
 		SoakProcess gateway = pick(soak.fleet().gateways(), random);
@@ -114,7 +117,7 @@
 	/** All gateways are shut down one after the other. */
 	ALL_GATEWAYS_TERMINATED((soak, random) -> {
 		for (SoakProcess gateway : soak.fleet().gateways()) {
-			terminate(gateway).recover();
+			terminate(soak, gateway).recover();
 		}
 		return SoakFault::doNothing;
 	}),
@@ -142,7 +145,7 @@
 	}),
 
 	/** A loader is shut down in an orderly way and started again. */
-	LOADER_TERMINATED((soak, random) -> terminate(pick(soak.fleet().loaders(), random))),
+	LOADER_TERMINATED((soak, random) -> terminate(soak, pick(soak.fleet().loaders(), random))),
 
 	/** A loader is killed and started again. */
 	LOADER_KILLED((soak, random) -> kill(pick(soak.fleet().loaders(), random))),
@@ -249,6 +252,9 @@
 
 	private static final int MAX_SIGNAL_GAP_MILLIS = 400;
 
+	/** The time until a gateway that was started serves requests. */
+	private static final int READY_MILLIS = 1500;
+
 	private final Injection injection;
 
 	SoakFault(Injection injection) {
@@ -307,13 +313,15 @@
 		return process::startUnlessAlive;
 	}
 
-	private static Recovery terminate(SoakProcess process) {
+	private static Recovery terminate(Soak soak, SoakProcess process) {
+		soak.judge().gatewayTerminated(process.boot(), soak.nowMillis());
 		int boot = process.terminate();
 		return () -> process.awaitEndAndStart(boot);
 	}
 
 	private static Recovery terminateRepeatedly(Soak soak, SoakProcess gateway, SplittableRandom random)
 			throws InterruptedException {
+		soak.judge().gatewayTerminated(gateway.boot(), soak.nowMillis());
 		int boot = gateway.terminate();
 		for (int i = 0; i < REPEATED_SIGNALS; i++) {
 			Thread.sleep(random.nextInt(MAX_SIGNAL_GAP_MILLIS));
@@ -323,6 +331,15 @@
 		return () -> gateway.awaitEndAndStart(boot);
 	}
 
+	private static Recovery terminateTwice(Soak soak, SoakProcess gateway, SplittableRandom random) {
+		Recovery first = terminate(soak, gateway);
+		return () -> {
+			first.recover();
+			Thread.sleep(READY_MILLIS + random.nextInt(READY_MILLIS));
+			terminate(soak, gateway).recover();
+		};
+	}
+
 	/**
 	 * The injection of a fault.
 	 */
--- a/catkingate-soak/src/test/java/org/catkingate/soak/SoakFleet.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakFleet.java
@@ -44,6 +44,8 @@
 
 	private final List<InetSocketAddress> operators = new ArrayList<>();
 
+	private final SoakProfile profile;
+
 	private final Path directory;
 
 	private final RegistryStandIn registry;
@@ -52,21 +54,24 @@
 
 	private final SoakOperator operator;
 
-	private SoakFleet(Path directory, Judge judge, SoakClock clock) throws IOException {
+	private SoakFleet(SoakProfile profile, Path directory, Judge judge, SoakClock clock) throws IOException {
+		this.profile = profile;
 		this.directory = directory;
 		this.registry = register(new RegistryStandIn());
 		this.origin = register(new OriginStandIn());
-		this.operator = new SoakOperator(this.registry, this.origin.address(), judge, clock);
+		this.operator = new SoakOperator(this.registry, this.origin.address(), profile.timeoutMillis(), judge, clock);
 	}
 
 	/**
 	 * Starts a fleet.
+	 * @param profile what is going to happen
 	 * @param size its size
 	 * @param directory the directory for settings and output
 	 * @return the fleet, of which all gateways are ready
 	 */
-	static SoakFleet start(Size size, Path directory, Judge judge, SoakClock clock) throws IOException {
-		SoakFleet fleet = new SoakFleet(directory, judge, clock);
+	static SoakFleet start(SoakProfile profile, Size size, Path directory, Judge judge, SoakClock clock)
+			throws IOException {
+		SoakFleet fleet = new SoakFleet(profile, directory, judge, clock);
 		try {
 			fleet.operator.publish();
 			fleet.operator.declareNextWeights();
@@ -111,8 +116,8 @@
 		this.registryLinks.add(link);
 		InetSocketAddress callers = FreePorts.next();
 		this.operators.add(FreePorts.next());
-		SoakProcess gateway = register(
-				new SoakProcess(this.directory, "gateway", "gateway-" + index, callers, this.operators.get(index)));
+		SoakProcess gateway = register(new SoakProcess(this.directory, "gateway", "gateway-" + index, callers,
+				this.operators.get(index), this.profile.environment()));
 		this.gateways.add(gateway);
 		gateway.writeSettings(gatewaySettings(index, 100));
 		gateway.start();
@@ -146,8 +151,8 @@
 				seeds = %s
 				shared-key = only-for-the-soak
 				[shutdown]
-				notice-s = 1
-				limit-s = 3
+				notice-s = %d
+				limit-s = %d
 				[keys]
 				certain-ms = %d
 				[retries]
@@ -160,7 +165,8 @@
 				""".formatted(index, DATA_CENTRE, ColdRunnerJudge.OVERAGE, ColdRunnerJudge.ALLOWANCE,
 				Addresses.format(this.registryLinks.get(index).address()),
 				Addresses.format(this.gateways.get(index).address()), Addresses.format(this.operators.get(index)),
-				Addresses.format(this.peers.get(index)), seeds(), Judge.WITHDRAWAL_LIMIT_MILLIS, freeRetries);
+				Addresses.format(this.peers.get(index)), seeds(), this.profile.noticeSeconds(),
+				this.profile.limitSeconds(), Judge.WITHDRAWAL_LIMIT_MILLIS, freeRetries);
 	}
 
 	private String seeds() {
@@ -173,7 +179,8 @@
 		this.registryLinks.add(link);
 		String name = "loader-" + this.loaders.size();
 		InetSocketAddress operatorAddress = FreePorts.next();
-		SoakProcess loader = register(new SoakProcess(this.directory, "loader", name, null, operatorAddress));
+		SoakProcess loader = register(
+				new SoakProcess(this.directory, "loader", name, null, operatorAddress, this.profile.environment()));
 		this.loaders.add(loader);
 		loader.writeSettings("""
 				[process]
--- a/catkingate-soak/src/test/java/org/catkingate/soak/SoakOperator.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakOperator.java
@@ -43,8 +43,6 @@
 
 	private static final int CHANGING_ACCOUNTS = 3;
 
-	private static final long TIMEOUT_MILLIS = 3000;
-
 	private final Map<String, List<String>> keysByAccount = new LinkedHashMap<>();
 
 	private final List<String> allKeys = new ArrayList<>();
@@ -59,6 +57,8 @@
 
 	private final InetSocketAddress origin;
 
+	private final long timeoutMillis;
+
 	private final Judge judge;
 
 	private final SoakClock clock;
@@ -69,7 +69,8 @@
 
 	private int nextKey = 1;
 
-	SoakOperator(RegistryStandIn registry, InetSocketAddress origin, Judge judge, SoakClock clock) {
+	SoakOperator(RegistryStandIn registry, InetSocketAddress origin, long timeoutMillis, Judge judge, SoakClock clock) {
+		this.timeoutMillis = timeoutMillis;
 		this.registry = registry;
 		this.origin = origin;
 		this.judge = judge;
@@ -218,7 +219,7 @@
 				.put("Host", HOST)
 				.put("PathPrefix", prefix)
 				.put("Type", kind.type())
-				.put("TimeoutMs", TIMEOUT_MILLIS)
+				.put("TimeoutMs", this.timeoutMillis)
 				.put("GoalMs", 500)
 				.put("Priority", 1)
 				.put("Service", kind.service())
--- a/catkingate-soak/src/test/java/org/catkingate/soak/SoakProcess.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakProcess.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.regex.Matcher;
@@ -45,13 +46,17 @@
 
 	private final InetSocketAddress operators;
 
+	private final Map<String, String> environment;
+
 	private ChildProcess process;
 
 	private volatile int boots;
 
 	private boolean suspended;
 
-	SoakProcess(Path directory, String role, String name, InetSocketAddress address, InetSocketAddress operators) {
+	SoakProcess(Path directory, String role, String name, InetSocketAddress address, InetSocketAddress operators,
+			Map<String, String> environment) {
+		this.environment = environment;
 		this.directory = directory;
 		this.role = role;
 		this.name = name;
@@ -84,7 +89,7 @@
 	synchronized void start() throws IOException {
 		this.boots++;
 		this.suspended = false;
-		this.process = ChildProcess.start(this.directory, this.name, commandLine());
+		this.process = ChildProcess.start(this.directory, this.name, commandLine(), this.environment);
 	}
 
 	private List<String> commandLine() throws IOException {
--- a/catkingate-tests/src/test/java/org/catkingate/tests/harness/ChildProcess.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/harness/ChildProcess.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -37,13 +38,27 @@
 	}
 
 	public static ChildProcess start(Path directory, String name, List<String> command) {
+		return start(directory, name, command, Map.of());
+	}
+
+	/**
+	 * Starts a process.
+	 * @param directory the directory for its output
+	 * @param name the name of the files of its output
+	 * @param command the command line
+	 * @param environment environment variables that replace or follow those of this
+	 * process
+	 * @return the process, never null
+	 */
+	public static ChildProcess start(Path directory, String name, List<String> command,
+			Map<String, String> environment) {
 		Path output = directory.resolve(name + ".out");
 		Path errors = directory.resolve(name + ".err");
 		try {
-			Process process = new ProcessBuilder(command).redirectOutput(appendTo(output))
-				.redirectError(appendTo(errors))
-				.start();
-			return new ChildProcess(process, output, errors);
+			ProcessBuilder builder = new ProcessBuilder(command).redirectOutput(appendTo(output))
+				.redirectError(appendTo(errors));
+			builder.environment().putAll(environment);
+			return new ChildProcess(builder.start(), output, errors);
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
