--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -462,8 +462,12 @@
 		@Override
 		public long count() {
 			return callTraffic(() -> {
-				GatewayProcess.this.connections.endIfIdle();
-				return GatewayProcess.this.connections.inProgress();
+				// a request may have arrived on a connection that has not been read
+				int waiting = GatewayProcess.this.callerServer.waiting();
+				if (waiting == 0) {
+					GatewayProcess.this.connections.endIfIdle();
+				}
+				return waiting + GatewayProcess.this.connections.inProgress();
 			}).orElse(1);
 		}
 
--- a/catkingate-soak/src/test/java/org/catkingate/soak/SoakCallers.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakCallers.java
@@ -198,6 +198,13 @@
 				keys.get(random.nextInt(keys.size())), this.clock.millis(), workMillis, this.profile.deadlineMillis());
 	}
 
+	/**
+	 * Formats a request whose body has a length.
+	 */
+	static String format(SoakRequest request) {
+		return formatHead(request, false) + request.body();
+	}
+
 	/*
 	 * Also the body if it ends late, except for its end.
 	 */
