Tell callers that have waited too long that their requests have not run

Seen: with 200 callers that come at once to a gateway process that has just become ready, connections are reset without an answer. CallersOfAStartedGatewayTests counts them: 329 of 923 requests on with the machine at a load average of about 16, 99 of 382 at about 38.

Cause: the intake closed unread what had waited for 800 ms.

Change: the caller gets a 503 with Retry-After, which states that its request has not run. It is read up to the end of its head, not parsed; the connection stays open until the caller closes it, 1 s at most, so that the response is not lost to a reset. A connection whose caller has left is closed. From half of the limit on, connections are left to the backlog. Connections that wait do not give way to others, and count as requests in progress in a shutdown of a gateway; those on which no request has arrived are closed in a shutdown once they have been read. The counter of closed connections has the reasons late and left instead of unread.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayProcess.java
@@ -424,8 +424,12 @@
 	 */
 	private long requestsInProgress() {
 		return callTraffic(() -> {
-			this.connections.endIfIdle();
-			return this.connections.inProgress();
+			// a request may have arrived on a connection that has not been read
+			int waiting = this.callerServer.waiting();
+			if (waiting == 0) {
+				this.connections.endIfIdle();
+			}
+			return waiting + this.connections.inProgress();
 		}).orElse(1);
 	}
 
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerConnectionLimit.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerConnectionLimit.java
@@ -41,14 +41,17 @@
 	/** The part of the limit from which connections are scarce, in quarters. */
 	private static final int SCARCE_QUARTERS = 3;
 
-	/** The connections without a request in progress, the longest idle first. */
+	/** The connections that are being read without a request, the longest idle first. */
 	private final Set<StreamConnection> idle = new LinkedHashSet<>();
 
+	/** The connections that wait to be read or have a request in progress. */
 	private final Set<StreamConnection> busy = new HashSet<>();
 
 	private final LongAdder closedIdle = new LongAdder();
 
-	private final LongAdder closedUnread = new LongAdder();
+	private final LongAdder closedLeft = new LongAdder();
+
+	private final LongAdder late = new LongAdder();
 
 	private final LongAdder turnedAway = new LongAdder();
 
@@ -79,7 +82,7 @@
 	}
 
 	/**
-	 * Adds a connection that has been accepted, if there is room.
+	 * Adds a connection that has been accepted and waits to be read, if there is room.
 	 * @param connection the connection
 	 * @return whether it was added; if not, it must be closed
 	 */
@@ -95,7 +98,7 @@
 				replaced = longestIdle.next();
 				longestIdle.remove();
 			}
-			this.idle.add(connection);
+			this.busy.add(connection);
 		}
 		if (replaced != null) {
 			closeUnlessBusy(replaced);
@@ -128,17 +131,25 @@
 	}
 
 	/**
-	 * Closes a connection whose caller has waited for too long to be read.
+	 * Closes a connection whose caller has left before it was read.
 	 * @param connection the connection
 	 */
-	void closeUnread(StreamConnection connection) {
+	void closeLeft(StreamConnection connection) {
 		if (connection.isOpen()) {
-			this.closedUnread.increment();
+			this.closedLeft.increment();
 			IoUtils.safeClose(connection);
 		}
 		remove(connection);
 	}
 
+	/**
+	 * Counts a connection whose caller is told that its request has not run, since it has
+	 * waited for too long.
+	 */
+	void countLate() {
+		this.late.increment();
+	}
+
 	synchronized void remove(StreamConnection connection) {
 		this.idle.remove(connection);
 		this.busy.remove(connection);
@@ -153,6 +164,15 @@
 		return 4L * (this.idle.size() + this.busy.size()) >= (long) SCARCE_QUARTERS * this.maxConnections;
 	}
 
+	/**
+	 * Returns the number of connections that wait to be read from which no others should
+	 * be accepted. The rest is for those that are being read.
+	 * @return half of the maximum number of connections
+	 */
+	int maxWaiting() {
+		return this.maxConnections / 2;
+	}
+
 	/**
 	 * Returns the number of open connections.
 	 * @return the number
@@ -164,10 +184,12 @@
 	/**
 	 * Returns the counters for operators.
 	 * @return the number of connections that were closed, by reason: idle for longest,
-	 * all others busy, or not read in time
+	 * all others busy, rejected since its request came too late to be read, or left by
+	 * its caller before
 	 */
 	public Map<String, Long> closedCounts() {
-		return Map.of("idle", this.closedIdle.sum(), "full", this.turnedAway.sum(), "unread", this.closedUnread.sum());
+		return Map.of("idle", this.closedIdle.sum(), "full", this.turnedAway.sum(), "late", this.late.sum(), "left",
+				this.closedLeft.sum());
 	}
 
 }
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerServer.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/CallerServer.java
@@ -2,9 +2,13 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
 import io.undertow.connector.ByteBufferPool;
@@ -15,6 +19,7 @@
 import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
+import org.xnio.Buffers;
 import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
@@ -24,6 +29,8 @@
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
+import org.xnio.conduits.PushBackStreamSourceConduit;
+import org.xnio.conduits.StreamSourceConduit;
 
 import org.catkingate.runtime.MonotonicClock;
 
@@ -40,6 +47,22 @@
 
 	private static final int BACKLOG = 1024;
 
+	/** The time for accepting what is in the backlog when the server closes. */
+	private static final long BACKLOG_MILLIS = 100;
+
+	/** The time within which a caller closes its connection after a rejection. */
+	private static final long CLOSE_MILLIS = 1000;
+
+	/** More than the heads of most requests. */
+	private static final int ARRIVED_BYTES = 4096;
+
+	private static final String END_OF_HEAD = "\r\n\r\n";
+
+	/** States that the request has not run and when to come back. */
+	private static final byte[] LATE_RESPONSE = ("HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.3\r\n"
+			+ "Connection: close\r\nContent-Length: 0\r\n\r\n")
+		.getBytes(StandardCharsets.ISO_8859_1);
+
 	private final Map<XnioIoThread, ConnectionIntake> intakes = new ConcurrentHashMap<>();
 
 	/** The connections that are being read and on which no request has arrived. */
@@ -55,6 +78,17 @@
 
 	private final AcceptingChannel<StreamConnection> channel;
 
+	/** The number of connections that have been accepted and not been read. */
+	private final AtomicInteger waiting = new AtomicInteger();
+
+	private final Object acceptLock = new Object();
+
+	private boolean suspended;
+
+	private boolean closed;
+
+	private volatile boolean closingUnused;
+
 	private CallerServer(InetSocketAddress address, XnioWorker worker, HttpOpenListener listener,
 			Consumer<StreamConnection> preparation, CallerConnectionLimit limit, MonotonicClock clock)
 			throws IOException {
@@ -98,7 +132,9 @@
 			track(exchange);
 			handler.handleRequest(exchange);
 		});
-		this.channel.resumeAccepts();
+		synchronized (this.acceptLock) {
+			this.channel.resumeAccepts();
+		}
 	}
 
 	/**
@@ -117,6 +153,9 @@
 			IoUtils.safeClose(connection);
 			return;
 		}
+		if (this.waiting.incrementAndGet() >= this.limit.maxWaiting()) {
+			suspendAccepts();
+		}
 		XnioIoThread thread = connection.getIoThread();
 		if (thread == Thread.currentThread()) {
 			intakeOf(thread).add(connection);
@@ -126,26 +165,114 @@
 		}
 	}
 
+	/*
+	 * The others wait in the backlog, where their callers need not be told anything.
+	 */
+	private void suspendAccepts() {
+		synchronized (this.acceptLock) {
+			if (!this.suspended && !this.closed) {
+				this.suspended = true;
+				this.channel.suspendAccepts();
+			}
+		}
+	}
+
+	private void resumeAccepts() {
+		synchronized (this.acceptLock) {
+			if (this.suspended) {
+				this.suspended = false;
+				this.channel.resumeAccepts();
+			}
+		}
+	}
+
 	private ConnectionIntake intakeOf(XnioIoThread thread) {
 		return this.intakes.computeIfAbsent(thread,
-				(key) -> new ConnectionIntake(key, this.clock, this::start, this.limit::closeUnread));
+				(key) -> new ConnectionIntake(key, this.clock, this::start, this::rejectLate));
 	}
 
 	private void start(StreamConnection connection) {
+		endWait();
+		this.limit.markIdle(connection);
 		this.preparation.accept(connection);
 		this.unused.add(connection);
 		this.listener.handleEvent(connection);
 		// the HTTP server has set a listener of its own
 		ChannelListener<? super StreamConnection> next = connection.getCloseListener();
-		connection.setCloseListener((closed) -> {
-			remove(closed);
-			ChannelListeners.invokeChannelListener(closed, next);
+		connection.setCloseListener((closedConnection) -> {
+			remove(closedConnection);
+			ChannelListeners.invokeChannelListener(closedConnection, next);
 		});
+		if (this.closingUnused && this.unused.contains(connection)) {
+			IoUtils.safeClose(connection);
+		}
 		if (!connection.isOpen()) {
 			remove(connection);
 		}
 	}
 
+	private void endWait() {
+		if (this.waiting.decrementAndGet() <= this.limit.maxWaiting() / 2) {
+			resumeAccepts();
+		}
+	}
+
+	/*
+	 * The request is not parsed, so that this costs little. A request whose head has not
+	 * arrived completely is read as any other.
+	 */
+	private boolean rejectLate(StreamConnection connection) {
+		endWait();
+		StreamSourceConduit source = connection.getSourceChannel().getConduit();
+		ByteBuffer arrived = ByteBuffer.allocate(ARRIVED_BYTES);
+		try {
+			int count = source.read(arrived);
+			boolean hasLeft = count < 0 || (count > 0 && arrived.hasRemaining() && source.read(arrived) < 0);
+			if (!hasLeft && !new String(arrived.array(), 0, arrived.position(), StandardCharsets.ISO_8859_1)
+				.contains(END_OF_HEAD)) {
+				pushBack(connection, arrived.flip());
+				this.waiting.incrementAndGet();
+				return false;
+			}
+			if (hasLeft) {
+				this.limit.closeLeft(connection);
+				return true;
+			}
+			this.limit.countLate();
+			connection.getSinkChannel().write(ByteBuffer.wrap(LATE_RESPONSE));
+			connection.getSinkChannel().shutdownWrites();
+			connection.getSinkChannel().flush();
+			awaitClose(connection);
+		}
+		catch (IOException ex) {
+			this.limit.closeLeft(connection);
+		}
+		return true;
+	}
+
+	private static void pushBack(StreamConnection connection, ByteBuffer bytes) {
+		if (bytes.hasRemaining()) {
+			PushBackStreamSourceConduit source = new PushBackStreamSourceConduit(
+					connection.getSourceChannel().getConduit());
+			source.pushBack(Buffers.pooledWrapper(bytes));
+			connection.getSourceChannel().setConduit(source);
+		}
+	}
+
+	/*
+	 * A connection that is closed while bytes arrive is reset, and its caller may lose
+	 * the response.
+	 */
+	private void awaitClose(StreamConnection connection) {
+		this.limit.markIdle(connection);
+		connection.setCloseListener(this::remove);
+		connection.getSourceChannel()
+			.setReadListener(ChannelListeners.drainListener(Long.MAX_VALUE, (drained) -> IoUtils.safeClose(connection),
+					(failed, ex) -> IoUtils.safeClose(connection)));
+		connection.getSourceChannel().wakeupReads();
+		connection.getIoThread().executeAfter(() -> IoUtils.safeClose(connection), CLOSE_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
 	private void remove(StreamConnection connection) {
 		this.unused.remove(connection);
 		this.limit.remove(connection);
@@ -200,11 +327,20 @@
 		return this.channel.getLocalAddress(InetSocketAddress.class);
 	}
 
+	/**
+	 * Returns the number of connections that have been accepted and not been read.
+	 * @return the number
+	 */
+	public int waiting() {
+		return this.waiting.get();
+	}
+
 	/**
 	 * Closes the connections on which no request has arrived, so that their callers use
-	 * another process.
+	 * another process. Those that wait are read first.
 	 */
 	public void closeUnused() {
+		this.closingUnused = true;
 		this.unused.forEach((connection) -> connection.getIoThread().execute(() -> {
 			if (this.unused.contains(connection)) {
 				IoUtils.safeClose(connection);
@@ -213,11 +349,25 @@
 	}
 
 	/**
-	 * Stops accepting connections.
+	 * Stops accepting connections, after those in the backlog have been accepted.
 	 */
 	@Override
 	public void close() {
-		IoUtils.safeClose(this.channel);
+		synchronized (this.acceptLock) {
+			if (this.closed) {
+				return;
+			}
+			this.closed = true;
+			if (this.suspended) {
+				resumeAccepts();
+				this.channel.getWorker()
+					.getIoThread()
+					.executeAfter(() -> IoUtils.safeClose(this.channel), BACKLOG_MILLIS, TimeUnit.MILLISECONDS);
+			}
+			else {
+				IoUtils.safeClose(this.channel);
+			}
+		}
 	}
 
 }
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ConnectionIntake.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ConnectionIntake.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
@@ -40,8 +41,8 @@
 	private static final long FIRST_COME_FIRST_SERVED_MILLIS = 100;
 
 	/**
-	 * The wait after which a connection is closed unread, shortly before callers give up.
-	 * That tells the caller at once that its request has not run.
+	 * The wait after which a caller is told that its request has not run, while others
+	 * wait: it may then go elsewhere within its time limit.
 	 */
 	private static final long MAX_WAIT_MILLIS = 800;
 
@@ -53,7 +54,7 @@
 
 	private final Consumer<StreamConnection> starter;
 
-	private final Consumer<StreamConnection> expired;
+	private final Predicate<StreamConnection> rejecter;
 
 	private boolean turnScheduled;
 
@@ -62,14 +63,15 @@
 	 * @param thread the I/O thread
 	 * @param clock the clock
 	 * @param starter begins to read a connection
-	 * @param expired closes a connection that has waited for too long
+	 * @param rejecter ends a connection that has waited for too long; returns false if it
+	 * must be read as any other
 	 */
 	ConnectionIntake(XnioExecutor thread, MonotonicClock clock, Consumer<StreamConnection> starter,
-			Consumer<StreamConnection> expired) {
+			Predicate<StreamConnection> rejecter) {
 		this.thread = thread;
 		this.clock = clock;
 		this.starter = starter;
-		this.expired = expired;
+		this.rejecter = rejecter;
 	}
 
 	void add(StreamConnection connection) {
@@ -102,18 +104,21 @@
 	}
 
 	private void startWaiting(long nowMillis) {
-		while (!this.waiting.isEmpty() && this.waiting.getFirst().isLongerThan(MAX_WAIT_MILLIS, nowMillis)) {
-			this.expired.accept(this.waiting.removeFirst().connection());
-		}
 		int started = 0;
-		while (started < MAX_PER_TURN && !this.waiting.isEmpty()) {
-			boolean newestFirst = this.waiting.getFirst().isLongerThan(FIRST_COME_FIRST_SERVED_MILLIS, nowMillis);
-			StreamConnection next = (newestFirst ? this.waiting.removeLast() : this.waiting.removeFirst()).connection();
-			if (next.isOpen()) {
+		while (started < MAX_PER_TURN && this.waiting.size() > MAX_PER_TURN
+				&& this.waiting.getFirst().isLongerThan(MAX_WAIT_MILLIS, nowMillis)) {
+			StreamConnection next = this.waiting.removeFirst().connection();
+			if (!this.rejecter.test(next)) {
 				started++;
 				this.starter.accept(next);
 			}
 		}
+		while (started < MAX_PER_TURN && !this.waiting.isEmpty()) {
+			boolean newestFirst = this.waiting.getFirst().isLongerThan(FIRST_COME_FIRST_SERVED_MILLIS, nowMillis);
+			StreamConnection next = (newestFirst ? this.waiting.removeLast() : this.waiting.removeFirst()).connection();
+			started++;
+			this.starter.accept(next);
+		}
 	}
 
 	/**
--- a/catkingate-soak/src/test/java/org/catkingate/soak/SoakCallers.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/SoakCallers.java
@@ -127,7 +127,7 @@
 				this.clock.millis());
 	}
 
-	private static String format(SoakRequest request) {
+	static String format(SoakRequest request) {
 		boolean get = request.body().isEmpty();
 		return (get ? "GET " : "POST ") + request.path() + " HTTP/1.1\r\nHost: " + SoakOperator.HOST
 				+ "\r\nX-Request-Id: " + request.id() + "\r\nX-Deadline-Ms: " + DEADLINE_MILLIS
--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/CallerBurstTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/CallerBurstTests.java
@@ -218,6 +218,27 @@
 		}
 	}
 
+	// Guards against a gateway that is slow for a while, as after its start, and closes
+	// connections that have waited, although their callers still do (LOST).
+	@Test
+	void isAnsweredByAProcessThatWasSlowForAWhile() throws Exception {
+		SlowCodec codec = new SlowCodec();
+		try (RecordingRunner runner = RecordingRunner.start();
+				TestGateway gateway = TestGateway.start(
+						new TestGateway.InMemoryRegistry(TestGateway.items(CallKind.IDEMPOTENT, runner.address())),
+						FreePorts.next(), codec)) {
+			this.callers.add(gateway.connect().post("first", "/songs/1", "hello"));
+			codec.awaitBlocked();
+			for (int i = 0; i < CALLERS; i++) {
+				this.callers.add(gateway.connect().post("r" + i, "/no-route", "hello"));
+			}
+			codec.unblock();
+			for (int i = 0; i <= CALLERS; i++) {
+				assertThat(this.callers.get(i).readResponse()).as("caller " + i).startsWith("HTTP/1.1 ");
+			}
+		}
+	}
+
 	private static void connectAndLeave(TestGateway gateway) {
 		try (RawCaller caller = gateway.connect()) {
 			caller.post("burst", "/no-route", "hello");
