Close idle connections to runners after some have gone silent

Cause: a request on a silent connection waits 0.8 to 1.0 s, and other idle connections of the same age stay in use, also for the second attempt. Change: the next attempt uses a new connection; idle connections without a recent response are closed, to all runners if two runners are concerned.

--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/GatewayCall.java
@@ -92,6 +92,9 @@
 
 	private int unreachableRunners;
 
+	/** Whether the connection of an attempt has gone silent. */
+	private boolean connectionFailed;
+
 	/** The part in quarantine that this request tries, null if it is no trial. */
 	private String trialPart;
 
@@ -206,7 +209,7 @@
 		this.attemptTimers.remove();
 		RunnerHead head = new RunnerHead(runner.runner().id(), Math.max(1, remainingMillis()), this.admitted.account(),
 				this.relay.lastEventId(), this.admission.priority());
-		boolean onNewConnection = !this.route.canRunAgain();
+		boolean onNewConnection = !this.route.canRunAgain() || this.connectionFailed;
 		RunnerAttempt.OutgoingRequest request = new RunnerAttempt.OutgoingRequest(
 				RunnerRequestFactory.create(this.exchange, this.admitted, this.sharedState.codec(), head),
 				this.admitted.body(), this.admission.cost(), onNewConnection, this.admission::scope,
@@ -454,8 +457,7 @@
 		this.mayHaveRun = true;
 		this.log.addAttemptEnd(from, outcome, reason);
 		this.sharedState.prompts().recordEnd(from, false);
-		from.cancel();
-		this.attempt = null;
+		cancel(from);
 		this.relay.discardBuffered();
 		if (this.route.canRunAgain() && this.relay.canBeContinued()) {
 			retryOrElse(() -> rejectOrAbort(0, reason));
@@ -549,11 +551,19 @@
 		if (this.attempt != null) {
 			this.log.addAttemptEnd(this.attempt, outcome, "");
 			this.sharedState.prompts().recordEnd(this.attempt, false);
-			this.attempt.cancel();
-			this.attempt = null;
+			cancel(this.attempt);
 		}
 	}
 
+	private void cancel(RunnerAttempt from) {
+		if (from.isReusedConnectionSilent()) {
+			this.connectionFailed = true;
+			this.sharedState.runners().recordSilence(from.runner(), this.sharedState.clock().millis());
+		}
+		from.cancel();
+		this.attempt = null;
+	}
+
 	private void reject(Rejection rejection) {
 		finish(rejection.kind().name(), rejection.kind().status());
 		RejectionWriter.write(this.exchange, this.sharedState.codec(), this.admitted.head().requestId(), rejection);
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerAttempt.java
@@ -36,6 +36,13 @@
 
 	private static final int MIN_FAILURE_STATUS = 300;
 
+	/**
+	 * The time without a response after which a connection counts as silent. It is longer
+	 * than most responses take to begin, and shorter than the time for which the start of
+	 * a response is awaited.
+	 */
+	private static final long SILENCE_MILLIS = 700;
+
 	/** The conditions that this attempt meets if it holds a share of what is limited. */
 	private static final Set<SendCondition> MET_BY_OWN_SHARE = EnumSet.of(SendCondition.WITHIN_LIMIT,
 			SendCondition.WITHIN_COLD_ALLOWANCE);
@@ -236,6 +243,16 @@
 		return this.onUnusedConnection;
 	}
 
+	/**
+	 * Returns whether a connection that was reused may no longer carry anything: it has
+	 * not been closed, and the head of the response is long overdue.
+	 * @return whether a reused connection is silent
+	 */
+	boolean isReusedConnectionSilent() {
+		return isSent() && !this.onUnusedConnection && this.responseHead == null
+				&& this.clock.millis() - this.sentAtMillis >= SILENCE_MILLIS;
+	}
+
 	/**
 	 * Returns whether the body of the response has started.
 	 * @return whether a first byte of the body has arrived
--- a/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
+++ b/catkingate-gateway/src/main/java/org/catkingate/gateway/RunnerTable.java
@@ -81,6 +81,8 @@
 
 	private final Residencies residencies = new Residencies();
 
+	private final SilentConnections silentConnections = new SilentConnections();
+
 	private RegistryView view = RegistryView.empty();
 
 	RunnerTable(Function<RegisteredRunner, RunnerState> stateFactory, AdmissionPolicy policy,
@@ -448,6 +450,15 @@
 		});
 	}
 
+	/**
+	 * Records that a request on a connection that was reused has got no response.
+	 * @param runner the runner at the other end
+	 * @param nowMillis the time now, in monotonic milliseconds
+	 */
+	void recordSilence(RunnerState runner, long nowMillis) {
+		this.silentConnections.record(runner, this.runners.values(), nowMillis);
+	}
+
 	RunnerState state(RunnerId runner) {
 		return this.runners.get(runner);
 	}
--- a/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ConnectionPool.java
+++ b/catkingate-runtime/src/main/java/org/catkingate/runtime/http/ConnectionPool.java
@@ -144,7 +144,24 @@
 			IoUtils.safeClose(connection);
 			return;
 		}
-		this.idleConnections.addFirst(new IdleConnection(connection, this.clock.millis() + usableMillis));
+		long now = this.clock.millis();
+		this.idleConnections.addFirst(new IdleConnection(connection, now, now + usableMillis));
+	}
+
+	/**
+	 * Closes the idle connections whose last response ended at a given time or before.
+	 * @param endedAtMillis the time, in milliseconds of the monotonic clock
+	 * @return the number of connections closed
+	 */
+	public int closeIdleSince(long endedAtMillis) {
+		int closedConnections = 0;
+		for (IdleConnection idle : this.idleConnections) {
+			if (idle.idleSinceMillis() <= endedAtMillis && this.idleConnections.remove(idle)) {
+				IoUtils.safeClose(idle.connection());
+				closedConnections++;
+			}
+		}
+		return closedConnections;
 	}
 
 	/**
@@ -164,10 +181,12 @@
 	 * An idle connection.
 	 *
 	 * @param connection the connection
+	 * @param idleSinceMillis when the last response on it ended, in milliseconds of the
+	 * monotonic clock
 	 * @param usableUntilMillis the time until which it may be reused, in milliseconds of
 	 * the monotonic clock
 	 */
-	private record IdleConnection(ClientConnection connection, long usableUntilMillis) {
+	private record IdleConnection(ClientConnection connection, long idleSinceMillis, long usableUntilMillis) {
 
 	}
 
--- a/catkingate-standins/src/main/java/org/catkingate/standins/raw/RawServer.java
+++ b/catkingate-standins/src/main/java/org/catkingate/standins/raw/RawServer.java
@@ -10,6 +10,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -43,6 +45,8 @@
 
 	private final List<Socket> sockets = new CopyOnWriteArrayList<>();
 
+	private final Set<Socket> silencedSockets = ConcurrentHashMap.newKeySet();
+
 	private final AtomicInteger peerClosedConnections = new AtomicInteger();
 
 	private final AtomicLong fillerBytes = new AtomicLong();
@@ -141,6 +145,14 @@
 		return this.requestHeads;
 	}
 
+	/**
+	 * Silences the connections accepted so far: they stay open, and nothing is written on
+	 * them any more.
+	 */
+	public void silenceConnections() {
+		this.silencedSockets.addAll(this.sockets);
+	}
+
 	private void accept() {
 		try {
 			while (!this.socket.isClosed()) {
@@ -163,11 +175,17 @@
 			OutputStream output = accepted.getOutputStream();
 			Request request = readRequest(input);
 			while (request != null) {
+				if (this.silencedSockets.contains(accepted)) {
+					request = readRequest(input);
+					continue;
+				}
 				Response response = this.responses.apply(request);
 				String id = requestId(request);
 				for (String part : response.parts()) {
-					output.write(part.replace(REQUEST_ID_PLACEHOLDER, id).getBytes(StandardCharsets.ISO_8859_1));
-					output.flush();
+					if (!this.silencedSockets.contains(accepted)) {
+						output.write(part.replace(REQUEST_ID_PLACEHOLDER, id).getBytes(StandardCharsets.ISO_8859_1));
+						output.flush();
+					}
 					Thread.sleep(response.pauseMillis());
 				}
 				if (!response.filler().isEmpty()) {
