--- a/catkingate-soak/src/test/java/org/catkingate/soak/CallersOfAStartedGatewayTests.java
+++ b/catkingate-soak/src/test/java/org/catkingate/soak/CallersOfAStartedGatewayTests.java
@@ -133,7 +133,8 @@
 		CallerResponse response = CallerResponse.none();
 		try {
 			connection.send(SoakCallers.format(request));
-			response = connection.readResponse();
+			response = connection.readResponse((headers) -> {
+			});
 		}
 		catch (IOException ex) {
 			// a connection that was closed before the request was sent
