--- a/catkingate-tests/src/test/java/org/catkingate/tests/gateway/CallerBurstTests.java
+++ b/catkingate-tests/src/test/java/org/catkingate/tests/gateway/CallerBurstTests.java
@@ -52,6 +52,12 @@
  */
 class CallerBurstTests {
 
+	/**
+	 * Longer than a shutdown without a notice period waits for the traffic thread before
+	 * it closes idle connections, and shorter than until it ends.
+	 */
+	private static final long HELD_UP_MILLIS = 560;
+
 	private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
 	private static final int OPEN_FILES = 400;
@@ -252,6 +258,26 @@
 		}
 	}
 
+	// Guards against requests that have arrived while the process was held up, and whose
+	// connections are reset at the end of the notice period (LOST).
+	@Test
+	void isToldThatItsRequestHasNotRunByAProcessThatShutsDown() throws Exception {
+		SlowCodec codec = new SlowCodec();
+		try (TestGateway gateway = TestGateway.start(
+				new TestGateway.InMemoryRegistry(TestGateway.items(CallKind.NON_IDEMPOTENT)), FreePorts.next(), codec);
+				RawCaller unused = gateway.connect();
+				RawCaller first = gateway.connect()) {
+			first.post("first", "/songs/1", "hello");
+			codec.awaitBlocked();
+			CompletableFuture<Void> shutdown = CompletableFuture.runAsync(gateway::close);
+			unused.post("unread", "/songs/1", "hello");
+			Thread.sleep(HELD_UP_MILLIS);
+			codec.unblock();
+			assertThat(unused.readResponse()).startsWith("HTTP/1.1 503 ");
+			shutdown.get(10, TimeUnit.SECONDS);
+		}
+	}
+
 	/**
 	 * A codec that takes a while for each request, and blocks at the first one until it
 	 * is released.
